--- /dev/null
+++ b/Makefile
@@ -0,0 +1,114 @@
+# make: build. make check: set up, build and run every test. make demo: set up,
+# build and run the demonstration. make lint: formatter and linter.
+CC = gcc
+BUILD ?= build
+SANITIZE ?=
+PKGS = apr-1 apr-util-1 libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson \
+	libxxhash libsodium libzstd
+CFLAGS_BASE = -std=gnu11 -g -O2 -Wall -Wextra -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wformat=2 -Werror -D_GNU_SOURCE
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
+ALL_CFLAGS = $(CFLAGS_BASE) $(PKG_CFLAGS) $(SANITIZE) $(CFLAGS) -Isrc -Iproto -MMD -MP
+
+MAINS = $(wildcard src/*_main.c)
+BINS = $(patsubst $(BUILD)/chestnuthoist-ctl,$(BUILD)/chestnuthoistctl,\
+	$(MAINS:src/%_main.c=$(BUILD)/chestnuthoist-%))
+LIB_SRC = $(filter-out $(MAINS),$(wildcard src/*.c))
+LIB_OBJ = $(LIB_SRC:src/%.c=$(BUILD)/src/%.o) $(BUILD)/proto/chestnuthoist.pb-c.o
+LIB = $(BUILD)/libchestnuthoist.a
+TEST_SRC = $(wildcard tests/test_*.c)
+TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+FAKE_SRC = $(wildcard tests/fakes/fake_*.c)
+FAKES = $(FAKE_SRC:tests/fakes/%.c=$(BUILD)/fakes/%)
+TOOL_SRC = $(wildcard bench/*.c)
+TOOLS = $(TOOL_SRC:bench/%.c=$(BUILD)/bench/%)
+STYLE_SRC = $(wildcard src/*.c src/*.h tests/*.c tests/*.h tests/fakes/*.c \
+	tests/fakes/*.h bench/*.c bench/*.h)
+LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c bench/*.c)
+
+.PHONY: all setup proto check test demo model lint format tidy clean
+
+all: $(BINS) $(FAKES) $(TOOLS)
+
+setup:
+	@.ci/setup
+
+$(BUILD)/chestnuthoist-%: $(BUILD)/src/%_main.o $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/chestnuthoistctl: $(BUILD)/src/ctl_main.o $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(PKG_LIBS)
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/src/%.o: src/%.c
+	@mkdir -p $(@D)
+	@echo "  CC $<"
+	@$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
+$(BUILD)/proto/%.o: proto/%.c
+	@mkdir -p $(@D)
+	@echo "  CC $<"
+	@$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
+$(BUILD)/tests/%: tests/%.c $(LIB)
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -o $@ $< $(LIB) $(PKG_LIBS) $(CHECK_LIBS)
+
+$(BUILD)/fakes/%: tests/fakes/%.c $(LIB)
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -o $@ $< $(LIB) $(PKG_LIBS)
+
+$(BUILD)/bench/%: bench/%.c $(LIB)
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -o $@ $< $(LIB) $(PKG_LIBS) -lm
+
+# Generated code is committed; run this after a change of the schema.
+proto:
+	cd proto && protoc-c --c_out=. chestnuthoist.proto
+
+check: setup
+	@$(MAKE) --no-print-directory test
+
+test: all $(TESTS)
+	@BUILD=$(BUILD) tests/run
+
+demo: setup
+	@$(MAKE) --no-print-directory all
+	@BUILD=$(BUILD) bench/demo
+
+model: setup
+	@spec/run
+
+format:
+	clang-format -i $(STYLE_SRC)
+
+lint:
+	clang-format --dry-run -Werror $(STYLE_SRC)
+	@$(MAKE) --no-print-directory -j8 -k tidy
+
+# One stamp a source file, so that only what changed is checked again.
+TIDY = $(LINT_SRC:%.c=$(BUILD)/tidy/%.ok)
+
+tidy: $(TIDY)
+
+$(BUILD)/tidy/%.ok: %.c .clang-tidy $(wildcard src/*.h)
+	@mkdir -p $(@D)
+	@echo "  TIDY $<"
+	@clang-tidy --quiet $< -- -std=gnu11 -D_GNU_SOURCE -Isrc -Iproto \
+	    $(PKG_CFLAGS) 2>$@.log || { cat $@.log; exit 1; }
+	@touch $@
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/fetch.c
@@ -0,0 +1,379 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "fetch.h"
+
+#define IDLE_CONNECTIONS_MAX 512L
+#define CONNECT_TIMEOUT_MS 2000L
+#define ANSWER_MAX_DEFAULT ((size_t)8 * 1024 * 1024)
+
+struct fetch {
+	struct loop *loop;
+	CURLM *multi;
+	struct loop_timer *timer;
+};
+
+struct fetch_call {
+	struct fetch *fetch;
+	CURL *easy;
+	const struct fetch_ops *ops;
+	void *arg;
+	struct curl_slist *headers;
+	struct lstr_buf request_body;
+	struct lstr_buf answer;
+	size_t answer_max;
+	struct loop_timer *timer;
+	bool timed_out;
+	bool too_large;
+	bool in_data;
+	bool cancelled;
+};
+
+/* The watch of one of the library's sockets. */
+struct socket_watch {
+	struct fetch *fetch;
+	curl_socket_t fd;
+	struct loop_watch *watch;
+};
+
+/*
+ * Frees a call that the library no longer uses.
+ */
+static void
+call_free(struct fetch_call *call)
+{
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	lstr_buf_free(&call->request_body);
+	lstr_buf_free(&call->answer);
+	loop_timer_destroy(call->timer);
+	free(call);
+}
+
+/*
+ * Maps a library result to a status.
+ */
+static enum status
+map_result(const struct fetch_call *call, CURLcode code)
+{
+	if (call->too_large)
+		return status_set(STATUS_FULL, "answer is too large");
+	if (call->timed_out || code == CURLE_OPERATION_TIMEDOUT)
+		return status_set(STATUS_TIMEOUT, "deadline passed");
+	if (code == CURLE_OK)
+		return STATUS_OK;
+	if (code == CURLE_COULDNT_CONNECT)
+		return status_set(STATUS_UNAVAILABLE, "cannot connect");
+	return status_set(STATUS_IO, "%s", curl_easy_strerror(code));
+}
+
+/*
+ * Ends a call: removes it from the library, tells its owner and frees it.
+ */
+static void
+finish(struct fetch_call *call, CURLcode code)
+{
+	struct fetch_result result;
+	long request_size = 0;
+
+	memset(&result, 0, sizeof(result));
+	curl_easy_getinfo(
+	    call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+	result.status = map_result(call, code);
+	result.body = lstr_buf_view(&call->answer);
+	result.maybe_sent = request_size > 0 && code != CURLE_COULDNT_CONNECT;
+	curl_multi_remove_handle(call->fetch->multi, call->easy);
+	if (!call->cancelled)
+		call->ops->done(call, &result, call->arg);
+	call_free(call);
+}
+
+/*
+ * Finishes the calls that the library reports as over.
+ */
+static void
+finish_all(struct fetch *fetch)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(fetch->multi, &left)) != NULL) {
+		struct fetch_call *call = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(
+		    message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		finish(call, message->data.result);
+	}
+}
+
+/*
+ * Passes readiness of a socket to the library.
+ */
+static void
+on_socket_ready(void *arg, unsigned int events)
+{
+	struct socket_watch *watch = arg;
+	struct fetch *fetch = watch->fetch;
+	int running;
+	int action = 0;
+
+	if (events & LOOP_READ)
+		action |= CURL_CSELECT_IN;
+	if (events & LOOP_WRITE)
+		action |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(fetch->multi, watch->fd, action, &running);
+	finish_all(fetch);
+}
+
+/*
+ * Called by the library when it wants a socket watched differently.
+ */
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *data)
+{
+	struct fetch *fetch = arg;
+	struct socket_watch *watch = data;
+	unsigned int events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (watch != NULL) {
+			loop_watch_destroy(watch->watch);
+			free(watch);
+		}
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= LOOP_READ;
+	if (what & CURL_POLL_OUT)
+		events |= LOOP_WRITE;
+	if (watch != NULL) {
+		loop_watch_set(watch->watch, events);
+		return 0;
+	}
+	watch = calloc(1, sizeof(*watch));
+	if (watch == NULL)
+		return -1;
+	watch->fetch = fetch;
+	watch->fd = fd;
+	if (loop_watch_create(fetch->loop, fd, events, on_socket_ready, watch,
+		&watch->watch) != STATUS_OK) {
+		free(watch);
+		return -1;
+	}
+	curl_multi_assign(fetch->multi, fd, watch);
+	return 0;
+}
+
+/*
+ * Called by the library when its next time-out changes.
+ */
+static int
+on_library_timer(CURLM *multi, long wait_ms, void *arg)
+{
+	struct fetch *fetch = arg;
+
+	(void)multi;
+	if (wait_ms < 0)
+		loop_timer_clear(fetch->timer);
+	else
+		loop_timer_set(fetch->timer,
+		    loop_now(fetch->loop) + wait_ms * LOOP_USEC_PER_MSEC);
+	return 0;
+}
+
+/*
+ * Tells the library that its time-out is due.
+ */
+static void
+on_timer(void *arg)
+{
+	struct fetch *fetch = arg;
+	int running;
+
+	curl_multi_socket_action(
+	    fetch->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	finish_all(fetch);
+}
+
+/*
+ * Ends a call whose deadline has passed.
+ */
+static void
+on_deadline(void *arg)
+{
+	struct fetch_call *call = arg;
+
+	call->timed_out = true;
+	finish(call, CURLE_OPERATION_TIMEDOUT);
+}
+
+/*
+ * Takes bytes of an answer.
+ */
+static size_t
+on_write(char *data, size_t size, size_t count, void *arg)
+{
+	struct fetch_call *call = arg;
+	size_t len = size * count;
+
+	if (call->ops->data != NULL) {
+		call->in_data = true;
+		call->ops->data(call, lstr_make(data, len), call->arg);
+		call->in_data = false;
+		return call->cancelled ? 0 : len;
+	}
+	if (call->answer.len + len > call->answer_max ||
+	    lstr_buf_append(&call->answer, lstr_make(data, len)) != STATUS_OK) {
+		call->too_large = true;
+		return 0;
+	}
+	return len;
+}
+
+/*
+ * Creates a client. It is destroyed after its calls have ended.
+ */
+enum status
+fetch_create(struct loop *loop, struct fetch **out)
+{
+	struct fetch *fetch = calloc(1, sizeof(*fetch));
+
+	if (fetch == NULL)
+		return status_set(STATUS_NO_MEMORY, "HTTP client");
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	fetch->loop = loop;
+	fetch->multi = curl_multi_init();
+	if (fetch->multi == NULL ||
+	    loop_timer_create(loop, on_timer, fetch, &fetch->timer) !=
+		STATUS_OK) {
+		curl_multi_cleanup(fetch->multi);
+		free(fetch);
+		return status_set(STATUS_NO_MEMORY, "HTTP client");
+	}
+	curl_multi_setopt(fetch->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(fetch->multi, CURLMOPT_SOCKETDATA, fetch);
+	curl_multi_setopt(
+	    fetch->multi, CURLMOPT_TIMERFUNCTION, on_library_timer);
+	curl_multi_setopt(fetch->multi, CURLMOPT_TIMERDATA, fetch);
+	curl_multi_setopt(
+	    fetch->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS_MAX);
+	*out = fetch;
+	return STATUS_OK;
+}
+
+/*
+ * Frees a client that has no calls.
+ */
+void
+fetch_destroy(struct fetch *fetch)
+{
+	if (fetch == NULL)
+		return;
+	curl_multi_cleanup(fetch->multi);
+	loop_timer_destroy(fetch->timer);
+	free(fetch);
+}
+
+/*
+ * Sets the library's options of a call.
+ */
+static void
+configure(struct fetch_call *call, const struct fetch_request *request)
+{
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	if (request->once) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	if (request->body.len > 0) {
+		call->headers = curl_slist_append(
+		    call->headers, "Content-Type: application/json");
+		curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDS, call->request_body.data);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)call->request_body.len);
+	} else if (strcmp(request->method, "GET") != 0) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+	}
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+/*
+ * Starts a call. The owner is told by done, never before this returns. On
+ * any status but STATUS_OK nothing was sent and done is not called.
+ */
+enum status
+fetch_start(struct fetch *fetch, const struct fetch_request *request,
+    const struct fetch_ops *ops, void *arg, struct fetch_call **out)
+{
+	struct fetch_call *call = calloc(1, sizeof(*call));
+	enum status status;
+
+	if (call == NULL)
+		return status_set(STATUS_NO_MEMORY, "HTTP call");
+	call->fetch = fetch;
+	call->ops = ops;
+	call->arg = arg;
+	call->answer_max = request->answer_max_bytes ? request->answer_max_bytes
+						     : ANSWER_MAX_DEFAULT;
+	call->easy = curl_easy_init();
+	status = lstr_buf_append(&call->request_body, request->body);
+	if (call->easy == NULL || status != STATUS_OK) {
+		call_free(call);
+		return status_set(STATUS_NO_MEMORY, "HTTP call");
+	}
+	if (request->deadline != 0) {
+		status = loop_timer_create(
+		    fetch->loop, on_deadline, call, &call->timer);
+		if (status != STATUS_OK) {
+			call_free(call);
+			return status;
+		}
+		loop_timer_set(call->timer, request->deadline);
+	}
+	configure(call, request);
+	if (curl_multi_add_handle(fetch->multi, call->easy) != CURLM_OK) {
+		call_free(call);
+		return status_set(STATUS_IO, "HTTP call cannot start");
+	}
+	if (out != NULL)
+		*out = call;
+	return STATUS_OK;
+}
+
+/*
+ * Ends a call without calling done. From the data callback, the call ends
+ * when the callback returns.
+ */
+void
+fetch_cancel(struct fetch_call *call)
+{
+	if (call == NULL)
+		return;
+	if (call->in_data) {
+		call->cancelled = true;
+		return;
+	}
+	curl_multi_remove_handle(call->fetch->multi, call->easy);
+	call_free(call);
+}
--- /dev/null
+++ b/src/frame.c
@@ -0,0 +1,266 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+
+#include <sodium.h>
+
+#include "frame.h"
+
+#define MAGIC "CHF1"
+#define MAGIC_BYTES 4
+#define NONCE_BYTES 32
+#define PREFACE_BYTES (MAGIC_BYTES + NONCE_BYTES)
+#define LENGTH_BYTES 4
+#define HEADER_BYTES crypto_secretstream_xchacha20poly1305_HEADERBYTES
+#define OVERHEAD_BYTES crypto_secretstream_xchacha20poly1305_ABYTES
+
+enum read_state {
+	READ_PREFACE,
+	READ_HEADER,
+	READ_FRAMES
+};
+
+struct frame_codec {
+	uint8_t key[FRAME_KEY_BYTES];
+	uint8_t own_nonce[NONCE_BYTES];
+	uint8_t peer_nonce[NONCE_BYTES];
+	bool client;
+	enum read_state read_state;
+	crypto_secretstream_xchacha20poly1305_state push;
+	crypto_secretstream_xchacha20poly1305_state pull;
+};
+
+/*
+ * Reads a cluster key of 64 hexadecimal digits.
+ */
+enum status
+frame_key_from_hex(const char *hex, uint8_t key[FRAME_KEY_BYTES])
+{
+	size_t len = 0;
+
+	if (sodium_hex2bin(key, FRAME_KEY_BYTES, hex, strlen(hex), NULL, &len,
+		NULL) != 0 ||
+	    len != FRAME_KEY_BYTES)
+		return status_set(
+		    STATUS_INVALID, "cluster key is not 64 hex digits");
+	return STATUS_OK;
+}
+
+/*
+ * Creates the codec of one connection. client tells which end this is; the
+ * two ends derive different keys for their directions.
+ */
+enum status
+frame_codec_create(
+    const uint8_t key[FRAME_KEY_BYTES], bool client, struct frame_codec **out)
+{
+	struct frame_codec *codec;
+
+	if (sodium_init() < 0)
+		return status_set(STATUS_IO, "libsodium cannot start");
+	codec = calloc(1, sizeof(*codec));
+	if (codec == NULL)
+		return status_set(STATUS_NO_MEMORY, "frame codec");
+	memcpy(codec->key, key, FRAME_KEY_BYTES);
+	codec->client = client;
+	randombytes_buf(codec->own_nonce, NONCE_BYTES);
+	*out = codec;
+	return STATUS_OK;
+}
+
+/*
+ * Erases and frees a codec.
+ */
+void
+frame_codec_destroy(struct frame_codec *codec)
+{
+	if (codec == NULL)
+		return;
+	sodium_memzero(codec, sizeof(*codec));
+	free(codec);
+}
+
+/*
+ * Appends the preface, the first bytes on a connection.
+ */
+enum status
+frame_preface(struct frame_codec *codec, struct lstr_buf *out)
+{
+	enum status status = lstr_buf_append(out, lstr_from(MAGIC));
+
+	if (status != STATUS_OK)
+		return status;
+	return lstr_buf_append(out, lstr_make(codec->own_nonce, NONCE_BYTES));
+}
+
+/*
+ * Tells whether both prefaces and headers are through, so that messages can
+ * be written.
+ */
+bool
+frame_is_ready(const struct frame_codec *codec)
+{
+	return codec->read_state == READ_FRAMES;
+}
+
+/*
+ * Derives the key of one direction from the cluster key and both nonces.
+ */
+static void
+derive_key(
+    const struct frame_codec *codec, bool from_client, uint8_t *direction_key)
+{
+	const uint8_t *client_nonce =
+	    codec->client ? codec->own_nonce : codec->peer_nonce;
+	const uint8_t *server_nonce =
+	    codec->client ? codec->peer_nonce : codec->own_nonce;
+	uint8_t label = from_client ? 'c' : 's';
+	crypto_generichash_state state;
+
+	crypto_generichash_init(&state, codec->key, FRAME_KEY_BYTES,
+	    crypto_secretstream_xchacha20poly1305_KEYBYTES);
+	crypto_generichash_update(&state, &label, 1);
+	crypto_generichash_update(&state, client_nonce, NONCE_BYTES);
+	crypto_generichash_update(&state, server_nonce, NONCE_BYTES);
+	crypto_generichash_final(&state, direction_key,
+	    crypto_secretstream_xchacha20poly1305_KEYBYTES);
+}
+
+/*
+ * Takes the peer's preface and answers with the stream header.
+ */
+static enum status
+read_preface(
+    struct frame_codec *codec, struct lstr_buf *in, struct lstr_buf *reply)
+{
+	uint8_t key[crypto_secretstream_xchacha20poly1305_KEYBYTES];
+	uint8_t header[HEADER_BYTES];
+
+	if (memcmp(in->data, MAGIC, MAGIC_BYTES) != 0)
+		return status_set(
+		    STATUS_DENIED, "peer does not speak this protocol");
+	memcpy(codec->peer_nonce, in->data + MAGIC_BYTES, NONCE_BYTES);
+	lstr_buf_consume(in, PREFACE_BYTES);
+	if (memcmp(codec->peer_nonce, codec->own_nonce, NONCE_BYTES) == 0)
+		return status_set(STATUS_DENIED, "peer reflects the nonce");
+	derive_key(codec, codec->client, key);
+	crypto_secretstream_xchacha20poly1305_init_push(
+	    &codec->push, header, key);
+	sodium_memzero(key, sizeof(key));
+	codec->read_state = READ_HEADER;
+	return lstr_buf_append(reply, lstr_make(header, HEADER_BYTES));
+}
+
+/*
+ * Takes the peer's stream header.
+ */
+static enum status
+read_header(struct frame_codec *codec, struct lstr_buf *in)
+{
+	uint8_t key[crypto_secretstream_xchacha20poly1305_KEYBYTES];
+	int rc;
+
+	derive_key(codec, !codec->client, key);
+	rc = crypto_secretstream_xchacha20poly1305_init_pull(
+	    &codec->pull, (const uint8_t *)in->data, key);
+	sodium_memzero(key, sizeof(key));
+	lstr_buf_consume(in, HEADER_BYTES);
+	if (rc != 0)
+		return status_set(STATUS_DENIED, "bad stream header");
+	codec->read_state = READ_FRAMES;
+	return STATUS_OK;
+}
+
+/*
+ * Encrypts and appends one message. Returns STATUS_FULL for a message above
+ * FRAME_MAX_BYTES; nothing is appended then.
+ */
+enum status
+frame_write(
+    struct frame_codec *codec, const Ch__Frame *frame, struct lstr_buf *out)
+{
+	size_t len = ch__frame__get_packed_size(frame);
+	uint32_t wire_length = htonl((uint32_t)(len + OVERHEAD_BYTES));
+	uint8_t *buffer;
+	enum status status;
+
+	assert(frame_is_ready(codec));
+	if (len > FRAME_MAX_BYTES)
+		return status_set(
+		    STATUS_FULL, "message of %zu bytes is too large", len);
+	buffer = malloc(2 * len + OVERHEAD_BYTES);
+	if (buffer == NULL)
+		return status_set(STATUS_NO_MEMORY, "message");
+	ch__frame__pack(frame, buffer);
+	crypto_secretstream_xchacha20poly1305_push(&codec->push, buffer + len,
+	    NULL, buffer, len, NULL, 0,
+	    crypto_secretstream_xchacha20poly1305_TAG_MESSAGE);
+	status = lstr_buf_append(out, lstr_make(&wire_length, LENGTH_BYTES));
+	if (status == STATUS_OK)
+		status = lstr_buf_append(
+		    out, lstr_make(buffer + len, len + OVERHEAD_BYTES));
+	free(buffer);
+	return status;
+}
+
+/*
+ * Decrypts and unpacks the message whose bytes are complete.
+ */
+static enum status
+open_frame(struct frame_codec *codec, const uint8_t *cipher, size_t len,
+    Ch__Frame **out)
+{
+	uint8_t *plain = malloc(len - OVERHEAD_BYTES + 1);
+	unsigned char tag;
+
+	if (plain == NULL)
+		return status_set(STATUS_NO_MEMORY, "message");
+	if (crypto_secretstream_xchacha20poly1305_pull(
+		&codec->pull, plain, NULL, &tag, cipher, len, NULL, 0) != 0) {
+		free(plain);
+		return status_set(STATUS_DENIED, "message is not authentic");
+	}
+	*out = ch__frame__unpack(NULL, len - OVERHEAD_BYTES, plain);
+	free(plain);
+	if (*out == NULL)
+		return status_set(STATUS_INVALID, "message is malformed");
+	return STATUS_OK;
+}
+
+/*
+ * Takes the next message out of the received bytes. Sets *frame to NULL when
+ * more bytes are needed; the caller frees it with ch__frame__free_unpacked().
+ * Bytes that the handshake has to send are appended to reply. Any status but
+ * STATUS_OK means that the connection must be closed.
+ */
+enum status
+frame_read(struct frame_codec *codec, struct lstr_buf *in, Ch__Frame **frame,
+    struct lstr_buf *reply)
+{
+	enum status status = STATUS_OK;
+	uint32_t length;
+
+	*frame = NULL;
+	if (codec->read_state == READ_PREFACE && in->len >= PREFACE_BYTES)
+		status = read_preface(codec, in, reply);
+	if (status == STATUS_OK && codec->read_state == READ_HEADER &&
+	    in->len >= HEADER_BYTES)
+		status = read_header(codec, in);
+	if (status != STATUS_OK || codec->read_state != READ_FRAMES ||
+	    in->len < LENGTH_BYTES)
+		return status;
+	memcpy(&length, in->data, LENGTH_BYTES);
+	length = ntohl(length);
+	if (length < OVERHEAD_BYTES ||
+	    length > FRAME_MAX_BYTES + OVERHEAD_BYTES)
+		return status_set(STATUS_INVALID,
+		    "frame length of %u bytes is out of range", length);
+	if (in->len < LENGTH_BYTES + (size_t)length)
+		return STATUS_OK;
+	status = open_frame(
+	    codec, (const uint8_t *)in->data + LENGTH_BYTES, length, frame);
+	lstr_buf_consume(in, LENGTH_BYTES + (size_t)length);
+	return status;
+}
--- /dev/null
+++ b/src/frame.h
@@ -0,0 +1,32 @@
+#ifndef CH_FRAME_H
+#define CH_FRAME_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "chestnuthoist.pb-c.h"
+
+#include "lstr.h"
+
+#define FRAME_KEY_BYTES 32
+/* Largest packed message. */
+#define FRAME_MAX_BYTES (1024 * 1024)
+
+/*
+ * The cryptographic state of one connection. Bytes from the peer go through
+ * frame_read(), messages to it through frame_write().
+ */
+struct frame_codec;
+
+enum status frame_key_from_hex(const char *, uint8_t[FRAME_KEY_BYTES]);
+enum status frame_codec_create(
+    const uint8_t[FRAME_KEY_BYTES], bool, struct frame_codec **);
+void frame_codec_destroy(struct frame_codec *);
+enum status frame_preface(struct frame_codec *, struct lstr_buf *);
+bool frame_is_ready(const struct frame_codec *);
+enum status frame_write(
+    struct frame_codec *, const Ch__Frame *, struct lstr_buf *);
+enum status frame_read(
+    struct frame_codec *, struct lstr_buf *, Ch__Frame **, struct lstr_buf *);
+
+#endif
--- /dev/null
+++ b/src/httpd.c
@@ -0,0 +1,518 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <microhttpd.h>
+
+#include "httpd.h"
+#include "log.h"
+#include "settings.h"
+
+#define CONNECTIONS_MAX 8192
+#define CONNECTION_MEMORY_BYTES ((size_t)16 * 1024)
+#define IDLE_TIMEOUT_SECONDS 75
+#define STREAM_BLOCK_BYTES 4096
+#define STREAM_QUEUE_MAX_BYTES ((size_t)4 * 1024 * 1024)
+#define STATUS_PAYLOAD_TOO_LARGE 413
+
+struct httpd {
+	struct loop *loop;
+	const struct httpd_ops *ops;
+	void *arg;
+	struct MHD_Daemon *daemon;
+	struct loop_watch *watch;
+	struct loop_timer *timer;
+	size_t body_max;
+	unsigned int open_requests;
+	bool running;
+};
+
+struct httpd_request {
+	struct httpd *httpd;
+	struct MHD_Connection *connection;
+	const char *method;
+	const char *path;
+	struct lstr_buf body;
+	void *data;
+	struct MHD_Response *response;
+	unsigned int status;
+	bool delivered;
+	bool body_too_large;
+	bool in_handler;
+	bool suspended;
+	bool streaming;
+	bool ended;
+	struct lstr_buf queue;
+};
+
+static void run_daemon(struct httpd *);
+
+/*
+ * Makes the daemon run in the next round of the loop.
+ */
+static void
+wake(struct httpd *httpd)
+{
+	loop_timer_set(httpd->timer, 0);
+}
+
+/*
+ * Lets the daemon go on with a request whose answer has changed.
+ */
+static void
+resume(struct httpd_request *request)
+{
+	if (request->suspended) {
+		request->suspended = false;
+		MHD_resume_connection(request->connection);
+	}
+	wake(request->httpd);
+}
+
+/*
+ * Suspends a request until resume().
+ */
+static void
+suspend(struct httpd_request *request)
+{
+	if (request->suspended)
+		return;
+	request->suspended = true;
+	MHD_suspend_connection(request->connection);
+}
+
+/*
+ * Collects body bytes up to the limit.
+ */
+static void
+take_body(struct httpd_request *request, const char *data, size_t len)
+{
+	if (request->body.len + len > request->httpd->body_max)
+		request->body_too_large = true;
+	if (request->body_too_large)
+		return;
+	if (lstr_buf_append(&request->body, lstr_make(data, len)) != STATUS_OK)
+		request->body_too_large = true;
+}
+
+/*
+ * Hands a complete request to its handler, once.
+ */
+static void
+deliver(struct httpd_request *request)
+{
+	static const char message[] =
+	    "{\"outcome\":\"not-run\",\"code\":\"body-too-large\","
+	    "\"message\":\"the body is larger than this server accepts\"}\n";
+
+	if (request->body_too_large) {
+		log_event(EV_HTTP_REFUSED, "path=%s reason=body-too-large",
+		    request->path);
+		httpd_respond(request, STATUS_PAYLOAD_TOO_LARGE,
+		    "application/json", lstr_from(message));
+		return;
+	}
+	request->delivered = true;
+	request->httpd->open_requests++;
+	request->in_handler = true;
+	request->httpd->ops->request(request, request->httpd->arg);
+	request->in_handler = false;
+}
+
+/*
+ * Called by the daemon for the header, each piece of the body, the end of the
+ * body, and again after each resume until a response is queued.
+ */
+static enum MHD_Result
+on_access(void *arg, struct MHD_Connection *connection, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **state)
+{
+	struct httpd_request *request = *state;
+	enum MHD_Result result;
+
+	(void)version;
+	if (request == NULL) {
+		request = calloc(1, sizeof(*request));
+		if (request == NULL)
+			return MHD_NO;
+		request->httpd = arg;
+		request->connection = connection;
+		request->method = strdup(method);
+		request->path = strdup(url);
+		*state = request;
+		return request->method != NULL && request->path != NULL
+		    ? MHD_YES
+		    : MHD_NO;
+	}
+	if (*len > 0) {
+		take_body(request, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (!request->delivered && request->response == NULL)
+		deliver(request);
+	if (request->response == NULL) {
+		suspend(request);
+		return MHD_YES;
+	}
+	result =
+	    MHD_queue_response(connection, request->status, request->response);
+	MHD_destroy_response(request->response);
+	request->response = NULL;
+	return result;
+}
+
+/*
+ * Called by the daemon when a request is over, for whatever reason.
+ */
+static void
+on_completed(void *arg, struct MHD_Connection *connection, void **state,
+    enum MHD_RequestTerminationCode code)
+{
+	struct httpd *httpd = arg;
+	struct httpd_request *request = *state;
+
+	(void)connection;
+	(void)code;
+	if (request == NULL)
+		return;
+	*state = NULL;
+	if (request->delivered) {
+		httpd->open_requests--;
+		if (httpd->ops->closed != NULL)
+			httpd->ops->closed(request, httpd->arg);
+	}
+	if (request->response != NULL)
+		MHD_destroy_response(request->response);
+	lstr_buf_free(&request->body);
+	lstr_buf_free(&request->queue);
+	free((char *)request->method);
+	free((char *)request->path);
+	free(request);
+}
+
+/*
+ * Runs the daemon and sets the timer for its next time-out.
+ */
+static void
+run_daemon(struct httpd *httpd)
+{
+	MHD_UNSIGNED_LONG_LONG wait_ms;
+
+	if (httpd->running) {
+		wake(httpd);
+		return;
+	}
+	httpd->running = true;
+	MHD_run(httpd->daemon);
+	httpd->running = false;
+	if (MHD_get_timeout(httpd->daemon, &wait_ms) == MHD_YES)
+		loop_timer_set(httpd->timer,
+		    loop_now(httpd->loop) +
+			(int64_t)wait_ms * LOOP_USEC_PER_MSEC);
+}
+
+/*
+ * Runs the daemon when its descriptor is ready.
+ */
+static void
+on_ready(void *arg, unsigned int events)
+{
+	(void)events;
+	run_daemon(arg);
+}
+
+/*
+ * Runs the daemon when its time-out is due or it was woken.
+ */
+static void
+on_timer(void *arg)
+{
+	run_daemon(arg);
+}
+
+/*
+ * Starts the daemon on an address.
+ */
+static enum status
+start_daemon(struct httpd *httpd, const char *host, uint16_t port)
+{
+	struct sockaddr_in addr;
+	const union MHD_DaemonInfo *info;
+
+	memset(&addr, 0, sizeof(addr));
+	addr.sin_family = AF_INET;
+	addr.sin_port = htons(port);
+	if (inet_pton(AF_INET, host, &addr.sin_addr) != 1)
+		return status_set(
+		    STATUS_INVALID, "HTTP address '%s' is not IPv4", host);
+	httpd->daemon = MHD_start_daemon(
+	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
+	    httpd, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
+	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_SECONDS,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+	if (httpd->daemon == NULL)
+		return status_set(
+		    STATUS_IO, "cannot listen on %s:%u", host, port);
+	info = MHD_get_daemon_info(httpd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	return loop_watch_create(httpd->loop, info->epoll_fd, LOOP_READ,
+	    on_ready, httpd, &httpd->watch);
+}
+
+/*
+ * Creates a server on "ip:port"; port 0 lets the kernel choose. Bodies above
+ * body_max bytes are refused with status 413. The ops must outlive the
+ * server.
+ */
+enum status
+httpd_create(struct loop *loop, const char *address, size_t body_max,
+    const struct httpd_ops *ops, void *arg, struct httpd **out)
+{
+	struct httpd *httpd;
+	char *host = NULL;
+	uint16_t port = 0;
+	enum status status = settings_split_address(address, &host, &port);
+
+	if (status != STATUS_OK)
+		return status;
+	httpd = calloc(1, sizeof(*httpd));
+	if (httpd == NULL) {
+		free(host);
+		return status_set(STATUS_NO_MEMORY, "HTTP server");
+	}
+	httpd->loop = loop;
+	httpd->ops = ops;
+	httpd->arg = arg;
+	httpd->body_max = body_max;
+	status = loop_timer_create(loop, on_timer, httpd, &httpd->timer);
+	if (status == STATUS_OK)
+		status = start_daemon(httpd, host, port);
+	free(host);
+	if (status != STATUS_OK) {
+		httpd_destroy(httpd);
+		return status;
+	}
+	*out = httpd;
+	return STATUS_OK;
+}
+
+/*
+ * Stops the server at once; requests in flight are closed.
+ */
+void
+httpd_destroy(struct httpd *httpd)
+{
+	if (httpd == NULL)
+		return;
+	loop_watch_destroy(httpd->watch);
+	if (httpd->daemon != NULL)
+		MHD_stop_daemon(httpd->daemon);
+	loop_timer_destroy(httpd->timer);
+	free(httpd);
+}
+
+/*
+ * Takes no new connections; present ones go on.
+ */
+void
+httpd_stop_listening(struct httpd *httpd)
+{
+	int fd = MHD_quiesce_daemon(httpd->daemon);
+
+	if (fd >= 0)
+		close(fd);
+}
+
+/*
+ * Returns the port in host order.
+ */
+uint16_t
+httpd_port(const struct httpd *httpd)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(httpd->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+	return info->port;
+}
+
+/*
+ * Returns how many requests have been handed to the handler and are not over.
+ */
+unsigned int
+httpd_open_requests(const struct httpd *httpd)
+{
+	return httpd->open_requests;
+}
+
+/*
+ * Returns the method.
+ */
+struct lstr
+httpd_method(const struct httpd_request *request)
+{
+	return lstr_from(request->method);
+}
+
+/*
+ * Returns the path without the query.
+ */
+struct lstr
+httpd_path(const struct httpd_request *request)
+{
+	return lstr_from(request->path);
+}
+
+/*
+ * Returns the body, valid as long as the request.
+ */
+struct lstr
+httpd_body(const struct httpd_request *request)
+{
+	return lstr_buf_view(&request->body);
+}
+
+/*
+ * Returns a query argument or NULL.
+ */
+const char *
+httpd_query(const struct httpd_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+/*
+ * Returns a header field or NULL.
+ */
+const char *
+httpd_header(const struct httpd_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    request->connection, MHD_HEADER_KIND, name);
+}
+
+/*
+ * Stores a pointer of the handler with the request.
+ */
+void
+httpd_set_data(struct httpd_request *request, void *data)
+{
+	request->data = data;
+}
+
+/*
+ * Returns the handler's pointer.
+ */
+void *
+httpd_get_data(const struct httpd_request *request)
+{
+	return request->data;
+}
+
+/*
+ * Answers a request with a whole body, which is copied. Memory exhaustion
+ * closes the connection.
+ */
+void
+httpd_respond(struct httpd_request *request, unsigned int status,
+    const char *type, struct lstr body)
+{
+	assert(request->response == NULL && !request->streaming);
+	request->response = MHD_create_response_from_buffer(
+	    body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY);
+	if (request->response == NULL)
+		return;
+	MHD_add_response_header(
+	    request->response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+	request->status = status;
+	if (!request->in_handler)
+		resume(request);
+}
+
+/*
+ * Gives the daemon the next bytes of a stream, or suspends the request until
+ * there are some.
+ */
+static ssize_t
+on_read(void *arg, uint64_t position, char *buffer, size_t max)
+{
+	struct httpd_request *request = arg;
+	size_t len = request->queue.len < max ? request->queue.len : max;
+
+	(void)position;
+	if (len > 0) {
+		memcpy(buffer, request->queue.data, len);
+		lstr_buf_consume(&request->queue, len);
+		return (ssize_t)len;
+	}
+	if (request->ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	suspend(request);
+	return 0;
+}
+
+/*
+ * Begins an answer of unknown length.
+ */
+void
+httpd_stream_begin(
+    struct httpd_request *request, unsigned int status, const char *type)
+{
+	assert(request->response == NULL && !request->streaming);
+	request->response = MHD_create_response_from_callback(
+	    MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, on_read, request, NULL);
+	if (request->response == NULL)
+		return;
+	MHD_add_response_header(
+	    request->response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+	request->status = status;
+	request->streaming = true;
+	if (!request->in_handler)
+		resume(request);
+}
+
+/*
+ * Queues bytes of a stream. Returns STATUS_FULL when the caller reads too
+ * slowly; nothing is queued then.
+ */
+enum status
+httpd_stream_write(struct httpd_request *request, struct lstr bytes)
+{
+	enum status status;
+
+	if (request->queue.len + bytes.len > STREAM_QUEUE_MAX_BYTES)
+		return status_set(STATUS_FULL, "the caller reads too slowly");
+	status = lstr_buf_append(&request->queue, bytes);
+	if (status == STATUS_OK && !request->in_handler)
+		resume(request);
+	return status;
+}
+
+/*
+ * Ends a stream after what is queued.
+ */
+void
+httpd_stream_end(struct httpd_request *request)
+{
+	request->ended = true;
+	if (!request->in_handler)
+		resume(request);
+}
+
+/*
+ * Returns the bytes that the caller has not taken yet.
+ */
+size_t
+httpd_stream_queued(const struct httpd_request *request)
+{
+	return request->queue.len;
+}
--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,541 @@
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <apr_general.h>
+#include <apr_poll.h>
+#include <apr_portable.h>
+#include <apr_time.h>
+
+#include <glib.h>
+
+#include "loop.h"
+
+#define WATCH_MAX 65536
+#define SIGNAL_MAX 65
+#define IDLE_POLL_USEC (LOOP_USEC_PER_SEC)
+
+struct loop_watch {
+	struct loop *loop;
+	apr_pool_t *pool;
+	apr_pollfd_t descriptor;
+	unsigned int events;
+	loop_io_fn fn;
+	void *arg;
+	uint32_t index;
+};
+
+struct loop_timer {
+	struct loop *loop;
+	loop_fn fn;
+	void *arg;
+	int64_t at;
+	uint64_t sequence;
+	bool set;
+};
+
+/*
+ * Watches are found by index and generation, because the pollset may still
+ * report a descriptor that was removed earlier in the same round.
+ */
+struct watch_slot {
+	struct loop_watch *watch;
+	uint32_t generation;
+};
+
+struct signal_handler {
+	loop_fn fn;
+	void *arg;
+};
+
+struct loop {
+	apr_pool_t *pool;
+	apr_pollset_t *pollset;
+	GArray *slots;
+	GArray *free_slots;
+	GTree *timers;
+	uint64_t timer_sequence;
+	int64_t wall_offset;
+	bool running;
+	int signal_pipe[2];
+	struct loop_watch *signal_watch;
+	struct signal_handler handlers[SIGNAL_MAX];
+};
+
+static int signal_write_fd = -1;
+
+/*
+ * Reads the monotonic clock in microseconds.
+ */
+static int64_t
+monotonic_now(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return (int64_t)t.tv_sec * LOOP_USEC_PER_SEC + t.tv_nsec / 1000;
+}
+
+/*
+ * Orders timers by time, then by the order in which they were set.
+ */
+static gint
+compare_timers(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct loop_timer *x = a;
+	const struct loop_timer *y = b;
+
+	(void)data;
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	if (x->sequence != y->sequence)
+		return x->sequence < y->sequence ? -1 : 1;
+	return 0;
+}
+
+/*
+ * Creates a loop. APR is initialised on first use. The caller destroys the
+ * loop after everything that uses it.
+ */
+enum status
+loop_create(struct loop **out)
+{
+	struct loop *loop;
+
+	if (apr_initialize() != APR_SUCCESS)
+		return status_set(STATUS_IO, "APR cannot be initialised");
+	loop = calloc(1, sizeof(*loop));
+	if (loop == NULL)
+		return status_set(STATUS_NO_MEMORY, "event loop");
+	loop->signal_pipe[0] = loop->signal_pipe[1] = -1;
+	if (apr_pool_create(&loop->pool, NULL) != APR_SUCCESS) {
+		free(loop);
+		return status_set(STATUS_NO_MEMORY, "event loop pool");
+	}
+	if (apr_pollset_create(&loop->pollset, WATCH_MAX, loop->pool, 0) !=
+	    APR_SUCCESS) {
+		apr_pool_destroy(loop->pool);
+		free(loop);
+		return status_set(STATUS_IO, "pollset cannot be created");
+	}
+	loop->slots = g_array_new(FALSE, TRUE, sizeof(struct watch_slot));
+	loop->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	loop->timers = g_tree_new_full(compare_timers, NULL, NULL, NULL);
+	loop->wall_offset = apr_time_now() - monotonic_now();
+	*out = loop;
+	return STATUS_OK;
+}
+
+/*
+ * Frees a loop. Its watches and timers must have been destroyed.
+ */
+void
+loop_destroy(struct loop *loop)
+{
+	if (loop == NULL)
+		return;
+	if (loop->signal_watch != NULL) {
+		loop_watch_destroy(loop->signal_watch);
+		close(loop->signal_pipe[0]);
+		close(loop->signal_pipe[1]);
+		signal_write_fd = -1;
+	}
+	g_tree_destroy(loop->timers);
+	g_array_free(loop->slots, TRUE);
+	g_array_free(loop->free_slots, TRUE);
+	apr_pollset_destroy(loop->pollset);
+	apr_pool_destroy(loop->pool);
+	free(loop);
+}
+
+/*
+ * Returns the pool that lives as long as the loop.
+ */
+apr_pool_t *
+loop_pool(struct loop *loop)
+{
+	return loop->pool;
+}
+
+/*
+ * Returns the present time in microseconds since the Unix epoch. It follows
+ * the monotonic clock, so that steps of the wall clock move no deadline.
+ */
+int64_t
+loop_now(const struct loop *loop)
+{
+	return loop->wall_offset + monotonic_now();
+}
+
+/*
+ * Takes a slot for a watch and returns its index.
+ */
+static uint32_t
+slot_take(struct loop *loop, struct loop_watch *watch)
+{
+	struct watch_slot slot = {watch, 0};
+	uint32_t index;
+
+	if (loop->free_slots->len > 0) {
+		index = g_array_index(
+		    loop->free_slots, uint32_t, loop->free_slots->len - 1);
+		g_array_set_size(loop->free_slots, loop->free_slots->len - 1);
+		g_array_index(loop->slots, struct watch_slot, index).watch =
+		    watch;
+		return index;
+	}
+	index = loop->slots->len;
+	g_array_append_val(loop->slots, slot);
+	return index;
+}
+
+/*
+ * Packs index and generation of a watch into the pollset's client pointer.
+ */
+static void *
+slot_reference(struct loop *loop, uint32_t index)
+{
+	uint64_t generation =
+	    g_array_index(loop->slots, struct watch_slot, index).generation;
+
+	return (void *)(uintptr_t)(generation << 32 | index);
+}
+
+/*
+ * Adds the descriptor of a watch to the pollset, if any event is wanted.
+ */
+static enum status
+watch_arm(struct loop_watch *watch)
+{
+	apr_int16_t wanted = 0;
+
+	if (watch->events & LOOP_READ)
+		wanted |= APR_POLLIN;
+	if (watch->events & LOOP_WRITE)
+		wanted |= APR_POLLOUT;
+	if (wanted == 0)
+		return STATUS_OK;
+	watch->descriptor.reqevents = wanted;
+	if (apr_pollset_add(watch->loop->pollset, &watch->descriptor) !=
+	    APR_SUCCESS)
+		return status_set(STATUS_IO, "descriptor cannot be polled");
+	return STATUS_OK;
+}
+
+/*
+ * Watches a descriptor for LOOP_READ and LOOP_WRITE and calls fn with the
+ * events that occurred; errors and hang-ups are reported as LOOP_READ. The
+ * descriptor stays the caller's and must outlive the watch.
+ */
+enum status
+loop_watch_create(struct loop *loop, int fd, unsigned int events, loop_io_fn fn,
+    void *arg, struct loop_watch **out)
+{
+	struct loop_watch *watch = calloc(1, sizeof(*watch));
+	apr_socket_t *sock = NULL;
+	enum status status;
+
+	if (watch == NULL)
+		return status_set(STATUS_NO_MEMORY, "watch");
+	if (apr_pool_create(&watch->pool, NULL) != APR_SUCCESS) {
+		free(watch);
+		return status_set(STATUS_NO_MEMORY, "watch pool");
+	}
+	apr_os_sock_put(&sock, &fd, watch->pool);
+	watch->loop = loop;
+	watch->events = events;
+	watch->fn = fn;
+	watch->arg = arg;
+	watch->index = slot_take(loop, watch);
+	watch->descriptor.p = watch->pool;
+	watch->descriptor.desc_type = APR_POLL_SOCKET;
+	watch->descriptor.desc.s = sock;
+	watch->descriptor.client_data = slot_reference(loop, watch->index);
+	status = watch_arm(watch);
+	if (status != STATUS_OK) {
+		watch->events = 0;
+		loop_watch_destroy(watch);
+		return status;
+	}
+	*out = watch;
+	return STATUS_OK;
+}
+
+/*
+ * Changes the events of a watch; none is allowed.
+ */
+enum status
+loop_watch_set(struct loop_watch *watch, unsigned int events)
+{
+	if (watch->events == events)
+		return STATUS_OK;
+	if (watch->events != 0)
+		apr_pollset_remove(watch->loop->pollset, &watch->descriptor);
+	watch->events = events;
+	return watch_arm(watch);
+}
+
+/*
+ * Ends a watch. It may be called from any callback; no event is delivered
+ * afterwards.
+ */
+void
+loop_watch_destroy(struct loop_watch *watch)
+{
+	struct loop *loop;
+	struct watch_slot *slot;
+
+	if (watch == NULL)
+		return;
+	loop = watch->loop;
+	if (watch->events != 0)
+		apr_pollset_remove(loop->pollset, &watch->descriptor);
+	slot = &g_array_index(loop->slots, struct watch_slot, watch->index);
+	slot->watch = NULL;
+	slot->generation++;
+	g_array_append_val(loop->free_slots, watch->index);
+	apr_pool_destroy(watch->pool);
+	free(watch);
+}
+
+/*
+ * Creates a timer that is not set. It calls fn once each time it runs out.
+ */
+enum status
+loop_timer_create(
+    struct loop *loop, loop_fn fn, void *arg, struct loop_timer **out)
+{
+	struct loop_timer *timer = calloc(1, sizeof(*timer));
+
+	if (timer == NULL)
+		return status_set(STATUS_NO_MEMORY, "timer");
+	timer->loop = loop;
+	timer->fn = fn;
+	timer->arg = arg;
+	*out = timer;
+	return STATUS_OK;
+}
+
+/*
+ * Sets a timer to a time in microseconds since the epoch; a time in the past
+ * runs out in the next round.
+ */
+void
+loop_timer_set(struct loop_timer *timer, int64_t at)
+{
+	loop_timer_clear(timer);
+	timer->at = at;
+	timer->sequence = timer->loop->timer_sequence++;
+	timer->set = true;
+	g_tree_insert(timer->loop->timers, timer, timer);
+}
+
+/*
+ * Clears a timer; it may be set again.
+ */
+void
+loop_timer_clear(struct loop_timer *timer)
+{
+	if (!timer->set)
+		return;
+	g_tree_remove(timer->loop->timers, timer);
+	timer->set = false;
+}
+
+/*
+ * Tells whether a timer is set.
+ */
+bool
+loop_timer_is_set(const struct loop_timer *timer)
+{
+	return timer->set;
+}
+
+/*
+ * Clears and frees a timer. It may be called from the timer's own callback.
+ */
+void
+loop_timer_destroy(struct loop_timer *timer)
+{
+	if (timer == NULL)
+		return;
+	loop_timer_clear(timer);
+	free(timer);
+}
+
+/*
+ * Calls the timers that have run out. Timers set by these callbacks wait for
+ * the next round, so that a timer set to the past cannot hold up I/O.
+ */
+static void
+run_timers(struct loop *loop)
+{
+	int64_t now = loop_now(loop);
+	uint64_t sequence = loop->timer_sequence;
+
+	for (;;) {
+		GTreeNode *node = g_tree_node_first(loop->timers);
+		struct loop_timer *timer;
+
+		if (node == NULL)
+			return;
+		timer = g_tree_node_key(node);
+		if (timer->at > now || timer->sequence >= sequence)
+			return;
+		loop_timer_clear(timer);
+		timer->fn(timer->arg);
+	}
+}
+
+/*
+ * Delivers one event of the pollset, unless its watch has ended.
+ */
+static void
+dispatch(struct loop *loop, const apr_pollfd_t *event)
+{
+	uint64_t reference = (uint64_t)(uintptr_t)event->client_data;
+	uint32_t index = (uint32_t)reference;
+	struct watch_slot *slot =
+	    &g_array_index(loop->slots, struct watch_slot, index);
+	unsigned int events = 0;
+
+	if (slot->watch == NULL ||
+	    slot->generation != (uint32_t)(reference >> 32))
+		return;
+	if (event->rtnevents & APR_POLLOUT)
+		events |= LOOP_WRITE;
+	if (event->rtnevents & ~APR_POLLOUT)
+		events |= LOOP_READ;
+	slot->watch->fn(slot->watch->arg, events);
+}
+
+/*
+ * Runs one round: waits for events until the next timer, at most until the
+ * given time, then delivers what has occurred.
+ */
+void
+loop_run_once(struct loop *loop, int64_t until)
+{
+	GTreeNode *node = g_tree_node_first(loop->timers);
+	const apr_pollfd_t *events = NULL;
+	apr_int32_t count = 0;
+	int64_t at = until;
+	int64_t wait;
+
+	if (node != NULL) {
+		struct loop_timer *timer = g_tree_node_key(node);
+
+		if (timer->at < at)
+			at = timer->at;
+	}
+	wait = at - loop_now(loop);
+	if (wait < 0)
+		wait = 0;
+	/* The pollset rounds down to milliseconds. */
+	wait += wait > 0 ? LOOP_USEC_PER_MSEC - 1 : 0;
+	if (apr_pollset_poll(loop->pollset, wait, &count, &events) ==
+	    APR_SUCCESS) {
+		for (apr_int32_t i = 0; i < count; i++)
+			dispatch(loop, &events[i]);
+	}
+	run_timers(loop);
+}
+
+/*
+ * Runs rounds until loop_stop() is called.
+ */
+void
+loop_run(struct loop *loop)
+{
+	loop->running = true;
+	while (loop->running)
+		loop_run_once(loop, loop_now(loop) + IDLE_POLL_USEC);
+}
+
+/*
+ * Makes loop_run() return after the present round.
+ */
+void
+loop_stop(struct loop *loop)
+{
+	loop->running = false;
+}
+
+/*
+ * Passes a signal number to the loop through the pipe.
+ */
+static void
+on_raw_signal(int number)
+{
+	unsigned char byte = (unsigned char)number;
+	int saved = errno;
+
+	if (write(signal_write_fd, &byte, 1) < 0) {
+		/* A full pipe already holds a wake-up. */
+	}
+	errno = saved;
+}
+
+/*
+ * Reads signal numbers from the pipe and calls their handlers.
+ */
+static void
+on_signal_pipe(void *arg, unsigned int events)
+{
+	struct loop *loop = arg;
+	unsigned char bytes[16];
+	ssize_t n = read(loop->signal_pipe[0], bytes, sizeof(bytes));
+
+	(void)events;
+	for (ssize_t i = 0; i < n; i++) {
+		struct signal_handler *handler = &loop->handlers[bytes[i]];
+
+		if (handler->fn != NULL)
+			handler->fn(handler->arg);
+	}
+}
+
+/*
+ * Opens the pipe that carries signals into the loop.
+ */
+static enum status
+open_signal_pipe(struct loop *loop)
+{
+	if (loop->signal_watch != NULL)
+		return STATUS_OK;
+	if (pipe(loop->signal_pipe) != 0)
+		return status_set(STATUS_IO, "pipe: %s", strerror(errno));
+	for (int i = 0; i < 2; i++) {
+		fcntl(loop->signal_pipe[i], F_SETFL, O_NONBLOCK);
+		fcntl(loop->signal_pipe[i], F_SETFD, FD_CLOEXEC);
+	}
+	signal_write_fd = loop->signal_pipe[1];
+	return loop_watch_create(loop, loop->signal_pipe[0], LOOP_READ,
+	    on_signal_pipe, loop, &loop->signal_watch);
+}
+
+/*
+ * Calls fn from the loop when the process receives a signal. One loop of the
+ * process may use this.
+ */
+enum status
+loop_on_signal(struct loop *loop, int number, loop_fn fn, void *arg)
+{
+	struct sigaction action;
+	enum status status = open_signal_pipe(loop);
+
+	if (status != STATUS_OK)
+		return status;
+	assert(number > 0 && number < SIGNAL_MAX);
+	loop->handlers[number].fn = fn;
+	loop->handlers[number].arg = arg;
+	memset(&action, 0, sizeof(action));
+	action.sa_handler = on_raw_signal;
+	sigaction(number, &action, NULL);
+	return STATUS_OK;
+}
--- /dev/null
+++ b/src/proc.c
@@ -0,0 +1,234 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "log.h"
+#include "metric.h"
+#include "proc.h"
+
+#define ADMIN_BODY_MAX_BYTES 1024
+
+static const char type_json[] = "application/json";
+static const char type_text[] = "text/plain; version=0.0.4";
+
+/*
+ * Answers with the metrics in the text exposition format.
+ */
+static void
+respond_metrics(struct httpd_request *request)
+{
+	struct lstr_buf text = {0};
+
+	metric_write(&text);
+	httpd_respond(request, 200, type_text, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+}
+
+/*
+ * Answers with the state dump.
+ */
+static void
+respond_dump(struct proc *proc, struct httpd_request *request)
+{
+	json_t *dump = proc->ops->dump(proc->arg);
+	char *text = json_dumps(dump, JSON_INDENT(2) | JSON_SORT_KEYS);
+
+	httpd_respond(request, text ? 200 : 500, type_json, lstr_from(text));
+	free(text);
+	json_decref(dump);
+}
+
+/*
+ * Serves the admin requests.
+ */
+static void
+on_admin_request(struct httpd_request *request, void *arg)
+{
+	struct proc *proc = arg;
+	struct lstr path = httpd_path(request);
+	bool ready;
+
+	if (!lstr_equal_c(httpd_method(request), "GET")) {
+		httpd_respond(request, 405, type_text,
+		    lstr_from("only GET is allowed\n"));
+	} else if (lstr_equal_c(path, "/metrics")) {
+		respond_metrics(request);
+	} else if (lstr_equal_c(path, "/dump")) {
+		respond_dump(proc, request);
+	} else if (lstr_equal_c(path, "/ready")) {
+		ready = !proc->draining && proc->ops->ready(proc->arg);
+		httpd_respond(request, ready ? 200 : 503, type_text,
+		    lstr_from(ready ? "ready\n" : "not ready\n"));
+	} else if (lstr_equal_c(path, "/live")) {
+		httpd_respond(request, 200, type_text, lstr_from("live\n"));
+	} else {
+		httpd_respond(request, 404, type_text,
+		    lstr_from("no such page; /metrics, /dump, /ready and "
+			      "/live are\n"));
+	}
+}
+
+/*
+ * Writes the state dump to the log.
+ */
+static void
+on_dump_signal(void *arg)
+{
+	struct proc *proc = arg;
+	json_t *dump = proc->ops->dump(proc->arg);
+	char *text = json_dumps(dump, JSON_COMPACT | JSON_SORT_KEYS);
+
+	log_event(EV_STATE_DUMP, "%s", text ? text : "(out of memory)");
+	free(text);
+	json_decref(dump);
+}
+
+/*
+ * Begins the graceful shutdown, once.
+ */
+static void
+on_term_signal(void *arg)
+{
+	struct proc *proc = arg;
+
+	if (proc->draining)
+		return;
+	proc->draining = true;
+	log_event(EV_STOP_REQUESTED, "signal=TERM");
+	proc->ops->drain(proc->arg);
+}
+
+/*
+ * Stops at once.
+ */
+static void
+on_int_signal(void *arg)
+{
+	struct proc *proc = arg;
+
+	log_event(EV_STOP_REQUESTED, "signal=INT");
+	loop_stop(proc->loop);
+}
+
+/*
+ * Fills the identity that the process shows to its peers.
+ */
+static enum status
+fill_identity(struct proc *proc, struct setting *settings, Ch__Role role)
+{
+	if (sodium_init() < 0)
+		return status_set(STATUS_IO, "libsodium cannot start");
+	ch__hello__init(&proc->hello);
+	proc->hello.node = settings_get(settings, "node")->text;
+	proc->hello.place = settings_get(settings, "place")->text;
+	proc->hello.region = settings_get(settings, "region")->text;
+	proc->hello.role = role;
+	proc->hello.protocol = LINK_PROTOCOL;
+	randombytes_buf(&proc->hello.boot, sizeof(proc->hello.boot));
+	proc->links.loop = proc->loop;
+	proc->links.hello = &proc->hello;
+	proc->links.silence_limit_usec = LINK_SILENCE_LIMIT_USEC;
+	proc->links.queue_max_bytes = LINK_QUEUE_MAX_BYTES;
+	return frame_key_from_hex(
+	    settings_get(settings, "cluster-key")->text, proc->links.key);
+}
+
+/*
+ * Opens the admin server and takes the signals.
+ */
+static enum status
+open_admin(struct proc *proc, struct setting *settings)
+{
+	static const struct httpd_ops admin_ops = {on_admin_request, NULL};
+	enum status status = httpd_create(proc->loop,
+	    settings_get(settings, "admin-address")->text, ADMIN_BODY_MAX_BYTES,
+	    &admin_ops, proc, &proc->admin);
+
+	if (status == STATUS_OK)
+		status =
+		    loop_on_signal(proc->loop, SIGTERM, on_term_signal, proc);
+	if (status == STATUS_OK)
+		status =
+		    loop_on_signal(proc->loop, SIGINT, on_int_signal, proc);
+	if (status == STATUS_OK)
+		status =
+		    loop_on_signal(proc->loop, SIGUSR1, on_dump_signal, proc);
+	return status;
+}
+
+/*
+ * Creates what every daemon has, from parsed settings that outlive it. The
+ * callbacks are given the pointer of proc_set_arg(), which is set before the
+ * loop runs.
+ */
+enum status
+proc_create(struct setting *settings, const char *program, Ch__Role role,
+    struct proc_ops *ops, struct proc **out)
+{
+	struct proc *proc = calloc(1, sizeof(*proc));
+	enum status status;
+
+	if (proc == NULL)
+		return status_set(STATUS_NO_MEMORY, "process");
+	log_init(program, settings_get(settings, "node")->text,
+	    (enum log_severity)settings_get(settings, "log-level")->number);
+	signal(SIGPIPE, SIG_IGN);
+	proc->ops = ops;
+	status = loop_create(&proc->loop);
+	if (status == STATUS_OK)
+		status = fill_identity(proc, settings, role);
+	if (status == STATUS_OK)
+		status = open_admin(proc, settings);
+	if (status != STATUS_OK) {
+		proc_destroy(proc);
+		return status;
+	}
+	link_register_metrics();
+	*out = proc;
+	return STATUS_OK;
+}
+
+/*
+ * Sets the pointer that the callbacks are given.
+ */
+void
+proc_set_arg(struct proc *proc, void *arg)
+{
+	proc->arg = arg;
+}
+
+/*
+ * Closes the admin server and frees the loop.
+ */
+void
+proc_destroy(struct proc *proc)
+{
+	if (proc == NULL)
+		return;
+	httpd_destroy(proc->admin);
+	loop_destroy(proc->loop);
+	sodium_memzero(proc->links.key, sizeof(proc->links.key));
+	free(proc);
+}
+
+/*
+ * Parses the settings of a program. Returns -1 to go on, or the exit code
+ * after the error was logged.
+ */
+int
+proc_settings_or_exit_code(struct setting *settings, const char *program,
+    const char *summary, int *argc, char ***argv)
+{
+	if (settings_parse(settings, summary, NULL, argc, argv) == STATUS_OK) {
+		if (*argc <= 1)
+			return -1;
+		status_set(
+		    STATUS_INVALID, "unexpected argument '%s'", (*argv)[1]);
+	}
+	log_init(program, "-", LOG_SEV_INFO);
+	log_event(EV_SETTINGS_INVALID, "%s", status_message());
+	return PROC_EXIT_SETTINGS;
+}
--- /dev/null
+++ b/src/proc.h
@@ -0,0 +1,68 @@
+#ifndef CH_PROC_H
+#define CH_PROC_H
+
+#include <stdbool.h>
+
+#include <jansson.h>
+
+#include "frame.h"
+#include "httpd.h"
+#include "link.h"
+#include "loop.h"
+#include "settings.h"
+
+/* Exit codes of every program. */
+#define PROC_EXIT_OK 0
+#define PROC_EXIT_FAILED 1
+#define PROC_EXIT_SETTINGS 2
+
+/*
+ * What every daemon has: its loop, its identity, the cluster key and the
+ * admin HTTP server with /metrics, /dump, /ready and /live. SIGTERM calls
+ * drain; SIGINT stops at once; SIGUSR1 logs the dump.
+ */
+struct proc {
+	struct loop *loop;
+	struct link_context links;
+	Ch__Hello hello;
+	struct httpd *admin;
+	struct proc_ops *ops;
+	void *arg;
+	bool draining;
+};
+
+struct proc_ops {
+	/* Returns a new reference to the state of the process. */
+	json_t *(*dump)(void *);
+	bool (*ready)(void *);
+	/* Called once for SIGTERM; the process calls loop_stop() when done. */
+	void (*drain)(void *);
+};
+
+/* Settings that every daemon has; put first in its table. */
+#define PROC_SETTINGS                                                          \
+	{"node", SETTING_TEXT, NULL, 1, 63, "Name of this node", true, NULL,   \
+	    0},                                                                \
+	    {"place", SETTING_TEXT, NULL, 1, 63, "Data centre of this node",   \
+		true, NULL, 0},                                                \
+	    {"region", SETTING_TEXT, NULL, 1, 63, "Region of this node", true, \
+		NULL, 0},                                                      \
+	    {"cluster-key", SETTING_KEY, NULL, 0, 0,                           \
+		"Key shared by all nodes, 64 hexadecimal digits", true, NULL,  \
+		0},                                                            \
+	    {"admin-address", SETTING_ADDRESS, "127.0.0.1:0", 0, 0,            \
+		"Address for metrics, dump and health", false, NULL, 0},       \
+	{                                                                      \
+		"log-level", SETTING_INT, "6", 3, 7,                           \
+		    "Least severe severity logged (RFC 5424 number)", false,   \
+		    NULL, 0                                                    \
+	}
+
+enum status proc_create(struct setting *, const char *, Ch__Role,
+    struct proc_ops *, struct proc **);
+void proc_set_arg(struct proc *, void *);
+void proc_destroy(struct proc *);
+int proc_settings_or_exit_code(
+    struct setting *, const char *, const char *, int *, char ***);
+
+#endif
--- /dev/null
+++ b/tests/test_frame.c
@@ -0,0 +1,151 @@
+#include "harness.h"
+
+#include "frame.h"
+
+static const uint8_t test_key[FRAME_KEY_BYTES] = {1, 2, 3};
+
+/*
+ * Two connected codecs and the bytes on the way to each.
+ */
+struct pair {
+	struct frame_codec *client;
+	struct frame_codec *server;
+	struct lstr_buf to_client;
+	struct lstr_buf to_server;
+};
+
+/*
+ * Exchanges prefaces and headers between two codecs.
+ */
+static enum status
+handshake(struct pair *p, const uint8_t *client_key, const uint8_t *server_key)
+{
+	Ch__Frame *frame = NULL;
+
+	frame_codec_create(client_key, true, &p->client);
+	frame_codec_create(server_key, false, &p->server);
+	frame_preface(p->client, &p->to_server);
+	frame_preface(p->server, &p->to_client);
+	frame_read(p->client, &p->to_client, &frame, &p->to_server);
+	frame_read(p->server, &p->to_server, &frame, &p->to_client);
+	return frame_read(p->client, &p->to_client, &frame, &p->to_server);
+}
+
+/*
+ * Frees a pair.
+ */
+static void
+pair_free(struct pair *p)
+{
+	frame_codec_destroy(p->client);
+	frame_codec_destroy(p->server);
+	lstr_buf_free(&p->to_client);
+	lstr_buf_free(&p->to_server);
+}
+
+/*
+ * Queues a Cancel for the server.
+ */
+static void
+write_cancel(struct pair *p, uint64_t stream)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Cancel cancel = CH__CANCEL__INIT;
+
+	cancel.stream = stream;
+	frame.kind_case = CH__FRAME__KIND_CANCEL;
+	frame.cancel = &cancel;
+	ck_assert_int_eq(
+	    frame_write(p->client, &frame, &p->to_server), STATUS_OK);
+}
+
+/* Guards against messages that change or mix up on the way. */
+START_TEST(messages_arrive_in_order)
+{
+	struct pair p = {0};
+	Ch__Frame *frame = NULL;
+
+	ck_assert_int_eq(handshake(&p, test_key, test_key), STATUS_OK);
+	write_cancel(&p, 7);
+	write_cancel(&p, 8);
+	for (uint64_t i = 7; i <= 8; i++) {
+		ck_assert_int_eq(
+		    frame_read(p.server, &p.to_server, &frame, &p.to_client),
+		    STATUS_OK);
+		ck_assert_ptr_nonnull(frame);
+		ck_assert_uint_eq(frame->cancel->stream, i);
+		ch__frame__free_unpacked(frame, NULL);
+	}
+	pair_free(&p);
+}
+END_TEST
+
+/* Guards against a message that is read before all its bytes are there. */
+START_TEST(partial_message_waits)
+{
+	struct pair p = {0};
+	Ch__Frame *frame = NULL;
+
+	ck_assert_int_eq(handshake(&p, test_key, test_key), STATUS_OK);
+	write_cancel(&p, 7);
+	p.to_server.len--;
+	ck_assert_int_eq(
+	    frame_read(p.server, &p.to_server, &frame, &p.to_client),
+	    STATUS_OK);
+	ck_assert_ptr_null(frame);
+	pair_free(&p);
+}
+END_TEST
+
+/* Guards against a stranger without the cluster key. */
+START_TEST(other_key_is_refused)
+{
+	static const uint8_t other[FRAME_KEY_BYTES] = {9};
+	struct pair p = {0};
+	Ch__Frame *frame = NULL;
+
+	ck_assert_int_eq(handshake(&p, other, test_key), STATUS_OK);
+	write_cancel(&p, 7);
+	ck_assert_int_eq(
+	    frame_read(p.server, &p.to_server, &frame, &p.to_client),
+	    STATUS_DENIED);
+	pair_free(&p);
+}
+END_TEST
+
+/* Guards against a message that is sent again by someone on the network. */
+START_TEST(replayed_message_is_refused)
+{
+	struct pair p = {0};
+	struct lstr_buf copy = {0};
+	Ch__Frame *frame = NULL;
+
+	ck_assert_int_eq(handshake(&p, test_key, test_key), STATUS_OK);
+	write_cancel(&p, 7);
+	lstr_buf_append(&copy, lstr_buf_view(&p.to_server));
+	frame_read(p.server, &p.to_server, &frame, &p.to_client);
+	ch__frame__free_unpacked(frame, NULL);
+	ck_assert_int_eq(
+	    frame_read(p.server, &copy, &frame, &p.to_client), STATUS_DENIED);
+	lstr_buf_free(&copy);
+	pair_free(&p);
+}
+END_TEST
+
+/* Guards against memory use driven by a forged length. */
+START_TEST(huge_length_is_refused)
+{
+	struct pair p = {0};
+	Ch__Frame *frame = NULL;
+
+	ck_assert_int_eq(handshake(&p, test_key, test_key), STATUS_OK);
+	lstr_buf_append(&p.to_server, lstr_make("\xff\xff\xff\xff", 4));
+	ck_assert_int_eq(
+	    frame_read(p.server, &p.to_server, &frame, &p.to_client),
+	    STATUS_INVALID);
+	pair_free(&p);
+}
+END_TEST
+
+HARNESS_MAIN("frame", messages_arrive_in_order, partial_message_waits,
+    other_key_is_refused, replayed_message_is_refused, huge_length_is_refused)
