Define the headers shared between modules

Cause: several modules are built at the same time and need one contract. Conclusion: modules can be written against these.

--- /dev/null
+++ b/src/owner.h
@@ -0,0 +1,23 @@
+#ifndef CH_OWNER_H
+#define CH_OWNER_H
+
+#include "view.h"
+
+#define OWNER_WATCHERS_PER_PLACE 2
+#define OWNER_HEARTBEAT_PEERS 3
+
+/*
+ * Rendezvous hashing over the membership view. Results point into the view
+ * and are NULL when no member qualifies.
+ */
+uint64_t owner_score(struct lstr, struct lstr);
+const struct view_member *owner_of_replica(
+    const struct view *, struct lstr region, struct lstr replica);
+const struct view_member *owner_of_bucket(const struct view *, uint32_t);
+bool owner_is_watcher(const struct view *, struct lstr);
+size_t owner_heartbeat_peers(const struct view *, struct lstr,
+    const struct view_member *[OWNER_HEARTBEAT_PEERS]);
+const struct view_member *owner_record_peer(
+    const struct view *, struct lstr node, struct lstr place);
+
+#endif
--- /dev/null
+++ b/src/record.h
@@ -0,0 +1,80 @@
+#ifndef CH_RECORD_H
+#define CH_RECORD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "chestnuthoist.pb-c.h"
+
+#include "lstr.h"
+
+#define REC_DIGEST_BYTES 32
+#define REC_PUBLIC_KEY_BYTES 32
+#define REC_SIGNATURE_BYTES 64
+
+/* Why a request was served when it was; see docs/design.md. */
+struct rec_event {
+	struct lstr organisation;
+	struct lstr request;
+	int64_t arrival;
+	int64_t start;
+	uint32_t priority;
+	uint64_t revision;
+	Ch__RecordReason reason;
+	struct lstr replica;
+	uint32_t attempt;
+};
+
+/* The record of service order that one router writes. */
+struct rec;
+
+enum status rec_create(const char *node, uint64_t boot, struct rec **);
+void rec_destroy(struct rec *);
+const uint8_t *rec_public_key(const struct rec *);
+
+/* Appending and copying to the peer. */
+enum status rec_append(struct rec *, const struct rec_event *, uint64_t *);
+enum status rec_append_gap(struct rec *, uint32_t missing, int64_t now);
+size_t rec_unsent(const struct rec *);
+enum status rec_next_copy(struct rec *, Ch__RecordAppend **);
+void rec_restart_copy(struct rec *);
+void rec_acknowledged(struct rec *, uint64_t sequence);
+bool rec_is_copied(const struct rec *, uint64_t sequence);
+
+/* Segments. */
+bool rec_segment_due(const struct rec *, int64_t now);
+enum status rec_close_segment(struct rec *, int64_t now);
+enum status rec_next_store(struct rec *, Ch__RecordStore **);
+void rec_restart_store(struct rec *);
+void rec_stored(struct rec *, uint32_t segment);
+size_t rec_waiting_bytes(const struct rec *);
+
+/* The copies that a syncd holds for routers of other nodes. */
+struct rec_copies;
+
+enum status rec_copies_create(const char *node, struct rec_copies **);
+void rec_copies_destroy(struct rec_copies *);
+enum status rec_copies_append(
+    struct rec_copies *, const Ch__RecordAppend *, Ch__RecordAck *);
+void rec_copies_stored(
+    struct rec_copies *, struct lstr node, uint64_t boot, uint32_t segment);
+enum status rec_copies_recover(
+    struct rec_copies *, struct lstr node, uint64_t boot, Ch__RecordStore **);
+
+/* Verification of the stored segments of one node and boot, in order. */
+struct rec_report {
+	uint32_t segments;
+	uint64_t entries;
+	uint64_t missing;
+	uint32_t recovered;
+	/* Empty when the record holds. */
+	char problem[256];
+};
+
+typedef void (*rec_entry_fn)(const Ch__RecordEntry *, void *);
+
+enum status rec_verify(const struct lstr *segments, size_t count,
+    const uint8_t *public_key, rec_entry_fn, void *, struct rec_report *);
+
+#endif
