--- /dev/null
+++ b/src/engine_http.c
@@ -0,0 +1,673 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "engine.h"
+#include "metric.h"
+#include "ndjson.h"
+
+#define STAGES_MAX 64
+#define URL_MAX 512
+/* Calls that nobody waits for: cancellations and load queries. */
+#define SIDE_CALLS_MAX 4096
+#define CANCEL_LIMIT_USEC (2 * LOOP_USEC_PER_SEC)
+#define SIDE_ANSWER_MAX_BYTES ((size_t)16 * 1024)
+#define HTTP_OK 200
+#define HTTP_UNAVAILABLE 503
+
+struct engine_http {
+	struct engine base;
+	struct loop *loop;
+	struct fetch *fetch;
+	/* Set of struct side_call that have not ended. */
+	GHashTable *side_calls;
+};
+
+/* The address of one stage, kept for the cancellation. */
+struct stage_url {
+	char *instance;
+	char *address;
+};
+
+struct engine_call {
+	struct engine_http *engine;
+	const struct engine_listener *listener;
+	void *arg;
+	struct fetch_call *fetch_call;
+	struct loop_timer *timer;
+	struct lstr_buf input;
+	struct lstr_buf refusal;
+	char *request;
+	uint32_t attempt;
+	struct stage_url *stages;
+	size_t stage_count;
+	enum status failure;
+	bool last_seen;
+	bool in_listener;
+	bool cancelled;
+};
+
+/* A cancellation or a load query. */
+struct side_call {
+	struct engine_http *engine;
+	struct fetch_call *fetch_call;
+	engine_load_fn fn;
+	void *arg;
+};
+
+static struct metric cancels_dropped = {
+    "chestnuthoist_engine_cancels_dropped_total", "",
+    "Cancellations not sent because too many calls were open.", METRIC_COUNTER,
+    0, NULL};
+static struct metric lines_malformed = {
+    "chestnuthoist_engine_malformed_lines_total", "",
+    "Lines from engines that break the protocol.", METRIC_COUNTER, 0, NULL};
+
+/*
+ * Writes the URL of an operation of an instance.
+ */
+static void
+make_url(char out[URL_MAX], struct lstr address, struct lstr instance,
+    const char *operation)
+{
+	snprintf(out, URL_MAX, "http://%.*s/i/%.*s/v1/%s", LSTR_ARG(address),
+	    LSTR_ARG(instance), operation);
+}
+
+/*
+ * Makes a JSON string of a borrowed string; NULL when it is not UTF-8.
+ */
+static json_t *
+text_json(struct lstr s)
+{
+	return json_stringn(s.data, s.len);
+}
+
+/*
+ * Makes the route of an attempt in JSON.
+ */
+static json_t *
+route_json(const struct engine_attempt *attempt)
+{
+	json_t *route = json_array();
+
+	for (size_t i = 0; i < attempt->stage_count; i++) {
+		const struct engine_stage *stage = &attempt->stages[i];
+
+		json_array_append_new(route,
+		    json_pack("{s:o,s:o,s:I,s:I}", "instance",
+			text_json(stage->instance), "address",
+			text_json(stage->address), "first",
+			(json_int_t)stage->first, "last",
+			(json_int_t)stage->last));
+	}
+	return route;
+}
+
+/*
+ * Makes the body of a generate call. Returns NULL when a text is not UTF-8 or
+ * memory runs out. The caller frees the result with free().
+ */
+static char *
+attempt_body(const struct engine_attempt *attempt)
+{
+	json_t *delivered = json_array();
+	json_t *body;
+	char *text;
+
+	for (size_t i = 0; i < attempt->delivered_count; i++)
+		json_array_append_new(
+		    delivered, text_json(attempt->delivered[i]));
+	body = json_pack("{s:o,s:I,s:o,s:o,s:o,s:I,s:I,s:I,s:I,s:I}", "request",
+	    text_json(attempt->request), "attempt",
+	    (json_int_t)attempt->attempt, "route", route_json(attempt),
+	    "prompt", text_json(attempt->prompt), "delivered", delivered,
+	    "start", (json_int_t)attempt->start, "max_tokens",
+	    (json_int_t)attempt->max_tokens, "priority",
+	    (json_int_t)attempt->priority, "deadline_ms",
+	    (json_int_t)(attempt->deadline / LOOP_USEC_PER_MSEC), "fence",
+	    (json_int_t)attempt->fence);
+	if (body == NULL)
+		return NULL;
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	return text;
+}
+
+/*
+ * Frees a call.
+ */
+static void
+call_free(struct engine_call *call)
+{
+	if (call->fetch_call != NULL)
+		fetch_cancel(call->fetch_call);
+	loop_timer_destroy(call->timer);
+	lstr_buf_free(&call->input);
+	lstr_buf_free(&call->refusal);
+	for (size_t i = 0; i < call->stage_count; i++) {
+		free(call->stages[i].instance);
+		free(call->stages[i].address);
+	}
+	free(call->stages);
+	free(call->request);
+	free(call);
+}
+
+/*
+ * Tells the listener how the call ended, and frees it.
+ */
+static void
+end_call(struct engine_call *call, const struct engine_end *end)
+{
+	call->listener->end(call, end, call->arg);
+	call_free(call);
+}
+
+/*
+ * Reads a field that must be a number from 0 to UINT32_MAX.
+ */
+static bool
+read_u32(const json_t *object, const char *name, uint32_t *out)
+{
+	const json_t *value = json_object_get(object, name);
+	json_int_t number = json_integer_value(value);
+
+	if (!json_is_integer(value) || number < 0 || number > UINT32_MAX)
+		return false;
+	*out = (uint32_t)number;
+	return true;
+}
+
+/*
+ * Reads a field that must be a string; borrowed from the object.
+ */
+static bool
+read_text(const json_t *object, const char *name, struct lstr *out)
+{
+	const json_t *value = json_object_get(object, name);
+
+	if (!json_is_string(value))
+		return false;
+	*out = lstr_make(json_string_value(value), json_string_length(value));
+	return true;
+}
+
+/*
+ * Reads the trail of a token into steps; returns the number, or -1 when it
+ * breaks the protocol.
+ */
+static int
+read_trail(const json_t *object, struct engine_step steps[STAGES_MAX])
+{
+	const json_t *trail = json_object_get(object, "trail");
+	size_t count = json_array_size(trail);
+
+	if (!json_is_array(trail) || count > STAGES_MAX)
+		return -1;
+	for (size_t i = 0; i < count; i++) {
+		const json_t *item = json_array_get(trail, i);
+
+		if (!read_text(item, "instance", &steps[i].instance) ||
+		    !read_u32(item, "first", &steps[i].first) ||
+		    !read_u32(item, "last", &steps[i].last) ||
+		    !read_u32(item, "attempt", &steps[i].attempt) ||
+		    !read_u32(item, "position", &steps[i].position))
+			return -1;
+	}
+	return (int)count;
+}
+
+/*
+ * Reads one line of a generation and hands it to the listener. Returns
+ * STATUS_INVALID when the line breaks the protocol.
+ */
+static enum status
+take_line(struct engine_call *call, struct lstr line)
+{
+	struct engine_step steps[STAGES_MAX];
+	struct engine_token token = {.steps = steps};
+	json_t *object = json_loadb(line.data, line.len, 0, NULL);
+	const json_t *last = json_object_get(object, "last");
+	int count = read_trail(object, steps);
+	bool valid = count >= 0 && json_is_boolean(last) &&
+	    read_text(object, "request", &token.request) &&
+	    read_u32(object, "attempt", &token.attempt) &&
+	    read_u32(object, "position", &token.position) &&
+	    read_text(object, "token", &token.text);
+
+	if (valid) {
+		token.step_count = (size_t)count;
+		token.last = json_is_true(last);
+		call->last_seen = call->last_seen || token.last;
+		call->in_listener = true;
+		call->listener->token(call, &token, call->arg);
+		call->in_listener = false;
+	} else {
+		lines_malformed.value++;
+	}
+	json_decref(object);
+	return valid ? STATUS_OK : status_set(STATUS_INVALID, "malformed line");
+}
+
+/*
+ * Takes the whole lines that have arrived, until one is malformed or the
+ * listener cancels the call.
+ */
+static void
+take_lines(struct engine_call *call)
+{
+	struct lstr line;
+	size_t offset = 0;
+
+	while (!call->cancelled && call->failure == STATUS_OK &&
+	    ndjson_next(&call->input, &offset, &line))
+		call->failure = take_line(call, line);
+	lstr_buf_consume(&call->input, offset);
+}
+
+/*
+ * Handles what has arrived outside the callbacks of the HTTP library, which
+ * allows no new calls from inside them.
+ */
+static void
+on_input_timer(void *arg)
+{
+	struct engine_call *call = arg;
+	struct engine_end end = {.maybe_run = true};
+
+	take_lines(call);
+	if (call->cancelled) {
+		call_free(call);
+		return;
+	}
+	if (call->failure != STATUS_OK) {
+		end.status = call->failure;
+		end_call(call, &end);
+	}
+}
+
+/*
+ * Takes bytes of an answer: lines of a generation, or the body of a refusal.
+ */
+static void
+on_data(struct fetch_call *fetch_call, struct lstr bytes, void *arg)
+{
+	struct engine_call *call = arg;
+	enum status status = STATUS_OK;
+
+	if (fetch_http_status(fetch_call) != HTTP_OK) {
+		if (call->refusal.len + bytes.len <= SIDE_ANSWER_MAX_BYTES)
+			lstr_buf_append(&call->refusal, bytes);
+		return;
+	}
+	if (call->failure == STATUS_OK)
+		status = ndjson_add(&call->input, bytes);
+	if (status != STATUS_OK) {
+		lines_malformed.value++;
+		call->failure = status;
+	}
+	loop_timer_set(call->timer, 0);
+}
+
+/*
+ * Tells whether a refusal says that the engine is leaving.
+ */
+static bool
+says_leaving(struct lstr body)
+{
+	json_t *object = json_loadb(body.data, body.len, 0, NULL);
+	struct lstr error;
+	bool leaving = read_text(object, "error", &error) &&
+	    lstr_equal_c(error, "leaving");
+
+	json_decref(object);
+	return leaving;
+}
+
+/*
+ * Judges how an attempt ended that neither was cancelled nor broke the
+ * protocol. An engine's stream is whole only with a line marked as the last.
+ */
+static void
+judge_end(const struct engine_call *call, const struct fetch_result *result,
+    struct engine_end *end)
+{
+	end->maybe_run = true;
+	if (result->status != STATUS_OK) {
+		end->maybe_run = result->maybe_sent;
+		end->status =
+		    result->maybe_sent ? result->status : STATUS_UNAVAILABLE;
+	} else if (result->http_status == HTTP_UNAVAILABLE &&
+	    says_leaving(lstr_buf_view(&call->refusal))) {
+		end->leaving = true;
+		end->maybe_run = false;
+		end->status = STATUS_UNAVAILABLE;
+	} else if (result->http_status != HTTP_OK) {
+		end->status = status_set(
+		    STATUS_IO, "HTTP status %ld", result->http_status);
+	} else if (call->input.len > 0) {
+		end->status =
+		    status_set(STATUS_INVALID, "the last line is cut");
+	} else if (!call->last_seen) {
+		end->status = status_set(
+		    STATUS_CLOSED, "the stream ended without its last token");
+	}
+}
+
+/*
+ * Ends an attempt whose HTTP call is over.
+ */
+static void
+on_done(
+    struct fetch_call *fetch_call, const struct fetch_result *result, void *arg)
+{
+	struct engine_call *call = arg;
+	struct engine_end end = {0};
+
+	(void)fetch_call;
+	call->fetch_call = NULL;
+	loop_timer_clear(call->timer);
+	take_lines(call);
+	if (call->cancelled) {
+		call_free(call);
+		return;
+	}
+	if (call->failure != STATUS_OK) {
+		end.status = call->failure;
+		end.maybe_run = true;
+	} else {
+		judge_end(call, result, &end);
+	}
+	end_call(call, &end);
+}
+
+static const struct fetch_ops generate_ops = {on_data, on_done};
+
+/*
+ * Copies what a cancellation needs.
+ */
+static bool
+copy_stages(struct engine_call *call, const struct engine_attempt *attempt)
+{
+	call->request = lstr_dup_c(attempt->request);
+	call->stages = calloc(attempt->stage_count, sizeof(*call->stages));
+	if (call->request == NULL || call->stages == NULL)
+		return false;
+	call->attempt = attempt->attempt;
+	call->stage_count = attempt->stage_count;
+	for (size_t i = 0; i < call->stage_count; i++) {
+		call->stages[i].instance =
+		    lstr_dup_c(attempt->stages[i].instance);
+		call->stages[i].address =
+		    lstr_dup_c(attempt->stages[i].address);
+		if (call->stages[i].instance == NULL ||
+		    call->stages[i].address == NULL)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Sends the generate request of a call. A fresh connection is used, because
+ * the library sends a request again when a kept connection turns out to be
+ * closed, and the first copy may have run.
+ */
+static enum status
+send_attempt(struct engine_call *call, const struct engine_attempt *attempt)
+{
+	char url[URL_MAX];
+	char *body = attempt_body(attempt);
+	struct fetch_request request = {.method = "POST",
+	    .url = url,
+	    .body = lstr_from(body),
+	    .deadline = attempt->deadline,
+	    .once = true};
+	enum status status;
+
+	if (body == NULL)
+		return status_set(STATUS_INVALID, "the prompt is not UTF-8");
+	make_url(url, attempt->stages[0].address, attempt->stages[0].instance,
+	    "generate");
+	status = fetch_start(call->engine->fetch, &request, &generate_ops, call,
+	    &call->fetch_call);
+	free(body);
+	return status;
+}
+
+/*
+ * Implements engine start. On failure nothing was sent.
+ */
+static enum status
+http_start(struct engine *base, const struct engine_attempt *attempt,
+    const struct engine_listener *listener, void *arg, struct engine_call **out)
+{
+	struct engine_http *engine = (struct engine_http *)base;
+	struct engine_call *call;
+	enum status status;
+
+	if (attempt->stage_count == 0 || attempt->stage_count > STAGES_MAX)
+		return status_set(STATUS_INVALID, "a route of %zu stages",
+		    attempt->stage_count);
+	call = calloc(1, sizeof(*call));
+	if (call == NULL)
+		return status_set(STATUS_NO_MEMORY, "engine call");
+	call->engine = engine;
+	call->listener = listener;
+	call->arg = arg;
+	status =
+	    loop_timer_create(engine->loop, on_input_timer, call, &call->timer);
+	if (status == STATUS_OK && !copy_stages(call, attempt))
+		status = status_set(STATUS_NO_MEMORY, "engine call");
+	if (status == STATUS_OK)
+		status = send_attempt(call, attempt);
+	if (status != STATUS_OK) {
+		call_free(call);
+		return status;
+	}
+	*out = call;
+	return STATUS_OK;
+}
+
+/*
+ * Takes a side call off the list and frees it.
+ */
+static void
+side_call_end(struct side_call *side)
+{
+	g_hash_table_remove(side->engine->side_calls, side);
+	free(side);
+}
+
+/*
+ * Starts a side call. Returns STATUS_FULL when too many are open.
+ */
+static enum status
+side_call_start(struct engine_http *engine, const struct fetch_request *request,
+    const struct fetch_ops *ops, engine_load_fn fn, void *arg)
+{
+	struct side_call *side;
+	enum status status;
+
+	if (g_hash_table_size(engine->side_calls) >= SIDE_CALLS_MAX)
+		return status_set(STATUS_FULL, "%d calls to engines are open",
+		    SIDE_CALLS_MAX);
+	side = calloc(1, sizeof(*side));
+	if (side == NULL)
+		return status_set(STATUS_NO_MEMORY, "engine call");
+	side->engine = engine;
+	side->fn = fn;
+	side->arg = arg;
+	status =
+	    fetch_start(engine->fetch, request, ops, side, &side->fetch_call);
+	if (status != STATUS_OK) {
+		free(side);
+		return status;
+	}
+	g_hash_table_add(engine->side_calls, side);
+	return STATUS_OK;
+}
+
+/*
+ * Forgets a cancellation that is over, whatever its result.
+ */
+static void
+on_cancel_done(
+    struct fetch_call *fetch_call, const struct fetch_result *result, void *arg)
+{
+	(void)fetch_call;
+	(void)result;
+	side_call_end(arg);
+}
+
+/*
+ * Tells one stage that an attempt is cancelled.
+ */
+static void
+cancel_stage(struct engine_call *call, const struct stage_url *stage)
+{
+	static const struct fetch_ops ops = {NULL, on_cancel_done};
+	char url[URL_MAX];
+	json_t *object = json_pack("{s:s,s:I}", "request", call->request,
+	    "attempt", (json_int_t)call->attempt);
+	char *body = object ? json_dumps(object, JSON_COMPACT) : NULL;
+	struct fetch_request request = {.method = "POST",
+	    .url = url,
+	    .body = lstr_from(body),
+	    .deadline = loop_now(call->engine->loop) + CANCEL_LIMIT_USEC,
+	    .answer_max_bytes = SIDE_ANSWER_MAX_BYTES};
+
+	make_url(url, lstr_from(stage->address), lstr_from(stage->instance),
+	    "cancel");
+	if (body == NULL ||
+	    side_call_start(call->engine, &request, &ops, NULL, NULL) !=
+		STATUS_OK)
+		cancels_dropped.value++;
+	free(body);
+	json_decref(object);
+}
+
+/*
+ * Implements engine cancel. From the token callback, the call is freed after
+ * the callback returns.
+ */
+static void
+http_cancel(struct engine *base, struct engine_call *call)
+{
+	(void)base;
+	assert(!call->cancelled);
+	call->cancelled = true;
+	for (size_t i = 0; i < call->stage_count; i++)
+		cancel_stage(call, &call->stages[i]);
+	if (!call->in_listener)
+		call_free(call);
+}
+
+/*
+ * Reads the answer to a load query.
+ */
+static enum status
+read_load(const struct fetch_result *result, struct engine_load *load)
+{
+	json_t *object;
+	const json_t *leaving;
+	bool valid;
+
+	if (result->status != STATUS_OK)
+		return result->status;
+	if (result->http_status != HTTP_OK)
+		return status_set(
+		    STATUS_IO, "HTTP status %ld", result->http_status);
+	object = json_loadb(result->body.data, result->body.len, 0, NULL);
+	leaving = json_object_get(object, "leaving");
+	valid = read_u32(object, "running", &load->running) &&
+	    read_u32(object, "queued", &load->queued) &&
+	    json_is_boolean(leaving);
+	load->leaving = json_is_true(leaving);
+	json_decref(object);
+	return valid ? STATUS_OK : status_set(STATUS_INVALID, "malformed load");
+}
+
+/*
+ * Hands the answer to a load query to its requester.
+ */
+static void
+on_load_done(
+    struct fetch_call *fetch_call, const struct fetch_result *result, void *arg)
+{
+	struct side_call *side = arg;
+	struct engine_load load = {0};
+
+	(void)fetch_call;
+	load.status = read_load(result, &load);
+	side->fn(&load, side->arg);
+	side_call_end(side);
+}
+
+/*
+ * Implements engine query_load.
+ */
+static enum status
+http_query_load(struct engine *base, struct lstr instance, struct lstr address,
+    int64_t deadline, engine_load_fn fn, void *arg)
+{
+	static const struct fetch_ops ops = {NULL, on_load_done};
+	char url[URL_MAX];
+	struct fetch_request request = {.method = "GET",
+	    .url = url,
+	    .deadline = deadline,
+	    .answer_max_bytes = SIDE_ANSWER_MAX_BYTES};
+
+	make_url(url, address, instance, "load");
+	return side_call_start(
+	    (struct engine_http *)base, &request, &ops, fn, arg);
+}
+
+/*
+ * Implements engine destroy: side calls end without a callback; attempts must
+ * have ended.
+ */
+static void
+http_destroy(struct engine *base)
+{
+	struct engine_http *engine = (struct engine_http *)base;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, engine->side_calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct side_call *side = key;
+
+		fetch_cancel(side->fetch_call);
+		g_hash_table_iter_remove(&iter);
+		free(side);
+	}
+	g_hash_table_destroy(engine->side_calls);
+	free(engine);
+}
+
+/*
+ * Creates the adapter for the engine protocol over HTTP. The loop and the
+ * client must outlive it; the caller destroys it through its table.
+ */
+enum status
+engine_http_create(struct loop *loop, struct fetch *fetch, struct engine **out)
+{
+	static const struct engine_vtable vtable = {
+	    http_start, http_cancel, http_query_load, http_destroy};
+	struct engine_http *engine = calloc(1, sizeof(*engine));
+
+	if (engine == NULL)
+		return status_set(STATUS_NO_MEMORY, "engine adapter");
+	engine->base.vtable = &vtable;
+	engine->loop = loop;
+	engine->fetch = fetch;
+	engine->side_calls = g_hash_table_new(NULL, NULL);
+	metric_register(&cancels_dropped);
+	metric_register(&lines_malformed);
+	*out = &engine->base;
+	return STATUS_OK;
+}
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -377,3 +377,16 @@
 	curl_multi_remove_handle(call->fetch->multi, call->easy);
 	call_free(call);
 }
+
+/*
+ * Returns the HTTP status of an answer whose body is arriving, 0 before the
+ * header has arrived.
+ */
+long
+fetch_http_status(const struct fetch_call *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	return status;
+}
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -50,5 +50,6 @@
 enum status fetch_start(struct fetch *, const struct fetch_request *,
     const struct fetch_ops *, void *, struct fetch_call **);
 void fetch_cancel(struct fetch_call *);
+long fetch_http_status(const struct fetch_call *);
 
 #endif
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -1,4 +1,5 @@
 #include <assert.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -30,10 +31,15 @@
 	size_t body_max;
 	unsigned int open_requests;
 	bool running;
+	bool close_after_answers;
+	/* Open requests, for the end of the server. */
+	struct httpd_request *first;
 };
 
 struct httpd_request {
 	struct httpd *httpd;
+	struct httpd_request *next;
+	struct httpd_request *previous;
 	struct MHD_Connection *connection;
 	const char *method;
 	const char *path;
@@ -47,6 +53,7 @@
 	bool suspended;
 	bool streaming;
 	bool ended;
+	bool aborted;
 	struct lstr_buf queue;
 };
 
@@ -86,6 +93,34 @@
 	MHD_suspend_connection(request->connection);
 }
 
+/*
+ * Adds a request to the list of open ones.
+ */
+static void
+list_add(struct httpd_request *request)
+{
+	struct httpd *httpd = request->httpd;
+
+	request->next = httpd->first;
+	if (httpd->first != NULL)
+		httpd->first->previous = request;
+	httpd->first = request;
+}
+
+/*
+ * Removes a request from the list of open ones.
+ */
+static void
+list_remove(struct httpd_request *request)
+{
+	if (request->previous != NULL)
+		request->previous->next = request->next;
+	else
+		request->httpd->first = request->next;
+	if (request->next != NULL)
+		request->next->previous = request->previous;
+}
+
 /*
  * Collects body bytes up to the limit.
  */
@@ -146,6 +181,7 @@
 		request->method = strdup(method);
 		request->path = strdup(url);
 		*state = request;
+		list_add(request);
 		return request->method != NULL && request->path != NULL
 		    ? MHD_YES
 		    : MHD_NO;
@@ -157,6 +193,8 @@
 	}
 	if (!request->delivered && request->response == NULL)
 		deliver(request);
+	if (request->aborted)
+		return MHD_NO;
 	if (request->response == NULL) {
 		suspend(request);
 		return MHD_YES;
@@ -183,6 +221,7 @@
 	if (request == NULL)
 		return;
 	*state = NULL;
+	list_remove(request);
 	if (request->delivered) {
 		httpd->open_requests--;
 		if (httpd->ops->closed != NULL)
@@ -314,6 +353,13 @@
 	if (httpd == NULL)
 		return;
 	loop_watch_destroy(httpd->watch);
+	/* The library may not be stopped while a connection is suspended. */
+	for (struct httpd_request *r = httpd->first; r != NULL; r = r->next) {
+		r->aborted = true;
+		if (r->suspended)
+			MHD_resume_connection(r->connection);
+		r->suspended = false;
+	}
 	if (httpd->daemon != NULL)
 		MHD_stop_daemon(httpd->daemon);
 	loop_timer_destroy(httpd->timer);
@@ -332,6 +378,16 @@
 		close(fd);
 }
 
+/*
+ * Closes each connection after the next answer on it, so that callers leave
+ * a server that is about to stop.
+ */
+void
+httpd_close_after_answers(struct httpd *httpd)
+{
+	httpd->close_after_answers = true;
+}
+
 /*
  * Returns the port in host order.
  */
@@ -418,6 +474,20 @@
 	return request->data;
 }
 
+/*
+ * Sets the status and the header fields of an answer.
+ */
+static void
+set_header(struct httpd_request *request, unsigned int status, const char *type)
+{
+	MHD_add_response_header(
+	    request->response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+	if (request->httpd->close_after_answers)
+		MHD_add_response_header(
+		    request->response, MHD_HTTP_HEADER_CONNECTION, "close");
+	request->status = status;
+}
+
 /*
  * Answers a request with a whole body, which is copied. Memory exhaustion
  * closes the connection.
@@ -431,9 +501,7 @@
 	    body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY);
 	if (request->response == NULL)
 		return;
-	MHD_add_response_header(
-	    request->response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-	request->status = status;
+	set_header(request, status, type);
 	if (!request->in_handler)
 		resume(request);
 }
@@ -449,6 +517,8 @@
 	size_t len = request->queue.len < max ? request->queue.len : max;
 
 	(void)position;
+	if (request->aborted)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (len > 0) {
 		memcpy(buffer, request->queue.data, len);
 		lstr_buf_consume(&request->queue, len);
@@ -472,9 +542,7 @@
 	    MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, on_read, request, NULL);
 	if (request->response == NULL)
 		return;
-	MHD_add_response_header(
-	    request->response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-	request->status = status;
+	set_header(request, status, type);
 	request->streaming = true;
 	if (!request->in_handler)
 		resume(request);
@@ -516,3 +584,33 @@
 {
 	return request->queue.len;
 }
+
+/*
+ * Closes the connection of a request without the rest of its answer, so that
+ * the caller cannot take it for a whole one. closed follows.
+ */
+void
+httpd_abort(struct httpd_request *request)
+{
+	request->aborted = true;
+	if (!request->in_handler)
+		resume(request);
+}
+
+/*
+ * Tells whether the caller has closed its connection. The daemon does not
+ * notice this while it has nothing to write.
+ */
+bool
+httpd_caller_gone(const struct httpd_request *request)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+	ssize_t n;
+
+	if (info == NULL)
+		return true;
+	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
--- /dev/null
+++ b/tests/test_engine_http.c
@@ -0,0 +1,536 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+#include "engine.h"
+#include "httpd.h"
+#include "ndjson.h"
+#include "plain.h"
+
+#define BODY_MAX_BYTES 65536
+#define TEXT_MAX 256
+#define HOLD_LIMIT_USEC (100 * LOOP_USEC_PER_MSEC)
+
+static const char good_line[] =
+    "{\"request\":\"r1\",\"attempt\":2,\"position\":5,\"token\":\"tok\","
+    "\"trail\":[{\"instance\":\"a\",\"first\":0,\"last\":3,\"attempt\":2,"
+    "\"position\":5,\"extra\":1}],\"last\":true,\"unknown\":{}}\n";
+
+/*
+ * A server that gives a scripted answer, the adapters, and what they said.
+ */
+struct world {
+	struct loop *loop;
+	struct httpd *httpd;
+	struct fetch *fetch;
+	struct engine *engine;
+	struct plain *plain;
+	char address[TEXT_MAX];
+	/* The script: status and body; hold gives no answer. */
+	unsigned int answer_status;
+	const char *answer;
+	bool hold;
+	bool abort_after;
+	/* What the server saw. */
+	char path[TEXT_MAX];
+	struct lstr_buf body;
+	int requests;
+	int cancels;
+	/* What the adapters said. */
+	struct engine_call *call;
+	bool cancel_on_token;
+	int tokens;
+	struct engine_token token;
+	char token_text[TEXT_MAX];
+	char step_instance[TEXT_MAX];
+	struct engine_step step;
+	bool ended;
+	struct engine_end end;
+	struct engine_load load;
+	struct plain_result result;
+	char result_body[TEXT_MAX];
+};
+
+static void
+on_request(struct httpd_request *request, void *arg)
+{
+	struct world *w = arg;
+	struct lstr path = httpd_path(request);
+
+	w->requests++;
+	snprintf(w->path, sizeof(w->path), "%.*s", LSTR_ARG(path));
+	lstr_buf_clear(&w->body);
+	lstr_buf_append(&w->body, httpd_body(request));
+	if (strstr(w->path, "/cancel") != NULL) {
+		w->cancels++;
+		httpd_respond(request, 200, "application/json", lstr_from(""));
+		return;
+	}
+	if (w->hold)
+		return;
+	if (w->answer_status != 200) {
+		httpd_respond(request, w->answer_status, "application/json",
+		    lstr_from(w->answer));
+		return;
+	}
+	httpd_stream_begin(request, 200, "application/x-ndjson");
+	httpd_stream_write(request, lstr_from(w->answer));
+	if (w->abort_after)
+		httpd_abort(request);
+	else
+		httpd_stream_end(request);
+}
+
+static const struct httpd_ops server_ops = {on_request, NULL};
+
+static void
+on_token(struct engine_call *call, const struct engine_token *token, void *arg)
+{
+	struct world *w = arg;
+
+	w->tokens++;
+	w->token = *token;
+	snprintf(w->token_text, sizeof(w->token_text), "%.*s",
+	    LSTR_ARG(token->text));
+	if (token->step_count > 0) {
+		w->step = token->steps[0];
+		snprintf(w->step_instance, sizeof(w->step_instance), "%.*s",
+		    LSTR_ARG(token->steps[0].instance));
+	}
+	if (w->cancel_on_token)
+		w->engine->vtable->cancel(w->engine, call);
+}
+
+static void
+on_end(struct engine_call *call, const struct engine_end *end, void *arg)
+{
+	struct world *w = arg;
+
+	(void)call;
+	w->ended = true;
+	w->end = *end;
+}
+
+static const struct engine_listener listener = {on_token, on_end};
+
+static void
+on_load(const struct engine_load *load, void *arg)
+{
+	struct world *w = arg;
+
+	w->load = *load;
+	w->ended = true;
+}
+
+static void
+on_plain_done(const struct plain_result *result, void *arg)
+{
+	struct world *w = arg;
+
+	w->result = *result;
+	snprintf(w->result_body, sizeof(w->result_body), "%.*s",
+	    LSTR_ARG(result->body));
+	w->ended = true;
+}
+
+static bool
+has_ended(void *arg)
+{
+	return ((struct world *)arg)->ended;
+}
+
+static bool
+has_cancelled_both_stages(void *arg)
+{
+	return ((struct world *)arg)->cancels >= 2;
+}
+
+static bool
+has_request(void *arg)
+{
+	return ((struct world *)arg)->requests > 0;
+}
+
+/*
+ * Starts the server and the adapters.
+ */
+static void
+world_start(struct world *w, unsigned int status, const char *answer)
+{
+	memset(w, 0, sizeof(*w));
+	w->answer_status = status;
+	w->answer = answer;
+	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
+	ck_assert_int_eq(httpd_create(w->loop, "127.0.0.1:0", BODY_MAX_BYTES,
+			     &server_ops, w, &w->httpd),
+	    STATUS_OK);
+	ck_assert_int_eq(fetch_create(w->loop, &w->fetch), STATUS_OK);
+	ck_assert_int_eq(
+	    engine_http_create(w->loop, w->fetch, &w->engine), STATUS_OK);
+	ck_assert_int_eq(
+	    plain_http_create(w->loop, w->fetch, &w->plain), STATUS_OK);
+	snprintf(w->address, sizeof(w->address), "127.0.0.1:%u",
+	    httpd_port(w->httpd));
+}
+
+/*
+ * Starts an attempt over two stages.
+ */
+static void
+start_attempt(struct world *w, int64_t deadline)
+{
+	struct lstr address = lstr_from(w->address);
+	struct lstr delivered[] = {lstr_from("d0"), lstr_from("d1")};
+	struct engine_stage stages[] = {
+	    {lstr_from("a"), address, 0, 3}, {lstr_from("b"), address, 4, 7}};
+	struct engine_attempt attempt = {.request = lstr_from("r1"),
+	    .attempt = 2,
+	    .stages = stages,
+	    .stage_count = 2,
+	    .prompt = lstr_from("hello \"x\""),
+	    .delivered = delivered,
+	    .delivered_count = 2,
+	    .start = 2,
+	    .max_tokens = 9,
+	    .priority = 1,
+	    .deadline = deadline,
+	    .fence = 77};
+
+	ck_assert_int_eq(w->engine->vtable->start(
+			     w->engine, &attempt, &listener, w, &w->call),
+	    STATUS_OK);
+}
+
+/*
+ * Starts a plain call that must not be repeated.
+ */
+static void
+start_plain(struct world *w)
+{
+	struct plain_request request = {.address = lstr_from(w->address),
+	    .request = lstr_from("r1"),
+	    .operation = lstr_from("swap"),
+	    .body = lstr_from("b"),
+	    .key = lstr_from("1-k"),
+	    .fence = 5,
+	    .once = true};
+	struct plain_call *call;
+
+	ck_assert_int_eq(w->plain->vtable->start(
+			     w->plain, &request, on_plain_done, w, &call),
+	    STATUS_OK);
+}
+
+/*
+ * Frees everything, so that the sanitizers see what is left behind.
+ */
+static void
+world_stop(struct world *w)
+{
+	w->engine->vtable->destroy(w->engine);
+	w->plain->vtable->destroy(w->plain);
+	fetch_destroy(w->fetch);
+	httpd_destroy(w->httpd);
+	lstr_buf_free(&w->body);
+	loop_destroy(w->loop);
+}
+
+/*
+ * Runs one attempt against a scripted answer to its end.
+ */
+static void
+run_attempt(struct world *w, unsigned int status, const char *answer)
+{
+	world_start(w, status, answer);
+	start_attempt(w, 0);
+	ck_assert(harness_wait(w->loop, has_ended, w));
+}
+
+/* Guards against fields lost between the attempt and the engine. */
+START_TEST(attempt_is_sent_whole)
+{
+	struct world w;
+	json_t *sent;
+
+	run_attempt(&w, 200, good_line);
+	ck_assert_str_eq(w.path, "/i/a/v1/generate");
+	sent = json_loadb(w.body.data, w.body.len, 0, NULL);
+	ck_assert_ptr_nonnull(sent);
+	ck_assert_str_eq(
+	    json_string_value(json_object_get(sent, "prompt")), "hello \"x\"");
+	ck_assert_int_eq(json_integer_value(json_object_get(sent, "start")), 2);
+	ck_assert_int_eq(
+	    json_integer_value(json_object_get(sent, "fence")), 77);
+	ck_assert_uint_eq(
+	    json_array_size(json_object_get(sent, "delivered")), 2);
+	ck_assert_str_eq(
+	    json_string_value(json_object_get(
+		json_array_get(json_object_get(sent, "route"), 1), "instance")),
+	    "b");
+	json_decref(sent);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against a token read wrongly, and against refusing new fields. */
+START_TEST(token_is_read_whole)
+{
+	struct world w;
+
+	run_attempt(&w, 200, good_line);
+	ck_assert_int_eq(w.end.status, STATUS_OK);
+	ck_assert_int_eq(w.tokens, 1);
+	ck_assert_uint_eq(w.token.attempt, 2);
+	ck_assert_uint_eq(w.token.position, 5);
+	ck_assert(w.token.last);
+	ck_assert_str_eq(w.token_text, "tok");
+	ck_assert_uint_eq(w.token.step_count, 1);
+	ck_assert_str_eq(w.step_instance, "a");
+	ck_assert_uint_eq(w.step.last, 3);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against malformed lines taken for tokens. */
+START_TEST(malformed_lines_end_the_call)
+{
+	static const char *const lines[] = {"nonsense\n", "{}\n", "[]\n",
+	    "{\"request\":\"r\",\"attempt\":1,\"position\":0,\"token\":\"t\","
+	    "\"trail\":[]}\n",
+	    "{\"request\":\"r\",\"attempt\":1,\"position\":-1,\"token\":\"t\","
+	    "\"trail\":[],\"last\":false}\n",
+	    "{\"request\":\"r\",\"attempt\":1,\"position\":0,\"token\":\"t\","
+	    "\"trail\":[{\"instance\":\"a\"}],\"last\":false}\n",
+	    "{\"request\":\"r1\",\"attempt\""};
+
+	for (size_t i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
+		struct world w;
+
+		run_attempt(&w, 200, lines[i]);
+		ck_assert_int_eq(w.end.status, STATUS_INVALID);
+		ck_assert(w.end.maybe_run);
+		ck_assert_int_eq(w.tokens, 0);
+		world_stop(&w);
+	}
+}
+END_TEST
+
+/* Guards against memory use driven by an endless line. */
+START_TEST(endless_line_ends_the_call)
+{
+	char *line = malloc(NDJSON_LINE_MAX_BYTES + 2);
+	struct world w;
+
+	ck_assert_ptr_nonnull(line);
+	memset(line, 'x', NDJSON_LINE_MAX_BYTES + 1);
+	line[NDJSON_LINE_MAX_BYTES + 1] = '\0';
+	run_attempt(&w, 200, line);
+	ck_assert_int_eq(w.end.status, STATUS_INVALID);
+	world_stop(&w);
+	free(line);
+}
+END_TEST
+
+/* Guards against a cut stream taken for a whole one. */
+START_TEST(stream_without_last_is_not_ok)
+{
+	struct world w;
+
+	run_attempt(&w, 200, "");
+	ck_assert_int_eq(w.end.status, STATUS_CLOSED);
+	ck_assert(w.end.maybe_run);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against a broken connection taken for an ended stream. */
+START_TEST(aborted_stream_is_not_ok)
+{
+	struct world w;
+
+	world_start(&w, 200, good_line);
+	w.abort_after = true;
+	start_attempt(&w, 0);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_ne(w.end.status, STATUS_OK);
+	ck_assert(w.end.maybe_run);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against "unknown" for a leaving engine, which ran nothing. */
+START_TEST(leaving_ran_nothing)
+{
+	struct world w;
+
+	run_attempt(&w, 503, "{\"error\":\"leaving\"}");
+	ck_assert_int_eq(w.end.status, STATUS_UNAVAILABLE);
+	ck_assert(!w.end.maybe_run);
+	ck_assert(w.end.leaving);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against "nothing ran" on errors that do not say so. */
+START_TEST(other_errors_may_have_run)
+{
+	static const unsigned int statuses[] = {500, 503, 404};
+
+	for (size_t i = 0; i < 3; i++) {
+		struct world w;
+
+		run_attempt(&w, statuses[i], "{\"error\":\"other\"}");
+		ck_assert_int_ne(w.end.status, STATUS_OK);
+		ck_assert(w.end.maybe_run);
+		world_stop(&w);
+	}
+}
+END_TEST
+
+/* Guards against "unknown" where no byte left. */
+START_TEST(refused_connection_ran_nothing)
+{
+	struct world w;
+
+	world_start(&w, 200, "");
+	httpd_destroy(w.httpd);
+	w.httpd = NULL;
+	start_attempt(&w, 0);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_eq(w.end.status, STATUS_UNAVAILABLE);
+	ck_assert(!w.end.maybe_run);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against "nothing ran" after a silence. */
+START_TEST(silence_may_have_run)
+{
+	struct world w;
+
+	world_start(&w, 200, "");
+	w.hold = true;
+	start_attempt(&w, loop_now(w.loop) + HOLD_LIMIT_USEC);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_eq(w.end.status, STATUS_TIMEOUT);
+	ck_assert(w.end.maybe_run);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against stages that go on after a cancellation from a token. */
+START_TEST(cancel_from_token_tells_every_stage)
+{
+	struct world w;
+
+	world_start(&w, 200, good_line);
+	w.cancel_on_token = true;
+	start_attempt(&w, 0);
+	ck_assert(harness_wait(w.loop, has_cancelled_both_stages, &w));
+	ck_assert(!w.ended);
+	ck_assert_int_eq(w.tokens, 1);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against stages that go on after a cancellation from outside. */
+START_TEST(cancel_of_a_silent_call_tells_every_stage)
+{
+	struct world w;
+
+	world_start(&w, 200, "");
+	w.hold = true;
+	start_attempt(&w, 0);
+	ck_assert(harness_wait(w.loop, has_request, &w));
+	w.engine->vtable->cancel(w.engine, w.call);
+	ck_assert(harness_wait(w.loop, has_cancelled_both_stages, &w));
+	ck_assert(!w.ended);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against a load read wrongly, and one with missing fields. */
+START_TEST(load_is_read)
+{
+	struct world w;
+
+	world_start(
+	    &w, 200, "{\"running\":3,\"queued\":4,\"leaving\":true,\"x\":0}");
+	w.engine->vtable->query_load(
+	    w.engine, lstr_from("a"), lstr_from(w.address), 0, on_load, &w);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_eq(w.load.status, STATUS_OK);
+	ck_assert_uint_eq(w.load.running, 3);
+	ck_assert_uint_eq(w.load.queued, 4);
+	ck_assert(w.load.leaving);
+	w.ended = false;
+	w.answer = "{\"running\":3,\"queued\":4}";
+	w.engine->vtable->query_load(
+	    w.engine, lstr_from("a"), lstr_from(w.address), 0, on_load, &w);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_eq(w.load.status, STATUS_INVALID);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against a plain answer or its fields lost on the way. */
+START_TEST(plain_answer_arrives)
+{
+	struct world w;
+	json_t *sent;
+
+	world_start(&w, 200, "done");
+	start_plain(&w);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_eq(w.result.status, STATUS_OK);
+	ck_assert_uint_eq(w.result.http_status, 200);
+	ck_assert_str_eq(w.result_body, "done");
+	sent = json_loadb(w.body.data, w.body.len, 0, NULL);
+	ck_assert_str_eq(
+	    json_string_value(json_object_get(sent, "key")), "1-k");
+	ck_assert_int_eq(json_integer_value(json_object_get(sent, "fence")), 5);
+	json_decref(sent);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against wrong claims on whether a plain call ran. */
+START_TEST(plain_failures_tell_whether_it_ran)
+{
+	struct world w;
+
+	world_start(&w, 503, "{\"error\":\"leaving\"}");
+	start_plain(&w);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_eq(w.result.status, STATUS_UNAVAILABLE);
+	ck_assert(!w.result.maybe_run);
+	ck_assert(w.result.leaving);
+	w.ended = false;
+	w.answer_status = 200;
+	w.answer = "half";
+	w.abort_after = true;
+	start_plain(&w);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_ne(w.result.status, STATUS_OK);
+	ck_assert(w.result.maybe_run);
+	w.ended = false;
+	httpd_destroy(w.httpd);
+	w.httpd = NULL;
+	start_plain(&w);
+	ck_assert(harness_wait(w.loop, has_ended, &w));
+	ck_assert_int_eq(w.result.status, STATUS_UNAVAILABLE);
+	ck_assert(!w.result.maybe_run);
+	world_stop(&w);
+}
+END_TEST
+
+HARNESS_MAIN("engine_http", attempt_is_sent_whole, token_is_read_whole,
+    malformed_lines_end_the_call, endless_line_ends_the_call,
+    stream_without_last_is_not_ok, aborted_stream_is_not_ok,
+    leaving_ran_nothing, other_errors_may_have_run,
+    refused_connection_ran_nothing, silence_may_have_run,
+    cancel_from_token_tells_every_stage,
+    cancel_of_a_silent_call_tells_every_stage, load_is_read,
+    plain_answer_arrives, plain_failures_tell_whether_it_ran)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -185,6 +185,59 @@
 }
 END_TEST
 
-HARNESS_MAIN("http", echo_returns_the_body, later_stream_arrives_whole,
-    large_body_is_refused, deadline_ends_the_call,
+static bool
+caller_is_gone(void *arg)
+{
+	return httpd_caller_gone(((struct world *)arg)->held);
+}
+
+/* Guards against a cut answer that looks whole. */
+START_TEST(aborted_answer_is_an_error)
+{
+	struct world w;
+
+	world_start(&w);
+	post(&w, "/hold", lstr_from("x"), 0);
+	ck_assert(harness_wait(w.loop, is_held, &w));
+	httpd_stream_begin(w.held, 200, "text/plain");
+	httpd_stream_write(w.held, lstr_from("half"));
+	loop_run_once(w.loop, loop_now(w.loop));
+	httpd_abort(w.held);
+	ck_assert(harness_wait(w.loop, is_done, &w));
+	ck_assert_int_ne(w.status, STATUS_OK);
+	ck_assert_int_eq(w.closed, 1);
+}
+END_TEST
+
+/* Guards against work for a caller that left before the answer began. */
+START_TEST(gone_caller_is_noticed)
+{
+	struct world w;
+
+	world_start(&w);
+	post(&w, "/hold", lstr_from("x"),
+	    loop_now(w.loop) + 50 * LOOP_USEC_PER_MSEC);
+	ck_assert(harness_wait(w.loop, is_held, &w));
+	ck_assert(!caller_is_gone(&w));
+	ck_assert(harness_wait(w.loop, caller_is_gone, &w));
+}
+END_TEST
+
+/* Guards against an abort of the process that stops with a request open. */
+START_TEST(server_stops_with_a_request_open)
+{
+	struct world w;
+
+	world_start(&w);
+	post(&w, "/hold", lstr_from("x"), 0);
+	ck_assert(harness_wait(w.loop, is_held, &w));
+	loop_run_once(w.loop, loop_now(w.loop));
+	httpd_destroy(w.httpd);
+	ck_assert_int_eq(w.closed, 1);
+}
+END_TEST
+
+HARNESS_MAIN("http", aborted_answer_is_an_error, gone_caller_is_noticed,
+    server_stops_with_a_request_open, echo_returns_the_body,
+    later_stream_arrives_whole, large_body_is_refused, deadline_ends_the_call,
     refused_connection_was_not_sent)
