--- a/src/inventory.h
+++ b/src/inventory.h
@@ -14,6 +14,30 @@
 
 #define INV_PRIORITY_MAX 7
 #define INV_WEIGHT_MAX 1000
+#define INV_CONCURRENT_MAX 1000000
+#define INV_NAME_MAX_BYTES 63
+#define INV_LAYERS_MAX 1024
+
+/*
+ * Most entities of one configuration. The two-year target is 18 places, 21
+ * models, 7 kinds of accelerators, 34,000 accelerators (at most one instance
+ * each) and 24,000 organisations.
+ */
+#define INV_PLACES_MAX 64
+#define INV_LINKS_MAX (INV_PLACES_MAX * (INV_PLACES_MAX + 1) / 2)
+#define INV_SERVICES_MAX 256
+#define INV_ACCELERATORS_MAX 64
+#define INV_INSTANCES_MAX 40000
+#define INV_ORGANISATIONS_MAX 30000
+#define INV_REQUESTS_MAX 4096
+
+/* One-way latency assumed for places that no link joins, microseconds. */
+#define INV_LATENCY_PLACE_USEC 50
+#define INV_LATENCY_REGION_USEC 1000
+#define INV_LATENCY_FAR_USEC 50000
+
+/* Largest JSON text of an inventory or of rules. */
+#define INV_TEXT_MAX_BYTES ((size_t)32 * 1024 * 1024)
 
 enum inv_service_kind {
 	INV_PIPELINE,
@@ -63,7 +87,10 @@
 	bool checks_fencing;
 };
 
-/* The instances that share a replica name within a service. */
+/*
+ * The instances that share a replica name within a service, sorted by first
+ * layer, last layer and name.
+ */
 struct inv_replica {
 	char *name;
 	uint32_t service;
@@ -99,24 +126,27 @@
 struct inv {
 	uint64_t revision;
 	struct inv_place *places;
-	uint32_t place_count;
 	struct inv_link *links;
-	uint32_t link_count;
 	struct inv_service *services;
-	uint32_t service_count;
 	struct inv_accelerator *accelerators;
-	uint32_t accelerator_count;
 	struct inv_instance *instances;
-	uint32_t instance_count;
 	struct inv_replica *replicas;
-	uint32_t replica_count;
 	struct inv_organisation *organisations;
-	uint32_t organisation_count;
 	struct inv_request_rule *requests;
-	uint32_t request_count;
+	/* Lookup tables and the memory of all strings. */
+	struct inv_index *index;
 	struct inv_defaults defaults;
+	uint32_t place_count;
+	uint32_t link_count;
+	uint32_t service_count;
+	uint32_t accelerator_count;
+	uint32_t instance_count;
+	uint32_t replica_count;
+	uint32_t organisation_count;
+	uint32_t request_count;
 };
 
+enum status inv_load(struct lstr, const char *, json_t **);
 enum status inv_parse(const json_t *, const json_t *, struct inv **);
 void inv_destroy(struct inv *);
 uint32_t inv_find_place(const struct inv *, struct lstr);
