Split a configuration into parts

Cause: A whole inventory exceeds the largest value of the key-value service and would be sent whole at every change. Change: part.c splits inventory and rules into named parts of canonical JSON, joins them, and holds the manifest and the difference of two manifests. Digests have 128 bits, because the manifest is read at every change by every watcher. The limit of request rules is 1024, so that they fit into one part.

--- a/src/inventory.h
+++ b/src/inventory.h
@@ -29,7 +29,7 @@
 #define INV_ACCELERATORS_MAX 64
 #define INV_INSTANCES_MAX 40000
 #define INV_ORGANISATIONS_MAX 30000
-#define INV_REQUESTS_MAX 4096
+#define INV_REQUESTS_MAX 1024
 
 /* One-way latency assumed for places that no link joins, microseconds. */
 #define INV_LATENCY_PLACE_USEC 50
--- /dev/null
+++ b/src/part.h
@@ -0,0 +1,97 @@
+#ifndef CH_PART_H
+#define CH_PART_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "lstr.h"
+
+/*
+ * The manifest lists every part and is read by each watcher at each change.
+ * 128 bits keep it small; an operator who could make two contents with one
+ * digest may write any configuration anyway.
+ */
+#define PART_DIGEST_BYTES 16
+#define PART_DIGEST_HEX_SIZE (2 * PART_DIGEST_BYTES + 1)
+#define PART_SET_DIGEST_BYTES 32
+#define PART_MAX_BYTES ((size_t)256 * 1024)
+#define PART_COUNT_MAX 4096
+#define PART_NAME_MAX_BYTES 96
+#define PART_CHANGE_ID_MAX_BYTES 64
+
+/*
+ * A named piece of a configuration; shared by reference count and never
+ * changed. content is the canonical JSON, json the same in parsed form.
+ */
+struct part {
+	unsigned int references;
+	char *name;
+	uint8_t digest[PART_DIGEST_BYTES];
+	char *content;
+	size_t len;
+	json_t *json;
+};
+
+/* Parts sorted by name. */
+struct part_set {
+	struct part **items;
+	size_t count;
+	size_t size;
+};
+
+struct part_ref {
+	char *name;
+	uint8_t digest[PART_DIGEST_BYTES];
+};
+
+/* What a revision consists of, sorted by name. */
+struct part_manifest {
+	uint64_t revision;
+	char *change_id;
+	struct part_ref *refs;
+	size_t count;
+};
+
+/* How one manifest differs from another; borrows from both. */
+struct part_diff {
+	const struct part_ref **changed;
+	size_t changed_count;
+	const struct part_ref **removed;
+	size_t removed_count;
+};
+
+enum status part_create(struct lstr name, struct lstr content, struct part **);
+struct part *part_ref(struct part *);
+void part_unref(struct part *);
+void part_digest(struct lstr, uint8_t[PART_DIGEST_BYTES]);
+void part_digest_to_hex(
+    const uint8_t[PART_DIGEST_BYTES], char[PART_DIGEST_HEX_SIZE]);
+
+struct part_set *part_set_create(void);
+struct part_set *part_set_copy(const struct part_set *);
+void part_set_destroy(struct part_set *);
+enum status part_set_put(struct part_set *, struct part *);
+void part_set_remove(struct part_set *, struct lstr name);
+struct part *part_set_find(const struct part_set *, struct lstr name);
+size_t part_set_bytes(const struct part_set *);
+void part_set_digest(const struct part_set *, uint8_t[PART_SET_DIGEST_BYTES]);
+
+enum status part_split(
+    const json_t *inventory, const json_t *rules, struct part_set **);
+enum status part_join(
+    const struct part_set *, json_t **inventory, json_t **rules);
+void part_sort_documents(json_t *inventory, json_t *rules);
+
+struct part_manifest *part_manifest_create(
+    const struct part_set *, uint64_t revision, const char *change_id);
+void part_manifest_destroy(struct part_manifest *);
+json_t *part_manifest_to_json(const struct part_manifest *);
+enum status part_manifest_from_json(const json_t *, struct part_manifest **);
+void part_diff_init(struct part_diff *, const struct part_manifest *from,
+    const struct part_manifest *to);
+void part_diff_free(struct part_diff *);
+
+#endif
