Hold the configuration in force and its updates

Cause: Every process needs one revision in force that never decreases, and receives it as changes or, in several frames, as a whole. Change: conf.c takes ConfigUpdate frames, checks the digests, parses the documents and only then brings a revision into force. It makes the frames for a receiver from a history of 64 steps, else from all parts. ConfigUpdate has the new fields sequence, frames and set_digest. Conclusion: An incomplete, damaged, unfitting or older update changes nothing.

--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -2102,7 +2102,7 @@
   (ProtobufCMessageInit) ch__config_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__config_update__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ch__config_update__field_descriptors[8] =
 {
   {
     "revision",
@@ -2164,18 +2164,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ConfigUpdate, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "frames",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ConfigUpdate, frames),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "set_digest",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ConfigUpdate, set_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__config_update__field_indices_by_name[] = {
   4,   /* field[4] = change_id */
   2,   /* field[2] = changed */
+  6,   /* field[6] = frames */
   3,   /* field[3] = removed */
   0,   /* field[0] = revision */
+  5,   /* field[5] = sequence */
+  7,   /* field[7] = set_digest */
   1,   /* field[1] = since */
 };
 static const ProtobufCIntRange ch__config_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ch__config_update__descriptor =
 {
@@ -2185,7 +2224,7 @@
   "Ch__ConfigUpdate",
   "ch",
   sizeof(Ch__ConfigUpdate),
-  5,
+  8,
   ch__config_update__field_descriptors,
   ch__config_update__field_indices_by_name,
   1,  ch__config_update__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -262,10 +262,24 @@
   size_t n_removed;
   char **removed;
   char *change_id;
+  /*
+   * A large update is a transfer of several frames, which comes into force
+   * only when all have arrived. sequence counts them from 0.
+   */
+  uint32_t sequence;
+  /*
+   * Number of frames of the transfer; 0 stands for 1.
+   */
+  uint32_t frames;
+  /*
+   * Digest over the names and digests of all parts of the revision, with
+   * which a receiver checks the result of the whole update.
+   */
+  ProtobufCBinaryData set_digest;
 };
 #define CH__CONFIG_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__config_update__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
 
 
 struct  Ch__ConfigPull
--- /dev/null
+++ b/src/conf.h
@@ -0,0 +1,63 @@
+#ifndef CH_CONF_H
+#define CH_CONF_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "chestnuthoist.pb-c.h"
+
+#include "inventory.h"
+#include "part.h"
+
+/* Revisions for which a change is known, so that a receiver gets a delta. */
+#define CONF_HISTORY_MAX 64
+/* Aim for the size of one frame; a part more may be added to it. */
+#define CONF_FRAME_BYTES ((size_t)512 * 1024)
+#define CONF_FRAMES_MAX 256
+/* Most content of a transfer that is not complete. */
+#define CONF_STAGED_MAX_BYTES ((size_t)32 * 1024 * 1024)
+
+/*
+ * What an update led to. CONF_MORE: further frames are needed; nothing has
+ * changed. CONF_STALE: the revision is not above the one in force.
+ * CONF_PULL_NEEDED: the update does not fit; ask with conf_pull_from().
+ * CONF_INVALID: refused, status_message() says why; nothing has changed.
+ */
+enum conf_result {
+	CONF_APPLIED,
+	CONF_MORE,
+	CONF_STALE,
+	CONF_PULL_NEEDED,
+	CONF_INVALID
+};
+
+/* The configuration of one process. Its revision never decreases. */
+struct conf;
+
+struct conf *conf_create(void);
+void conf_destroy(struct conf *);
+uint64_t conf_revision(const struct conf *);
+const char *conf_change_id(const struct conf *);
+const struct inv *conf_inventory(const struct conf *);
+const struct part_set *conf_parts(const struct conf *);
+enum conf_result conf_apply(struct conf *, const Ch__ConfigUpdate *);
+enum conf_result conf_adopt(
+    struct conf *, uint64_t, const char *, struct part_set *);
+void conf_drop_previous(struct conf *);
+uint64_t conf_pull_from(const struct conf *);
+size_t conf_reuse(const struct conf *, const struct part_manifest *,
+    struct part_set *, const struct part_ref **);
+enum status conf_documents(const struct conf *, json_t **, json_t **);
+json_t *conf_dump(const struct conf *);
+
+/* The frames that bring a receiver from one revision to the one in force. */
+struct conf_feed;
+
+struct conf_feed *conf_feed_create(const struct conf *, uint64_t);
+void conf_feed_destroy(struct conf_feed *);
+bool conf_feed_is_whole(const struct conf_feed *);
+Ch__ConfigUpdate *conf_feed_next(struct conf_feed *);
+
+#endif
--- a/tests/sample.h
+++ b/tests/sample.h
@@ -24,7 +24,7 @@
 	for (int stage = 0; stage < size->stages; stage++) {
 		char name[32];
 		char replica[32];
-		char place[16];
+		char place[32];
 		char address[32];
 
 		snprintf(name, sizeof(name), "i%05d-%d", r, stage);
@@ -51,7 +51,7 @@
 	json_t *instances = json_array();
 
 	for (int i = 0; i < size->places; i++) {
-		char name[16];
+		char name[32];
 
 		snprintf(name, sizeof(name), "place-%02d", i);
 		json_array_append_new(places,
