--- /dev/null
+++ b/src/kv_http.c
@@ -0,0 +1,489 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <sodium.h>
+
+#include "kv.h"
+#include "metric.h"
+
+#define URL_PREFIX_MAX_BYTES 128
+/* A page of 1 MB in base64, with keys and the JSON around it. */
+#define ANSWER_MAX_BYTES ((size_t)4 * 1024 * 1024)
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_GONE 410
+#define HTTP_UNAVAILABLE 503
+
+struct kv_http {
+	struct kv base;
+	struct loop *loop;
+	struct fetch *fetch;
+	char url[URL_PREFIX_MAX_BYTES];
+	/* Set of struct call. */
+	GHashTable *calls;
+};
+
+struct call {
+	struct kv_http *kv;
+	enum kv_kind kind;
+	struct fetch_call *fetch_call;
+	/* Reports a call that could not start. */
+	struct loop_timer *timer;
+	kv_done_fn fn;
+	void *arg;
+	/* Memory that the result points to. */
+	json_t *answer;
+	GPtrArray *buffers;
+	GArray *items;
+};
+
+static struct metric calls_by_kind[KV_KIND_COUNT] = {
+    [KV_GET] = {"chestnuthoist_kv_calls_total", "kind=\"get\"",
+	"Calls of the key-value service; a watch counts when it is issued.",
+	METRIC_COUNTER, 0, NULL},
+    [KV_PUT] = {"chestnuthoist_kv_calls_total", "kind=\"put\"",
+	"Calls of the key-value service.", METRIC_COUNTER, 0, NULL},
+    [KV_DELETE] = {"chestnuthoist_kv_calls_total", "kind=\"delete\"",
+	"Calls of the key-value service.", METRIC_COUNTER, 0, NULL},
+    [KV_LIST] = {"chestnuthoist_kv_calls_total", "kind=\"list\"",
+	"Calls of the key-value service.", METRIC_COUNTER, 0, NULL},
+    [KV_LEASE_GRANT] = {"chestnuthoist_kv_calls_total", "kind=\"lease-grant\"",
+	"Calls of the key-value service.", METRIC_COUNTER, 0, NULL},
+    [KV_LEASE_RENEW] = {"chestnuthoist_kv_calls_total", "kind=\"lease-renew\"",
+	"Calls of the key-value service.", METRIC_COUNTER, 0, NULL},
+    [KV_WATCH] = {"chestnuthoist_kv_calls_total", "kind=\"watch\"",
+	"Calls of the key-value service.", METRIC_COUNTER, 0, NULL},
+};
+static struct metric calls_unavailable = {"chestnuthoist_kv_failures_total",
+    "result=\"unavailable\"", "Calls that were certainly not done.",
+    METRIC_COUNTER, 0, NULL};
+static struct metric calls_ambiguous = {"chestnuthoist_kv_failures_total",
+    "result=\"ambiguous\"", "Writes that may have taken effect.",
+    METRIC_COUNTER, 0, NULL};
+
+/*
+ * Tells whether a call of this kind changes the service's state.
+ */
+static bool
+is_write(enum kv_kind kind)
+{
+	return kind == KV_PUT || kind == KV_DELETE || kind == KV_LEASE_GRANT ||
+	    kind == KV_LEASE_RENEW;
+}
+
+/*
+ * Frees a call that has ended.
+ */
+static void
+call_free(void *data)
+{
+	struct call *call = data;
+
+	loop_timer_destroy(call->timer);
+	json_decref(call->answer);
+	g_ptr_array_free(call->buffers, TRUE);
+	g_array_free(call->items, TRUE);
+	g_free(call);
+}
+
+/*
+ * Counts the result of a call, tells its owner and frees it.
+ */
+static void
+call_end(struct call *call, struct kv_result *result)
+{
+	if (result->status == STATUS_UNAVAILABLE)
+		calls_unavailable.value++;
+	if (result->status == STATUS_AMBIGUOUS)
+		calls_ambiguous.value++;
+	g_hash_table_steal(call->kv->calls, call);
+	call->fn(result, call->arg);
+	call_free(call);
+}
+
+/*
+ * Maps the transport's result and the HTTP status to a status.
+ */
+static enum status
+map_status(const struct call *call, const struct fetch_result *result)
+{
+	bool write = is_write(call->kind);
+
+	if (result->status != STATUS_OK)
+		return write && result->maybe_sent ? STATUS_AMBIGUOUS
+						   : STATUS_UNAVAILABLE;
+	switch (result->http_status) {
+	case HTTP_OK:
+		return STATUS_OK;
+	case HTTP_NOT_FOUND:
+		return STATUS_NOT_FOUND;
+	case HTTP_CONFLICT:
+		return STATUS_CONFLICT;
+	case HTTP_GONE:
+		return STATUS_EXPIRED;
+	case HTTP_UNAVAILABLE:
+		/* The protocol says that nothing was done. */
+		return STATUS_UNAVAILABLE;
+	default:
+		return write ? STATUS_AMBIGUOUS : STATUS_UNAVAILABLE;
+	}
+}
+
+/*
+ * Decodes a base64 value into memory that lives as long as the call. Returns
+ * false when it is not base64.
+ */
+static bool
+decode_value(struct call *call, const json_t *text, struct lstr *out)
+{
+	size_t max = json_string_length(text);
+	unsigned char *data;
+	size_t len = 0;
+
+	if (!json_is_string(text))
+		return false;
+	data = g_malloc(max + 1);
+	g_ptr_array_add(call->buffers, data);
+	if (sodium_base642bin(data, max, json_string_value(text), max, NULL,
+		&len, NULL, sodium_base64_VARIANT_ORIGINAL) != 0)
+		return false;
+	*out = lstr_make(data, len);
+	return true;
+}
+
+/*
+ * Reads the items of a list or the events of a watch.
+ */
+static bool
+read_items(struct call *call, const json_t *array, struct kv_result *out)
+{
+	size_t index;
+	json_t *entry;
+
+	if (!json_is_array(array))
+		return false;
+	json_array_foreach(array, index, entry)
+	{
+		const json_t *key = json_object_get(entry, "key");
+		const json_t *value = json_object_get(entry, "value");
+		struct kv_item item = {.deleted = json_is_null(value)};
+
+		if (!json_is_string(key))
+			return false;
+		item.key =
+		    lstr_make(json_string_value(key), json_string_length(key));
+		item.version = (uint64_t)json_integer_value(
+		    json_object_get(entry, "version"));
+		if (!item.deleted && !decode_value(call, value, &item.value))
+			return false;
+		g_array_append_val(call->items, item);
+	}
+	out->items = (const struct kv_item *)call->items->data;
+	out->count = call->items->len;
+	return true;
+}
+
+/*
+ * Reads the body of an answer. Returns false when it is not of the protocol.
+ */
+static bool
+read_answer(struct call *call, struct lstr body, struct kv_result *out)
+{
+	json_t *answer =
+	    json_loadb(body.data, body.len, JSON_REJECT_DUPLICATES, NULL);
+	const json_t *lease;
+
+	call->answer = answer;
+	if (!json_is_object(answer))
+		return false;
+	out->version =
+	    (uint64_t)json_integer_value(json_object_get(answer, "version"));
+	out->revision =
+	    (uint64_t)json_integer_value(json_object_get(answer, "revision"));
+	out->more = json_is_true(json_object_get(answer, "more"));
+	if (out->status != STATUS_OK)
+		return true;
+	switch (call->kind) {
+	case KV_GET:
+		return decode_value(
+		    call, json_object_get(answer, "value"), &out->value);
+	case KV_LIST:
+		return read_items(call, json_object_get(answer, "items"), out);
+	case KV_WATCH:
+		return read_items(call, json_object_get(answer, "events"), out);
+	case KV_LEASE_GRANT:
+		lease = json_object_get(answer, "lease");
+		out->lease = lstr_from(json_string_value(lease));
+		return json_is_string(lease);
+	default:
+		return true;
+	}
+}
+
+/*
+ * Turns the end of an HTTP call into a result.
+ */
+static void
+on_done(
+    struct fetch_call *fetch_call, const struct fetch_result *from, void *arg)
+{
+	struct call *call = arg;
+	struct kv_result result = {.status = map_status(call, from)};
+
+	(void)fetch_call;
+	call->fetch_call = NULL;
+	if ((result.status == STATUS_OK || result.status == STATUS_CONFLICT) &&
+	    !read_answer(call, from->body, &result)) {
+		memset(&result, 0, sizeof(result));
+		result.status = is_write(call->kind) ? STATUS_AMBIGUOUS
+						     : STATUS_UNAVAILABLE;
+	}
+	call_end(call, &result);
+}
+
+static const struct fetch_ops fetch_callbacks = {NULL, on_done};
+
+/*
+ * Reports a call that could not start.
+ */
+static void
+on_not_started(void *arg)
+{
+	struct kv_result result = {.status = STATUS_UNAVAILABLE};
+
+	call_end(arg, &result);
+}
+
+/*
+ * Starts an HTTP call. Takes the path and the body, which may be NULL.
+ */
+static void
+start(struct kv *kv, enum kv_kind kind, const char *method, char *path,
+    json_t *body, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	struct kv_http *http = (struct kv_http *)kv;
+	struct call *call = g_new0(struct call, 1);
+	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+	char *url = g_strconcat(http->url, path, NULL);
+	struct fetch_request request = {.method = method,
+	    .url = url,
+	    .body = lstr_from(text),
+	    .deadline = deadline,
+	    .answer_max_bytes = ANSWER_MAX_BYTES};
+
+	assert(deadline != 0);
+	call->kv = http;
+	call->kind = kind;
+	call->fn = fn;
+	call->arg = arg;
+	call->buffers = g_ptr_array_new_with_free_func(g_free);
+	call->items = g_array_new(FALSE, TRUE, sizeof(struct kv_item));
+	g_hash_table_add(http->calls, call);
+	calls_by_kind[kind].value++;
+	if (fetch_start(http->fetch, &request, &fetch_callbacks, call,
+		&call->fetch_call) != STATUS_OK &&
+	    loop_timer_create(http->loop, on_not_started, call, &call->timer) ==
+		STATUS_OK)
+		loop_timer_set(call->timer, 0);
+	json_decref(body);
+	free(text);
+	g_free(url);
+	g_free(path);
+}
+
+/*
+ * Escapes a string for a URL; '/' stays only when keep says so.
+ */
+static char *
+escape(struct lstr s, const char *keep)
+{
+	char *text = g_strndup(s.data, s.len);
+	char *escaped = g_uri_escape_string(text, keep, FALSE);
+
+	g_free(text);
+	return escaped;
+}
+
+/*
+ * Returns the path of a key, with a suffix. The caller frees it with g_free().
+ */
+static char *
+key_path(struct lstr key, const char *suffix)
+{
+	char *escaped = escape(key, "/");
+	char *path = g_strconcat("/v1/kv/", escaped, suffix, NULL);
+
+	g_free(escaped);
+	return path;
+}
+
+/*
+ * Reads one key.
+ */
+static void
+http_get(
+    struct kv *kv, struct lstr key, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	start(kv, KV_GET, "GET", key_path(key, ""), NULL, deadline, fn, arg);
+}
+
+/*
+ * Writes one key over the given version.
+ */
+static void
+http_put(struct kv *kv, struct lstr key, struct lstr value, uint64_t version,
+    struct lstr lease, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	size_t size = sodium_base64_ENCODED_LEN(
+	    value.len, sodium_base64_VARIANT_ORIGINAL);
+	char *text = g_malloc(size);
+	json_t *body;
+
+	sodium_bin2base64(text, size, (const unsigned char *)value.data,
+	    value.len, sodium_base64_VARIANT_ORIGINAL);
+	body = json_pack(
+	    "{s:s, s:I}", "value", text, "version", (json_int_t)version);
+	if (lease.len > 0)
+		json_object_set_new(
+		    body, "lease", json_stringn(lease.data, lease.len));
+	g_free(text);
+	start(kv, KV_PUT, "PUT", key_path(key, ""), body, deadline, fn, arg);
+}
+
+/*
+ * Deletes one key of the given version.
+ */
+static void
+http_remove(struct kv *kv, struct lstr key, uint64_t version, int64_t deadline,
+    kv_done_fn fn, void *arg)
+{
+	char *suffix = g_strdup_printf("?version=%" G_GUINT64_FORMAT, version);
+
+	start(kv, KV_DELETE, "DELETE", key_path(key, suffix), NULL, deadline,
+	    fn, arg);
+	g_free(suffix);
+}
+
+/*
+ * Reads one page of the keys with a prefix.
+ */
+static void
+http_list(struct kv *kv, struct lstr prefix, struct lstr after,
+    int64_t deadline, kv_done_fn fn, void *arg)
+{
+	char *escaped_prefix = escape(prefix, NULL);
+	char *escaped_after = escape(after, NULL);
+	char *path = g_strdup_printf(
+	    "/v1/list?prefix=%s&after=%s", escaped_prefix, escaped_after);
+
+	g_free(escaped_prefix);
+	g_free(escaped_after);
+	start(kv, KV_LIST, "GET", path, NULL, deadline, fn, arg);
+}
+
+/*
+ * Asks for a lease.
+ */
+static void
+http_lease_grant(
+    struct kv *kv, int64_t ttl_usec, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	json_t *body = json_pack(
+	    "{s:I}", "ttl_ms", (json_int_t)(ttl_usec / LOOP_USEC_PER_MSEC));
+
+	start(kv, KV_LEASE_GRANT, "POST", g_strdup("/v1/lease"), body, deadline,
+	    fn, arg);
+}
+
+/*
+ * Renews a lease.
+ */
+static void
+http_lease_renew(struct kv *kv, struct lstr lease, int64_t deadline,
+    kv_done_fn fn, void *arg)
+{
+	char *escaped = escape(lease, NULL);
+	char *path = g_strconcat("/v1/lease/", escaped, NULL);
+
+	g_free(escaped);
+	start(kv, KV_LEASE_RENEW, "POST", path, NULL, deadline, fn, arg);
+}
+
+/*
+ * Waits for changes of the keys with a prefix.
+ */
+static void
+http_watch(struct kv *kv, struct lstr prefix, uint64_t after,
+    int64_t wait_until, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	struct kv_http *http = (struct kv_http *)kv;
+	int64_t wait = wait_until - loop_now(http->loop);
+	char *escaped = escape(prefix, NULL);
+	char *path =
+	    g_strdup_printf("/v1/watch?prefix=%s&after=%" G_GUINT64_FORMAT
+			    "&wait_ms=%" G_GINT64_FORMAT,
+		escaped, after, wait > 0 ? wait / LOOP_USEC_PER_MSEC : 0);
+
+	g_free(escaped);
+	start(kv, KV_WATCH, "GET", path, NULL, deadline, fn, arg);
+}
+
+/*
+ * Ends all calls and frees the client.
+ */
+static void
+http_destroy(struct kv *kv)
+{
+	struct kv_http *http = (struct kv_http *)kv;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, http->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct call *call = key;
+
+		fetch_cancel(call->fetch_call);
+		call_free(call);
+	}
+	g_hash_table_destroy(http->calls);
+	g_free(http);
+}
+
+static const struct kv_vtable http_vtable = {http_get, http_put, http_remove,
+    http_list, http_lease_grant, http_lease_renew, http_watch, http_destroy};
+
+/*
+ * Creates a client of the service at "ip:port". It is destroyed through its
+ * table, before the fetch client.
+ */
+enum status
+kv_http_create(struct loop *loop, struct fetch *fetch, const char *address,
+    struct kv **out)
+{
+	struct kv_http *http = g_new0(struct kv_http, 1);
+
+	http->base.vtable = &http_vtable;
+	http->loop = loop;
+	http->fetch = fetch;
+	g_snprintf(http->url, sizeof(http->url), "http://%s", address);
+	http->calls = g_hash_table_new(NULL, NULL);
+	for (int i = 0; i < KV_KIND_COUNT; i++)
+		metric_register(&calls_by_kind[i]);
+	metric_register(&calls_unavailable);
+	metric_register(&calls_ambiguous);
+	*out = &http->base;
+	return STATUS_OK;
+}
+
+/*
+ * Returns how many calls of a kind this process has issued.
+ */
+int64_t
+kv_http_calls(enum kv_kind kind)
+{
+	return calls_by_kind[kind].value;
+}
