--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
-ALL_CFLAGS = $(CFLAGS_BASE) $(PKG_CFLAGS) $(SANITIZE) $(CFLAGS) -Isrc -Iproto -MMD -MP
+ALL_CFLAGS = $(CFLAGS_BASE) $(PKG_CFLAGS) $(SANITIZE) $(CFLAGS) -iquote src -iquote proto -MMD -MP
 
 MAINS = $(wildcard src/*_main.c)
 BINS = $(patsubst $(BUILD)/chestnuthoist-ctl,$(BUILD)/chestnuthoistctl,\
@@ -104,7 +104,7 @@
 $(BUILD)/tidy/%.ok: %.c .clang-tidy $(wildcard src/*.h)
 	@mkdir -p $(@D)
 	@echo "  TIDY $<"
-	@clang-tidy --quiet $< -- -std=gnu11 -D_GNU_SOURCE -Isrc -Iproto \
+	@clang-tidy --quiet $< -- -std=gnu11 -D_GNU_SOURCE -iquote src -iquote proto \
 	    $(PKG_CFLAGS) 2>$@.log || { cat $@.log; exit 1; }
 	@touch $@
 
--- /dev/null
+++ b/tests/test_sched.c
@@ -0,0 +1,352 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "sched.h"
+
+#define SEED 7002
+#define QUEUE_MAX 4096
+#define ORGANISATIONS 6
+#define DISPATCHES 20000
+/* Target of the brief: shares within 5% of the entitlement. */
+#define SHARE_TOLERANCE 0.05
+
+/* One queued request of a test. */
+struct work {
+	uint32_t organisation;
+	int64_t cost;
+};
+
+static char names[ORGANISATIONS][8];
+
+/*
+ * Queues one request and returns its entry.
+ */
+static struct sched_entry *
+push(struct sched *sched, const char *organisation, uint32_t priority,
+    uint32_t weight, int64_t cost, int64_t deadline, void *data)
+{
+	struct sched_request request = {
+	    lstr_from(organisation), priority, weight, cost, 0, deadline, data};
+	struct sched_entry *entry = NULL;
+
+	ck_assert_int_eq(sched_push(sched, &request, &entry), STATUS_OK);
+	return entry;
+}
+
+/*
+ * Creates a queue.
+ */
+static struct sched *
+make(size_t max)
+{
+	struct sched *sched = NULL;
+
+	ck_assert_int_eq(sched_create(max, &sched), STATUS_OK);
+	return sched;
+}
+
+/*
+ * Takes the next request and returns its data.
+ */
+static const char *
+take(struct sched *sched, Ch__RecordReason *reason)
+{
+	void *data = NULL;
+
+	return sched_take(sched, &data, reason) ? data : "";
+}
+
+/* Guards against a low class that is served while a high one waits. */
+START_TEST(higher_class_is_first)
+{
+	struct sched *sched = make(QUEUE_MAX);
+	Ch__RecordReason reason;
+
+	push(sched, "a", 3, 1000, 1, 10, "low");
+	push(sched, "b", 0, 1, 100, 90, "high");
+	ck_assert_str_eq(take(sched, &reason), "high");
+	ck_assert_int_eq(reason, CH__RECORD_REASON__RECORD_REASON_PRIORITY);
+	ck_assert_str_eq(take(sched, &reason), "low");
+	ck_assert_int_eq(reason, CH__RECORD_REASON__RECORD_REASON_ARRIVAL);
+	ck_assert_str_eq(take(sched, &reason), "");
+	sched_destroy(sched);
+}
+END_TEST
+
+/* Guards against a late deadline that is served before an early one. */
+START_TEST(earliest_deadline_is_first)
+{
+	struct sched *sched = make(QUEUE_MAX);
+	Ch__RecordReason reason;
+
+	push(sched, "a", 1, 10, 1, 30, "third");
+	push(sched, "a", 1, 10, 1, 10, "first");
+	push(sched, "a", 1, 10, 1, 20, "second");
+	push(sched, "a", 1, 10, 1, 30, "fourth");
+	ck_assert_str_eq(take(sched, &reason), "first");
+	ck_assert_int_eq(reason, CH__RECORD_REASON__RECORD_REASON_DEADLINE);
+	ck_assert_str_eq(take(sched, &reason), "second");
+	ck_assert_str_eq(take(sched, &reason), "third");
+	ck_assert_int_eq(reason, CH__RECORD_REASON__RECORD_REASON_ARRIVAL);
+	ck_assert_str_eq(take(sched, &reason), "fourth");
+	sched_destroy(sched);
+}
+END_TEST
+
+/* Guards against a queue that grows without bound. */
+START_TEST(full_queue_refuses)
+{
+	struct sched *sched = make(2);
+	struct sched_request request = {lstr_from("a"), 0, 1, 1, 0, 9, NULL};
+	struct sched_entry *entry;
+
+	push(sched, "a", 0, 1, 1, 9, "x");
+	entry = push(sched, "a", 0, 1, 1, 9, "y");
+	ck_assert_int_eq(sched_push(sched, &request, &entry), STATUS_FULL);
+	sched_cancel(sched, entry);
+	ck_assert_uint_eq(sched_count(sched), 1);
+	ck_assert_int_eq(sched_push(sched, &request, &entry), STATUS_OK);
+	sched_destroy(sched);
+}
+END_TEST
+
+/* Guards against work that is started after its deadline. */
+START_TEST(passed_deadline_expires)
+{
+	struct sched *sched = make(QUEUE_MAX);
+	Ch__RecordReason reason;
+	void *data = NULL;
+
+	push(sched, "a", 0, 1, 1, 50, "late");
+	push(sched, "b", 5, 1, 1, 20, "early");
+	ck_assert_int_eq(sched_next_expiry(sched), 20);
+	ck_assert(!sched_expire(sched, 19, &data));
+	ck_assert(sched_expire(sched, 20, &data));
+	ck_assert_str_eq(data, "early");
+	ck_assert(!sched_expire(sched, 20, &data));
+	ck_assert_str_eq(take(sched, &reason), "late");
+	sched_destroy(sched);
+}
+END_TEST
+
+/*
+ * Serves a saturated queue: the given organisations always have four entries
+ * waiting. Adds what each was served to served.
+ */
+static void
+saturate(struct sched *sched, GRand *rand, const uint32_t *weights,
+    uint32_t count, int dispatches, double *served)
+{
+	Ch__RecordReason reason;
+	void *data;
+
+	for (int i = 0; i < dispatches; i++) {
+		struct work *done;
+
+		ck_assert(sched_take(sched, &data, &reason));
+		done = data;
+		served[done->organisation] += (double)done->cost;
+		if (done->organisation < count) {
+			done->cost = g_rand_int_range(rand, 1, 200);
+			push(sched, names[done->organisation], 2,
+			    weights[done->organisation], done->cost, i + 1000,
+			    done);
+		}
+	}
+}
+
+/*
+ * Queues four entries of each of the organisations from first to count.
+ */
+static void
+fill(struct sched *sched, GRand *rand, const uint32_t *weights, uint32_t first,
+    uint32_t count, struct work *work)
+{
+	for (uint32_t k = 0; k < 4 * (count - first); k++) {
+		struct work *w = &work[first * 4 + k];
+
+		w->organisation = first + k / 4;
+		w->cost = g_rand_int_range(rand, 1, 200);
+		push(sched, names[w->organisation], 2, weights[w->organisation],
+		    w->cost, 1000, w);
+	}
+}
+
+/*
+ * Checks that what was served is in proportion to the weights.
+ */
+static void
+check_shares(const double *served, const uint32_t *weights, uint32_t count)
+{
+	double total = 0;
+	double weight = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		total += served[i];
+		weight += weights[i];
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		double wanted = total * weights[i] / weight;
+
+		ck_assert_msg(served[i] > wanted * (1 - SHARE_TOLERANCE) &&
+			served[i] < wanted * (1 + SHARE_TOLERANCE),
+		    "organisation %u: served %.0f, entitled to %.0f", i,
+		    served[i], wanted);
+	}
+}
+
+/*
+ * Guards against organisations that get less or more than their share of a
+ * saturated replica, with random weights and costs.
+ */
+START_TEST(shares_follow_weights)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+
+	for (int round = 0; round < 10; round++) {
+		struct sched *sched = make(QUEUE_MAX);
+		struct work work[ORGANISATIONS * 4];
+		uint32_t weights[ORGANISATIONS];
+		double served[ORGANISATIONS] = {0};
+
+		for (int i = 0; i < ORGANISATIONS; i++) {
+			snprintf(names[i], sizeof(names[i]), "o%d", i);
+			weights[i] = (uint32_t)g_rand_int_range(rand, 10, 100);
+		}
+		fill(sched, rand, weights, 0, ORGANISATIONS, work);
+		saturate(
+		    sched, rand, weights, ORGANISATIONS, DISPATCHES, served);
+		check_shares(served, weights, ORGANISATIONS);
+		sched_destroy(sched);
+	}
+	g_rand_free(rand);
+}
+END_TEST
+
+/*
+ * Guards against an idle organisation that saves up credit and shuts out the
+ * others when it comes back.
+ */
+START_TEST(idle_organisation_gains_no_credit)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct sched *sched = make(QUEUE_MAX);
+	struct work work[3 * 4];
+	const uint32_t weights[3] = {10, 10, 10};
+	double served[3] = {0};
+
+	for (int i = 0; i < 3; i++)
+		snprintf(names[i], sizeof(names[i]), "o%d", i);
+	fill(sched, rand, weights, 0, 2, work);
+	saturate(sched, rand, weights, 2, DISPATCHES, served);
+	memset(served, 0, sizeof(served));
+	fill(sched, rand, weights, 2, 3, work);
+	saturate(sched, rand, weights, 3, DISPATCHES / 10, served);
+	check_shares(served, weights, 3);
+	sched_destroy(sched);
+	g_rand_free(rand);
+}
+END_TEST
+
+/*
+ * Guards against an organisation that gets more than its share by letting its
+ * queue run empty between two requests: it keeps its finish tag.
+ */
+START_TEST(leaving_and_returning_gains_nothing)
+{
+	struct sched *sched = make(QUEUE_MAX);
+	Ch__RecordReason reason;
+	int steady = 0;
+	int blinking = 0;
+
+	for (int i = 0; i < 4; i++)
+		push(sched, "steady", 0, 1, 10, 1000, "s");
+	push(sched, "blinking", 0, 1, 10, 1000, "b");
+	for (int i = 0; i < 1000; i++) {
+		if (strcmp(take(sched, &reason), "s") == 0) {
+			steady++;
+			push(sched, "steady", 0, 1, 10, 1000, "s");
+		} else {
+			blinking++;
+			push(sched, "blinking", 0, 1, 10, 1000, "b");
+		}
+	}
+	ck_assert_int_ge(steady, 499);
+	ck_assert_int_ge(blinking, 499);
+	sched_destroy(sched);
+}
+END_TEST
+
+/*
+ * Guards against lost or doubled entries under random pushes, takes, cancels
+ * and expiries.
+ */
+START_TEST(random_operations_lose_nothing)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct sched *sched = make(64);
+	struct sched_entry *entries[64] = {0};
+	size_t held = 0;
+	Ch__RecordReason reason;
+	void *data;
+
+	for (int64_t now = 0; now < 50000; now++) {
+		int slot = g_rand_int_range(rand, 0, 64);
+		char name[8];
+
+		snprintf(name, sizeof(name), "o%d", slot % 7);
+		if (entries[slot] == NULL) {
+			entries[slot] = push(sched, name, (uint32_t)slot % 8,
+			    (uint32_t)slot + 1, slot + 1,
+			    now + g_rand_int_range(rand, 1, 200),
+			    &entries[slot]);
+			held++;
+		} else if (g_rand_boolean(rand)) {
+			sched_cancel(sched, entries[slot]);
+			entries[slot] = NULL;
+			held--;
+		} else if (sched_take(sched, &data, &reason)) {
+			*(struct sched_entry **)data = NULL;
+			held--;
+		}
+		while (sched_expire(sched, now, &data)) {
+			*(struct sched_entry **)data = NULL;
+			held--;
+		}
+		ck_assert_uint_eq(sched_count(sched), held);
+	}
+	while (sched_take(sched, &data, &reason))
+		held--;
+	ck_assert_uint_eq(held, 0);
+	sched_destroy(sched);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* Guards against a wait that leaves out the work ahead, or counts too much. */
+START_TEST(expected_wait_follows_rules)
+{
+	struct sched *sched = make(QUEUE_MAX);
+
+	ck_assert_int_eq(
+	    sched_expected_wait(sched, lstr_from("a"), 1, 10, 5), 0);
+	push(sched, "a", 0, 10, 100, 1000, "x");
+	push(sched, "b", 1, 10, 40, 1000, "y");
+	push(sched, "c", 2, 10, 1000, 1000, "z");
+	ck_assert_int_eq(
+	    sched_expected_wait(sched, lstr_from("n"), 1, 10, 5), 500);
+	ck_assert_int_eq(
+	    sched_expected_wait(sched, lstr_from("b"), 1, 10, 5), 700);
+	ck_assert_int_eq(
+	    sched_expected_wait(sched, lstr_from("n"), 0, 10, 5), 0);
+	sched_destroy(sched);
+}
+END_TEST
+
+HARNESS_MAIN("sched", higher_class_is_first, earliest_deadline_is_first,
+    full_queue_refuses, passed_deadline_expires, shares_follow_weights,
+    idle_organisation_gains_no_credit, leaving_and_returning_gains_nothing,
+    random_operations_lose_nothing, expected_wait_follows_rules)
