--- /dev/null
+++ b/tests/test_limit.c
@@ -0,0 +1,205 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "limit.h"
+
+#define SEED 7004
+#define MSEC ((int64_t)1000)
+#define NOW ((int64_t)1000000000)
+#define TOKEN_USEC 20000.0
+
+/*
+ * Returns a request that is admitted.
+ */
+static struct limit_case
+easy_case(void)
+{
+	struct limit_case c = {lstr_from("a"), 4, 0, 16, 0, 100 * MSEC,
+	    50 * MSEC, NOW + 1000 * MSEC};
+
+	return c;
+}
+
+/*
+ * Decides one case and checks the code.
+ */
+static struct limit_decision
+decide(const struct limit_table *table, const struct limit_case *c,
+    const char *code)
+{
+	struct limit_decision d;
+
+	limit_decide(table, c, NOW, &d);
+	ck_assert_str_eq(d.code, code);
+	ck_assert_int_eq(d.admitted, code[0] == '\0');
+	ck_assert_int_eq(d.message[0] == '\0', d.admitted);
+	return d;
+}
+
+/*
+ * Guards against refusals without a code or with an untrue retry time, and
+ * against requests that are admitted past a limit.
+ */
+START_TEST(each_limit_has_its_code)
+{
+	struct limit_table *table = NULL;
+	struct limit_case c = easy_case();
+
+	ck_assert_int_eq(limit_table_create(&table), STATUS_OK);
+	decide(table, &c, "");
+	c.queued = 16;
+	c.turn_usec = 400 * MSEC;
+	ck_assert_int_eq(
+	    decide(table, &c, "queue-full").retry_at, NOW + 400 * MSEC);
+	c = easy_case();
+	for (int i = 0; i < 4; i++)
+		ck_assert_int_eq(limit_enter(table, lstr_from("a")), STATUS_OK);
+	ck_assert_int_eq(
+	    decide(table, &c, "organisation-limit").retry_at, NOW + 100 * MSEC);
+	c.organisation = lstr_from("b");
+	decide(table, &c, "");
+	limit_leave(table, lstr_from("a"));
+	c.organisation = lstr_from("a");
+	decide(table, &c, "");
+	c.deadline = NOW;
+	ck_assert_int_eq(decide(table, &c, "deadline-passed").retry_at, 0);
+	limit_table_destroy(table);
+}
+END_TEST
+
+/*
+ * Guards against work that cannot finish in time, and against a retry time
+ * for a request that can never be admitted.
+ */
+START_TEST(late_finish_is_refused)
+{
+	struct limit_table *table = NULL;
+	struct limit_case c = easy_case();
+
+	ck_assert_int_eq(limit_table_create(&table), STATUS_OK);
+	c.wait_usec = 900 * MSEC;
+	decide(table, &c, "");
+	c.wait_usec = 1400 * MSEC;
+	ck_assert_int_eq(
+	    decide(table, &c, "deadline-too-short").retry_at, NOW + 500 * MSEC);
+	c.wait_usec = 0;
+	c.run_usec = 1001 * MSEC;
+	ck_assert_int_eq(decide(table, &c, "deadline-too-short").retry_at, 0);
+	limit_table_destroy(table);
+}
+END_TEST
+
+/* Guards against counts that drift under random entering and leaving. */
+START_TEST(counts_are_exact)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct limit_table *table = NULL;
+	uint32_t counts[8] = {0};
+
+	ck_assert_int_eq(limit_table_create(&table), STATUS_OK);
+	for (int i = 0; i < 20000; i++) {
+		int k = g_rand_int_range(rand, 0, 8);
+		char name[8];
+
+		snprintf(name, sizeof(name), "o%d", k);
+		if (counts[k] > 0 && g_rand_boolean(rand)) {
+			limit_leave(table, lstr_from(name));
+			counts[k]--;
+		} else {
+			limit_enter(table, lstr_from(name));
+			counts[k]++;
+		}
+		ck_assert_uint_eq(
+		    limit_count(table, lstr_from(name)), counts[k]);
+	}
+	limit_table_destroy(table);
+	g_rand_free(rand);
+}
+END_TEST
+
+/*
+ * Runs the adaptive limit against a replica whose token time is constant up
+ * to a capacity and then proportional to the load.
+ */
+static uint32_t
+settle(struct limit_adaptive *a, GRand *rand, double capacity, int64_t *now)
+{
+	for (int i = 0; i < 40000; i++) {
+		uint32_t running = limit_adaptive_value(a);
+		double load = running > capacity ? running / capacity : 1;
+		double jitter = 0.8 + 0.4 * g_rand_double(rand);
+
+		*now += 10 * MSEC;
+		limit_adaptive_observe(
+		    a, (int64_t)(TOKEN_USEC * load * jitter), running, *now);
+	}
+	return limit_adaptive_value(a);
+}
+
+/*
+ * Guards against a limit that runs away on a saturated replica, starves it,
+ * or does not follow a change of its capacity.
+ */
+START_TEST(adaptive_limit_follows_capacity)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct limit_adaptive a;
+	int64_t now = NOW;
+	uint32_t value;
+
+	limit_adaptive_init(&a, 8, 1024);
+	value = settle(&a, rand, 40, &now);
+	ck_assert_msg(value >= 36 && value <= 100, "capacity 40: %u", value);
+	value = settle(&a, rand, 10, &now);
+	ck_assert_msg(value >= 9 && value <= 30, "capacity 10: %u", value);
+	value = settle(&a, rand, 60, &now);
+	ck_assert_msg(value >= 54 && value <= 150, "capacity 60: %u", value);
+	g_rand_free(rand);
+}
+END_TEST
+
+/*
+ * Guards against a replica that stays at the smallest limit for good after its
+ * hardware became slower.
+ */
+START_TEST(slower_hardware_is_learned)
+{
+	struct limit_adaptive a;
+	int64_t now = NOW;
+
+	limit_adaptive_init(&a, 8, 16);
+	for (int i = 0; i < 10000; i++) {
+		now += 10 * MSEC;
+		limit_adaptive_observe(
+		    &a, 10000, limit_adaptive_value(&a), now);
+	}
+	ck_assert_uint_eq(limit_adaptive_value(&a), 16);
+	for (int i = 0; i < 40000; i++) {
+		now += 10 * MSEC;
+		limit_adaptive_observe(
+		    &a, 40000, limit_adaptive_value(&a), now);
+	}
+	ck_assert_uint_eq(limit_adaptive_value(&a), 16);
+}
+END_TEST
+
+/* Guards against a limit that grows while it is not used. */
+START_TEST(unused_limit_does_not_grow)
+{
+	struct limit_adaptive a;
+
+	limit_adaptive_init(&a, 8, 1024);
+	for (int i = 0; i < 1000; i++)
+		limit_adaptive_observe(&a, 20000, 2, NOW + i * 100 * MSEC);
+	ck_assert_uint_eq(limit_adaptive_value(&a), 8);
+	limit_adaptive_init(&a, 8, 4);
+	ck_assert_uint_eq(limit_adaptive_value(&a), 4);
+}
+END_TEST
+
+HARNESS_MAIN("limit", each_limit_has_its_code, late_finish_is_refused,
+    counts_are_exact, adaptive_limit_follows_capacity,
+    slower_hardware_is_learned, unused_limit_does_not_grow)
