Add the choice of the chain of instances

Cause: an attempt needs a chain that covers every layer once, over instances that are live, not overloaded and joined by links that work.

--- /dev/null
+++ b/src/route.h
@@ -0,0 +1,86 @@
+#ifndef CH_ROUTE_H
+#define CH_ROUTE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "inventory.h"
+
+/* No slot: an index that is never valid. */
+#define ROUTE_NONE UINT32_MAX
+#define ROUTE_STAGES_MAX 64
+
+/*
+ * What a router knows about each instance, by name: its load, whether it is
+ * avoided, when it joined. The tables survive a change of configuration; a
+ * slot is the index of an instance and stays valid while attempts run on it.
+ */
+struct route_table;
+
+struct route_stage {
+	uint32_t slot;
+	uint32_t first;
+	uint32_t last;
+};
+
+/* A chain of stages that covers every layer once, in order. */
+struct route {
+	struct route_stage stages[ROUTE_STAGES_MAX];
+	uint32_t count;
+	/* Cost by which it was chosen, microseconds. */
+	int64_t cost_usec;
+	/* Expected time per token, microseconds. */
+	int64_t token_usec;
+	/* Expected wait on the instances before the first token. */
+	int64_t queue_usec;
+};
+
+/* Who says that an instance is leaving. */
+enum route_source {
+	ROUTE_SOURCE_LIST,
+	ROUTE_SOURCE_ENGINE
+};
+
+/* The state of one slot, for the dump and for load queries. */
+struct route_slot_info {
+	const char *name;
+	const char *address;
+	bool present;
+	bool leaving;
+	bool engine_leaving;
+	bool checks_fencing;
+	bool avoided;
+	bool penalised;
+	uint32_t running;
+	uint32_t load;
+	double share;
+};
+
+enum status route_table_create(struct route_table **);
+void route_table_destroy(struct route_table *);
+enum status route_bind(struct route_table *, const struct inv *, int64_t now);
+uint32_t route_slot_count(const struct route_table *);
+uint32_t route_find(const struct route_table *, struct lstr);
+uint32_t route_slot_of(const struct route_table *, uint32_t instance);
+void route_slot_info(const struct route_table *, uint32_t, int64_t now,
+    struct route_slot_info *);
+
+enum status route_choose(const struct route_table *, uint32_t replica,
+    int64_t now, GRand *, struct route *);
+int64_t route_expected_finish(
+    const struct route *, int64_t now, uint32_t tokens);
+void route_started(struct route_table *, const struct route *);
+void route_ended(struct route_table *, const struct route *);
+void route_observe(
+    struct route_table *, const struct route *, int64_t gap_usec, int64_t now);
+
+void route_avoid(struct route_table *, uint32_t slot, int64_t until);
+void route_penalise(struct route_table *, uint32_t slot, int64_t until);
+void route_leaving(
+    struct route_table *, uint32_t slot, enum route_source, bool, int64_t now);
+void route_load(struct route_table *, uint32_t slot, uint32_t running,
+    uint32_t queued, int64_t now);
+
+#endif
