--- /dev/null
+++ b/tests/fakes/engine_model.h
@@ -0,0 +1,203 @@
+#ifndef CH_FAKE_ENGINE_MODEL_H
+#define CH_FAKE_ENGINE_MODEL_H
+
+#include <glib.h>
+
+#include "fake_common.h"
+#include "fetch.h"
+
+#define INSTANCES_MAX 4096
+#define KEY_MAX 256
+#define URL_MAX 512
+/* Executions remembered in one instance; later ones are not checked. */
+#define SEEN_MAX 4000000
+#define STAGE_ANSWER_MAX_BYTES ((size_t)64 * 1024)
+
+enum fault_mode {
+	FAULT_NONE,
+	FAULT_DIE,
+	FAULT_SILENT,
+	FAULT_LATE,
+	FAULT_DOUBLE,
+	FAULT_CROSSED,
+	FAULT_TRUNCATE,
+	FAULT_WRONG_TRAIL,
+	FAULT_LEAVING,
+	FAULT_COUNT
+};
+
+static const char *const fault_names[FAULT_COUNT] = {"none", "die", "silent",
+    "late", "double", "crossed", "truncate", "wrong-trail", "leaving"};
+
+/* Counters of one instance. */
+struct stats {
+	int64_t generations;
+	int64_t tokens;
+	int64_t executions;
+	int64_t repeated;
+	int64_t cancels;
+	int64_t refused_leaving;
+	int64_t started_after_leaving;
+	/* Time of the last new work after leaving began, offered or started. */
+	int64_t last_new_work_at;
+};
+
+struct server;
+
+struct instance {
+	struct server *server;
+	char *name;
+	uint32_t first;
+	uint32_t last;
+	int64_t token_usec;
+	enum fault_mode fault;
+	int64_t fault_after;
+	int64_t fault_delay_usec;
+	int64_t fault_executions;
+	int64_t leaving_at;
+	uint32_t running;
+	GQueue *waiting;
+	/* Sets of hashes of request, attempt and position. */
+	GHashTable *seen;
+	GHashTable *attempts;
+	/* Sets of struct work that are open. */
+	GHashTable *works;
+	struct stats stats;
+};
+
+struct server {
+	struct loop *loop;
+	struct fetch *fetch;
+	GPtrArray *instances;
+	uint32_t batch;
+};
+
+/*
+ * One request on an instance: a generation, or one step for another engine.
+ */
+struct work {
+	struct instance *instance;
+	struct httpd_request *request;
+	struct loop_timer *timer;
+	struct fetch_call *fetch_call;
+	json_t *body;
+	json_t *trail;
+	const char *request_id;
+	uint32_t attempt;
+	uint32_t position;
+	bool generation;
+	bool in_service;
+	/* Only for generations. */
+	uint32_t end;
+	size_t next_stage;
+	uint32_t emitted;
+};
+
+/*
+ * Tells whether a fault of an instance is in force.
+ */
+static inline bool
+fault_is(const struct instance *instance, enum fault_mode mode)
+{
+	return instance->fault == mode &&
+	    instance->fault_executions >= instance->fault_after;
+}
+
+/*
+ * Finds an instance by name.
+ */
+static inline struct instance *
+find_instance(const struct server *server, struct lstr name)
+{
+	for (guint i = 0; i < server->instances->len; i++) {
+		struct instance *instance = server->instances->pdata[i];
+
+		if (lstr_equal_c(name, instance->name))
+			return instance;
+	}
+	return NULL;
+}
+
+/*
+ * Reads a whole number of a body, or the preset when it is absent.
+ */
+static inline int64_t
+body_int(const json_t *body, const char *name, int64_t preset)
+{
+	const json_t *value = json_object_get(body, name);
+
+	return json_is_integer(value) ? json_integer_value(value) : preset;
+}
+
+/*
+ * Makes the statistics of an instance in JSON.
+ */
+static inline json_t *
+stats_json(const struct instance *instance)
+{
+	const struct stats *s = &instance->stats;
+	int64_t after_ms = -1;
+
+	if (s->last_new_work_at != 0)
+		after_ms = (s->last_new_work_at - instance->leaving_at) /
+		    LOOP_USEC_PER_MSEC;
+	return json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}",
+	    "instance", instance->name, "generations",
+	    (json_int_t)s->generations, "tokens", (json_int_t)s->tokens,
+	    "executions", (json_int_t)s->executions, "repeated",
+	    (json_int_t)s->repeated, "cancels", (json_int_t)s->cancels,
+	    "refused_leaving", (json_int_t)s->refused_leaving,
+	    "started_after_leaving", (json_int_t)s->started_after_leaving,
+	    "last_new_work_after_leaving_ms", (json_int_t)after_ms, "open",
+	    (json_int_t)g_hash_table_size(instance->works));
+}
+
+/*
+ * Answers with the statistics of all instances.
+ */
+static inline void
+on_stats(struct server *server, struct httpd_request *request)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < server->instances->len; i++)
+		json_array_append_new(
+		    list, stats_json(server->instances->pdata[i]));
+	fake_respond(request, 200, json_pack("{s:o}", "instances", list));
+}
+
+/*
+ * Reads one instance "name:first:last:token_us".
+ */
+static inline bool
+add_instance(struct server *server, const char *text)
+{
+	struct instance *instance = calloc(1, sizeof(*instance));
+	char **words = g_strsplit(text, ":", 0);
+	int64_t numbers[3] = {-1, -1, -1};
+	bool valid = instance != NULL && g_strv_length(words) == 4 &&
+	    server->instances->len < INSTANCES_MAX;
+
+	for (int i = 0; valid && i < 3; i++)
+		valid = lstr_to_int64(lstr_from(words[i + 1]), &numbers[i]) ==
+			STATUS_OK &&
+		    numbers[i] >= 0;
+	if (valid) {
+		instance->server = server;
+		instance->name = g_strdup(words[0]);
+		instance->first = (uint32_t)numbers[0];
+		instance->last = (uint32_t)numbers[1];
+		instance->token_usec = numbers[2];
+		instance->waiting = g_queue_new();
+		instance->seen = g_hash_table_new(NULL, NULL);
+		instance->attempts = g_hash_table_new(NULL, NULL);
+		instance->works = g_hash_table_new(NULL, NULL);
+		g_ptr_array_add(server->instances, instance);
+	} else {
+		free(instance);
+	}
+	g_strfreev(words);
+	return valid;
+}
+
+#endif
