--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -2655,7 +2655,7 @@
   (ProtobufCMessageInit) ch__instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__instances__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ch__instances__field_descriptors[3] =
 {
   {
     "items",
@@ -2681,15 +2681,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__Instances, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__instances__field_indices_by_name[] = {
   0,   /* field[0] = items */
   1,   /* field[1] = source */
+  2,   /* field[2] = whole */
 };
 static const ProtobufCIntRange ch__instances__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ch__instances__descriptor =
 {
@@ -2699,7 +2712,7 @@
   "Ch__Instances",
   "ch",
   sizeof(Ch__Instances),
-  2,
+  3,
   ch__instances__field_descriptors,
   ch__instances__field_indices_by_name,
   1,  ch__instances__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -368,10 +368,14 @@
    * Name of the source: "list" or the node whose router saw it.
    */
   char *source;
+  /*
+   * True when items holds every leaving instance, false for changes only.
+   */
+  protobuf_c_boolean whole;
 };
 #define CH__INSTANCES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__instances__descriptor) \
-    , 0,NULL, (char *)protobuf_c_empty_string }
+    , 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ch__ClaimRequest
--- /dev/null
+++ b/src/owner.c
@@ -0,0 +1,236 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "owner.h"
+
+#define KEY_MAX_BYTES 160
+
+/*
+ * Which members take part in a choice. Texts that are NULL do not restrict
+ * it.
+ */
+struct filter {
+	bool (*qualifies)(const struct view_member *);
+	const char *region;
+	const char *place;
+	const char *other_place;
+	const struct view_member *const *excluded;
+	size_t excluded_count;
+};
+
+/*
+ * Returns the score of a node for a key; the highest score wins.
+ */
+uint64_t
+owner_score(struct lstr node, struct lstr key)
+{
+	return XXH3_64bits_withSeed(
+	    node.data, node.len, XXH3_64bits(key.data, key.len));
+}
+
+/*
+ * Tells whether a member can own replicas.
+ */
+static bool
+is_router(const struct view_member *member)
+{
+	return member->state == VIEW_LIVE && member->router_ready &&
+	    member->router_address[0] != '\0';
+}
+
+/*
+ * Tells whether a member can own buckets, watch and keep copies.
+ */
+static bool
+is_syncd(const struct view_member *member)
+{
+	return member->state == VIEW_LIVE && member->syncd_address[0] != '\0';
+}
+
+/*
+ * Tells whether a member can exchange heartbeats. One that is leaving still
+ * runs; a suspected one would leave its peers without an answer.
+ */
+static bool
+is_heartbeat_peer(const struct view_member *member)
+{
+	return member->state != VIEW_SUSPECTED &&
+	    member->syncd_address[0] != '\0';
+}
+
+/*
+ * Tells whether a member passes a filter.
+ */
+static bool
+passes(const struct filter *filter, const struct view_member *member)
+{
+	for (size_t i = 0; i < filter->excluded_count; i++) {
+		if (filter->excluded[i] == member)
+			return false;
+	}
+	return filter->qualifies(member) &&
+	    (filter->region == NULL ||
+		strcmp(member->region, filter->region) == 0) &&
+	    (filter->place == NULL ||
+		strcmp(member->place, filter->place) == 0) &&
+	    (filter->other_place == NULL ||
+		strcmp(member->place, filter->other_place) != 0);
+}
+
+/*
+ * Returns the member with the highest score among those that pass; equal
+ * scores go to the lower node name. NULL when none passes.
+ */
+static const struct view_member *
+choose(const struct view *view, const struct filter *filter, struct lstr key)
+{
+	const struct view_member *best = NULL;
+	uint64_t best_score = 0;
+
+	for (size_t i = 0; i < view_count(view); i++) {
+		const struct view_member *member = view_at(view, i);
+		uint64_t score;
+
+		if (!passes(filter, member))
+			continue;
+		score = owner_score(lstr_from(member->node), key);
+		if (best == NULL || score > best_score) {
+			best = member;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/*
+ * Copies a string into a terminated buffer, cut to its size.
+ */
+static const char *
+terminate(struct lstr s, char *buffer, size_t size)
+{
+	snprintf(buffer, size, "%.*s", LSTR_ARG(s));
+	return buffer;
+}
+
+/*
+ * Returns the member whose router owns a replica: one of the region, or of
+ * any region when the region has none that qualifies.
+ */
+const struct view_member *
+owner_of_replica(
+    const struct view *view, struct lstr region, struct lstr replica)
+{
+	char name[VIEW_NAME_MAX_BYTES + 1];
+	struct filter filter = {.qualifies = is_router,
+	    .region = terminate(region, name, sizeof(name))};
+	const struct view_member *owner = choose(view, &filter, replica);
+
+	if (owner != NULL)
+		return owner;
+	filter.region = NULL;
+	return choose(view, &filter, replica);
+}
+
+/*
+ * Returns the member whose syncd owns a bucket of claims.
+ */
+const struct view_member *
+owner_of_bucket(const struct view *view, uint32_t bucket)
+{
+	const struct filter filter = {.qualifies = is_syncd};
+	char key[KEY_MAX_BYTES];
+
+	snprintf(key, sizeof(key), "bucket/%u", bucket);
+	return choose(view, &filter, lstr_from(key));
+}
+
+/*
+ * Tells whether a node is one of the OWNER_WATCHERS_PER_PLACE that watch the
+ * key-value service for its place. A node that is no member is none.
+ */
+bool
+owner_is_watcher(const struct view *view, struct lstr node)
+{
+	const struct view_member *self = view_find(view, node);
+	const struct view_member *found[OWNER_WATCHERS_PER_PLACE];
+	struct filter filter = {.qualifies = is_syncd, .excluded = found};
+	char key[KEY_MAX_BYTES];
+
+	if (self == NULL)
+		return false;
+	filter.place = self->place;
+	snprintf(key, sizeof(key), "watch/%s", self->place);
+	for (size_t i = 0; i < OWNER_WATCHERS_PER_PLACE; i++) {
+		found[i] = choose(view, &filter, lstr_from(key));
+		if (found[i] == self)
+			return true;
+		if (found[i] == NULL)
+			return false;
+		filter.excluded_count = i + 1;
+	}
+	return false;
+}
+
+/*
+ * Gives the nodes with which a node exchanges heartbeats: two of its place
+ * and one outside, or others where these are lacking. Returns how many there
+ * are; 0 when the node is no member.
+ */
+size_t
+owner_heartbeat_peers(const struct view *view, struct lstr node,
+    const struct view_member *peers[OWNER_HEARTBEAT_PEERS])
+{
+	const struct view_member *self = view_find(view, node);
+	const struct view_member *excluded[OWNER_HEARTBEAT_PEERS + 1] = {self};
+	struct filter filter = {.qualifies = is_heartbeat_peer,
+	    .excluded = excluded,
+	    .excluded_count = 1};
+	char key[KEY_MAX_BYTES];
+	size_t count = 0;
+
+	if (self == NULL)
+		return 0;
+	snprintf(key, sizeof(key), "heartbeat/%s", self->node);
+	while (count < OWNER_HEARTBEAT_PEERS) {
+		bool inside = count < OWNER_HEARTBEAT_PEERS - 1;
+		const struct view_member *peer;
+
+		filter.place = inside ? self->place : NULL;
+		filter.other_place = inside ? NULL : self->place;
+		peer = choose(view, &filter, lstr_from(key));
+		filter.place = filter.other_place = NULL;
+		if (peer == NULL)
+			peer = choose(view, &filter, lstr_from(key));
+		if (peer == NULL)
+			break;
+		peers[count++] = peer;
+		excluded[filter.excluded_count++] = peer;
+	}
+	return count;
+}
+
+/*
+ * Returns the member whose syncd keeps the copy of a node's record: one of
+ * another place, in the region of the node if there is one. place is the
+ * node's, so that it need not be a member.
+ */
+const struct view_member *
+owner_record_peer(const struct view *view, struct lstr node, struct lstr place)
+{
+	const struct view_member *self = view_find(view, node);
+	char name[VIEW_NAME_MAX_BYTES + 1];
+	struct filter filter = {.qualifies = is_syncd,
+	    .other_place = terminate(place, name, sizeof(name)),
+	    .region = self ? self->region : NULL};
+	const struct view_member *peer;
+	char key[KEY_MAX_BYTES];
+
+	snprintf(key, sizeof(key), "record/%.*s", LSTR_ARG(node));
+	peer = choose(view, &filter, lstr_from(key));
+	if (peer != NULL || filter.region == NULL)
+		return peer;
+	filter.region = NULL;
+	return choose(view, &filter, lstr_from(key));
+}
--- a/src/view.h
+++ b/src/view.h
@@ -10,6 +10,9 @@
 #include "lstr.h"
 
 #define VIEW_RECORD_KEY_BYTES 32
+/* Most members; the two-year target is 570 nodes. */
+#define VIEW_MEMBERS_MAX 2048
+#define VIEW_NAME_MAX_BYTES 63
 
 enum view_state {
 	VIEW_LIVE = 1,
--- /dev/null
+++ b/tests/test_owner.c
@@ -0,0 +1,169 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include "owner.h"
+
+#define NODES 24
+#define REPLICAS 1000
+
+/*
+ * Enters node i: places p0 to p5, regions r0 (p0 to p2) and r1.
+ */
+static void
+put(struct view *view, int i, enum view_state state, bool ready)
+{
+	char node[16];
+	char place[16];
+	char region[16];
+	bool changed = false;
+	struct view_member member = {.node = node,
+	    .place = place,
+	    .region = region,
+	    .state = state,
+	    .router_address = "127.0.0.1:1",
+	    .syncd_address = "127.0.0.1:2",
+	    .router_ready = ready};
+
+	snprintf(node, sizeof(node), "n%02d", i);
+	snprintf(place, sizeof(place), "p%d", i % 6);
+	snprintf(region, sizeof(region), "r%d", i % 6 / 3);
+	ck_assert_int_eq(view_put(view, &member, &changed), STATUS_OK);
+}
+
+/*
+ * Creates a view of live, ready nodes.
+ */
+static struct view *
+make(void)
+{
+	struct view *view = NULL;
+
+	view_create(&view);
+	for (int i = 0; i < NODES; i++)
+		put(view, i, VIEW_LIVE, true);
+	return view;
+}
+
+/*
+ * Returns the owner of replica i of region r0.
+ */
+static const struct view_member *
+owner(const struct view *view, int i)
+{
+	char replica[16];
+
+	snprintf(replica, sizeof(replica), "m%d", i);
+	return owner_of_replica(view, lstr_from("r0"), lstr_from(replica));
+}
+
+/* Guards against owners that move without need when a node leaves. */
+START_TEST(only_the_replicas_of_a_lost_node_move)
+{
+	struct view *before = make();
+	struct view *after = make();
+	int of_lost = 0;
+
+	put(after, 0, VIEW_SUSPECTED, true);
+	put(after, 1, VIEW_LEAVING, true);
+	put(after, 2, VIEW_LIVE, false);
+	for (int i = 0; i < REPLICAS; i++) {
+		const char *a = owner(before, i)->node;
+		const char *b = owner(after, i)->node;
+
+		if (strcmp(a, "n00") == 0 || strcmp(a, "n01") == 0 ||
+		    strcmp(a, "n02") == 0) {
+			of_lost++;
+			ck_assert_str_ne(a, b);
+		} else {
+			ck_assert_str_eq(a, b);
+		}
+	}
+	/* 3 of the 12 nodes of the region; a quarter is expected. */
+	ck_assert_int_gt(of_lost, REPLICAS / 8);
+	ck_assert_int_lt(of_lost, REPLICAS / 2);
+}
+END_TEST
+
+/* Guards against a replica without owner when its region has no router. */
+START_TEST(owner_is_of_the_region_if_possible)
+{
+	struct view *view = make();
+
+	for (int i = 0; i < REPLICAS; i++)
+		ck_assert_str_eq(owner(view, i)->region, "r0");
+	for (int i = 0; i < NODES; i++) {
+		if (i % 6 < 3)
+			put(view, i, VIEW_SUSPECTED, true);
+	}
+	ck_assert_str_eq(owner(view, 1)->region, "r1");
+	for (int i = 0; i < NODES; i++)
+		put(view, i, VIEW_LEAVING, true);
+	ck_assert_ptr_null(owner(view, 1));
+	ck_assert_ptr_null(owner_of_bucket(view, 1));
+}
+END_TEST
+
+/* Guards against too few or too many watchers of a place. */
+START_TEST(each_place_has_two_watchers)
+{
+	struct view *view = make();
+	int watchers[6] = {0};
+
+	put(view, 0, VIEW_SUSPECTED, true);
+	for (int i = 0; i < NODES; i++) {
+		char node[16];
+
+		snprintf(node, sizeof(node), "n%02d", i);
+		watchers[i % 6] += owner_is_watcher(view, lstr_from(node));
+	}
+	for (int i = 0; i < 6; i++)
+		ck_assert_int_eq(watchers[i], OWNER_WATCHERS_PER_PLACE);
+	ck_assert(!owner_is_watcher(view, lstr_from("n00")));
+}
+END_TEST
+
+/* Guards against heartbeat peers that all fail together. */
+START_TEST(two_peers_are_inside_one_is_outside)
+{
+	const struct view_member *peers[OWNER_HEARTBEAT_PEERS];
+	struct view *view = make();
+
+	ck_assert_uint_eq(
+	    owner_heartbeat_peers(view, lstr_from("n07"), peers), 3);
+	ck_assert_str_eq(peers[0]->place, "p1");
+	ck_assert_str_eq(peers[1]->place, "p1");
+	ck_assert_str_ne(peers[2]->place, "p1");
+	ck_assert_str_ne(peers[0]->node, peers[1]->node);
+	ck_assert_str_ne(peers[0]->node, "n07");
+	ck_assert_str_ne(peers[1]->node, "n07");
+	put(view, 1, VIEW_SUSPECTED, true);
+	put(view, 13, VIEW_SUSPECTED, true);
+	put(view, 19, VIEW_SUSPECTED, true);
+	ck_assert_uint_eq(
+	    owner_heartbeat_peers(view, lstr_from("n07"), peers), 3);
+	ck_assert_str_ne(peers[0]->place, "p1");
+}
+END_TEST
+
+/* Guards against a copy of a record that is lost with its place. */
+START_TEST(record_peer_is_in_another_place)
+{
+	struct view *view = make();
+	const struct view_member *peer =
+	    owner_record_peer(view, lstr_from("n07"), lstr_from("p1"));
+
+	ck_assert_str_ne(peer->place, "p1");
+	ck_assert_str_eq(peer->region, "r0");
+	for (int i = 0; i < NODES; i++) {
+		if (i % 6 < 3 && i != 7)
+			put(view, i, VIEW_SUSPECTED, true);
+	}
+	peer = owner_record_peer(view, lstr_from("n07"), lstr_from("p1"));
+	ck_assert_str_eq(peer->region, "r1");
+}
+END_TEST
+
+HARNESS_MAIN("owner", only_the_replicas_of_a_lost_node_move,
+    owner_is_of_the_region_if_possible, each_place_has_two_watchers,
+    two_peers_are_inside_one_is_outside, record_peer_is_in_another_place)
