--- /dev/null
+++ b/bench/record_size.c
@@ -0,0 +1,262 @@
+/*
+ * Measures how many bytes an entry of the record of service order needs, and
+ * the time to append, close, store and verify.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+#include <zstd.h>
+
+#include "record_chain.h"
+
+#define DEFAULT_SEED 1
+#define ORGANISATIONS 24000
+#define REPLICAS_PER_ROUTER 8
+#define REQUESTS_PER_SEC 81
+#define ENTRIES 200000
+#define SEGMENTS_MAX 1000
+#define REQUEST_ID_BYTES 16
+#define REVISION_CHANGE_USEC ((int64_t)23 * 1000 * 1000)
+#define MEAN_WAIT_USEC 20000.0
+#define USEC_PER_SEC 1e6
+#define NSEC_PER_USEC 1000.0
+#define START_USEC ((int64_t)1800000000 * 1000000)
+
+struct figures {
+	uint64_t entries;
+	uint64_t copy_bytes;
+	uint64_t packed_bytes;
+	uint64_t stored_bytes;
+	uint64_t level_bytes[3];
+	size_t segments;
+	struct lstr *views;
+	struct lstr_buf *contents;
+	double append_usec;
+	double verify_usec;
+};
+
+static const int levels[3] = {1, 9, 19};
+
+/*
+ * Returns the processor time of this process in microseconds.
+ */
+static double
+cpu_usec(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * USEC_PER_SEC +
+	    (double)ts.tv_nsec / NSEC_PER_USEC;
+}
+
+/*
+ * Draws a time from an exponential distribution, in microseconds.
+ */
+static int64_t
+exponential(GRand *rand, double mean_usec)
+{
+	return (int64_t)(-mean_usec * log(1.0 - g_rand_double(rand)));
+}
+
+/*
+ * Draws an organisation: few are large, most are small.
+ */
+static uint32_t
+draw_organisation(GRand *rand)
+{
+	double u = g_rand_double(rand);
+
+	return (uint32_t)(pow((double)ORGANISATIONS, u)) % ORGANISATIONS;
+}
+
+/*
+ * Appends one entry at about the given arrival time.
+ */
+static void
+append_one(struct rec *rec, GRand *rand, int64_t arrival)
+{
+	char organisation[32];
+	char replica[32];
+	uint32_t id[REQUEST_ID_BYTES / sizeof(uint32_t)];
+	uint32_t number = draw_organisation(rand);
+	struct rec_event event = {.arrival = arrival,
+	    .start = arrival + exponential(rand, MEAN_WAIT_USEC),
+	    .priority = number % 8,
+	    .revision = 100000 +
+		(uint64_t)((arrival - START_USEC) / REVISION_CHANGE_USEC),
+	    .reason = (Ch__RecordReason)g_rand_int_range(rand, 1, 5),
+	    .attempt = 1};
+	uint64_t sequence;
+
+	for (size_t i = 0; i < sizeof(id) / sizeof(id[0]); i++)
+		id[i] = g_rand_int(rand);
+	snprintf(organisation, sizeof(organisation), "org-%05u", number);
+	snprintf(replica, sizeof(replica), "redactor-%04d",
+	    g_rand_int_range(rand, 0, REPLICAS_PER_ROUTER));
+	event.organisation = lstr_from(organisation);
+	event.replica = lstr_from(replica);
+	event.request = lstr_make(id, sizeof(id));
+	if (rec_append(rec, &event, &sequence) != STATUS_OK)
+		abort();
+}
+
+/*
+ * Counts the bytes of the copies that would go to the peer.
+ */
+static void
+take_copies(struct rec *rec, struct figures *f)
+{
+	Ch__RecordAppend *message;
+
+	while (rec_next_copy(rec, &message) == STATUS_OK) {
+		f->copy_bytes += ch__record_append__get_packed_size(message);
+		ch__record_append__free_unpacked(message, NULL);
+	}
+}
+
+/*
+ * Counts the bytes of a segment at other compression levels.
+ */
+static void
+try_levels(struct lstr content, struct figures *f)
+{
+	Ch__RecordBody *body;
+	uint8_t key[REC_PUBLIC_KEY_BYTES];
+	static uint8_t packed[REC_BODY_MAX_BYTES];
+	static uint8_t compressed[2 * REC_BODY_MAX_BYTES];
+	size_t len;
+
+	if (rec_open(content, &body, key) != STATUS_OK)
+		abort();
+	len = ch__record_body__pack(body, packed);
+	f->packed_bytes += len;
+	for (size_t i = 0; i < 3; i++)
+		f->level_bytes[i] += ZSTD_compress(
+		    compressed, sizeof(compressed), packed, len, levels[i]);
+	ch__record_body__free_unpacked(body, NULL);
+}
+
+/*
+ * Takes the closed segments as the syncd does.
+ */
+static void
+take_segments(struct rec *rec, struct figures *f)
+{
+	Ch__RecordStore *store;
+	struct lstr_buf *content;
+
+	while (rec_next_store(rec, &store) == STATUS_OK) {
+		content = &f->contents[f->segments];
+		lstr_buf_append(content,
+		    lstr_make(store->content.data, store->content.len));
+		f->views[f->segments++] = lstr_buf_view(content);
+		f->stored_bytes += store->content.len;
+		try_levels(lstr_buf_view(content), f);
+		rec_stored(rec, store->segment);
+		ch__record_store__free_unpacked(store, NULL);
+	}
+}
+
+/*
+ * Writes the record of one router under its share of the full load.
+ */
+static void
+write_record(struct rec *rec, GRand *rand, struct figures *f)
+{
+	int64_t now = START_USEC;
+	double before;
+
+	for (f->entries = 0; f->entries < ENTRIES; f->entries++) {
+		now += exponential(rand, USEC_PER_SEC / REQUESTS_PER_SEC);
+		before = cpu_usec();
+		append_one(rec, rand, now);
+		f->append_usec += cpu_usec() - before;
+		take_copies(rec, f);
+		if (rec_segment_due(rec, now) &&
+		    rec_close_segment(rec, now) != STATUS_OK)
+			abort();
+		take_segments(rec, f);
+	}
+}
+
+/*
+ * Prints the figures per entry and the rates of one node.
+ */
+static void
+print_figures(const struct figures *f, const struct rec_report *report)
+{
+	double n = (double)report->entries;
+
+	printf("entries %llu, segments %zu\n",
+	    (unsigned long long)report->entries, f->segments);
+	printf("bytes per entry, packed body: %.1f\n",
+	    (double)f->packed_bytes / n);
+	printf("bytes per entry, stored segment: %.1f (%.2f KB/s at %d/s)\n",
+	    (double)f->stored_bytes / n,
+	    (double)f->stored_bytes / n * REQUESTS_PER_SEC / 1000,
+	    REQUESTS_PER_SEC);
+	for (size_t i = 0; i < 3; i++)
+		printf("bytes per entry, zstd level %d: %.1f\n", levels[i],
+		    (double)f->level_bytes[i] / n);
+	printf("bytes per entry, copy one by one: %.1f (%.2f KB/s)\n",
+	    (double)f->copy_bytes / (double)f->entries,
+	    (double)f->copy_bytes / (double)f->entries * REQUESTS_PER_SEC /
+		1000);
+	printf(
+	    "append and close, with drawing of the entry: %.2f us an entry\n",
+	    f->append_usec / (double)f->entries);
+	printf("a segment is closed every %.1f s\n",
+	    n / REQUESTS_PER_SEC / (double)f->segments);
+	printf("verify: %.2f us an entry\n", f->verify_usec / n);
+}
+
+/*
+ * Verifies the record that was written and prints the figures.
+ */
+static int
+verify_record(const struct rec *rec, struct figures *f)
+{
+	struct rec_report report;
+	double before = cpu_usec();
+
+	if (rec_verify(f->views, f->segments, rec_public_key(rec), NULL, NULL,
+		&report) != STATUS_OK) {
+		fprintf(stderr, "%s\n", report.problem);
+		return EXIT_FAILURE;
+	}
+	f->verify_usec = cpu_usec() - before;
+	print_figures(f, &report);
+	return EXIT_SUCCESS;
+}
+
+/*
+ * Measures with the seed given as argument.
+ */
+int
+main(int argc, char **argv)
+{
+	uint32_t seed =
+	    argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : DEFAULT_SEED;
+	GRand *rand = g_rand_new_with_seed(seed);
+	static struct lstr views[SEGMENTS_MAX];
+	static struct lstr_buf contents[SEGMENTS_MAX];
+	struct figures f = {.views = views, .contents = contents};
+	struct rec *rec;
+	int result;
+
+	if (rec_create("node-001", 1, &rec) != STATUS_OK)
+		return EXIT_FAILURE;
+	printf("seed %u\n", seed);
+	write_record(rec, rand, &f);
+	result = verify_record(rec, &f);
+	for (size_t i = 0; i < f.segments; i++)
+		lstr_buf_free(&f.contents[i]);
+	rec_destroy(rec);
+	g_rand_free(rand);
+	return result;
+}
--- a/src/record.h
+++ b/src/record.h
@@ -13,6 +13,24 @@
 #define REC_PUBLIC_KEY_BYTES 32
 #define REC_SIGNATURE_BYTES 64
 
+/* A segment is closed after this time or size, whichever comes first. */
+#define REC_SEGMENT_MAX_USEC ((int64_t)30 * 1000 * 1000)
+#define REC_SEGMENT_MAX_BYTES ((size_t)64 * 1024)
+/*
+ * Closed segments that wait to be stored. Beyond it the oldest segment is
+ * replaced by a gap marker.
+ */
+#define REC_WAITING_MAX_BYTES ((size_t)64 * 1024 * 1024)
+/*
+ * Copies that a syncd holds for all routers together. Beyond it copies are
+ * not acknowledged, so the router counts the entries as unreplicated.
+ */
+#define REC_COPIES_MAX_BYTES ((size_t)64 * 1024 * 1024)
+/* Pairs of node and boot whose copies a syncd holds. */
+#define REC_COPIES_MAX_SOURCES 64
+/* Longest organisation, request id and replica name, in bytes. */
+#define REC_TEXT_MAX_BYTES 255
+
 /* Why a request was served when it was; see docs/design.md. */
 struct rec_event {
 	struct lstr organisation;
@@ -29,6 +47,7 @@
 /* The record of service order that one router writes. */
 struct rec;
 
+void rec_register_metrics(void);
 enum status rec_create(const char *node, uint64_t boot, struct rec **);
 void rec_destroy(struct rec *);
 const uint8_t *rec_public_key(const struct rec *);
@@ -36,6 +55,7 @@
 /* Appending and copying to the peer. */
 enum status rec_append(struct rec *, const struct rec_event *, uint64_t *);
 enum status rec_append_gap(struct rec *, uint32_t missing, int64_t now);
+enum status rec_append_end(struct rec *, int64_t now);
 size_t rec_unsent(const struct rec *);
 enum status rec_next_copy(struct rec *, Ch__RecordAppend **);
 void rec_restart_copy(struct rec *);
@@ -55,26 +75,52 @@
 
 enum status rec_copies_create(const char *node, struct rec_copies **);
 void rec_copies_destroy(struct rec_copies *);
+const uint8_t *rec_copies_public_key(const struct rec_copies *);
+size_t rec_copies_bytes(const struct rec_copies *);
 enum status rec_copies_append(
     struct rec_copies *, const Ch__RecordAppend *, Ch__RecordAck *);
 void rec_copies_stored(
     struct rec_copies *, struct lstr node, uint64_t boot, uint32_t segment);
 enum status rec_copies_recover(
     struct rec_copies *, struct lstr node, uint64_t boot, Ch__RecordStore **);
+void rec_copies_restart_recover(
+    struct rec_copies *, struct lstr node, uint64_t boot);
 
-/* Verification of the stored segments of one node and boot, in order. */
+/*
+ * Verification of the stored segments of one node and boot, ordered by segment
+ * number. A recovered segment may stand before or after the segment of the
+ * same number that the router stored itself.
+ */
 struct rec_report {
 	uint32_t segments;
 	uint64_t entries;
+	/* Entries of segments that gap markers stand for. */
 	uint64_t missing;
+	/* Entries that gap markers say were released without a copy. */
+	uint64_t unreplicated;
 	uint32_t recovered;
+	/*
+	 * The router ended the record itself. False: entries after the last
+	 * one may have been lost in a crash, or the end was cut off.
+	 */
+	bool closed;
+	uint64_t last_sequence;
+	uint8_t last_digest[REC_DIGEST_BYTES];
+	/* Number of the segment that problem is about. */
+	uint32_t problem_segment;
 	/* Empty when the record holds. */
 	char problem[256];
 };
 
 typedef void (*rec_entry_fn)(const Ch__RecordEntry *, void *);
+/* Tells whether a key is known to belong to the node that signed. */
+typedef bool (*rec_key_fn)(
+    struct lstr signer, const uint8_t *public_key, void *);
 
 enum status rec_verify(const struct lstr *segments, size_t count,
     const uint8_t *public_key, rec_entry_fn, void *, struct rec_report *);
+enum status rec_verify_recovered(const struct lstr *segments, size_t count,
+    const uint8_t *public_key, rec_key_fn, rec_entry_fn, void *,
+    struct rec_report *);
 
 #endif
--- /dev/null
+++ b/src/record_copy.c
@@ -0,0 +1,438 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "metric.h"
+#include "record_chain.h"
+
+/* The entries of one segment that were copied so far. */
+struct copied_segment {
+	uint32_t number;
+	struct rec_chain chain;
+	struct copied_segment *next;
+};
+
+/* What one boot of one router has copied, oldest segment first. */
+struct source {
+	char *node;
+	uint64_t boot;
+	struct copied_segment *segments;
+	/* Segments up to this number are stored. */
+	uint32_t stored;
+	/* Segments up to this number were handed out for recovery. */
+	uint32_t recovered;
+};
+
+struct rec_copies {
+	char *node;
+	struct rec_signer signer;
+	struct source sources[REC_COPIES_MAX_SOURCES];
+	size_t source_count;
+	size_t bytes;
+};
+
+/*
+ * Creates an empty set of copies held by a node and generates the key that
+ * signs recovered segments.
+ */
+enum status
+rec_copies_create(const char *node, struct rec_copies **out)
+{
+	struct rec_copies *copies = calloc(1, sizeof(*copies));
+	enum status status;
+
+	if (copies == NULL)
+		return status_set(STATUS_NO_MEMORY, "record copies");
+	status = rec_signer_create(&copies->signer);
+	copies->node = strdup(node);
+	if (status == STATUS_OK && copies->node == NULL)
+		status = status_set(STATUS_NO_MEMORY, "record copies");
+	if (status != STATUS_OK) {
+		rec_copies_destroy(copies);
+		return status;
+	}
+	*out = copies;
+	return STATUS_OK;
+}
+
+/*
+ * Counts the memory of a copied segment.
+ */
+static size_t
+segment_bytes(const struct copied_segment *segment)
+{
+	return sizeof(*segment) + segment->chain.bytes.len +
+	    segment->chain.count * sizeof(struct rec_item);
+}
+
+/*
+ * Frees the oldest segment of a source.
+ */
+static void
+drop_first(struct rec_copies *copies, struct source *source)
+{
+	struct copied_segment *segment = source->segments;
+
+	copies->bytes -= segment_bytes(segment);
+	source->segments = segment->next;
+	rec_chain_free(&segment->chain);
+	free(segment);
+}
+
+/*
+ * Frees all copies and erases the key. NULL is allowed.
+ */
+void
+rec_copies_destroy(struct rec_copies *copies)
+{
+	if (copies == NULL)
+		return;
+	for (size_t i = 0; i < copies->source_count; i++) {
+		while (copies->sources[i].segments != NULL)
+			drop_first(copies, &copies->sources[i]);
+		free(copies->sources[i].node);
+	}
+	sodium_memzero(&copies->signer, sizeof(copies->signer));
+	free(copies->node);
+	free(copies);
+}
+
+/*
+ * Returns the public key (REC_PUBLIC_KEY_BYTES) that verifies recovered
+ * segments, valid as long as the copies.
+ */
+const uint8_t *
+rec_copies_public_key(const struct rec_copies *copies)
+{
+	return copies->signer.public_key;
+}
+
+/*
+ * Returns the memory that the copies take, in bytes.
+ */
+size_t
+rec_copies_bytes(const struct rec_copies *copies)
+{
+	return copies->bytes;
+}
+
+/*
+ * Finds what a boot of a node has copied, or NULL.
+ */
+static struct source *
+find_source(struct rec_copies *copies, struct lstr node, uint64_t boot)
+{
+	for (size_t i = 0; i < copies->source_count; i++)
+		if (copies->sources[i].boot == boot &&
+		    lstr_equal_c(node, copies->sources[i].node))
+			return &copies->sources[i];
+	return NULL;
+}
+
+/*
+ * Finds a place in the table: a new one, or that of a source of which nothing
+ * is held any more. NULL when the table is full.
+ */
+static struct source *
+free_source(struct rec_copies *copies)
+{
+	if (copies->source_count < REC_COPIES_MAX_SOURCES)
+		return &copies->sources[copies->source_count++];
+	for (size_t i = 0; i < copies->source_count; i++)
+		if (copies->sources[i].segments == NULL)
+			return &copies->sources[i];
+	return NULL;
+}
+
+/*
+ * Finds or adds the source that a message comes from.
+ */
+static enum status
+take_source(struct rec_copies *copies, const Ch__RecordAppend *append,
+    struct source **out)
+{
+	struct source *source =
+	    find_source(copies, lstr_from(append->node), append->boot);
+	char *node;
+
+	if (source == NULL) {
+		node = strdup(append->node);
+		if (node == NULL)
+			return status_set(STATUS_NO_MEMORY, "record copies");
+		source = free_source(copies);
+		if (source == NULL) {
+			free(node);
+			return status_set(STATUS_FULL,
+			    "copies of %d routers are held",
+			    REC_COPIES_MAX_SOURCES);
+		}
+		free(source->node);
+		memset(source, 0, sizeof(*source));
+		source->node = node;
+		source->boot = append->boot;
+	}
+	*out = source;
+	return STATUS_OK;
+}
+
+/*
+ * Adds an empty segment at the end of a source. It must continue the last one
+ * unless segments between the two are stored already.
+ */
+static enum status
+add_segment(struct rec_copies *copies, struct source *source,
+    struct copied_segment *last, const Ch__RecordAppend *append,
+    struct copied_segment **out)
+{
+	struct copied_segment *segment;
+
+	if (last != NULL && append->segment < last->number)
+		return status_set(STATUS_CONFLICT,
+		    "copy of segment %u after segment %u", append->segment,
+		    last->number);
+	if (last != NULL && append->segment == last->number + 1 &&
+	    memcmp(rec_chain_digest(&last->chain, last->chain.count),
+		append->previous_digest.data, REC_DIGEST_BYTES) != 0)
+		return status_set(STATUS_CONFLICT,
+		    "copy of segment %u does not continue segment %u",
+		    append->segment, last->number);
+	segment = calloc(1, sizeof(*segment));
+	if (segment == NULL)
+		return status_set(STATUS_NO_MEMORY, "record copies");
+	segment->number = append->segment;
+	rec_chain_init(&segment->chain, append->previous_digest.data);
+	copies->bytes += segment_bytes(segment);
+	if (last == NULL)
+		source->segments = segment;
+	else
+		last->next = segment;
+	*out = segment;
+	return STATUS_OK;
+}
+
+/*
+ * Finds the segment that a message continues, or adds it.
+ */
+static enum status
+take_segment(struct rec_copies *copies, struct source *source,
+    const Ch__RecordAppend *append, struct copied_segment **out)
+{
+	struct copied_segment *last = NULL;
+
+	for (struct copied_segment *s = source->segments; s; s = s->next) {
+		if (s->number == append->segment) {
+			*out = s;
+			return STATUS_OK;
+		}
+		last = s;
+	}
+	return add_segment(copies, source, last, append, out);
+}
+
+/*
+ * Finds the entry after which a digest stands. A router that connects again
+ * starts at the beginning of a segment, so this may be before the end.
+ */
+static enum status
+find_position(const struct rec_chain *chain, const uint8_t *digest, size_t *at)
+{
+	for (size_t i = 0; i <= chain->count; i++) {
+		if (memcmp(rec_chain_digest(chain, i), digest,
+			REC_DIGEST_BYTES) == 0) {
+			*at = i;
+			return STATUS_OK;
+		}
+	}
+	return status_set(STATUS_CONFLICT, "the copy leaves out entries");
+}
+
+/*
+ * Takes one entry at a position of the chain: one that is held already must
+ * be the same, one at the end is added.
+ */
+static enum status
+take_entry(struct rec_copies *copies, struct copied_segment *segment, size_t at,
+    const Ch__RecordEntry *entry)
+{
+	struct rec_chain *chain = &segment->chain;
+	uint8_t digest[REC_DIGEST_BYTES];
+	size_t before = segment_bytes(segment);
+	enum status status;
+
+	if (at < chain->count) {
+		status =
+		    rec_digest_next(rec_chain_digest(chain, at), entry, digest);
+		if (status == STATUS_OK &&
+		    memcmp(digest, chain->items[at].digest, sizeof(digest)) !=
+			0)
+			status = status_set(STATUS_CONFLICT,
+			    "the copy of an entry differs from the first");
+		return status;
+	}
+	if (chain->bytes.len + ch__record_entry__get_packed_size(entry) >
+	    REC_SEGMENT_MAX_BYTES)
+		return status_set(STATUS_FULL, "the copied segment is full");
+	status = rec_chain_add(chain, entry);
+	copies->bytes += segment_bytes(segment) - before;
+	return status;
+}
+
+/*
+ * Checks the fixed parts of a message.
+ */
+static enum status
+check_append(const Ch__RecordAppend *append)
+{
+	if (append->previous_digest.len != REC_DIGEST_BYTES ||
+	    append->n_entries == 0 || append->segment == 0)
+		return status_set(STATUS_INVALID, "record copy is malformed");
+	return STATUS_OK;
+}
+
+/*
+ * Adds the entries of a message to the segment that they belong to. Entries of
+ * stored segments need not be held.
+ */
+static enum status
+hold_entries(struct rec_copies *copies, struct source *source,
+    const Ch__RecordAppend *append)
+{
+	struct copied_segment *segment = NULL;
+	size_t at = 0;
+	enum status status;
+
+	if (append->segment <= source->stored)
+		return STATUS_OK;
+	status = take_segment(copies, source, append, &segment);
+	if (status != STATUS_OK)
+		return status;
+	assert(segment != NULL);
+	status =
+	    find_position(&segment->chain, append->previous_digest.data, &at);
+	for (size_t i = 0; i < append->n_entries && status == STATUS_OK; i++)
+		status =
+		    take_entry(copies, segment, at + i, append->entries[i]);
+	return status;
+}
+
+/*
+ * Holds the entries of a message. On STATUS_OK, *ack is filled in and borrows
+ * the node name of the message. STATUS_CONFLICT: the entries do not continue
+ * those held; the router has to start its copy again. STATUS_FULL: a limit is
+ * reached; the entries are not acknowledged.
+ */
+enum status
+rec_copies_append(struct rec_copies *copies, const Ch__RecordAppend *append,
+    Ch__RecordAck *ack)
+{
+	struct source *source = NULL;
+	enum status status = check_append(append);
+
+	if (status == STATUS_OK && copies->bytes >= REC_COPIES_MAX_BYTES)
+		status = status_set(STATUS_FULL, "record copies are full");
+	if (status != STATUS_OK)
+		return status;
+	status = take_source(copies, append, &source);
+	if (status != STATUS_OK)
+		return status;
+	assert(source != NULL);
+	status = hold_entries(copies, source, append);
+	if (status != STATUS_OK)
+		return status;
+	ch__record_ack__init(ack);
+	ack->node = append->node;
+	ack->boot = append->boot;
+	ack->sequence = append->entries[append->n_entries - 1]->sequence;
+	return STATUS_OK;
+}
+
+/*
+ * Frees the copies of all segments up to the given one. The caller calls it
+ * only when the key-value service holds each of them.
+ */
+void
+rec_copies_stored(struct rec_copies *copies, struct lstr node, uint64_t boot,
+    uint32_t segment)
+{
+	struct source *source = find_source(copies, node, boot);
+
+	if (source == NULL)
+		return;
+	while (source->segments != NULL && source->segments->number <= segment)
+		drop_first(copies, source);
+	if (segment > source->stored)
+		source->stored = segment;
+}
+
+/*
+ * Seals a copied segment, signed by this node and marked as recovered.
+ */
+static enum status
+seal_copy(const struct rec_copies *copies, const struct source *source,
+    const struct copied_segment *segment, struct lstr_buf *content)
+{
+	const struct rec_chain *chain = &segment->chain;
+	Ch__RecordBody body = CH__RECORD_BODY__INIT;
+	enum status status;
+
+	status = rec_chain_entries(chain, 0, &body.entries, &body.n_entries);
+	if (status != STATUS_OK)
+		return status;
+	body.node = source->node;
+	body.boot = source->boot;
+	body.segment = segment->number;
+	body.previous_digest.data = (uint8_t *)rec_chain_digest(chain, 0);
+	body.previous_digest.len = REC_DIGEST_BYTES;
+	body.last_digest.data =
+	    (uint8_t *)rec_chain_digest(chain, chain->count);
+	body.last_digest.len = REC_DIGEST_BYTES;
+	body.recovered = true;
+	body.signer = copies->node;
+	status = rec_seal(&body, &copies->signer, content);
+	rec_entries_free(body.entries, body.n_entries);
+	return status;
+}
+
+/*
+ * Takes the next segment of a dead router to store. The caller frees the
+ * message with ch__record_store__free_unpacked(); the copy is held until
+ * rec_copies_stored(). Returns STATUS_NOT_FOUND when all were taken.
+ */
+enum status
+rec_copies_recover(struct rec_copies *copies, struct lstr node, uint64_t boot,
+    Ch__RecordStore **out)
+{
+	struct source *source = find_source(copies, node, boot);
+	struct copied_segment *s = source ? source->segments : NULL;
+	struct lstr_buf content = {0};
+	enum status status;
+
+	while (s != NULL &&
+	    (s->number <= source->recovered || s->chain.count == 0))
+		s = s->next;
+	if (s == NULL)
+		return status_set(STATUS_NOT_FOUND, "no copy to recover");
+	status = seal_copy(copies, source, s, &content);
+	if (status == STATUS_OK)
+		status = rec_store_message(source->node, boot, s->number,
+		    s->chain.items[s->chain.count - 1].sequence,
+		    lstr_buf_view(&content), out);
+	if (status == STATUS_OK)
+		source->recovered = s->number;
+	lstr_buf_free(&content);
+	return status;
+}
+
+/*
+ * Starts the recovery of a router again from its oldest segment that is not
+ * stored, because an earlier attempt to store was lost.
+ */
+void
+rec_copies_restart_recover(
+    struct rec_copies *copies, struct lstr node, uint64_t boot)
+{
+	struct source *source = find_source(copies, node, boot);
+
+	if (source != NULL)
+		source->recovered = 0;
+}
--- /dev/null
+++ b/src/record_verify.c
@@ -0,0 +1,422 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "record_chain.h"
+
+/* Longest node name; see the settings. */
+#define NODE_MAX_BYTES 63
+
+/* The state of a verification. */
+struct check {
+	const uint8_t *public_key;
+	rec_key_fn known;
+	rec_entry_fn entry;
+	void *arg;
+	struct rec_report *report;
+	/* Node and boot of the first segment; empty before it. */
+	char node[NODE_MAX_BYTES + 1];
+	uint64_t boot;
+	/* Key of the first segment, when none was given. */
+	uint8_t first_key[REC_PUBLIC_KEY_BYTES];
+	/* Where the chain stands. */
+	uint32_t segment;
+	uint64_t sequence;
+	uint8_t digest[REC_DIGEST_BYTES];
+};
+
+/* A segment that was decompressed and whose signature matches its own key. */
+struct opened {
+	Ch__RecordBody *body;
+	uint8_t key[REC_PUBLIC_KEY_BYTES];
+	enum status status;
+};
+
+/*
+ * Records the problem that ends the verification and returns STATUS_INVALID.
+ */
+static enum status problem(struct check *c, uint32_t segment,
+    const char *format, ...) __attribute__((format(printf, 3, 4)));
+
+static enum status
+problem(struct check *c, uint32_t segment, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(c->report->problem, sizeof(c->report->problem), format, args);
+	va_end(args);
+	c->report->problem_segment = segment;
+	return status_set(STATUS_INVALID, "%s", c->report->problem);
+}
+
+/*
+ * Checks that the key of a segment may sign it.
+ */
+static enum status
+check_key(struct check *c, const Ch__RecordBody *body, const uint8_t *key)
+{
+	if (body->recovered) {
+		if (c->known == NULL ||
+		    !c->known(lstr_from(body->signer), key, c->arg))
+			return problem(c, body->segment,
+			    "segment %u is recovered and signed with a key "
+			    "that is not known for %s",
+			    body->segment, body->signer);
+		return STATUS_OK;
+	}
+	if (c->public_key == NULL) {
+		memcpy(c->first_key, key, REC_PUBLIC_KEY_BYTES);
+		c->public_key = c->first_key;
+	}
+	if (memcmp(c->public_key, key, REC_PUBLIC_KEY_BYTES) != 0)
+		return problem(c, body->segment,
+		    "segment %u is signed with another key", body->segment);
+	return STATUS_OK;
+}
+
+/*
+ * Checks that a segment is of the record that is verified; the first segment
+ * says which one that is.
+ */
+static enum status
+check_origin(struct check *c, const Ch__RecordBody *body)
+{
+	if (c->node[0] == '\0') {
+		snprintf(c->node, sizeof(c->node), "%s", body->node);
+		c->boot = body->boot;
+		rec_digest_first(c->node, c->boot, c->digest);
+	}
+	if (strcmp(c->node, body->node) != 0 || c->boot != body->boot)
+		return problem(c, body->segment,
+		    "segment %u is of another node or boot", body->segment);
+	if (body->previous_digest.len != REC_DIGEST_BYTES ||
+	    body->last_digest.len != REC_DIGEST_BYTES || body->n_entries == 0)
+		return problem(
+		    c, body->segment, "segment %u is malformed", body->segment);
+	return STATUS_OK;
+}
+
+/*
+ * Checks that a segment is the next one and continues the one before.
+ */
+static enum status
+check_place(struct check *c, const Ch__RecordBody *body)
+{
+	uint32_t expected = c->segment + 1;
+
+	if (body->segment > expected)
+		return problem(c, expected,
+		    "segment %u is missing: segment %u follows segment %u",
+		    expected, body->segment, c->segment);
+	if (body->segment < expected)
+		return problem(c, body->segment,
+		    "segment %u appears again or out of order after segment %u",
+		    body->segment, c->segment);
+	if (memcmp(body->previous_digest.data, c->digest, REC_DIGEST_BYTES) !=
+	    0)
+		return problem(c, body->segment,
+		    "segment %u does not continue segment %u", body->segment,
+		    c->segment);
+	return STATUS_OK;
+}
+
+/*
+ * Computes the chain over the entries of a segment. Returns STATUS_NO_MEMORY.
+ */
+static enum status
+digest_entries(
+    const Ch__RecordBody *body, const uint8_t *start, uint8_t *digest)
+{
+	enum status status = STATUS_OK;
+
+	memcpy(digest, start, REC_DIGEST_BYTES);
+	for (size_t i = 0; i < body->n_entries && status == STATUS_OK; i++)
+		status = rec_digest_next(digest, body->entries[i], digest);
+	return status;
+}
+
+/*
+ * Tells whether a segment stands for one that was dropped because the store
+ * was full: its only entry is a gap marker, and its last digest is that of
+ * the entries that were dropped. Only the router can have signed it.
+ */
+static bool
+is_marker(const Ch__RecordBody *body)
+{
+	return body->n_entries == 1 && !body->recovered &&
+	    body->entries[0]->reason == CH__RECORD_REASON__RECORD_REASON_GAP &&
+	    body->entries[0]->missing > 0;
+}
+
+/*
+ * Checks the sequence numbers of the entries of a segment.
+ */
+static enum status
+check_sequence(struct check *c, const Ch__RecordBody *body)
+{
+	for (size_t i = 0; i < body->n_entries; i++) {
+		uint64_t expected = c->sequence + 1 + i;
+
+		if (body->entries[i]->sequence != expected)
+			return problem(c, body->segment,
+			    "segment %u has entry %llu where entry %llu "
+			    "belongs",
+			    body->segment,
+			    (unsigned long long)body->entries[i]->sequence,
+			    (unsigned long long)expected);
+	}
+	return STATUS_OK;
+}
+
+/*
+ * Counts the entries of a segment and shows them to the caller.
+ */
+static void
+count_entries(struct check *c, const Ch__RecordBody *body)
+{
+	for (size_t i = 0; i < body->n_entries; i++) {
+		const Ch__RecordEntry *entry = body->entries[i];
+
+		c->report->closed = false;
+		if (entry->reason == CH__RECORD_REASON__RECORD_REASON_GAP) {
+			c->report->unreplicated += entry->missing;
+			c->report->closed = entry->missing == 0;
+		}
+		if (c->entry != NULL)
+			c->entry(entry, c->arg);
+	}
+	c->report->entries += body->n_entries;
+	c->sequence += body->n_entries;
+}
+
+/*
+ * Counts the entries that a marker stands for and shows the marker to the
+ * caller.
+ */
+static void
+count_marker(struct check *c, const Ch__RecordBody *body)
+{
+	c->report->missing += body->entries[0]->missing;
+	c->report->closed = false;
+	c->sequence += body->entries[0]->missing;
+	if (c->entry != NULL)
+		c->entry(body->entries[0], c->arg);
+}
+
+/*
+ * Checks the entries of a segment against its digests and moves the chain
+ * behind it.
+ */
+static enum status
+check_entries(struct check *c, const Ch__RecordBody *body)
+{
+	uint8_t digest[REC_DIGEST_BYTES];
+	enum status status = digest_entries(body, c->digest, digest);
+	bool same = status == STATUS_OK &&
+	    memcmp(digest, body->last_digest.data, sizeof(digest)) == 0;
+
+	if (status != STATUS_OK)
+		return status;
+	if (!same && !is_marker(body))
+		return problem(c, body->segment,
+		    "the entries of segment %u do not match its digest",
+		    body->segment);
+	status = check_sequence(c, body);
+	if (status != STATUS_OK)
+		return status;
+	memcpy(c->digest, body->last_digest.data, REC_DIGEST_BYTES);
+	if (same)
+		count_entries(c, body);
+	else
+		count_marker(c, body);
+	c->segment = body->segment;
+	c->report->segments++;
+	c->report->recovered += body->recovered ? 1 : 0;
+	return STATUS_OK;
+}
+
+/*
+ * Checks the recovered copy of a segment that the router stored as well: a
+ * peer suspected a router that was alive. The copy must be a beginning of the
+ * segment, unless a marker stands in its place.
+ */
+static enum status
+check_copy(
+    struct check *c, const struct opened *copy, const Ch__RecordBody *body)
+{
+	uint8_t digest[REC_DIGEST_BYTES];
+	enum status status = check_key(c, copy->body, copy->key);
+	bool same;
+
+	if (status == STATUS_OK)
+		status = check_origin(c, copy->body);
+	if (status == STATUS_OK)
+		status = digest_entries(copy->body, c->digest, digest);
+	if (status != STATUS_OK)
+		return status;
+	same =
+	    memcmp(digest, copy->body->last_digest.data, sizeof(digest)) == 0;
+	if (same && !is_marker(body)) {
+		Ch__RecordBody beginning = *body;
+
+		same = copy->body->n_entries <= body->n_entries;
+		beginning.n_entries = copy->body->n_entries;
+		if (same)
+			status = digest_entries(&beginning, c->digest, digest);
+		same = same && status == STATUS_OK &&
+		    memcmp(digest, copy->body->last_digest.data,
+			sizeof(digest)) == 0;
+	}
+	if (status != STATUS_OK)
+		return status;
+	if (!same)
+		return problem(c, body->segment,
+		    "the recovered copy of segment %u differs from it",
+		    body->segment);
+	c->report->recovered++;
+	return STATUS_OK;
+}
+
+/*
+ * Opens a segment; what is wrong with it is kept in the result.
+ */
+static void
+open_segment(struct lstr content, struct opened *out)
+{
+	out->body = NULL;
+	out->status = rec_open(content, &out->body, out->key);
+	if (out->status == STATUS_OK && out->body->entries == NULL)
+		out->body->n_entries = 0;
+}
+
+/*
+ * Reports a segment that could not be opened. Its number cannot be trusted,
+ * so it is named by the segment before it.
+ */
+static enum status
+report_unreadable(struct check *c, enum status status)
+{
+	if (status == STATUS_NO_MEMORY)
+		return status;
+	return problem(c, c->segment + 1,
+	    "the segment after segment %u was changed: %s", c->segment,
+	    status == STATUS_DENIED ? "its signature does not match"
+				    : "it cannot be read");
+}
+
+/*
+ * Tells whether two opened segments are one of the router and the recovered
+ * copy of the same.
+ */
+static bool
+is_pair(const struct opened *a, const struct opened *b)
+{
+	return a->body != NULL && b->body != NULL &&
+	    a->body->segment == b->body->segment &&
+	    a->body->recovered != b->body->recovered;
+}
+
+/*
+ * Checks one segment, with its recovered copy if there is one.
+ */
+static enum status
+check_segment(
+    struct check *c, const struct opened *own, const struct opened *copy)
+{
+	enum status status = check_key(c, own->body, own->key);
+
+	if (status == STATUS_OK)
+		status = check_origin(c, own->body);
+	if (status == STATUS_OK)
+		status = check_place(c, own->body);
+	if (status == STATUS_OK && copy != NULL)
+		status = check_copy(c, copy, own->body);
+	if (status == STATUS_OK)
+		status = check_entries(c, own->body);
+	return status;
+}
+
+/*
+ * Checks a segment and, when the next one belongs to the same number, both.
+ * Tells how many were checked.
+ */
+static enum status
+check_one_or_pair(struct check *c, const struct opened *first,
+    const struct opened *second, size_t *checked)
+{
+	*checked = 1;
+	if (first->status != STATUS_OK)
+		return report_unreadable(c, first->status);
+	if (!is_pair(first, second))
+		return check_segment(c, first, NULL);
+	*checked = 2;
+	if (first->body->recovered)
+		return check_segment(c, second, first);
+	return check_segment(c, first, second);
+}
+
+/*
+ * Checks all segments in order. Two are open at a time.
+ */
+static enum status
+check_all(struct check *c, const struct lstr *segments, size_t count)
+{
+	struct opened window[2] = {{NULL, {0}, STATUS_OK}};
+	enum status status = STATUS_OK;
+	size_t checked = 2;
+	size_t open = 0;
+
+	for (size_t i = 0; i < count && status == STATUS_OK; i += checked) {
+		for (size_t n = 0; n < checked; n++) {
+			ch__record_body__free_unpacked(window[0].body, NULL);
+			window[0] = window[1];
+			window[1].body = NULL;
+			if (open < count)
+				open_segment(segments[open++], &window[1]);
+		}
+		status = check_one_or_pair(c, &window[0], &window[1], &checked);
+	}
+	ch__record_body__free_unpacked(window[0].body, NULL);
+	ch__record_body__free_unpacked(window[1].body, NULL);
+	return status;
+}
+
+/*
+ * Verifies the stored segments of one node and boot, ordered by number, and
+ * fills in the report. public_key is the key of the router; NULL takes the
+ * key of the first segment, which shows only that the segments belong
+ * together. known decides about the keys of recovered segments; NULL accepts
+ * none. entry, if not NULL, is called for each entry that holds. Returns
+ * STATUS_INVALID at the first problem, which the report describes.
+ */
+enum status
+rec_verify_recovered(const struct lstr *segments, size_t count,
+    const uint8_t *public_key, rec_key_fn known, rec_entry_fn entry, void *arg,
+    struct rec_report *report)
+{
+	struct check c = {0};
+	enum status status;
+
+	memset(report, 0, sizeof(*report));
+	c.public_key = public_key;
+	c.known = known;
+	c.entry = entry;
+	c.arg = arg;
+	c.report = report;
+	status = check_all(&c, segments, count);
+	report->last_sequence = c.sequence;
+	memcpy(report->last_digest, c.digest, REC_DIGEST_BYTES);
+	return status;
+}
+
+/*
+ * Verifies like rec_verify_recovered() without accepting recovered segments.
+ */
+enum status
+rec_verify(const struct lstr *segments, size_t count, const uint8_t *public_key,
+    rec_entry_fn entry, void *arg, struct rec_report *report)
+{
+	return rec_verify_recovered(
+	    segments, count, public_key, NULL, entry, arg, report);
+}
--- /dev/null
+++ b/tests/test_record.c
@@ -0,0 +1,977 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include "record_chain.h"
+
+#define NODE "node-1"
+#define BOOT 7
+#define PEER "node-9"
+#define SEGMENTS 4
+#define SEGMENT_ENTRIES 5
+#define START_USEC ((int64_t)1800000000 * LOOP_USEC_PER_SEC)
+#define RECORD_MAX_SEGMENTS 16
+
+/* The stored segments of one record, as a verifier reads them. */
+struct stored {
+	struct lstr_buf content[RECORD_MAX_SEGMENTS];
+	size_t count;
+};
+
+/*
+ * Appends one entry; n makes it differ from others. Returns its sequence.
+ */
+static uint64_t
+append(struct rec *rec, unsigned int n)
+{
+	char request[16];
+	struct rec_event event = {.organisation = lstr_from("murillo"),
+	    .arrival = START_USEC + n * 1000,
+	    .start = START_USEC + n * 1000 + 300,
+	    .priority = 2,
+	    .revision = 11,
+	    .reason = CH__RECORD_REASON__RECORD_REASON_SHARE,
+	    .replica = lstr_from("heredia-03"),
+	    .attempt = 1};
+	uint64_t sequence = 0;
+
+	snprintf(request, sizeof(request), "request-%07u", n);
+	event.request = lstr_from(request);
+	ck_assert_int_eq(rec_append(rec, &event, &sequence), STATUS_OK);
+	return sequence;
+}
+
+/*
+ * Adds the content of a store message to a stored record.
+ */
+static void
+add_content(struct stored *s, const Ch__RecordStore *store)
+{
+	ck_assert_uint_lt(s->count, RECORD_MAX_SEGMENTS);
+	lstr_buf_append(&s->content[s->count++],
+	    lstr_make(store->content.data, store->content.len));
+}
+
+/*
+ * Stores all closed segments of a record, like its syncd.
+ */
+static void
+store_all(struct rec *rec, struct stored *s)
+{
+	Ch__RecordStore *store;
+
+	while (rec_next_store(rec, &store) == STATUS_OK) {
+		add_content(s, store);
+		rec_stored(rec, store->segment);
+		ch__record_store__free_unpacked(store, NULL);
+	}
+}
+
+/*
+ * Creates a record of SEGMENTS closed segments of SEGMENT_ENTRIES entries.
+ */
+static struct rec *
+make_record(struct stored *s)
+{
+	struct rec *rec;
+
+	memset(s, 0, sizeof(*s));
+	ck_assert_int_eq(rec_create(NODE, BOOT, &rec), STATUS_OK);
+	for (unsigned int i = 0; i < SEGMENTS * SEGMENT_ENTRIES; i++) {
+		append(rec, i);
+		if (i % SEGMENT_ENTRIES == SEGMENT_ENTRIES - 1)
+			ck_assert_int_eq(
+			    rec_close_segment(rec, START_USEC), STATUS_OK);
+	}
+	store_all(rec, s);
+	ck_assert_uint_eq(s->count, SEGMENTS);
+	return rec;
+}
+
+/*
+ * Frees a stored record.
+ */
+static void
+stored_free(struct stored *s)
+{
+	for (size_t i = 0; i < RECORD_MAX_SEGMENTS; i++)
+		lstr_buf_free(&s->content[i]);
+}
+
+/*
+ * Knows the key, passed as argument, of PEER only.
+ */
+static bool
+knows_peer(struct lstr signer, const uint8_t *key, void *arg)
+{
+	return lstr_equal_c(signer, PEER) &&
+	    memcmp(key, arg, REC_PUBLIC_KEY_BYTES) == 0;
+}
+
+/*
+ * Verifies a stored record; peer_key is that of PEER or NULL.
+ */
+static enum status
+verify(const struct stored *s, const uint8_t *key, const uint8_t *peer_key,
+    struct rec_report *report)
+{
+	struct lstr views[RECORD_MAX_SEGMENTS];
+
+	for (size_t i = 0; i < s->count; i++)
+		views[i] = lstr_buf_view(&s->content[i]);
+	return rec_verify_recovered(views, s->count, key,
+	    peer_key ? knows_peer : NULL, NULL, (void *)peer_key, report);
+}
+
+/*
+ * Asserts that verification finds a problem in the given segment, with the
+ * given words.
+ */
+static void
+expect_problem(const struct stored *s, const uint8_t *key, uint32_t segment,
+    const char *words)
+{
+	struct rec_report report;
+
+	ck_assert_int_eq(verify(s, key, NULL, &report), STATUS_INVALID);
+	ck_assert_msg(strstr(report.problem, words) != NULL,
+	    "expected \"%s\", found \"%s\"", words, report.problem);
+	ck_assert_uint_eq(report.problem_segment, segment);
+}
+
+/*
+ * Swaps the content of two segments.
+ */
+static void
+swap_content(struct stored *s, size_t a, size_t b)
+{
+	struct lstr_buf copy = s->content[a];
+
+	s->content[a] = s->content[b];
+	s->content[b] = copy;
+}
+
+/*
+ * Opens a segment, so that a test can change its body.
+ */
+static Ch__RecordBody *
+open_body(const struct stored *s, size_t index)
+{
+	Ch__RecordBody *body;
+	uint8_t key[REC_PUBLIC_KEY_BYTES];
+
+	ck_assert_int_eq(
+	    rec_open(lstr_buf_view(&s->content[index]), &body, key), STATUS_OK);
+	return body;
+}
+
+/*
+ * Replaces a segment by a body signed with the given key, and frees the body.
+ */
+static void
+seal_body(struct stored *s, size_t index, Ch__RecordBody *body,
+    const struct rec_signer *signer)
+{
+	lstr_buf_clear(&s->content[index]);
+	ck_assert_int_eq(rec_seal(body, signer, &s->content[index]), STATUS_OK);
+	ch__record_body__free_unpacked(body, NULL);
+}
+
+/*
+ * Signs all segments of a record with a new key, which stands for the key of
+ * the router, so that the chain can be tested without the signature.
+ */
+static void
+sign_again(struct stored *s, struct rec_signer *signer)
+{
+	ck_assert_int_eq(rec_signer_create(signer), STATUS_OK);
+	for (size_t i = 0; i < s->count; i++)
+		seal_body(s, i, open_body(s, i), signer);
+}
+
+/*
+ * Copies everything that waits to be copied. Returns the status of the last
+ * append.
+ */
+static enum status
+copy_all(struct rec *rec, struct rec_copies *copies)
+{
+	Ch__RecordAppend *message;
+	Ch__RecordAck ack;
+	enum status status = STATUS_OK;
+
+	while (rec_next_copy(rec, &message) == STATUS_OK) {
+		status = rec_copies_append(copies, message, &ack);
+		if (status == STATUS_OK)
+			rec_acknowledged(rec, ack.sequence);
+		ch__record_append__free_unpacked(message, NULL);
+	}
+	return status;
+}
+
+/*
+ * Stores what a peer recovers of the record.
+ */
+static void
+recover_all(struct rec_copies *copies, struct stored *s)
+{
+	Ch__RecordStore *store;
+
+	while (rec_copies_recover(copies, lstr_from(NODE), BOOT, &store) ==
+	    STATUS_OK) {
+		add_content(s, store);
+		ch__record_store__free_unpacked(store, NULL);
+	}
+}
+
+/* Counts entries for rec_verify(). */
+static void
+count_entry(const Ch__RecordEntry *entry, void *arg)
+{
+	uint64_t *next = arg;
+
+	ck_assert_uint_eq(entry->sequence, ++*next);
+}
+
+/* Guards against an untouched record that does not verify. */
+START_TEST(untouched_record_holds)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_report report;
+	struct lstr views[SEGMENTS];
+	uint64_t last = 0;
+
+	for (size_t i = 0; i < s.count; i++)
+		views[i] = lstr_buf_view(&s.content[i]);
+	ck_assert_int_eq(rec_verify(views, s.count, rec_public_key(rec),
+			     count_entry, &last, &report),
+	    STATUS_OK);
+	ck_assert_str_eq(report.problem, "");
+	ck_assert_uint_eq(report.segments, SEGMENTS);
+	ck_assert_uint_eq(report.entries, SEGMENTS * SEGMENT_ENTRIES);
+	ck_assert_uint_eq(last, report.entries);
+	ck_assert_uint_eq(report.missing, 0);
+	ck_assert(!report.closed);
+	ck_assert_int_eq(verify(&s, NULL, NULL, &report), STATUS_OK);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Flips one bit and asserts that verification finds it in the right segment.
+ * zstd has unused bits: a flip there decompresses to the same signed bytes,
+ * so verification must then end at the same digest. Returns whether the flip
+ * was found.
+ */
+static bool
+flip_is_found(struct stored *s, const uint8_t *key, size_t segment, size_t byte,
+    unsigned int bit, const uint8_t *digest)
+{
+	struct rec_report report;
+	enum status status;
+
+	s->content[segment].data[byte] ^= (char)(1u << bit);
+	status = verify(s, key, NULL, &report);
+	s->content[segment].data[byte] ^= (char)(1u << bit);
+	if (status == STATUS_INVALID) {
+		ck_assert_uint_eq(report.problem_segment, segment + 1);
+		return true;
+	}
+	ck_assert_msg(status == STATUS_OK &&
+		memcmp(report.last_digest, digest, REC_DIGEST_BYTES) == 0,
+	    "bit %u of byte %zu of segment %zu", bit, byte, segment + 1);
+	return false;
+}
+
+/* Guards against any single changed bit that changes the record unnoticed. */
+START_TEST(changed_bit_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_report report;
+	unsigned int harmless = 0;
+
+	ck_assert_int_eq(
+	    verify(&s, rec_public_key(rec), NULL, &report), STATUS_OK);
+	for (size_t segment = 0; segment < s.count; segment++)
+		for (size_t i = 0; i < s.content[segment].len; i++)
+			for (unsigned int bit = 0; bit < 8; bit++)
+				harmless +=
+				    !flip_is_found(&s, rec_public_key(rec),
+					segment, i, bit, report.last_digest);
+	/* One bit of the frame header and two of the sequences header. */
+	ck_assert_uint_le(harmless, 3 * SEGMENTS);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against an entry that is left out and signed with another key. */
+START_TEST(dropped_entry_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	Ch__RecordBody *body = open_body(&s, 1);
+	struct rec_signer router;
+
+	sign_again(&s, &router);
+	ch__record_entry__free_unpacked(body->entries[2], NULL);
+	memmove(&body->entries[2], &body->entries[3],
+	    (SEGMENT_ENTRIES - 3) * sizeof(void *));
+	body->n_entries--;
+	seal_body(&s, 1, body, &router);
+	expect_problem(&s, router.public_key, 2, "do not match its digest");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against entries whose order is changed within a segment. */
+START_TEST(swapped_entries_are_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	Ch__RecordBody *body = open_body(&s, 2);
+	struct rec_signer router;
+	Ch__RecordEntry *first = body->entries[0];
+
+	sign_again(&s, &router);
+	body->entries[0] = body->entries[1];
+	body->entries[1] = first;
+	seal_body(&s, 2, body, &router);
+	expect_problem(&s, router.public_key, 3, "do not match its digest");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against an entry whose contents change, with the chain as it was. */
+START_TEST(changed_entry_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	Ch__RecordBody *body = open_body(&s, 0);
+	struct rec_signer router;
+
+	sign_again(&s, &router);
+	body->entries[3]->priority = 0;
+	seal_body(&s, 0, body, &router);
+	expect_problem(&s, router.public_key, 1, "do not match its digest");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against a segment rewritten with correct digests of its own: the
+ * next segment still continues the old one.
+ */
+START_TEST(rewritten_segment_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	Ch__RecordBody *body = open_body(&s, 1);
+	struct rec_signer router;
+	uint8_t *digest = body->last_digest.data;
+
+	sign_again(&s, &router);
+	body->entries[0]->priority = 0;
+	memcpy(digest, body->previous_digest.data, REC_DIGEST_BYTES);
+	for (size_t i = 0; i < body->n_entries; i++)
+		rec_digest_next(digest, body->entries[i], digest);
+	seal_body(&s, 1, body, &router);
+	expect_problem(&s, router.public_key, 3, "does not continue segment 2");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against skipped sequence numbers in entries that are chained, as a
+ * faulty router would write them.
+ */
+START_TEST(skipped_sequence_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	Ch__RecordBody *body = open_body(&s, 3);
+	struct rec_signer router;
+	uint8_t *digest = body->last_digest.data;
+
+	sign_again(&s, &router);
+	body->entries[4]->sequence++;
+	memcpy(digest, body->previous_digest.data, REC_DIGEST_BYTES);
+	for (size_t i = 0; i < body->n_entries; i++)
+		rec_digest_next(digest, body->entries[i], digest);
+	seal_body(&s, 3, body, &router);
+	expect_problem(
+	    &s, router.public_key, 4, "entry 21 where entry 20 belongs");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against a segment that is left out, at the start or in the middle. */
+START_TEST(dropped_segment_is_found)
+{
+	for (size_t drop = 0; drop < SEGMENTS - 1; drop++) {
+		struct stored s;
+		struct rec *rec = make_record(&s);
+
+		for (size_t i = drop; i < SEGMENTS - 1; i++)
+			swap_content(&s, i, i + 1);
+		s.count--;
+		expect_problem(
+		    &s, rec_public_key(rec), (uint32_t)drop + 1, "is missing");
+		rec_destroy(rec);
+		stored_free(&s);
+	}
+}
+END_TEST
+
+/* Guards against a cut end of a record that was ended in order. */
+START_TEST(dropped_end_is_not_closed)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_report report;
+
+	ck_assert_int_eq(rec_append_end(rec, START_USEC), STATUS_OK);
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_OK);
+	store_all(rec, &s);
+	ck_assert_int_eq(
+	    verify(&s, rec_public_key(rec), NULL, &report), STATUS_OK);
+	ck_assert(report.closed);
+	s.count--;
+	ck_assert_int_eq(
+	    verify(&s, rec_public_key(rec), NULL, &report), STATUS_OK);
+	ck_assert(!report.closed);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against segments whose order is changed. */
+START_TEST(swapped_segments_are_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+
+	swap_content(&s, 1, 2);
+	expect_problem(&s, rec_public_key(rec), 2, "segment 2 is missing");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against a segment made by someone without the router's key. */
+START_TEST(forged_segment_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_signer stranger;
+
+	ck_assert_int_eq(rec_signer_create(&stranger), STATUS_OK);
+	seal_body(&s, 2, open_body(&s, 2), &stranger);
+	expect_problem(
+	    &s, rec_public_key(rec), 3, "segment 3 is signed with another key");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against a forger who names the router's key in the segment, and
+ * against one who replaces every segment.
+ */
+START_TEST(borrowed_key_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_signer stranger;
+
+	ck_assert_int_eq(rec_signer_create(&stranger), STATUS_OK);
+	memcpy(stranger.public_key, rec_public_key(rec), REC_PUBLIC_KEY_BYTES);
+	seal_body(&s, 2, open_body(&s, 2), &stranger);
+	expect_problem(&s, rec_public_key(rec), 3, "signature does not match");
+	rec_destroy(rec);
+	stored_free(&s);
+	rec = make_record(&s);
+	sign_again(&s, &stranger);
+	expect_problem(
+	    &s, rec_public_key(rec), 1, "segment 1 is signed with another key");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against a segment that appears again, next to itself or later. */
+START_TEST(replayed_segment_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+
+	lstr_buf_append(&s.content[4], lstr_buf_view(&s.content[3]));
+	s.count = 5;
+	expect_problem(&s, rec_public_key(rec), 4, "appears again");
+	lstr_buf_clear(&s.content[4]);
+	lstr_buf_append(&s.content[4], lstr_buf_view(&s.content[0]));
+	expect_problem(&s, rec_public_key(rec), 1, "appears again");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against a segment of another boot in place of the right one. */
+START_TEST(segment_of_other_boot_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_signer router;
+	Ch__RecordBody *body;
+
+	sign_again(&s, &router);
+	body = open_body(&s, 2);
+	body->boot = BOOT + 1;
+	seal_body(&s, 2, body, &router);
+	expect_problem(&s, router.public_key, 3, "another node or boot");
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against answered requests that a crash of the router removes. */
+START_TEST(router_crash_loses_no_copied_entry)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_copies *copies;
+	struct rec_report report;
+	uint8_t key[REC_PUBLIC_KEY_BYTES];
+	uint64_t last = 0;
+
+	memcpy(key, rec_public_key(rec), sizeof(key));
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	/* A closed segment that is not stored, and an open one. */
+	for (unsigned int i = 0; i < 3; i++)
+		append(rec, 100 + i);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_OK);
+	for (unsigned int i = 0; i < 2; i++) {
+		last = append(rec, 200 + i);
+		ck_assert(!rec_is_copied(rec, last));
+		ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+		ck_assert(rec_is_copied(rec, last));
+	}
+	ck_assert_uint_eq(rec_unsent(rec), 0);
+	rec_destroy(rec);
+	recover_all(copies, &s);
+	ck_assert_uint_eq(s.count, SEGMENTS + 2);
+	ck_assert_int_eq(
+	    verify(&s, key, rec_copies_public_key(copies), &report), STATUS_OK);
+	ck_assert_uint_eq(report.last_sequence, last);
+	ck_assert_uint_eq(report.recovered, 2);
+	ck_assert(!report.closed);
+	rec_copies_destroy(copies);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against entries counted as safe although no peer acknowledged them:
+ * a crash loses these and nothing else.
+ */
+START_TEST(router_crash_without_copy_loses_the_tail)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_copies *copies;
+	struct rec_report report;
+	uint8_t key[REC_PUBLIC_KEY_BYTES];
+	uint64_t copied;
+	uint64_t lost;
+
+	memcpy(key, rec_public_key(rec), sizeof(key));
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	copied = append(rec, 100);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	lost = append(rec, 101);
+	ck_assert(rec_is_copied(rec, copied));
+	ck_assert(!rec_is_copied(rec, lost));
+	rec_destroy(rec);
+	recover_all(copies, &s);
+	ck_assert_int_eq(
+	    verify(&s, key, rec_copies_public_key(copies), &report), STATUS_OK);
+	ck_assert_uint_eq(report.last_sequence, copied);
+	ck_assert(!report.closed);
+	rec_copies_destroy(copies);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against loss when the peer crashes: a new peer gets every entry that
+ * is not stored.
+ */
+START_TEST(peer_crash_is_made_up_for)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_copies *copies;
+	struct rec_report report;
+	uint8_t key[REC_PUBLIC_KEY_BYTES];
+	uint64_t last = 0;
+
+	memcpy(key, rec_public_key(rec), sizeof(key));
+	ck_assert_int_eq(rec_copies_create("node-8", &copies), STATUS_OK);
+	append(rec, 100);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_OK);
+	append(rec, 101);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	rec_copies_destroy(copies);
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	last = append(rec, 102);
+	rec_restart_copy(rec);
+	ck_assert_uint_eq(rec_unsent(rec), 3);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	ck_assert(rec_is_copied(rec, last));
+	rec_destroy(rec);
+	recover_all(copies, &s);
+	ck_assert_int_eq(
+	    verify(&s, key, rec_copies_public_key(copies), &report), STATUS_OK);
+	ck_assert_uint_eq(report.last_sequence, last);
+	rec_copies_destroy(copies);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against a new connection to the same peer that shortens or doubles
+ * what the peer holds.
+ */
+START_TEST(reconnection_keeps_the_copy)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_copies *copies;
+	Ch__RecordAppend *message;
+	Ch__RecordAck ack;
+	size_t bytes;
+
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	for (unsigned int i = 0; i < 4; i++) {
+		append(rec, 100 + i);
+		ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	}
+	bytes = rec_copies_bytes(copies);
+	rec_restart_copy(rec);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	ck_assert_uint_eq(rec_copies_bytes(copies), bytes);
+	/* A message that leaves out an entry, and one that changes one. */
+	append(rec, 104);
+	ck_assert_int_eq(rec_next_copy(rec, &message), STATUS_OK);
+	ch__record_append__free_unpacked(message, NULL);
+	append(rec, 105);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_CONFLICT);
+	rec_restart_copy(rec);
+	ck_assert_int_eq(rec_next_copy(rec, &message), STATUS_OK);
+	message->entries[1]->priority = 0;
+	ck_assert_int_eq(
+	    rec_copies_append(copies, message, &ack), STATUS_CONFLICT);
+	ch__record_append__free_unpacked(message, NULL);
+	rec_copies_destroy(copies);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against a router that is suspected while it runs: its own segment
+ * and the recovered copy stand side by side.
+ */
+START_TEST(recovered_copy_beside_the_segment_holds)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_copies *copies;
+	struct rec_report report;
+	const uint8_t *key = rec_public_key(rec);
+	const uint8_t *peer_key;
+
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	peer_key = rec_copies_public_key(copies);
+	append(rec, 100);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	recover_all(copies, &s);
+	append(rec, 101);
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_OK);
+	append(rec, 102);
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_OK);
+	store_all(rec, &s);
+	ck_assert_int_eq(verify(&s, key, peer_key, &report), STATUS_OK);
+	ck_assert_uint_eq(report.segments, SEGMENTS + 2);
+	ck_assert_uint_eq(report.entries, SEGMENTS * SEGMENT_ENTRIES + 3);
+	ck_assert_uint_eq(report.recovered, 1);
+	swap_content(&s, SEGMENTS, SEGMENTS + 1);
+	ck_assert_int_eq(verify(&s, key, peer_key, &report), STATUS_OK);
+	ck_assert_uint_eq(report.segments, SEGMENTS + 2);
+	rec_copies_destroy(copies);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/*
+ * Guards against a recovered segment that is signed by a node whose key is
+ * not known, or that differs from what the router stored.
+ */
+START_TEST(false_recovered_copy_is_found)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_copies *copies;
+	struct rec_report report;
+	struct rec_signer peer;
+	Ch__RecordBody *body;
+
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	append(rec, 100);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	recover_all(copies, &s);
+	expect_problem(&s, rec_public_key(rec), 5, "not known for " PEER);
+	ck_assert_int_eq(
+	    verify(&s, rec_public_key(rec), rec_public_key(rec), &report),
+	    STATUS_INVALID);
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_OK);
+	store_all(rec, &s);
+	ck_assert_int_eq(rec_signer_create(&peer), STATUS_OK);
+	body = open_body(&s, 4);
+	ck_assert(body->recovered);
+	body->entries[0]->priority = 0;
+	rec_digest_next(body->previous_digest.data, body->entries[0],
+	    body->last_digest.data);
+	seal_body(&s, 4, body, &peer);
+	ck_assert_int_eq(
+	    verify(&s, rec_public_key(rec), peer.public_key, &report),
+	    STATUS_INVALID);
+	ck_assert_ptr_nonnull(strstr(report.problem, "recovered copy"));
+	rec_copies_destroy(copies);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against copies that are kept after their segment is stored. */
+START_TEST(stored_copies_are_freed)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_copies *copies;
+	Ch__RecordStore *store;
+
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	append(rec, 100);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	ck_assert_uint_gt(rec_copies_bytes(copies), 0);
+	rec_copies_stored(copies, lstr_from(NODE), BOOT, SEGMENTS + 1);
+	ck_assert_uint_eq(rec_copies_bytes(copies), 0);
+	/* A late copy of the stored segment is acknowledged and not held. */
+	append(rec, 101);
+	ck_assert_int_eq(copy_all(rec, copies), STATUS_OK);
+	ck_assert_uint_eq(rec_copies_bytes(copies), 0);
+	ck_assert_int_eq(
+	    rec_copies_recover(copies, lstr_from(NODE), BOOT, &store),
+	    STATUS_NOT_FOUND);
+	rec_copies_destroy(copies);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against a gap marker that verification does not count. */
+START_TEST(unreplicated_entries_are_counted)
+{
+	struct stored s;
+	struct rec *rec = make_record(&s);
+	struct rec_report report;
+
+	ck_assert_int_eq(rec_append_gap(rec, 6, START_USEC), STATUS_OK);
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_OK);
+	store_all(rec, &s);
+	ck_assert_int_eq(
+	    verify(&s, rec_public_key(rec), NULL, &report), STATUS_OK);
+	ck_assert_uint_eq(report.unreplicated, 6);
+	ck_assert_uint_eq(report.missing, 0);
+	rec_destroy(rec);
+	stored_free(&s);
+}
+END_TEST
+
+/* Guards against segments that are closed too late or too large. */
+START_TEST(segments_are_due_by_time_and_size)
+{
+	struct rec *rec;
+	Ch__RecordStore *store;
+	unsigned int n = 0;
+
+	ck_assert_int_eq(rec_create(NODE, BOOT, &rec), STATUS_OK);
+	ck_assert(!rec_segment_due(rec, START_USEC + REC_SEGMENT_MAX_USEC));
+	ck_assert_int_eq(rec_close_segment(rec, START_USEC), STATUS_NOT_FOUND);
+	append(rec, n++);
+	ck_assert(!rec_segment_due(rec, START_USEC + REC_SEGMENT_MAX_USEC - 1));
+	ck_assert(rec_segment_due(
+	    rec, START_USEC + REC_SEGMENT_MAX_USEC + LOOP_USEC_PER_SEC));
+	/* Without the caller's help the segment closes at its size limit. */
+	while (rec_next_store(rec, &store) != STATUS_OK && n < 10000)
+		append(rec, n++);
+	ck_assert_uint_lt(n, REC_SEGMENT_MAX_BYTES / 16);
+	ck_assert_uint_lt(store->content.len, REC_SEGMENT_MAX_BYTES);
+	ch__record_store__free_unpacked(store, NULL);
+	rec_destroy(rec);
+}
+END_TEST
+
+/*
+ * Fills the organisation, request and replica of an event with bytes that do
+ * not compress, from a fixed seed.
+ */
+static void
+append_noise(struct rec *rec, uint32_t seed)
+{
+	static uint8_t noise[3][REC_TEXT_MAX_BYTES];
+	uint8_t key[randombytes_SEEDBYTES] = {0};
+	struct rec_event event = {.start = START_USEC};
+	uint64_t sequence;
+
+	memcpy(key, &seed, sizeof(seed));
+	randombytes_buf_deterministic(noise, sizeof(noise), key);
+	for (size_t i = 0; i < sizeof(noise); i++)
+		((uint8_t *)noise)[i] |= 1;
+	event.organisation = lstr_make(noise[0], REC_TEXT_MAX_BYTES);
+	event.request = lstr_make(noise[1], REC_TEXT_MAX_BYTES);
+	event.replica = lstr_make(noise[2], REC_TEXT_MAX_BYTES);
+	ck_assert_int_eq(rec_append(rec, &event, &sequence), STATUS_OK);
+}
+
+/*
+ * Guards against memory that grows without bound in an outage of the
+ * key-value service: the oldest segments become gap markers that verify.
+ */
+START_TEST(full_store_drops_the_oldest)
+{
+	struct rec *rec;
+	Ch__RecordStore *store;
+	struct rec_report report;
+	struct lstr *views;
+	struct lstr_buf *contents;
+	size_t count = 0;
+	uint32_t seed = 0;
+	const size_t max = REC_WAITING_MAX_BYTES / REC_SEGMENT_MAX_BYTES * 2;
+
+	ck_assert_int_eq(rec_create(NODE, BOOT, &rec), STATUS_OK);
+	views = calloc(max, sizeof(*views));
+	contents = calloc(max, sizeof(*contents));
+	while (rec_waiting_bytes(rec) <
+	    REC_WAITING_MAX_BYTES - 2 * REC_SEGMENT_MAX_BYTES)
+		append_noise(rec, seed++);
+	for (unsigned int i = 0; i < 500; i++) {
+		append_noise(rec, seed++);
+		ck_assert_uint_le(
+		    rec_waiting_bytes(rec), REC_WAITING_MAX_BYTES);
+	}
+	while (rec_next_store(rec, &store) == STATUS_OK) {
+		ck_assert_uint_lt(count, max);
+		lstr_buf_append(&contents[count],
+		    lstr_make(store->content.data, store->content.len));
+		views[count] = lstr_buf_view(&contents[count]);
+		count++;
+		ch__record_store__free_unpacked(store, NULL);
+	}
+	ck_assert_int_eq(
+	    rec_verify(views, count, rec_public_key(rec), NULL, NULL, &report),
+	    STATUS_OK);
+	ck_assert_uint_gt(report.missing, 0);
+	ck_assert_uint_eq(
+	    report.missing + report.entries, report.last_sequence);
+	for (size_t i = 0; i < count; i++)
+		lstr_buf_free(&contents[i]);
+	free(contents);
+	free(views);
+	rec_destroy(rec);
+}
+END_TEST
+
+/* Guards against copies of many routers that grow without bound. */
+START_TEST(full_copies_are_refused)
+{
+	struct rec *rec;
+	struct rec_copies *copies;
+	Ch__RecordAppend *message;
+	Ch__RecordAck ack;
+	enum status status = STATUS_OK;
+	uint64_t boot = 1;
+
+	ck_assert_int_eq(rec_create(NODE, BOOT, &rec), STATUS_OK);
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	append(rec, 1);
+	ck_assert_int_eq(rec_next_copy(rec, &message), STATUS_OK);
+	for (; boot <= REC_COPIES_MAX_SOURCES; boot++) {
+		message->boot = boot;
+		ck_assert_int_eq(
+		    rec_copies_append(copies, message, &ack), STATUS_OK);
+	}
+	message->boot = boot;
+	ck_assert_int_eq(rec_copies_append(copies, message, &ack), STATUS_FULL);
+	/* A source whose segments are stored makes room. */
+	rec_copies_stored(copies, lstr_from(NODE), 1, 1);
+	ck_assert_int_eq(rec_copies_append(copies, message, &ack), STATUS_OK);
+	ch__record_append__free_unpacked(message, NULL);
+	for (uint32_t seed = 0; status == STATUS_OK; seed++) {
+		append_noise(rec, seed);
+		ck_assert_int_eq(rec_next_copy(rec, &message), STATUS_OK);
+		message->boot = boot;
+		status = rec_copies_append(copies, message, &ack);
+		ch__record_append__free_unpacked(message, NULL);
+		ck_assert_uint_le(rec_copies_bytes(copies),
+		    REC_COPIES_MAX_BYTES + REC_SEGMENT_MAX_BYTES);
+	}
+	ck_assert_int_eq(status, STATUS_FULL);
+	rec_copies_destroy(copies);
+	rec_destroy(rec);
+}
+END_TEST
+
+/* Guards against texts that overflow the fixed buffers of an entry. */
+START_TEST(long_texts_are_refused)
+{
+	static const char text[REC_TEXT_MAX_BYTES + 1];
+	struct rec_event event = {
+	    .organisation = lstr_make(text, sizeof(text))};
+	struct rec *rec;
+	uint64_t sequence;
+
+	ck_assert_int_eq(rec_create(NODE, BOOT, &rec), STATUS_OK);
+	event.request = lstr_from("");
+	event.replica = lstr_from("");
+	ck_assert_int_eq(rec_append(rec, &event, &sequence), STATUS_INVALID);
+	ck_assert_uint_eq(rec_unsent(rec), 0);
+	rec_destroy(rec);
+}
+END_TEST
+
+HARNESS_MAIN("record", untouched_record_holds, changed_bit_is_found,
+    dropped_entry_is_found, swapped_entries_are_found, changed_entry_is_found,
+    rewritten_segment_is_found, skipped_sequence_is_found,
+    dropped_segment_is_found, dropped_end_is_not_closed,
+    swapped_segments_are_found, forged_segment_is_found, borrowed_key_is_found,
+    replayed_segment_is_found, segment_of_other_boot_is_found,
+    router_crash_loses_no_copied_entry,
+    router_crash_without_copy_loses_the_tail, peer_crash_is_made_up_for,
+    reconnection_keeps_the_copy, recovered_copy_beside_the_segment_holds,
+    false_recovered_copy_is_found, stored_copies_are_freed,
+    unreplicated_entries_are_counted, segments_are_due_by_time_and_size,
+    full_store_drops_the_oldest, full_copies_are_refused,
+    long_texts_are_refused)
