--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -2269,7 +2269,7 @@
   (ProtobufCMessageInit) ch__config_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__member__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ch__member__field_descriptors[11] =
 {
   {
     "node",
@@ -2403,37 +2403,11 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "incarnation",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ch__Member, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gone",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Ch__Member, gone),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ch__member__field_indices_by_name[] = {
   3,   /* field[3] = boot */
   5,   /* field[5] = entry_address */
   9,   /* field[9] = entry_ready */
-  12,   /* field[12] = gone */
-  11,   /* field[11] = incarnation */
   0,   /* field[0] = node */
   1,   /* field[1] = place */
   8,   /* field[8] = record_key */
@@ -2446,7 +2420,7 @@
 static const ProtobufCIntRange ch__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ch__member__descriptor =
 {
@@ -2456,7 +2430,7 @@
   "Ch__Member",
   "ch",
   sizeof(Ch__Member),
-  13,
+  11,
   ch__member__field_descriptors,
   ch__member__field_indices_by_name,
   1,  ch__member__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -306,18 +306,10 @@
   ProtobufCBinaryData record_key;
   protobuf_c_boolean entry_ready;
   protobuf_c_boolean router_ready;
-  /*
-   * Raised by the member itself; of two statements the higher one counts.
-   */
-  uint64_t incarnation;
-  /*
-   * Between syncds: the member was removed.
-   */
-  protobuf_c_boolean gone;
 };
 #define CH__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__member__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, CH__NODE_STATE__NODE_STATE_UNSPECIFIED, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, CH__NODE_STATE__NODE_STATE_UNSPECIFIED, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
 struct  Ch__View
--- a/src/view.c
+++ b/src/view.c
@@ -67,8 +67,8 @@
 	    strcmp(a->entry_address, b->entry_address) == 0 &&
 	    strcmp(a->router_address, b->router_address) == 0 &&
 	    strcmp(a->syncd_address, b->syncd_address) == 0 &&
-	    a->boot == b->boot && a->incarnation == b->incarnation &&
-	    a->state == b->state && a->entry_ready == b->entry_ready &&
+	    a->boot == b->boot && a->state == b->state &&
+	    a->entry_ready == b->entry_ready &&
 	    a->router_ready == b->router_ready &&
 	    memcmp(a->record_key, b->record_key, VIEW_RECORD_KEY_BYTES) == 0;
 }
@@ -220,17 +220,16 @@
 }
 
 /*
- * Borrows a member of a message.
+ * Enters one member of a message.
  */
-struct view_member
-view_member_from_message(const Ch__Member *message)
+static enum status
+put_message(struct view *view, const Ch__Member *message, bool *changed)
 {
 	struct view_member member = {
 	    .node = message->node,
 	    .place = message->place,
 	    .region = message->region,
 	    .boot = message->boot,
-	    .incarnation = message->incarnation,
 	    .state = (enum view_state)message->state,
 	    .entry_address = message->entry_address,
 	    .router_address = message->router_address,
@@ -242,22 +241,6 @@
 	if (message->record_key.len == VIEW_RECORD_KEY_BYTES)
 		memcpy(member.record_key, message->record_key.data,
 		    VIEW_RECORD_KEY_BYTES);
-	return member;
-}
-
-/*
- * Enters one member of a message, or removes one that is gone.
- */
-static enum status
-put_message(struct view *view, const Ch__Member *message, bool *changed)
-{
-	struct view_member member = view_member_from_message(message);
-
-	if (message->gone) {
-		if (view_remove(view, lstr_from(message->node)))
-			*changed = true;
-		return STATUS_OK;
-	}
 	return view_put(view, &member, changed);
 }
 
@@ -340,11 +323,10 @@
 }
 
 /*
- * Makes the message of one member, which the caller or the message around it
- * frees with ch__member__free_unpacked().
+ * Makes the message of one member.
  */
-Ch__Member *
-view_member_to_message(const struct view_member *member)
+static Ch__Member *
+member_to_message(const struct view_member *member)
 {
 	Ch__Member *message = allocate(1, sizeof(*message));
 
@@ -353,7 +335,6 @@
 	message->place = message_text(member->place);
 	message->region = message_text(member->region);
 	message->boot = member->boot;
-	message->incarnation = member->incarnation;
 	message->state = (Ch__NodeState)member->state;
 	message->entry_address = message_text(member->entry_address);
 	message->router_address = message_text(member->router_address);
@@ -382,7 +363,7 @@
 	message->members = allocate(view->members->len, sizeof(Ch__Member *));
 	for (guint i = 0; i < view->members->len; i++)
 		message->members[message->n_members++] =
-		    view_member_to_message(view_at(view, i));
+		    member_to_message(view_at(view, i));
 	*out = message;
 	return STATUS_OK;
 }
--- a/src/view.h
+++ b/src/view.h
@@ -25,8 +25,6 @@
 	char *place;
 	char *region;
 	uint64_t boot;
-	/* Raised by the member itself; orders statements about it. */
-	uint64_t incarnation;
 	enum view_state state;
 	/* "ip:port", empty when the process is not known to run. */
 	char *entry_address;
@@ -48,8 +46,6 @@
 size_t view_count(const struct view *);
 const struct view_member *view_at(const struct view *, size_t);
 const struct view_member *view_find(const struct view *, struct lstr);
-struct view_member view_member_from_message(const Ch__Member *);
-Ch__Member *view_member_to_message(const struct view_member *);
 enum status view_to_message(const struct view *, uint64_t, Ch__View **);
 
 #endif
