--- /dev/null
+++ b/tests/test_claim_weak_horizon.c
@@ -0,0 +1,42 @@
+/*
+ * The claim module with one protection taken out: claims that are not after the
+ * horizon are granted. The simulation must notice.
+ */
+#define CLAIM_TEST_IGNORE_HORIZON
+
+#include "harness.h"
+
+/* NOLINTBEGIN(bugprone-suspicious-include): built again with the switch. */
+#include "../src/claim.c"
+#include "../src/claim_bucket.c"
+#include "../src/claim_flight.c"
+#include "../src/claim_log.c"
+/* NOLINTEND(bugprone-suspicious-include) */
+
+#include "claim_sim.h"
+
+#define SEEDS 60
+#define STEPS 6000
+#define SLOTS 4
+
+/*
+ * Guards against a simulation that would not find the fault: with the
+ * protection out, identities must be held twice.
+ */
+START_TEST(fault_is_found)
+{
+	static struct sim sim;
+	int found = 0;
+
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		sim_init(&sim, seed, SLOTS);
+		sim_run(&sim, STEPS);
+		sim_end(&sim);
+		found += sim.double_grants;
+	}
+	printf("identities held twice: %d\n", found);
+	ck_assert_int_gt(found, 0);
+}
+END_TEST
+
+HARNESS_MAIN("claim_weak_horizon", fault_is_found)
