--- a/tests/child.h
+++ b/tests/child.h
@@ -74,6 +74,20 @@
 	unlink(child->port_file);
 }
 
+/*
+ * Copies the address after a name such as "http=" from the port file.
+ */
+static inline void
+child_address(
+    const struct child *child, const char *name, char *out, size_t size)
+{
+	const char *at = strstr(child->line, name);
+
+	ck_assert_ptr_nonnull(at);
+	at += strlen(name);
+	snprintf(out, size, "%.*s", (int)strcspn(at, " "), at);
+}
+
 /*
  * Kills a child and waits for its end.
  */
--- a/tests/fakes/fake_kv.c
+++ b/tests/fakes/fake_kv.c
@@ -15,8 +15,8 @@
 #include "proc.h"
 #include "settings.h"
 
+#include "fake_common.h"
 #include "kv_store.h"
-#include "port_file.h"
 
 #define VALUE_MAX_BYTES ((size_t)1024 * 1024)
 #define BODY_MAX_BYTES ((size_t)2 * 1024 * 1024)
@@ -79,12 +79,7 @@
 	bool scanning;
 };
 
-static struct setting settings[] = {
-    {"listen", SETTING_ADDRESS, "127.0.0.1:0", 0, 0, "Address to listen on",
-	false, NULL, 0},
-    {"port-file", SETTING_TEXT, NULL, 1, 4095,
-	"File that receives the port when ready", false, NULL, 0},
-    {0}};
+static struct setting settings[] = {FAKE_SETTINGS, {0}};
 
 /*
  * Answers with a JSON value, which it takes.
@@ -593,7 +588,8 @@
 	}
 	loop_timer_set(server.timer, 0);
 	port_file = settings_get(settings, "port-file");
-	if (!port_file_write(port_file->text, httpd_port(server.httpd)))
+	if (fake_write_port_file(port_file->text, httpd_port(server.httpd)) !=
+	    0)
 		return PROC_EXIT_FAILED;
 	loop_run(server.loop);
 	return PROC_EXIT_OK;
--- a/tests/test_kv.c
+++ b/tests/test_kv.c
@@ -84,7 +84,7 @@
 	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
 	ck_assert_int_eq(fetch_create(w->loop, &w->fetch), STATUS_OK);
 	child_start(&w->child, w->loop, "fakes/fake_kv", args);
-	snprintf(w->address, sizeof(w->address), "127.0.0.1:%s", w->child.line);
+	child_address(&w->child, "http=", w->address, sizeof(w->address));
 	ck_assert_int_eq(
 	    kv_http_create(w->loop, w->fetch, w->address, &w->kv), STATUS_OK);
 }
