Measure the slopes of the pure modules at full size

Cause: docs/CAPACITY.md needs measured slopes, not estimates. Change: bench/capacity drives view, ownership, claims and the queue at 570 nodes, 4,200 replicas and 24,000 organisations.

--- /dev/null
+++ b/bench/capacity.c
@@ -0,0 +1,347 @@
+/*
+ * Drives the pure decision modules at the size of docs/CAPACITY.md and prints
+ * slopes: bytes, moved shares, and processor time for one operation.
+ * Seeded; the times vary with the machine, the counts do not.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "claim.h"
+#include "owner.h"
+#include "sched.h"
+#include "view.h"
+
+#define SEED 1
+#define NODES 570
+#define REGIONS 8
+#define PLACES 18
+#define REPLICAS 4200
+#define ORGANISATIONS 24000
+#define QUEUE_MAX 100000
+#define CLAIMS 48000
+#define CLAIMS_PER_SECOND 48
+#define CLAIM_WINDOW_USEC ((int64_t)120 * 1000000)
+#define CLAIM_SLOTS 512
+#define CLAIM_INTERVAL_USEC ((int64_t)400 * 1000)
+#define START_USEC ((int64_t)1796362391 * 1000000)
+#define NSEC_PER_SEC 1e9
+#define USEC_PER_SEC 1e6
+#define NAME_MAX_BYTES 64
+
+/*
+ * Returns processor time in seconds.
+ */
+static double
+processor_time(void)
+{
+	return (double)clock() / CLOCKS_PER_SEC;
+}
+
+/*
+ * Enters one node into a view.
+ */
+static void
+put_node(struct view *view, unsigned int i)
+{
+	char node[NAME_MAX_BYTES];
+	char place[NAME_MAX_BYTES];
+	char region[NAME_MAX_BYTES];
+	struct view_member member = {.node = node,
+	    .place = place,
+	    .region = region,
+	    .boot = i + 1,
+	    .state = VIEW_LIVE,
+	    .entry_address = "10.20.30.40:8080",
+	    .router_address = "10.20.30.40:7001",
+	    .syncd_address = "10.20.30.40:7002",
+	    .entry_ready = true,
+	    .router_ready = true};
+	bool changed;
+
+	snprintf(node, sizeof(node), "node-%04u", i);
+	snprintf(place, sizeof(place), "place-%02u", i % PLACES);
+	snprintf(region, sizeof(region), "region-%u", i % PLACES % REGIONS);
+	view_put(view, &member, &changed);
+}
+
+/*
+ * Finds the owners of all replicas; owners holds node names.
+ */
+static void
+find_owners(const struct view *view, char owners[][NAME_MAX_BYTES])
+{
+	for (unsigned int i = 0; i < REPLICAS; i++) {
+		char replica[NAME_MAX_BYTES];
+		char region[NAME_MAX_BYTES];
+		const struct view_member *owner;
+
+		snprintf(replica, sizeof(replica), "replica-%04u", i);
+		snprintf(region, sizeof(region), "region-%u", i % REGIONS);
+		owner = owner_of_replica(
+		    view, lstr_from(region), lstr_from(replica));
+		snprintf(owners[i], NAME_MAX_BYTES, "%s", owner->node);
+	}
+}
+
+/*
+ * Prints the share of replicas that change their owner when some nodes leave,
+ * and the least share that must.
+ */
+static void
+measure_moves(struct view *view, unsigned int leaving)
+{
+	static char before[REPLICAS][NAME_MAX_BYTES];
+	static char after[REPLICAS][NAME_MAX_BYTES];
+	unsigned int moved = 0;
+	unsigned int lost = 0;
+
+	find_owners(view, before);
+	for (unsigned int i = 0; i < leaving; i++) {
+		char node[NAME_MAX_BYTES];
+
+		/* All of one place, as when a data centre fails. */
+		snprintf(node, sizeof(node), "node-%04u", i * PLACES);
+		for (unsigned int r = 0; r < REPLICAS; r++)
+			lost += strcmp(before[r], node) == 0;
+		view_remove(view, lstr_from(node));
+	}
+	find_owners(view, after);
+	for (unsigned int r = 0; r < REPLICAS; r++)
+		moved += strcmp(before[r], after[r]) != 0;
+	printf("ownership leaving_nodes=%u moved=%.3f%% least=%.3f%%\n",
+	    leaving, 100.0 * moved / REPLICAS, 100.0 * lost / REPLICAS);
+	for (unsigned int i = 0; i < leaving; i++)
+		put_node(view, i * PLACES);
+}
+
+/*
+ * Measures the view and ownership.
+ */
+static void
+measure_view(void)
+{
+	static char owners[REPLICAS][NAME_MAX_BYTES];
+	struct view *view = NULL;
+	Ch__View *message = NULL;
+	size_t memory = mallinfo2().uordblks;
+	double start;
+
+	view_create(&view);
+	for (unsigned int i = 0; i < NODES; i++)
+		put_node(view, i);
+	memory = mallinfo2().uordblks - memory;
+	view_to_message(view, 1, &message);
+	printf("view members=%d memory_bytes=%zu whole_message_bytes=%zu "
+	       "bytes_each=%zu\n",
+	    NODES, memory, ch__view__get_packed_size(message),
+	    ch__view__get_packed_size(message) / NODES);
+	ch__view__free_unpacked(message, NULL);
+	start = processor_time();
+	find_owners(view, owners);
+	printf("ownership replicas=%d usec_each=%.2f\n", REPLICAS,
+	    (processor_time() - start) * USEC_PER_SEC / REPLICAS);
+	measure_moves(view, 1);
+	measure_moves(view, NODES / PLACES);
+	view_destroy(view);
+}
+
+/* One slot of the key-value service. */
+struct slot {
+	uint64_t version;
+	uint8_t *value;
+	size_t len;
+};
+
+/* What driving a bucket of claims came to. */
+struct claim_totals {
+	uint64_t granted;
+	uint64_t swaps;
+	uint64_t bytes;
+	uint64_t longest;
+};
+
+/*
+ * Carries out the actions of the claim module against the slots at once.
+ */
+static void
+carry_out(struct claim *claim, struct slot *slots, int64_t now,
+    struct claim_totals *totals)
+{
+	struct claim_action action;
+
+	while (claim_next_action(claim, &action)) {
+		struct slot *slot = &slots[action.slot];
+
+		if (action.kind == CLAIM_READ_RING) {
+			claim_ring_done(claim, action.ticket, STATUS_OK, now);
+		} else if (action.kind == CLAIM_SWAP_SLOT) {
+			free(slot->value);
+			slot->value = action.value;
+			slot->len = action.value_len;
+			action.value = NULL;
+			totals->swaps++;
+			totals->bytes += slot->len;
+			if (slot->len > totals->longest)
+				totals->longest = slot->len;
+			claim_slot_swapped(claim, action.ticket, STATUS_OK,
+			    ++slot->version, now);
+		} else if (action.kind == CLAIM_REPLY) {
+			totals->granted += action.reply.result ==
+			    CH__CLAIM_RESULT__CLAIM_RESULT_GRANTED;
+		}
+		claim_action_clear(&action);
+	}
+}
+
+/*
+ * Sends one claim and, for the claim made one second earlier, its outcome.
+ */
+static void
+claim_and_report(struct claim *claim, uint64_t n, int64_t now)
+{
+	struct claim_request request = {.route = 1,
+	    .sequence = n,
+	    .expiry = now + CLAIM_WINDOW_USEC,
+	    .deadline = now + 2 * (int64_t)USEC_PER_SEC};
+	struct claim_report report = {.state = CH__CLAIM_STATE__CLAIM_STATE_RAN,
+	    .status = 200,
+	    .expiry = now + CLAIM_WINDOW_USEC - (int64_t)USEC_PER_SEC};
+	uint64_t earlier = n - CLAIMS_PER_SECOND;
+
+	memcpy(request.identity, &n, sizeof(n));
+	memcpy(request.token, &n, sizeof(n));
+	claim_ask(claim, 0, &request, now);
+	if (n < CLAIMS_PER_SECOND)
+		return;
+	memcpy(report.identity, &earlier, sizeof(earlier));
+	memcpy(report.token, &earlier, sizeof(earlier));
+	claim_report(claim, 0, &report, now);
+}
+
+/*
+ * Returns the size of the messages of one claim between two syncds: request,
+ * reply and outcome.
+ */
+static size_t
+claim_message_bytes(void)
+{
+	uint8_t bytes[CLAIM_ID_BYTES] = {0};
+	ProtobufCBinaryData data = {sizeof(bytes), bytes};
+	Ch__ClaimRequest request = CH__CLAIM_REQUEST__INIT;
+	Ch__ClaimReply reply = CH__CLAIM_REPLY__INIT;
+	Ch__ClaimOutcome outcome = CH__CLAIM_OUTCOME__INIT;
+
+	request.sequence = reply.sequence = 1000000;
+	request.identity = reply.identity = outcome.identity = data;
+	request.token = reply.token = outcome.token = data;
+	request.expiry = request.deadline = outcome.expiry = START_USEC;
+	request.origin = "node-0001";
+	reply.result = CH__CLAIM_RESULT__CLAIM_RESULT_GRANTED;
+	reply.fence = 100000;
+	outcome.state = CH__CLAIM_STATE__CLAIM_STATE_RAN;
+	outcome.status = 200;
+	return ch__claim_request__get_packed_size(&request) +
+	    ch__claim_reply__get_packed_size(&reply) +
+	    ch__claim_outcome__get_packed_size(&outcome);
+}
+
+/*
+ * Measures one bucket of claims at the rate of an owner.
+ */
+static void
+measure_claims(void)
+{
+	struct claim_settings settings = {.buckets = 1,
+	    .slots = CLAIM_SLOTS,
+	    .interval_usec = CLAIM_INTERVAL_USEC,
+	    .owner_id = 1};
+	struct claim *claim = claim_create(&settings);
+	struct slot *slots = calloc(CLAIM_SLOTS, sizeof(*slots));
+	struct claim_totals totals = {0};
+	size_t memory = mallinfo2().uordblks;
+	int64_t now = START_USEC;
+	double start = processor_time();
+
+	for (uint64_t n = 0; n < CLAIMS; n++) {
+		now += (int64_t)USEC_PER_SEC / CLAIMS_PER_SECOND;
+		claim_and_report(claim, n, now);
+		claim_tick(claim, now);
+		carry_out(claim, slots, now, &totals);
+	}
+	printf("claims rate=%d/s granted=%.1f%% commits_per_s=%.2f "
+	       "batch_bytes_per_claim=%.1f longest_batch=%zu "
+	       "usec_per_claim=%.2f\n",
+	    CLAIMS_PER_SECOND, 100.0 * (double)totals.granted / CLAIMS,
+	    (double)totals.swaps * CLAIMS_PER_SECOND / CLAIMS,
+	    (double)totals.bytes / CLAIMS, (size_t)totals.longest,
+	    (processor_time() - start) * USEC_PER_SEC / CLAIMS);
+	printf("claims message_bytes_per_claim=%zu memory_bytes=%zu\n",
+	    claim_message_bytes(), mallinfo2().uordblks - memory);
+	for (int i = 0; i < CLAIM_SLOTS; i++)
+		free(slots[i].value);
+	free(slots);
+	claim_destroy(claim);
+}
+
+/*
+ * Measures the queue of a replica with many organisations.
+ */
+static void
+measure_queue(void)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct sched *sched = NULL;
+	size_t memory = mallinfo2().uordblks;
+	Ch__RecordReason reason;
+	double start;
+	double pushed;
+	void *data;
+
+	sched_create(QUEUE_MAX, &sched);
+	start = processor_time();
+	for (int i = 0; i < QUEUE_MAX; i++) {
+		char name[NAME_MAX_BYTES];
+		struct sched_entry *entry;
+		struct sched_request request = {
+		    .priority = (uint32_t)g_rand_int_range(rand, 0, 8),
+		    .weight = (uint32_t)g_rand_int_range(rand, 1, 1000),
+		    .cost = g_rand_int_range(rand, 1, 1000),
+		    .arrival = START_USEC + i,
+		    .deadline = START_USEC + i + 1000000};
+
+		snprintf(name, sizeof(name), "organisation-%05d",
+		    g_rand_int_range(rand, 0, ORGANISATIONS));
+		request.organisation = lstr_from(name);
+		sched_push(sched, &request, &entry);
+	}
+	pushed = processor_time();
+	memory = mallinfo2().uordblks - memory;
+	while (sched_take(sched, &data, &reason))
+		;
+	printf("queue entries=%d organisations=%d push_usec=%.2f "
+	       "take_usec=%.2f bytes_per_entry=%.0f\n",
+	    QUEUE_MAX, ORGANISATIONS,
+	    (pushed - start) * USEC_PER_SEC / QUEUE_MAX,
+	    (processor_time() - pushed) * USEC_PER_SEC / QUEUE_MAX,
+	    (double)memory / QUEUE_MAX);
+	sched_destroy(sched);
+	g_rand_free(rand);
+}
+
+/*
+ * Prints all slopes.
+ */
+int
+main(void)
+{
+	printf("seed %d\n", SEED);
+	measure_view();
+	measure_claims();
+	measure_queue();
+	return EXIT_SUCCESS;
+}
