--- a/src/settings.h
+++ b/src/settings.h
@@ -29,7 +29,8 @@
 	int64_t min;
 	int64_t max;
 	const char *help;
-	bool required;
+	/* A truth value as wide as its neighbours: tables have no padding. */
+	int64_t required;
 	char *text;
 	int64_t number;
 };
