--- a/src/ctl.c
+++ b/src/ctl.c
@@ -9,6 +9,7 @@
 #include "ctl.h"
 #include "fetch.h"
 #include "inventory.h"
+#include "part.h"
 
 #define URL_MAX 512
 #define ANSWER_MAX_BYTES ((size_t)128 * 1024 * 1024)
@@ -273,6 +274,7 @@
 static enum ctl_exit
 load_documents(const struct ctl_options *options, struct application *app)
 {
+	struct part_set *parts = NULL;
 	struct inv *inv = NULL;
 	enum ctl_exit result =
 	    load_file("inventory", options->inventory, &app->inventory);
@@ -281,12 +283,14 @@
 		result = load_file("rules", options->rules, &app->rules);
 	if (result != CTL_EXIT_OK)
 		return result;
-	if (inv_parse(app->inventory, app->rules, &inv) != STATUS_OK) {
+	if (inv_parse(app->inventory, app->rules, &inv) != STATUS_OK ||
+	    part_split(app->inventory, app->rules, &parts) != STATUS_OK) {
 		ctl_error("%s", status_message());
-		return CTL_EXIT_INVALID;
+		result = CTL_EXIT_INVALID;
 	}
 	inv_destroy(inv);
-	return CTL_EXIT_OK;
+	part_set_destroy(parts);
+	return result;
 }
 
 /*
--- a/tests/test_inventory.c
+++ b/tests/test_inventory.c
@@ -240,6 +240,28 @@
 }
 END_TEST
 
+/* Guards against an example that operators cannot apply. */
+START_TEST(example_is_valid)
+{
+	json_t *inventory =
+	    json_load_file("examples/murillo/inventory.json", 0, NULL);
+	json_t *rules = json_load_file("examples/murillo/rules.json", 0, NULL);
+	struct inv *inv = NULL;
+
+	ck_assert_msg(inv_parse(inventory, rules, &inv) == STATUS_OK, "%s",
+	    status_message());
+	ck_assert_uint_eq(inv->replica_count, 7);
+	ck_assert_uint_eq(inv->organisation_count, 10);
+	ck_assert(!inv_is_idempotent(inv,
+	    inv_find_service(inv, lstr_from("libro-cambios")),
+	    lstr_from("swap")));
+	inv_destroy(inv);
+	json_decref(inventory);
+	json_decref(rules);
+}
+END_TEST
+
 HARNESS_MAIN("inventory", each_fault_is_refused_with_its_place,
     tables_hold_what_the_documents_say, rules_say_what_is_idempotent,
-    unknown_organisation_needs_permission, too_many_entities_are_refused)
+    unknown_organisation_needs_permission, too_many_entities_are_refused,
+    example_is_valid)
