Drop a transfer that is out of date

Cause: A transfer that was overtaken by another update stayed in memory until the next one, up to 32 MiB. Change: A revision that comes into force ends transfers of no higher revision. Conclusion: Only a transfer that can still come into force is held.

--- a/src/conf.c
+++ b/src/conf.c
@@ -239,6 +239,18 @@
 	return status;
 }
 
+/*
+ * Drops a transfer that can no longer come into force.
+ */
+static void
+drop_outdated(struct conf *conf)
+{
+	if (conf->staging == NULL || conf->staging->revision > conf->revision)
+		return;
+	staging_free(conf->staging);
+	conf->staging = NULL;
+}
+
 /*
  * Brings a whole set of parts into force if its revision is higher and its
  * documents are valid. Takes over the set in any case.
@@ -248,6 +260,7 @@
     struct part_set *parts)
 {
 	struct inv *inv = NULL;
+	char *copy;
 
 	if (revision <= conf->revision) {
 		conf->counters.stale++;
@@ -266,11 +279,14 @@
 	conf->inv = inv;
 	part_set_destroy(conf->parts);
 	conf->parts = parts;
+	/* The id may be the present one. */
+	copy = g_strdup(change_id);
 	g_free(conf->change_id);
-	conf->change_id = g_strdup(change_id);
+	conf->change_id = copy;
 	conf->revision = revision;
 	conf->whole_needed = false;
 	conf->counters.applied++;
+	drop_outdated(conf);
 	return CONF_APPLIED;
 }
 
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -273,6 +273,26 @@
 }
 END_TEST
 
+/* Guards against memory held for a transfer that is out of date. */
+START_TEST(outdated_transfer_is_dropped)
+{
+	struct conf *from = make(&large, 3);
+	struct conf *to = conf_create();
+	struct conf_feed *feed = conf_feed_create(from, 0);
+	json_t *dump;
+
+	ck_assert_int_eq(conf_apply(to, conf_feed_next(feed)), CONF_MORE);
+	ck_assert_int_eq(
+	    adopt(to, 3, sample_inventory(&large), sample_rules(&large)),
+	    CONF_APPLIED);
+	dump = conf_dump(to);
+	ck_assert_int_eq(
+	    json_integer_value(json_object_get(dump, "arriving_frames")), 0);
+	ck_assert_int_eq(conf_apply(to, conf_feed_next(feed)), CONF_STALE);
+	json_decref(dump);
+}
+END_TEST
+
 /* Guards against parts read again although they are in force. */
 START_TEST(only_changed_parts_are_missing)
 {
@@ -294,4 +314,5 @@
     known_revision_gets_a_change, forgotten_revision_gets_everything,
     removed_part_is_removed, revision_never_decreases,
     unfitting_change_asks_for_a_pull, bad_content_changes_nothing,
-    abandoned_transfer_is_replaced, only_changed_parts_are_missing)
+    abandoned_transfer_is_replaced, outdated_transfer_is_dropped,
+    only_changed_parts_are_missing)
