Add the decisions of the entry

Cause: the entry process needs rules for which addresses callers get, which requests are accepted, where they go, and what an event does to a request. Conclusion: ready for the entry process.

--- /dev/null
+++ b/src/address.c
@@ -0,0 +1,66 @@
+#include "address.h"
+
+/* How near an entry is to the caller; lower is nearer. */
+enum rank {
+	RANK_PLACE,
+	RANK_REGION,
+	RANK_OTHER
+};
+
+/*
+ * Returns how near a member is to a place and a region.
+ */
+static enum rank
+rank_of(const struct view_member *member, struct lstr place, struct lstr region)
+{
+	if (place.len > 0 && lstr_equal_c(place, member->place))
+		return RANK_PLACE;
+	if (region.len > 0 && lstr_equal_c(region, member->region))
+		return RANK_REGION;
+	return RANK_OTHER;
+}
+
+/*
+ * Tells whether callers may be sent to the entry of a member.
+ */
+static bool
+is_usable(const struct view_member *member)
+{
+	return member->state == VIEW_LIVE && member->entry_ready &&
+	    member->entry_address != NULL && member->entry_address[0] != '\0';
+}
+
+/*
+ * Chooses up to ADDR_MAX usable entries among members: those of the place
+ * first, then those of the region, then others. Among equally near ones the
+ * generator decides, so that callers are spread. Returns how many were
+ * written to out; they point to the members given.
+ */
+size_t
+addr_choose(const struct view_member *const *members, size_t count,
+    struct lstr place, struct lstr region, GRand *random,
+    const struct view_member *out[ADDR_MAX])
+{
+	uint64_t keys[ADDR_MAX];
+	size_t chosen = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		uint64_t key;
+		size_t at;
+
+		if (!is_usable(members[i]))
+			continue;
+		key = (uint64_t)rank_of(members[i], place, region) << 32 |
+		    g_rand_int(random);
+		if (chosen == ADDR_MAX && key >= keys[ADDR_MAX - 1])
+			continue;
+		at = chosen < ADDR_MAX ? chosen++ : ADDR_MAX - 1;
+		for (; at > 0 && keys[at - 1] > key; at--) {
+			keys[at] = keys[at - 1];
+			out[at] = out[at - 1];
+		}
+		keys[at] = key;
+		out[at] = members[i];
+	}
+	return chosen;
+}
--- /dev/null
+++ b/src/choose.h
@@ -0,0 +1,34 @@
+#ifndef CH_CHOOSE_H
+#define CH_CHOOSE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "inventory.h"
+
+/* What the choice of a replica depends on. */
+struct choose_world {
+	const struct inv *inv;
+	/* Place of the entry, or INV_NONE. */
+	uint32_t place;
+	/* Address of the router that owns a replica, or NULL. */
+	const char *(*router)(uint32_t replica, void *);
+	bool (*leaving)(struct lstr instance, void *);
+	/* Requests of this entry that are open on a replica. */
+	uint32_t (*outstanding)(uint32_t replica, void *);
+	void *arg;
+};
+
+struct choose_result {
+	uint32_t replica;
+	/* As returned by router(). */
+	const char *router;
+};
+
+bool choose_is_eligible(const struct choose_world *, uint32_t);
+enum status choose_replica(const struct choose_world *, uint32_t service,
+    struct lstr key, struct lstr avoid, GRand *, struct choose_result *);
+
+#endif
