--- a/src/inst.h
+++ b/src/inst.h
@@ -9,16 +9,15 @@
 #include "loop.h"
 #include "lstr.h"
 
-/* Largest number of instances that one answer of the list may hold. */
-#define INST_MAX 65536
+/* Most instances taken from one answer: as many as an inventory may have. */
+#define INST_ITEMS_MAX 40000
 
-/* One row of the platform's list. The name is borrowed for the callback. */
 struct inst_item {
 	struct lstr name;
 	bool leaving;
 };
 
-/* STATUS_OK with all rows, or why the list could not be read. */
+/* The platform's list, which lags. STATUS_UNAVAILABLE: no usable answer. */
 struct inst_result {
 	enum status status;
 	const struct inst_item *items;
@@ -27,23 +26,23 @@
 
 typedef void (*inst_done_fn)(const struct inst_result *, void *);
 
-struct inst_list;
+struct inst;
 
 /*
- * query reads the list once; fn is called once, from the loop, unless the
- * list is destroyed first. One query may be open at a time.
+ * poll reads the whole list once; the function is called once, from the loop
+ * and never before poll returns, unless the client is destroyed first. A poll
+ * while another is on its way is ignored.
  */
-struct inst_list_vtable {
-	enum status (*query)(
-	    struct inst_list *, int64_t deadline, inst_done_fn, void *);
-	void (*destroy)(struct inst_list *);
+struct inst_vtable {
+	void (*poll)(struct inst *, int64_t deadline, inst_done_fn, void *);
+	void (*destroy)(struct inst *);
 };
 
-struct inst_list {
-	const struct inst_list_vtable *vtable;
+struct inst {
+	const struct inst_vtable *vtable;
 };
 
 enum status inst_http_create(
-    struct fetch *, const char *address, struct inst_list **);
+    struct loop *, struct fetch *, const char *, struct inst **);
 
 #endif
--- a/src/inst_http.c
+++ b/src/inst_http.c
@@ -1,149 +1,170 @@
-#include <assert.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
 #include <jansson.h>
 
 #include "inst.h"
+#include "metric.h"
 
 #define URL_MAX_BYTES 128
-#define ANSWER_MAX_BYTES ((size_t)8 * 1024 * 1024)
+#define HTTP_OK 200
 
-/* The list as HTTP with JSON; see docs/design.md. */
 struct inst_http {
-	struct inst_list list;
+	struct inst base;
+	struct loop *loop;
 	struct fetch *fetch;
 	struct fetch_call *call;
-	char url[URL_MAX_BYTES];
+	/* Reports a poll that could not start. */
+	struct loop_timer *timer;
 	inst_done_fn fn;
 	void *arg;
+	char url[URL_MAX_BYTES];
 };
 
+static struct metric polls = {"chestnuthoist_instance_list_polls_total", "",
+    "Polls of the platform's instance list.", METRIC_COUNTER, 0, NULL};
+static struct metric failures = {"chestnuthoist_instance_list_failures_total",
+    "", "Polls without a usable answer.", METRIC_COUNTER, 0, NULL};
+
 /*
- * Reads one row. Returns STATUS_INVALID for a row without a name or with an
- * unknown state.
+ * Gives a poll its result.
  */
-static enum status
-read_item(const json_t *row, struct inst_item *item)
+static void
+report(struct inst_http *http, const struct inst_result *result)
 {
-	const char *name = json_string_value(json_object_get(row, "name"));
-	const char *state = json_string_value(json_object_get(row, "state"));
-
-	if (name == NULL || state == NULL)
-		return status_set(
-		    STATUS_INVALID, "row without a name or a state");
-	if (strcmp(state, "live") != 0 && strcmp(state, "leaving") != 0)
-		return status_set(
-		    STATUS_INVALID, "%s: unknown state '%s'", name, state);
-	item->name = lstr_from(name);
-	item->leaving = strcmp(state, "leaving") == 0;
-	return STATUS_OK;
+	http->call = NULL;
+	if (result->status != STATUS_OK)
+		failures.value++;
+	http->fn(result, http->arg);
 }
 
 /*
- * Reads all rows into an array that the caller frees with free().
+ * Reads the items of an answer into an array that points into the JSON.
+ * Returns false when the answer is not of the protocol.
  */
-static enum status
-read_items(const json_t *rows, struct inst_item **items, size_t *count)
+static bool
+read_items(const json_t *answer, GArray *items)
 {
-	size_t n = json_array_size(rows);
-	enum status status = STATUS_OK;
-
-	if (!json_is_array(rows) || n > INST_MAX)
-		return status_set(
-		    STATUS_INVALID, "no array 'instances' within its limit");
-	*items = calloc(n + 1, sizeof(**items));
-	if (*items == NULL)
-		return status_set(STATUS_NO_MEMORY, "%zu instances", n);
-	for (size_t i = 0; i < n && status == STATUS_OK; i++)
-		status = read_item(json_array_get(rows, i), &(*items)[i]);
-	*count = n;
-	return status;
+	const json_t *list = json_object_get(answer, "instances");
+	size_t index;
+	json_t *entry;
+
+	if (!json_is_array(list) || json_array_size(list) > INST_ITEMS_MAX)
+		return false;
+	json_array_foreach(list, index, entry)
+	{
+		const json_t *name = json_object_get(entry, "name");
+		const char *state =
+		    json_string_value(json_object_get(entry, "state"));
+		struct inst_item item;
+
+		if (!json_is_string(name) || state == NULL)
+			return false;
+		item.name = lstr_make(
+		    json_string_value(name), json_string_length(name));
+		item.leaving = strcmp(state, "leaving") == 0;
+		g_array_append_val(items, item);
+	}
+	return true;
 }
 
 /*
- * Hands the answer to the caller.
+ * Takes the answer of the list.
  */
 static void
-on_done(struct fetch_call *call, const struct fetch_result *fetched, void *arg)
+on_done(struct fetch_call *call, const struct fetch_result *from, void *arg)
 {
 	struct inst_http *http = arg;
-	struct inst_result result = {.status = fetched->status};
-	struct inst_item *items = NULL;
-	json_t *root = NULL;
+	struct inst_result result = {.status = STATUS_UNAVAILABLE};
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct inst_item));
+	json_t *answer = NULL;
 
 	(void)call;
-	http->call = NULL;
-	if (result.status == STATUS_OK && fetched->http_status != 200)
-		result.status = status_set(STATUS_UNAVAILABLE,
-		    "instance list: HTTP status %ld", fetched->http_status);
-	if (result.status == STATUS_OK) {
-		root = json_loadb(fetched->body.data, fetched->body.len,
+	if (from->status == STATUS_OK && from->http_status == HTTP_OK)
+		answer = json_loadb(from->body.data, from->body.len,
 		    JSON_REJECT_DUPLICATES, NULL);
-		result.status = read_items(
-		    json_object_get(root, "instances"), &items, &result.count);
+	if (answer != NULL && read_items(answer, items)) {
+		result.status = STATUS_OK;
+		result.items = (const struct inst_item *)items->data;
+		result.count = items->len;
 	}
-	if (result.status == STATUS_OK)
-		result.items = items;
-	else
-		result.count = 0;
-	http->fn(&result, http->arg);
-	free(items);
-	json_decref(root);
+	report(http, &result);
+	json_decref(answer);
+	g_array_free(items, TRUE);
 }
 
-static const struct fetch_ops callbacks = {NULL, on_done};
+static const struct fetch_ops fetch_callbacks = {NULL, on_done};
+
+/*
+ * Reports a poll that could not start.
+ */
+static void
+on_not_started(void *arg)
+{
+	struct inst_result result = {.status = STATUS_UNAVAILABLE};
+
+	report(arg, &result);
+}
 
 /*
  * Reads the list once.
  */
-static enum status
-query(struct inst_list *list, int64_t deadline, inst_done_fn fn, void *arg)
+static void
+http_poll(struct inst *inst, int64_t deadline, inst_done_fn fn, void *arg)
 {
-	struct inst_http *http = (struct inst_http *)list;
-	struct fetch_request request = {.method = "GET",
-	    .url = http->url,
-	    .deadline = deadline,
-	    .answer_max_bytes = ANSWER_MAX_BYTES};
+	struct inst_http *http = (struct inst_http *)inst;
+	struct fetch_request request = {
+	    .method = "GET", .url = http->url, .deadline = deadline};
 
-	assert(http->call == NULL);
+	if (http->call != NULL || loop_timer_is_set(http->timer))
+		return;
 	http->fn = fn;
 	http->arg = arg;
-	return fetch_start(
-	    http->fetch, &request, &callbacks, http, &http->call);
+	polls.value++;
+	if (fetch_start(http->fetch, &request, &fetch_callbacks, http,
+		&http->call) != STATUS_OK)
+		loop_timer_set(http->timer, 0);
 }
 
 /*
- * Ends an open query without its function and frees the list.
+ * Cancels a poll and frees the client.
  */
 static void
-destroy(struct inst_list *list)
+http_destroy(struct inst *inst)
 {
-	struct inst_http *http = (struct inst_http *)list;
+	struct inst_http *http = (struct inst_http *)inst;
 
 	fetch_cancel(http->call);
-	free(http);
+	loop_timer_destroy(http->timer);
+	g_free(http);
 }
 
-static const struct inst_list_vtable vtable = {query, destroy};
+static const struct inst_vtable http_vtable = {http_poll, http_destroy};
 
 /*
- * Creates a reader of the list at "ip:port". The fetch client must outlive
- * it.
+ * Creates a client of the list at "ip:port". It is destroyed through its
+ * table, before the fetch client.
  */
 enum status
-inst_http_create(
-    struct fetch *fetch, const char *address, struct inst_list **out)
+inst_http_create(struct loop *loop, struct fetch *fetch, const char *address,
+    struct inst **out)
 {
-	struct inst_http *http = calloc(1, sizeof(*http));
+	struct inst_http *http = g_new0(struct inst_http, 1);
+	enum status status =
+	    loop_timer_create(loop, on_not_started, http, &http->timer);
 
-	if (http == NULL)
-		return status_set(STATUS_NO_MEMORY, "instance list");
-	http->list.vtable = &vtable;
+	if (status != STATUS_OK) {
+		g_free(http);
+		return status;
+	}
+	http->base.vtable = &http_vtable;
+	http->loop = loop;
 	http->fetch = fetch;
-	snprintf(
+	g_snprintf(
 	    http->url, sizeof(http->url), "http://%s/v1/instances", address);
-	*out = &http->list;
+	metric_register(&polls);
+	metric_register(&failures);
+	*out = &http->base;
 	return STATUS_OK;
 }
--- a/src/member.c
+++ b/src/member.c
@@ -4,608 +4,515 @@
 
 #include <glib.h>
 
-#include "member.h"
-
-/* The lease is renewed three times in its life, so two renewals may fail. */
-#define RENEWALS_PER_LEASE 3
-#define RETRY_MIN_USEC ((int64_t)200 * 1000)
-#define RETRY_MAX_USEC ((int64_t)5 * 1000000)
-/* A member heard of within this time is not removed when its lease expires. */
-#define HEARD_RECENTLY_USEC ((int64_t)5 * 1000000)
-
-/* What is known of one node besides its entry in the view. */
-struct note {
-	/* Incarnation that was removed; 0 while the node is a member. */
-	uint64_t removed_incarnation;
-	int64_t forget_at;
-	int64_t heard_at;
-	/* 0, or the time at which a member without a lease is removed. */
-	int64_t remove_at;
-	bool changed;
-};
+#include "member_state.h"
 
-struct member {
-	char *node;
-	struct view *view;
-	GHashTable *notes;
-	uint64_t version;
-	int64_t grace_until;
-
-	struct lstr_buf lease;
-	int64_t lease_usec;
-	int64_t renew_at;
-	int64_t try_at;
-	unsigned int failures;
-	enum member_work work;
-	uint64_t own_version;
-	bool self_dirty;
-	bool published;
+struct suspicion {
+	int64_t until;
 };
 
 /*
- * Returns the note of a node, making it when there is none.
+ * Creates a set of names that owns them.
  */
-static struct note *
-note_of(struct member *m, const char *node)
+static GHashTable *
+name_set(void)
 {
-	struct note *note = g_hash_table_lookup(m->notes, node);
-
-	if (note == NULL) {
-		note = g_new0(struct note, 1);
-		g_hash_table_insert(m->notes, g_strdup(node), note);
-	}
-	return note;
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 /*
- * Marks that the next changes must include a node.
+ * Returns the terminated copy of a name; the caller frees it with g_free().
  */
-static void
-mark_changed(struct member *m, const char *node)
+static char *
+name_of(struct lstr node)
 {
-	note_of(m, node)->changed = true;
-	m->version++;
+	return g_strndup(node.data, node.len);
 }
 
 /*
- * Creates the membership of a node that so far knows only itself. self gives
- * its first incarnation, which must exceed those of its earlier boots; the
- * start time in microseconds does.
+ * Creates the view of a node from its own entry and the time of its lease.
  */
-enum status
-member_create(
-    const struct view_member *self, int64_t lease_usec, struct member **out)
+struct member *
+member_create(const struct view_member *self, int64_t lease_usec)
 {
-	struct member *m = calloc(1, sizeof(*m));
+	struct member *m = g_new0(struct member, 1);
 	bool changed;
-	enum status status;
 
-	if (m == NULL)
-		return status_set(STATUS_NO_MEMORY, "membership");
 	m->node = g_strdup(self->node);
 	m->lease_usec = lease_usec;
-	m->notes =
+	if (view_create(&m->base) != STATUS_OK ||
+	    view_create(&m->shown) != STATUS_OK ||
+	    view_create(&m->self) != STATUS_OK)
+		g_error("out of memory");
+	view_put(m->self, self, &changed);
+	m->suspicions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	m->self_dirty = true;
-	status = view_create(&m->view);
-	if (status == STATUS_OK)
-		status = view_put(m->view, self, &changed);
-	if (status != STATUS_OK) {
-		member_destroy(m);
-		return status;
-	}
-	mark_changed(m, self->node);
-	*out = m;
-	return STATUS_OK;
+	m->deferred = name_set();
+	m->changed = name_set();
+	m->base_changed = name_set();
+	m->to_spread = name_set();
+	m->put_needed = true;
+	return m;
 }
 
 /*
- * Frees a membership.
+ * Frees the view.
  */
 void
 member_destroy(struct member *m)
 {
 	if (m == NULL)
 		return;
-	view_destroy(m->view);
-	g_hash_table_destroy(m->notes);
-	lstr_buf_free(&m->lease);
+	view_destroy(m->base);
+	view_destroy(m->shown);
+	view_destroy(m->self);
+	g_hash_table_destroy(m->suspicions);
+	g_hash_table_destroy(m->deferred);
+	g_hash_table_destroy(m->changed);
+	g_hash_table_destroy(m->base_changed);
+	g_hash_table_destroy(m->to_spread);
+	if (m->listed != NULL)
+		g_hash_table_destroy(m->listed);
 	g_free(m->node);
-	free(m);
+	g_free(m);
 }
 
 /*
- * Returns the view; it changes with the membership.
+ * Recomputes what is shown of a node.
  */
-const struct view *
-member_view(const struct member *m)
+static void
+show(struct member *m, const char *node)
 {
-	return m->view;
+	const struct view_member *base = view_find(m->base, lstr_from(node));
+	struct view_member copy;
+	bool changed = false;
+
+	if (base == NULL) {
+		changed = view_remove(m->shown, lstr_from(node));
+	} else {
+		copy = *base;
+		if (g_hash_table_contains(m->suspicions, node))
+			copy.state = VIEW_SUSPECTED;
+		view_put(m->shown, &copy, &changed);
+	}
+	if (!changed)
+		return;
+	m->version++;
+	g_hash_table_add(m->changed, g_strdup(node));
 }
 
 /*
- * Returns a number that rises with each change of the view.
+ * Enters a member into the base.
  */
-uint64_t
-member_version(const struct member *m)
+void
+member_base_put(struct member *m, const struct view_member *entry)
 {
-	return m->version;
+	const struct view_member *old =
+	    view_find(m->base, lstr_from(entry->node));
+	bool new_boot = old == NULL || old->boot != entry->boot;
+	bool changed = false;
+
+	view_put(m->base, entry, &changed);
+	if (!changed)
+		return;
+	if (new_boot)
+		g_hash_table_remove(m->suspicions, entry->node);
+	g_hash_table_add(m->base_changed, g_strdup(entry->node));
+	show(m, entry->node);
 }
 
 /*
- * Returns the next work on the own entry that is due, or MEMBER_WORK_NONE
- * while earlier work is not done. The caller reports by member_work_done().
+ * Removes a node from the base.
  */
-enum member_work
-member_next_work(struct member *m, int64_t now)
+static void
+base_remove(struct member *m, const char *node)
 {
-	if (m->work != MEMBER_WORK_NONE || now < m->try_at)
-		return MEMBER_WORK_NONE;
-	if (m->lease.len == 0)
-		m->work = MEMBER_WORK_GRANT;
-	else if (now >= m->renew_at)
-		m->work = MEMBER_WORK_RENEW;
-	else if (m->self_dirty)
-		m->work = MEMBER_WORK_WRITE;
-	if (m->work == MEMBER_WORK_WRITE)
-		m->self_dirty = false;
-	return m->work;
+	if (!view_remove(m->base, lstr_from(node)))
+		return;
+	g_hash_table_remove(m->suspicions, node);
+	g_hash_table_add(m->base_changed, g_strdup(node));
+	show(m, node);
 }
 
 /*
- * Sets when to try again after a failure; the wait doubles up to a limit.
+ * Changes the own entry; it is written when it differs from the last one.
  */
-static void
-back_off(struct member *m, int64_t now)
+void
+member_set_self(struct member *m, const struct view_member *self, int64_t now)
 {
-	int64_t wait = RETRY_MIN_USEC;
+	bool changed = false;
 
-	for (unsigned int i = 0; i < m->failures && wait < RETRY_MAX_USEC; i++)
-		wait *= 2;
-	m->failures++;
-	m->try_at = now + (wait < RETRY_MAX_USEC ? wait : RETRY_MAX_USEC);
+	assert(strcmp(self->node, m->node) == 0);
+	view_put(m->self, self, &changed);
+	if (!changed)
+		return;
+	m->put_needed = true;
+	m->put_changed = true;
+	m->retry_at = now;
+	if (view_find(m->base, lstr_from(m->node)) != NULL)
+		member_base_put(m, view_at(m->self, 0));
 }
 
 /*
- * Forgets the lease, so that a new one is granted and the entry is written
- * again.
+ * Begins to take a whole list of the service.
  */
-static void
-drop_lease(struct member *m)
+void
+member_list_begin(struct member *m)
 {
-	lstr_buf_clear(&m->lease);
-	m->self_dirty = true;
-	m->published = false;
+	if (m->listed != NULL)
+		g_hash_table_destroy(m->listed);
+	m->listed = name_set();
 }
 
 /*
- * Takes the end of a write of the own entry. On conflict the stored version is
- * taken over: only a predecessor of this node writes under the same name. A
- * write with an expired lease is STATUS_NOT_FOUND.
+ * Takes a member as the service holds it. The own entry of an earlier boot is
+ * of no interest.
  */
-static void
-write_done(struct member *m, enum status status, uint64_t version, int64_t now)
+void
+member_entered(struct member *m, const struct view_member *entry, int64_t now)
 {
-	switch (status) {
-	case STATUS_OK:
-		m->own_version = version;
-		m->published = true;
-		m->failures = 0;
-		break;
-	case STATUS_CONFLICT:
-		m->own_version = version;
-		m->self_dirty = true;
-		break;
-	case STATUS_NOT_FOUND:
-		drop_lease(m);
-		break;
-	default:
-		m->self_dirty = true;
-		back_off(m, now);
-		break;
-	}
+	(void)now;
+	if (m->listed != NULL)
+		g_hash_table_add(m->listed, g_strdup(entry->node));
+	g_hash_table_remove(m->deferred, entry->node);
+	if (strcmp(entry->node, m->node) != 0)
+		member_base_put(m, entry);
 }
 
 /*
- * Reports the end of the work that member_next_work() returned: the status,
- * the granted lease, and the version of the own entry after a write.
+ * Takes the end of a member's key. After an outage all leases may have run
+ * out at once, so members that nobody suspects stay until the grace time is
+ * over.
  */
 void
-member_work_done(struct member *m, enum status status, struct lstr lease,
-    uint64_t version, int64_t now)
-{
-	enum member_work work = m->work;
-
-	assert(work != MEMBER_WORK_NONE);
-	m->work = MEMBER_WORK_NONE;
-	if (work == MEMBER_WORK_WRITE) {
-		write_done(m, status, version, now);
-		return;
-	}
-	if (work == MEMBER_WORK_RENEW && status == STATUS_NOT_FOUND) {
-		drop_lease(m);
-		return;
+member_removed(struct member *m, struct lstr node, int64_t now)
+{
+	char *name = name_of(node);
+
+	if (strcmp(name, m->node) == 0) {
+		/* Written again with the next lease. */
+		m->stored_version = 0;
+		m->put_needed = true;
+	} else if (now < m->grace_until &&
+	    !g_hash_table_contains(m->suspicions, name)) {
+		g_hash_table_add(m->deferred, g_strdup(name));
+	} else {
+		base_remove(m, name);
 	}
-	if (status != STATUS_OK) {
-		back_off(m, now);
-		return;
-	}
-	if (work == MEMBER_WORK_GRANT)
-		lstr_buf_append(&m->lease, lease);
-	m->failures = 0;
-	m->renew_at = now + m->lease_usec / RENEWALS_PER_LEASE;
+	g_free(name);
 }
 
 /*
- * Returns the lease of the own entry, empty when there is none.
+ * Ends a list: what it did not hold is removed.
  */
-struct lstr
-member_lease(const struct member *m)
+void
+member_list_end(struct member *m, int64_t now)
 {
-	return lstr_buf_view(&m->lease);
-}
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
 
-/*
- * Returns the version over which the own entry is written next.
- */
-uint64_t
-member_own_version(const struct member *m)
-{
-	return m->own_version;
-}
+	if (m->listed == NULL)
+		return;
+	for (size_t i = 0; i < view_count(m->base); i++) {
+		const char *node = view_at(m->base, i)->node;
 
-/*
- * Tells whether the own entry is stored with a lease that is not known to
- * have expired.
- */
-bool
-member_is_published(const struct member *m)
-{
-	return m->published;
+		if (!g_hash_table_contains(m->listed, node))
+			g_ptr_array_add(gone, g_strdup(node));
+	}
+	for (guint i = 0; i < gone->len; i++)
+		member_removed(m, lstr_from(gone->pdata[i]), now);
+	g_ptr_array_free(gone, TRUE);
+	g_hash_table_destroy(m->listed);
+	m->listed = NULL;
 }
 
 /*
- * Tells whether a statement about a member beats what is known. An expired
- * tombstone and an unknown node are beaten by anything.
+ * Notes that the service does not answer.
  */
-static bool
-is_newer(const struct view_member *known, const struct note *note,
-    const struct view_member *told)
+void
+member_service_down(struct member *m)
 {
-	if (note != NULL && note->removed_incarnation >= told->incarnation &&
-	    note->removed_incarnation != 0)
-		return false;
-	if (known == NULL)
-		return true;
-	if (told->incarnation != known->incarnation)
-		return told->incarnation > known->incarnation;
-	return told->state == VIEW_SUSPECTED && known->state != VIEW_SUSPECTED;
+	m->outage_seen = true;
+	m->service_up = false;
 }
 
 /*
- * Puts a member into the view.
+ * Notes that the service answers. After an outage, the grace time begins.
  */
-static void
-put(struct member *m, const struct view_member *told)
+void
+member_service_up(struct member *m, int64_t now)
 {
-	struct note *note = note_of(m, told->node);
-	bool changed = false;
-
-	if (view_count(m->view) >= MEMBER_MAX &&
-	    view_find(m->view, lstr_from(told->node)) == NULL)
-		return;
-	note->removed_incarnation = 0;
-	note->remove_at = 0;
-	if (view_put(m->view, told, &changed) == STATUS_OK && changed)
-		mark_changed(m, told->node);
+	if (m->outage_seen)
+		m->grace_until = now + MEMBER_GRACE_USEC;
+	m->outage_seen = false;
+	m->service_up = true;
 }
 
 /*
- * Answers a statement that this node is suspected, removed or older than it
- * is: takes an incarnation above the stated one.
+ * Raises or renews a suspicion; it is passed on when that adds at least half
+ * of its time, so that it does not travel in circles.
  */
 static void
-refute(struct member *m, uint64_t incarnation)
+suspect(struct member *m, const char *node, int64_t now)
 {
-	const struct view_member *self = view_find(m->view, lstr_from(m->node));
-	struct view_member next = *self;
+	struct suspicion *s = g_hash_table_lookup(m->suspicions, node);
 
-	if (incarnation < self->incarnation)
+	if (strcmp(node, m->node) == 0 ||
+	    view_find(m->base, lstr_from(node)) == NULL ||
+	    (s != NULL && s->until - now > MEMBER_SUSPICION_USEC / 2))
 		return;
-	next.incarnation = incarnation + 1;
-	put(m, &next);
-	m->self_dirty = true;
+	if (s == NULL) {
+		s = g_new0(struct suspicion, 1);
+		g_hash_table_insert(m->suspicions, g_strdup(node), s);
+	}
+	s->until = now + MEMBER_SUSPICION_USEC;
+	g_hash_table_add(m->to_spread, g_strdup(node));
+	show(m, node);
+	if (g_hash_table_remove(m->deferred, node))
+		base_remove(m, node);
 }
 
 /*
- * Sets what this node says of itself: addresses, readiness and state. The
- * incarnation rises by itself.
+ * Takes a sign of life of a node; its suspicion ends here, and elsewhere when
+ * it is not renewed.
  */
-enum status
-member_set_self(struct member *m, const struct view_member *self, int64_t now)
+void
+member_heard(struct member *m, struct lstr node, int64_t now)
 {
-	const struct view_member *known =
-	    view_find(m->view, lstr_from(m->node));
-	struct view_member next = *self;
+	char *name = name_of(node);
 
 	(void)now;
-	assert(strcmp(self->node, m->node) == 0);
-	next.incarnation = known->incarnation + 1;
-	put(m, &next);
-	m->self_dirty = true;
-	return STATUS_OK;
-}
-
-/*
- * Takes one statement about a node from the key-value service or a peer.
- */
-static void
-take(struct member *m, const struct view_member *told)
-{
-	const struct view_member *known =
-	    view_find(m->view, lstr_from(told->node));
-	const struct note *note = g_hash_table_lookup(m->notes, told->node);
-
-	if (strcmp(told->node, m->node) == 0) {
-		if (told->state == VIEW_SUSPECTED ||
-		    told->incarnation > known->incarnation)
-			refute(m, told->incarnation);
-		return;
-	}
-	if (is_newer(known, note, told))
-		put(m, told);
+	if (g_hash_table_remove(m->suspicions, name))
+		show(m, name);
+	g_free(name);
 }
 
 /*
- * Takes an entry that the key-value service holds. A pending removal of the
- * member is called off.
+ * Takes a failed probe of a node over a new connection.
  */
 void
-member_stored(struct member *m, const struct view_member *stored, int64_t now)
+member_failed(struct member *m, struct lstr node, int64_t now)
 {
-	(void)now;
-	note_of(m, stored->node)->remove_at = 0;
-	take(m, stored);
+	char *name = name_of(node);
+
+	suspect(m, name, now);
+	g_free(name);
 }
 
 /*
- * Removes a member and remembers its incarnation for a while, so that late
- * statements of peers do not bring it back.
+ * Reads one member of a message and enters it.
  */
 static void
-remove_member(struct member *m, const char *node, int64_t now)
+take_pushed(struct member *m, const Ch__Member *from, int64_t now)
 {
-	const struct view_member *known = view_find(m->view, lstr_from(node));
-	struct note *note;
+	struct view_member entry = {.node = from->node,
+	    .place = from->place,
+	    .region = from->region,
+	    .boot = from->boot,
+	    .state = from->state == CH__NODE_STATE__NODE_STATE_LEAVING
+		? VIEW_LEAVING
+		: VIEW_LIVE,
+	    .entry_address = from->entry_address,
+	    .router_address = from->router_address,
+	    .syncd_address = from->syncd_address,
+	    .entry_ready = from->entry_ready,
+	    .router_ready = from->router_ready};
 
-	if (known == NULL)
-		return;
-	note = note_of(m, known->node);
-	note->removed_incarnation = known->incarnation;
-	note->forget_at = now + MEMBER_TOMBSTONE_USEC;
-	note->remove_at = 0;
-	mark_changed(m, known->node);
-	view_remove(m->view, lstr_from(known->node));
+	if (from->record_key.len == VIEW_RECORD_KEY_BYTES)
+		memcpy(entry.record_key, from->record_key.data,
+		    VIEW_RECORD_KEY_BYTES);
+	member_entered(m, &entry, now);
 }
 
 /*
- * Takes that the key-value service no longer holds an entry: its lease
- * expired or the node deleted it. A leaving or suspected member is removed
- * at once; one that was heard of, or any after an outage of the service,
- * gets time to write its entry again.
+ * Takes a message of another syncd: suspicions, and what a watcher of the
+ * place read from the service. A whole view removes what it does not hold.
  */
 void
-member_unstored(struct member *m, struct lstr node, int64_t now)
+member_pushed(struct member *m, const Ch__View *message, int64_t now)
 {
-	const struct view_member *known = view_find(m->view, node);
-	struct note *note;
+	if (message->whole)
+		member_list_begin(m);
+	for (size_t i = 0; i < message->n_members; i++) {
+		const Ch__Member *from = message->members[i];
 
-	if (known == NULL)
-		return;
-	if (strcmp(known->node, m->node) == 0) {
-		drop_lease(m);
-		return;
-	}
-	note = note_of(m, known->node);
-	if (known->state == VIEW_LIVE &&
-	    (now < m->grace_until ||
-		now - note->heard_at < HEARD_RECENTLY_USEC)) {
-		note->remove_at = now + MEMBER_EXPIRY_GRACE_USEC;
-		return;
+		if (from->node[0] == '\0')
+			continue;
+		if (from->state == CH__NODE_STATE__NODE_STATE_SUSPECTED)
+			suspect(m, from->node, now);
+		else
+			take_pushed(m, from, now);
 	}
-	remove_member(m, known->node, now);
+	for (size_t i = 0; i < message->n_removed; i++)
+		member_removed(m, lstr_from(message->removed[i]), now);
+	if (message->whole)
+		member_list_end(m, now);
 }
 
 /*
- * Takes that the key-value service answers again after it did not.
+ * Ends suspicions and the grace time when they have run out.
  */
 void
-member_outage_ended(struct member *m, int64_t now)
+member_tick(struct member *m, int64_t now)
 {
-	m->grace_until = now + MEMBER_EXPIRY_GRACE_USEC;
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->suspicions);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		if (((struct suspicion *)value)->until > now)
+			continue;
+		g_ptr_array_add(names, g_strdup(name));
+		g_hash_table_iter_remove(&iter);
+	}
+	for (guint i = 0; i < names->len; i++)
+		show(m, names->pdata[i]);
+	g_ptr_array_set_size(names, 0);
+	if (now >= m->grace_until) {
+		g_hash_table_iter_init(&iter, m->deferred);
+		while (g_hash_table_iter_next(&iter, &name, NULL))
+			g_ptr_array_add(names, g_strdup(name));
+		g_hash_table_remove_all(m->deferred);
+	}
+	for (guint i = 0; i < names->len; i++)
+		base_remove(m, names->pdata[i]);
+	g_ptr_array_free(names, TRUE);
 }
 
 /*
- * Takes that a node was heard from on an established connection.
+ * Returns the view with suspicions; it lives as long as the module.
  */
-void
-member_heard(struct member *m, struct lstr node, int64_t now)
+const struct view *
+member_view(const struct member *m)
 {
-	const struct view_member *known = view_find(m->view, node);
-
-	if (known != NULL)
-		note_of(m, known->node)->heard_at = now;
+	return m->shown;
 }
 
 /*
- * Takes that a node could not be reached over a new connection. It is
- * suspected until it raises its incarnation.
+ * Returns the number of changes so far.
  */
-void
-member_unreachable(struct member *m, struct lstr node, int64_t now)
+uint64_t
+member_view_version(const struct member *m)
 {
-	const struct view_member *known = view_find(m->view, node);
-	struct view_member next;
-
-	(void)now;
-	if (known == NULL || known->state == VIEW_SUSPECTED ||
-	    strcmp(known->node, m->node) == 0)
-		return;
-	next = *known;
-	next.state = VIEW_SUSPECTED;
-	put(m, &next);
+	return m->version;
 }
 
 /*
- * Takes a peer's statement that a member is gone.
+ * Tells whether the service answered last.
  */
-static void
-take_gone(struct member *m, const struct view_member *told, int64_t now)
+bool
+member_service_is_up(const struct member *m)
 {
-	const struct view_member *known =
-	    view_find(m->view, lstr_from(told->node));
-
-	if (strcmp(told->node, m->node) == 0) {
-		refute(m, told->incarnation);
-		return;
-	}
-	if (known != NULL && known->incarnation <= told->incarnation)
-		remove_member(m, told->node, now);
+	return m->service_up;
 }
 
 /*
- * Takes the view or the changes of a peer. Members without a valid state or
- * name are ignored.
+ * Makes a message of the members of a view that are in a set, and empties the
+ * set. Those that the view lacks are listed as removed, unless only suspected
+ * members are wanted. Returns NULL when there is nothing to tell.
  */
-void
-member_apply(struct member *m, const Ch__View *message, int64_t now)
+static Ch__View *
+take_set(struct member *m, const struct view *view, GHashTable *names,
+    bool suspected_only)
 {
+	Ch__View *message = NULL;
+	size_t kept = 0;
+	GHashTableIter iter;
+	gpointer name;
+
+	if (g_hash_table_size(names) == 0)
+		return NULL;
+	view_to_message(view, m->version, &message);
+	message->whole = false;
 	for (size_t i = 0; i < message->n_members; i++) {
-		struct view_member told =
-		    view_member_from_message(message->members[i]);
+		Ch__Member *member = message->members[i];
 
-		if (told.node[0] == '\0' || told.state < VIEW_LIVE ||
-		    told.state > VIEW_SUSPECTED)
-			continue;
-		if (message->members[i]->gone)
-			take_gone(m, &told, now);
+		if (g_hash_table_remove(names, member->node) &&
+		    (!suspected_only ||
+			member->state == CH__NODE_STATE__NODE_STATE_SUSPECTED))
+			message->members[kept++] = member;
 		else
-			take(m, &told);
+			ch__member__free_unpacked(member, NULL);
+	}
+	message->n_members = kept;
+	if (!suspected_only) {
+		message->removed =
+		    calloc(g_hash_table_size(names) + 1, sizeof(char *));
+		if (message->removed == NULL)
+			g_error("out of memory");
+		g_hash_table_iter_init(&iter, names);
+		while (g_hash_table_iter_next(&iter, &name, NULL))
+			message->removed[message->n_removed++] = strdup(name);
 	}
+	g_hash_table_remove_all(names);
+	if (message->n_members > 0 || message->n_removed > 0)
+		return message;
+	ch__view__free_unpacked(message, NULL);
+	return NULL;
 }
 
 /*
- * Removes members whose time to write their entry again has passed, and
- * forgets old removals.
+ * Takes the changes for the subscribers of this node, or NULL. The caller
+ * frees the message with ch__view__free_unpacked().
  */
-void
-member_tick(struct member *m, int64_t now)
+Ch__View *
+member_take_changes(struct member *m)
 {
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-	GPtrArray *due = g_ptr_array_new_with_free_func(g_free);
-
-	g_hash_table_iter_init(&iter, m->notes);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		struct note *note = value;
-
-		if (note->remove_at != 0 && now >= note->remove_at)
-			g_ptr_array_add(due, g_strdup(key));
-		else if (note->removed_incarnation != 0 &&
-		    now >= note->forget_at && !note->changed)
-			g_hash_table_iter_remove(&iter);
-	}
-	for (guint i = 0; i < due->len; i++)
-		remove_member(m, g_ptr_array_index(due, i), now);
-	g_ptr_array_free(due, TRUE);
+	return take_set(m, m->shown, m->changed, false);
 }
 
 /*
- * Makes the message of a removed node: its name and last incarnation.
+ * Takes the changes that a watcher pushes to the syncds of its place, or NULL.
  */
-static Ch__Member *
-gone_message(struct member *m, const char *node)
+Ch__View *
+member_take_base_changes(struct member *m)
 {
-	struct view_member gone = {.node = (char *)node,
-	    .place = "",
-	    .region = "",
-	    .state = VIEW_LEAVING,
-	    .entry_address = "",
-	    .router_address = "",
-	    .syncd_address = "",
-	    .incarnation = note_of(m, node)->removed_incarnation};
-	Ch__Member *message = view_member_to_message(&gone);
-
-	message->gone = true;
-	return message;
+	return take_set(m, m->base, m->base_changed, false);
 }
 
 /*
- * Makes the message about the given nodes.
+ * Takes the suspicions to pass on to other syncds, or NULL.
  */
-static enum status
-changes_message(struct member *m, const GPtrArray *nodes, Ch__View **out)
+Ch__View *
+member_take_suspicions(struct member *m)
 {
-	Ch__View *view = calloc(1, sizeof(*view));
-	Ch__Member **members = calloc(nodes->len, sizeof(*members));
-
-	if (view == NULL || members == NULL) {
-		free(view);
-		free(members);
-		return status_set(
-		    STATUS_NO_MEMORY, "view of %u members", nodes->len);
-	}
-	ch__view__init(view);
-	view->version = m->version;
-	view->members = members;
-	for (guint i = 0; i < nodes->len; i++) {
-		const char *node = g_ptr_array_index(nodes, i);
-		const struct view_member *known =
-		    view_find(m->view, lstr_from(node));
-
-		members[view->n_members++] = known
-		    ? view_member_to_message(known)
-		    : gone_message(m, node);
-	}
-	*out = view;
-	return STATUS_OK;
+	return take_set(m, m->shown, m->to_spread, true);
 }
 
 /*
- * Takes the changes since the last call as a message that the caller frees
- * with ch__view__free_unpacked(); NULL when there are none. Members that are
- * gone are listed with gone set.
+ * Returns the whole view without suspicions, for another syncd.
  */
-enum status
-member_take_changes(struct member *m, Ch__View **out)
+Ch__View *
+member_base(const struct member *m)
 {
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-	GPtrArray *nodes = g_ptr_array_new();
-	enum status status = STATUS_OK;
+	Ch__View *message = NULL;
 
-	*out = NULL;
-	g_hash_table_iter_init(&iter, m->notes);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		struct note *note = value;
-
-		if (note->changed)
-			g_ptr_array_add(nodes, key);
-		note->changed = false;
-	}
-	if (nodes->len > 0)
-		status = changes_message(m, nodes, out);
-	g_ptr_array_free(nodes, TRUE);
-	return status;
+	view_to_message(m->base, m->version, &message);
+	return message;
 }
 
 /*
- * Makes a message of the whole view, freed with ch__view__free_unpacked().
+ * Returns the state for the dump as a new reference.
  */
-enum status
-member_whole(const struct member *m, Ch__View **out)
+json_t *
+member_dump(const struct member *m)
 {
-	return view_to_message(m->view, m->version, out);
+	static const char *const states[] = {
+	    "", "live", "leaving", "suspected"};
+	json_t *members = json_array();
+
+	for (size_t i = 0; i < view_count(m->shown); i++) {
+		const struct view_member *e = view_at(m->shown, i);
+
+		json_array_append_new(members,
+		    json_pack("{s:s, s:s, s:s, s:s, s:b, s:b}", "node", e->node,
+			"place", e->place, "state", states[e->state], "syncd",
+			e->syncd_address, "entry_ready", e->entry_ready,
+			"router_ready", e->router_ready));
+	}
+	return json_pack("{s:I, s:b, s:s, s:i, s:i, s:o}", "version",
+	    (json_int_t)m->version, "service_up", m->service_up, "lease",
+	    m->lease, "suspicions", (int)g_hash_table_size(m->suspicions),
+	    "deferred_removals", (int)g_hash_table_size(m->deferred), "members",
+	    members);
 }
--- a/src/member.h
+++ b/src/member.h
@@ -4,62 +4,72 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <jansson.h>
+
 #include "view.h"
 
-/* Largest number of members that a view may hold. */
-#define MEMBER_MAX 4096
-/* Time that the removal of a member is remembered. */
-#define MEMBER_TOMBSTONE_USEC ((int64_t)120 * 1000000)
-/*
- * After an outage of the key-value service all leases may have expired, so
- * expiry is not taken for death within this time.
- */
-#define MEMBER_EXPIRY_GRACE_USEC ((int64_t)30 * 1000000)
+#define MEMBER_LEASE_MAX_BYTES 128
+/* A suspicion ends unless it is renewed within this time. */
+#define MEMBER_SUSPICION_USEC ((int64_t)10 * 1000000)
+/* Time after an outage in which lost leases do not remove a member. */
+#define MEMBER_GRACE_USEC ((int64_t)30 * 1000000)
+/* Wait after a failed call of the key-value service. */
+#define MEMBER_RETRY_USEC ((int64_t)1000000)
+
+/* What the process does next for its own entry; see member_next_call(). */
+enum member_call {
+	MEMBER_NONE,
+	MEMBER_GRANT,
+	MEMBER_RENEW,
+	MEMBER_PUT
+};
 
 /*
- * The membership as one syncd knows it, and the work on its own lease. A
- * member has an incarnation that only the member itself raises. Of two
- * statements the one with the higher incarnation counts; at the same
- * incarnation suspicion goes before its absence, and removal before both.
+ * The membership view of one syncd. Pure: events and the time come in;
+ * calls and messages are asked for. It combines what the key-value service
+ * says (or a watcher of the place, which reads it) with suspicions, which
+ * every syncd may raise and which run out by themselves.
  */
 struct member;
 
-/* Work on the own entry in the key-value service; one at a time. */
-enum member_work {
-	MEMBER_WORK_NONE,
-	MEMBER_WORK_GRANT,
-	MEMBER_WORK_RENEW,
-	MEMBER_WORK_WRITE
-};
-
-enum status member_create(
-    const struct view_member *, int64_t lease_usec, struct member **);
+struct member *member_create(const struct view_member *, int64_t);
 void member_destroy(struct member *);
-const struct view *member_view(const struct member *);
+
+/* The own entry. */
+void member_set_self(struct member *, const struct view_member *, int64_t);
+enum member_call member_next_call(struct member *, int64_t);
+const char *member_lease(const struct member *);
 uint64_t member_version(const struct member *);
+void member_granted(struct member *, enum status, struct lstr, int64_t);
+void member_renewed(struct member *, enum status, int64_t);
+void member_written(struct member *, enum status, uint64_t, int64_t);
 
-enum member_work member_next_work(struct member *, int64_t now);
-void member_work_done(struct member *, enum status, struct lstr lease,
-    uint64_t version, int64_t now);
-struct lstr member_lease(const struct member *);
-uint64_t member_own_version(const struct member *);
-bool member_is_published(const struct member *);
+/* What the key-value service says. */
+void member_list_begin(struct member *);
+void member_entered(struct member *, const struct view_member *, int64_t);
+void member_removed(struct member *, struct lstr, int64_t);
+void member_list_end(struct member *, int64_t);
+void member_service_down(struct member *);
+void member_service_up(struct member *, int64_t);
 
-enum status member_set_self(
-    struct member *, const struct view_member *, int64_t now);
-void member_stored(struct member *, const struct view_member *, int64_t now);
-void member_unstored(struct member *, struct lstr, int64_t now);
-void member_outage_ended(struct member *, int64_t now);
-void member_heard(struct member *, struct lstr, int64_t now);
-void member_unreachable(struct member *, struct lstr, int64_t now);
-void member_apply(struct member *, const Ch__View *, int64_t now);
-void member_tick(struct member *, int64_t now);
+/* What other syncds say. */
+void member_heard(struct member *, struct lstr, int64_t);
+void member_failed(struct member *, struct lstr, int64_t);
+void member_pushed(struct member *, const Ch__View *, int64_t);
+void member_tick(struct member *, int64_t);
 
-enum status member_take_changes(struct member *, Ch__View **);
-enum status member_whole(const struct member *, Ch__View **);
+/* Results. */
+const struct view *member_view(const struct member *);
+uint64_t member_view_version(const struct member *);
+bool member_service_is_up(const struct member *);
+Ch__View *member_take_changes(struct member *);
+Ch__View *member_take_base_changes(struct member *);
+Ch__View *member_take_suspicions(struct member *);
+Ch__View *member_base(const struct member *);
+json_t *member_dump(const struct member *);
 
-enum status member_encode(const struct view_member *, struct lstr_buf *);
-enum status member_decode(struct lstr, struct view_member *);
-void member_decoded_free(struct view_member *);
+/* The value of a member's key. */
+char *member_to_text(const struct view_member *);
+enum status member_from_text(struct lstr, json_t **, struct view_member *);
 
 #endif
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -4,252 +4,232 @@
 
 #include "member.h"
 
-#define SECOND LOOP_USEC_PER_SEC
-#define START (1000 * SECOND)
-#define LEASE_USEC (30 * SECOND)
+#define SEC ((int64_t)1000000)
+#define NOW (1000 * SEC)
+#define LEASE (30 * SEC)
 
 /*
- * Describes a live node.
+ * Builds an entry with borrowed texts.
  */
 static struct view_member
-node(const char *name, uint64_t incarnation)
+entry(const char *node, uint64_t boot)
 {
-	struct view_member member = {.node = (char *)name,
-	    .place = "heredia",
-	    .region = "valle-central",
-	    .boot = 1,
-	    .incarnation = incarnation,
+	struct view_member m = {.node = (char *)node,
+	    .place = "p",
+	    .region = "r",
+	    .boot = boot,
 	    .state = VIEW_LIVE,
 	    .entry_address = "",
 	    .router_address = "",
 	    .syncd_address = "127.0.0.1:1"};
 
-	return member;
+	return m;
 }
 
-/*
- * Creates the membership of node a that also knows node b.
- */
 static struct member *
-two_nodes(void)
+make(void)
 {
-	struct view_member a = node("a", 10);
-	struct view_member b = node("b", 20);
-	struct member *m = NULL;
+	struct view_member self = entry("a", 1);
 
-	ck_assert_int_eq(member_create(&a, LEASE_USEC, &m), STATUS_OK);
-	member_stored(m, &b, START);
-	return m;
+	return member_create(&self, LEASE);
 }
 
-/*
- * Returns the state of a node, or 0 when it is no member.
- */
-static int
-state_of(struct member *m, const char *name)
+static void
+enter(struct member *m, const char *node, uint64_t boot, int64_t now)
 {
-	const struct view_member *found =
-	    view_find(member_view(m), lstr_from(name));
+	struct view_member e = entry(node, boot);
 
-	return found ? (int)found->state : 0;
+	member_entered(m, &e, now);
 }
 
-/*
- * Hands the changes of one membership to another.
- */
-static void
-pass_changes(struct member *from, struct member *to)
+static enum view_state
+state_of(const struct member *m, const char *node)
 {
-	Ch__View *view = NULL;
+	const struct view_member *e =
+	    view_find(member_view(m), lstr_from(node));
 
-	ck_assert_int_eq(member_take_changes(from, &view), STATUS_OK);
-	ck_assert_ptr_nonnull(view);
-	member_apply(to, view, START);
-	ch__view__free_unpacked(view, NULL);
+	return e == NULL ? 0 : e->state;
 }
 
-/* Guards against a node that never publishes itself, or loses its lease. */
-START_TEST(lease_is_granted_written_and_renewed)
+/* Guards against an entry without a lease, and a lease that runs out. */
+START_TEST(entry_is_kept_on_a_lease)
 {
-	struct view_member a = node("a", 10);
-	struct member *m = NULL;
-
-	ck_assert_int_eq(member_create(&a, LEASE_USEC, &m), STATUS_OK);
-	ck_assert_int_eq(member_next_work(m, START), MEMBER_WORK_GRANT);
-	ck_assert_int_eq(member_next_work(m, START), MEMBER_WORK_NONE);
-	member_work_done(m, STATUS_OK, lstr_from("L1"), 0, START);
-	ck_assert_int_eq(member_next_work(m, START), MEMBER_WORK_WRITE);
-	member_work_done(m, STATUS_OK, lstr_from(""), 4, START);
-	ck_assert(member_is_published(m));
-	ck_assert_int_eq(
-	    member_next_work(m, START + 9 * SECOND), MEMBER_WORK_NONE);
-	ck_assert_int_eq(
-	    member_next_work(m, START + 10 * SECOND), MEMBER_WORK_RENEW);
-	member_work_done(
-	    m, STATUS_NOT_FOUND, lstr_from(""), 0, START + 10 * SECOND);
-	ck_assert(!member_is_published(m));
-	ck_assert_int_eq(
-	    member_next_work(m, START + 10 * SECOND), MEMBER_WORK_GRANT);
+	struct member *m = make();
+	int64_t now = NOW;
+
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_GRANT);
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_NONE);
+	member_granted(m, STATUS_OK, lstr_from("l1"), now);
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_PUT);
+	ck_assert_str_eq(member_lease(m), "l1");
+	/* The entry of an earlier boot is replaced. */
+	member_written(m, STATUS_CONFLICT, 7, now);
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_PUT);
+	ck_assert_uint_eq(member_version(m), 7);
+	member_written(m, STATUS_OK, 8, now);
+	ck_assert_int_eq(state_of(m, "a"), VIEW_LIVE);
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_NONE);
+	now += LEASE / 3;
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_RENEW);
+	member_renewed(m, STATUS_NOT_FOUND, now);
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_GRANT);
+	member_granted(m, STATUS_OK, lstr_from("l2"), now);
+	ck_assert_int_eq(member_next_call(m, now), MEMBER_PUT);
+	ck_assert_uint_eq(member_version(m), 0);
 	member_destroy(m);
 }
 END_TEST
 
-/* Guards against a restarted node that cannot replace its old entry. */
-START_TEST(conflict_takes_the_stored_version)
+/* Guards against calls without a pause while the service is down. */
+START_TEST(failed_calls_wait)
 {
-	struct member *m = two_nodes();
-
-	member_next_work(m, START);
-	member_work_done(m, STATUS_OK, lstr_from("L1"), 0, START);
-	member_next_work(m, START);
-	member_work_done(m, STATUS_CONFLICT, lstr_from(""), 7, START);
-	ck_assert_int_eq(member_next_work(m, START), MEMBER_WORK_WRITE);
-	ck_assert_uint_eq(member_own_version(m), 7);
-	member_destroy(m);
-}
-END_TEST
+	struct member *m = make();
 
-/* Guards against a busy loop while the key-value service is down. */
-START_TEST(failure_backs_off)
-{
-	struct member *m = two_nodes();
-
-	member_next_work(m, START);
-	member_work_done(m, STATUS_UNAVAILABLE, lstr_from(""), 0, START);
-	ck_assert_int_eq(member_next_work(m, START + 1), MEMBER_WORK_NONE);
+	ck_assert_int_eq(member_next_call(m, NOW), MEMBER_GRANT);
+	member_granted(m, STATUS_UNAVAILABLE, lstr_from(""), NOW);
+	ck_assert_int_eq(member_next_call(m, NOW), MEMBER_NONE);
 	ck_assert_int_eq(
-	    member_next_work(m, START + 5 * SECOND), MEMBER_WORK_GRANT);
+	    member_next_call(m, NOW + MEMBER_RETRY_USEC), MEMBER_GRANT);
 	member_destroy(m);
 }
 END_TEST
 
-/* Guards against a suspicion that a live node cannot answer. */
-START_TEST(suspected_node_refutes)
-{
-	struct view_member b = node("b", 20);
-	struct view_member a = node("a", 10);
-	struct member *ma = two_nodes();
-	struct member *mb = NULL;
-
-	member_create(&b, LEASE_USEC, &mb);
-	member_stored(mb, &a, START);
-	member_unreachable(ma, lstr_from("b"), START);
-	ck_assert_int_eq(state_of(ma, "b"), VIEW_SUSPECTED);
-	pass_changes(ma, mb);
-	ck_assert_int_eq(state_of(mb, "b"), VIEW_LIVE);
-	pass_changes(mb, ma);
-	ck_assert_int_eq(state_of(ma, "b"), VIEW_LIVE);
-	member_destroy(ma);
-	member_destroy(mb);
-}
-END_TEST
-
-/* Guards against an old statement that undoes a newer one. */
-START_TEST(older_incarnation_is_ignored)
+/* Guards against a change of the own entry that is lost during a write. */
+START_TEST(change_during_a_write_is_written)
 {
-	struct member *m = two_nodes();
-	struct view_member b = node("b", 21);
-
-	b.state = VIEW_LEAVING;
-	member_stored(m, &b, START);
-	b = node("b", 20);
-	member_stored(m, &b, START);
-	ck_assert_int_eq(state_of(m, "b"), VIEW_LEAVING);
+	struct member *m = make();
+	struct view_member self = entry("a", 1);
+
+	member_next_call(m, NOW);
+	member_granted(m, STATUS_OK, lstr_from("l1"), NOW);
+	ck_assert_int_eq(member_next_call(m, NOW), MEMBER_PUT);
+	self.state = VIEW_LEAVING;
+	member_set_self(m, &self, NOW);
+	member_written(m, STATUS_OK, 3, NOW);
+	ck_assert_int_eq(member_next_call(m, NOW), MEMBER_PUT);
+	ck_assert_int_eq(state_of(m, "a"), VIEW_LEAVING);
 	member_destroy(m);
 }
 END_TEST
 
-/* Guards against all nodes being removed after an outage of the service. */
-START_TEST(expiry_after_outage_waits)
+/* Guards against suspicions that stay, or that go round in circles. */
+START_TEST(suspicion_spreads_once_and_ends)
 {
-	struct member *m = two_nodes();
-
-	member_outage_ended(m, START);
-	member_unstored(m, lstr_from("b"), START + SECOND);
-	member_tick(m, START + 20 * SECOND);
+	struct member *m = make();
+	struct member *other = make();
+	Ch__View *message;
+
+	enter(m, "b", 1, NOW);
+	enter(other, "b", 1, NOW);
+	member_failed(m, lstr_from("b"), NOW);
+	ck_assert_int_eq(state_of(m, "b"), VIEW_SUSPECTED);
+	message = member_take_suspicions(m);
+	ck_assert_ptr_nonnull(message);
+	ck_assert_uint_eq(message->n_members, 1);
+	member_failed(m, lstr_from("b"), NOW + SEC);
+	ck_assert_ptr_null(member_take_suspicions(m));
+	member_pushed(other, message, NOW);
+	ck_assert_int_eq(state_of(other, "b"), VIEW_SUSPECTED);
+	ch__view__free_unpacked(message, NULL);
+	message = member_take_suspicions(other);
+	ck_assert_ptr_nonnull(message);
+	member_pushed(m, message, NOW + SEC);
+	ck_assert_ptr_null(member_take_suspicions(m));
+	ch__view__free_unpacked(message, NULL);
+	member_heard(m, lstr_from("b"), NOW + SEC);
 	ck_assert_int_eq(state_of(m, "b"), VIEW_LIVE);
-	member_tick(m, START + 40 * SECOND);
-	ck_assert_int_eq(state_of(m, "b"), 0);
+	member_tick(other, NOW + MEMBER_SUSPICION_USEC);
+	ck_assert_int_eq(state_of(other, "b"), VIEW_LIVE);
 	member_destroy(m);
+	member_destroy(other);
 }
 END_TEST
 
-/* Guards against a dead node that stays in the view. */
-START_TEST(expired_node_is_removed)
+/* Guards against a suspicion that outlives the process it was about. */
+START_TEST(new_boot_is_not_suspected)
 {
-	struct member *m = two_nodes();
+	struct member *m = make();
 
-	member_unstored(m, lstr_from("b"), START);
-	ck_assert_int_eq(state_of(m, "b"), 0);
+	enter(m, "b", 1, NOW);
+	member_failed(m, lstr_from("b"), NOW);
+	enter(m, "b", 2, NOW);
+	ck_assert_int_eq(state_of(m, "b"), VIEW_LIVE);
 	member_destroy(m);
 }
 END_TEST
 
-/* Guards against a late statement that brings a removed node back. */
-START_TEST(removed_node_stays_removed)
+/* Guards against removing everybody after an outage of the service. */
+START_TEST(outage_does_not_remove_live_members)
 {
-	struct member *m = two_nodes();
-	struct view_member b = node("b", 20);
-
-	member_unstored(m, lstr_from("b"), START);
-	member_stored(m, &b, START + SECOND);
-	ck_assert_int_eq(state_of(m, "b"), 0);
-	b.incarnation = 21;
-	member_stored(m, &b, START + SECOND);
+	struct member *m = make();
+
+	member_service_up(m, NOW);
+	enter(m, "b", 1, NOW);
+	enter(m, "c", 1, NOW);
+	enter(m, "d", 1, NOW);
+	member_service_down(m);
+	member_failed(m, lstr_from("c"), NOW + 59 * SEC);
+	member_service_up(m, NOW + 60 * SEC);
+	member_list_begin(m);
+	member_list_end(m, NOW + 60 * SEC);
+	ck_assert_int_eq(state_of(m, "b"), VIEW_LIVE);
+	ck_assert_int_eq(state_of(m, "c"), 0);
+	enter(m, "b", 1, NOW + 70 * SEC);
+	member_tick(m, NOW + 60 * SEC + MEMBER_GRACE_USEC);
 	ck_assert_int_eq(state_of(m, "b"), VIEW_LIVE);
+	ck_assert_int_eq(state_of(m, "d"), 0);
 	member_destroy(m);
 }
 END_TEST
 
-/* Guards against a peer that removes this node from its own view. */
-START_TEST(own_removal_is_refuted)
+/* Guards against members that stay after their lease ended in normal times. */
+START_TEST(expired_member_is_removed)
 {
-	struct view_member a = node("a", 10);
-	struct view_member b = node("b", 20);
-	struct member *ma = two_nodes();
-	struct member *mb = NULL;
-	Ch__View *view = NULL;
-
-	member_create(&b, LEASE_USEC, &mb);
-	member_stored(mb, &a, START);
-	member_take_changes(mb, &view);
-	ch__view__free_unpacked(view, NULL);
-	member_unstored(mb, lstr_from("a"), START);
-	pass_changes(mb, ma);
-	ck_assert_int_eq(state_of(ma, "a"), VIEW_LIVE);
-	pass_changes(ma, mb);
-	ck_assert_int_eq(state_of(mb, "a"), VIEW_LIVE);
-	member_destroy(ma);
-	member_destroy(mb);
+	struct member *m = make();
+	Ch__View *message;
+
+	member_service_up(m, NOW);
+	enter(m, "b", 1, NOW);
+	message = member_take_base_changes(m);
+	ck_assert_uint_eq(message->n_members, 1);
+	ch__view__free_unpacked(message, NULL);
+	member_removed(m, lstr_from("b"), NOW);
+	ck_assert_int_eq(state_of(m, "b"), 0);
+	message = member_take_base_changes(m);
+	ck_assert_uint_eq(message->n_removed, 1);
+	ck_assert_str_eq(message->removed[0], "b");
+	ch__view__free_unpacked(message, NULL);
+	member_destroy(m);
 }
 END_TEST
 
-/* Guards against entries that change in the key-value service. */
-START_TEST(entry_survives_encoding)
+/* Guards against fields that are lost in the value of a member's key. */
+START_TEST(entry_survives_its_text)
 {
-	struct view_member a = node("a", UINT64_MAX);
-	struct view_member back;
-	struct lstr_buf text = {0};
-
-	a.boot = UINT64_MAX - 1;
-	a.record_key[31] = 0xab;
-	a.router_ready = true;
-	ck_assert_int_eq(member_encode(&a, &text), STATUS_OK);
-	ck_assert_int_eq(member_decode(lstr_buf_view(&text), &back), STATUS_OK);
-	ck_assert_str_eq(back.node, "a");
-	ck_assert_uint_eq(back.incarnation, UINT64_MAX);
-	ck_assert_uint_eq(back.boot, UINT64_MAX - 1);
-	ck_assert_uint_eq(back.record_key[31], 0xab);
-	ck_assert(back.router_ready && !back.entry_ready);
-	member_decoded_free(&back);
-	ck_assert_int_eq(member_decode(lstr_from("{\"node\":\"a\"}"), &back),
-	    STATUS_INVALID);
-	lstr_buf_free(&text);
+	struct view_member from = entry("a", 0xfedcba9876543210u);
+	struct view_member to;
+	json_t *json = NULL;
+	char *text;
+
+	memset(from.record_key, 7, sizeof(from.record_key));
+	from.state = VIEW_LEAVING;
+	from.router_ready = true;
+	text = member_to_text(&from);
+	ck_assert_int_eq(
+	    member_from_text(lstr_from(text), &json, &to), STATUS_OK);
+	ck_assert_str_eq(to.node, "a");
+	ck_assert_uint_eq(to.boot, from.boot);
+	ck_assert_int_eq(to.state, VIEW_LEAVING);
+	ck_assert(to.router_ready && !to.entry_ready);
+	ck_assert_mem_eq(to.record_key, from.record_key, VIEW_RECORD_KEY_BYTES);
+	json_decref(json);
+	free(text);
+	ck_assert_int_eq(
+	    member_from_text(lstr_from("{}"), &json, &to), STATUS_INVALID);
 }
 END_TEST
 
-HARNESS_MAIN("member", lease_is_granted_written_and_renewed,
-    conflict_takes_the_stored_version, failure_backs_off,
-    suspected_node_refutes, older_incarnation_is_ignored,
-    expiry_after_outage_waits, expired_node_is_removed,
-    removed_node_stays_removed, own_removal_is_refuted, entry_survives_encoding)
+HARNESS_MAIN("member", entry_is_kept_on_a_lease, failed_calls_wait,
+    change_during_a_write_is_written, suspicion_spreads_once_and_ends,
+    new_boot_is_not_suspected, outage_does_not_remove_live_members,
+    expired_member_is_removed, entry_survives_its_text)
