Add the entry process

Cause: callers need the entry: address answers, request intake, streaming and a shutdown that cuts nothing. From SIGTERM on each answer closes its connection, so that callers with kept connections move on. fetch takes header fields.

--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,323 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_priv.h"
+#include "log.h"
+
+#define ADDRESS_MAX 64
+/*
+ * A connection may bring one more request right after an answer; the process
+ * waits this long for it before it ends.
+ */
+#define QUIET_BEFORE_EXIT_USEC (500 * LOOP_USEC_PER_MSEC)
+
+/*
+ * Tells the syncd where this entry serves and whether it is ready.
+ */
+static void
+send_role_state(struct entry *entry)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__RoleState state = CH__ROLE_STATE__INIT;
+
+	state.role = CH__ROLE__ROLE_ENTRY;
+	state.address = entry->address;
+	state.ready = entry_is_ready(entry);
+	state.leaving = entry->proc->draining;
+	state.boot = entry->proc->hello.boot;
+	frame.kind_case = CH__FRAME__KIND_ROLE_STATE;
+	frame.role_state = &state;
+	local_send(entry->local, &frame);
+}
+
+/*
+ * Takes note of a configuration. The first one makes the entry ready.
+ */
+static void
+on_config(const struct inv *inv, void *arg)
+{
+	struct entry *entry = arg;
+
+	if (entry->was_ready)
+		return;
+	entry->was_ready = true;
+	log_event(
+	    EV_ENTRY_READY, "revision=%llu", (unsigned long long)inv->revision);
+	send_role_state(entry);
+}
+
+/*
+ * Takes note of a changed view.
+ */
+static void
+on_view(const struct view *view, void *arg)
+{
+	struct entry *entry = arg;
+
+	(void)view;
+	entry->view_changed = true;
+}
+
+/*
+ * Instance states are read at each choice.
+ */
+static void
+on_instances(void *arg)
+{
+	(void)arg;
+}
+
+/*
+ * No other message of the syncd concerns an entry.
+ */
+static void
+on_frame(const Ch__Frame *frame, void *arg)
+{
+	(void)frame;
+	(void)arg;
+}
+
+/*
+ * Introduces this entry to the syncd.
+ */
+static void
+on_up(void *arg)
+{
+	send_role_state(arg);
+}
+
+/*
+ * What was known last stays in force.
+ */
+static void
+on_down(void *arg)
+{
+	(void)arg;
+}
+
+static const struct local_ops local_callbacks = {
+    on_config, on_view, on_instances, on_frame, on_up, on_down};
+
+/*
+ * Goes on with a drain: stops listening once no caller can hold an address
+ * answer that names this entry, and ends when nothing has been open for a
+ * while.
+ */
+static void
+tick_drain(struct entry *entry, int64_t now)
+{
+	if (!entry->proc->draining || now < entry->stop_listening_at)
+		return;
+	if (entry->listening) {
+		entry->listening = false;
+		httpd_stop_listening(entry->httpd);
+		log_event(EV_ENTRY_CLOSED, "open=%u",
+		    httpd_open_requests(entry->httpd));
+	}
+	if (httpd_open_requests(entry->httpd) > 0)
+		entry->quiet_since = now;
+	else if (now >= entry->quiet_since + QUIET_BEFORE_EXIT_USEC)
+		loop_stop(entry->proc->loop);
+}
+
+/*
+ * Runs the systems over the tables.
+ */
+static void
+on_tick(void *arg)
+{
+	struct entry *entry = arg;
+	int64_t now = loop_now(entry->proc->loop);
+
+	entry_submit_tick(entry, now);
+	tick_drain(entry, now);
+	loop_timer_set(entry->tick, now + ENTRY_TICK_USEC);
+}
+
+/*
+ * Opens the callers' port and works out the address to publish.
+ */
+static enum status
+open_http(struct entry *entry)
+{
+	const char *wanted = entry->config.http_address;
+	const char *colon = strrchr(wanted, ':');
+	enum status status = httpd_create(entry->proc->loop, wanted,
+	    ENTRY_BODY_MAX_BYTES, &entry_http_ops, entry, &entry->httpd);
+
+	if (status != STATUS_OK)
+		return status;
+	entry->listening = true;
+	entry->address = g_strdup_printf(
+	    "%.*s:%u", (int)(colon - wanted), wanted, httpd_port(entry->httpd));
+	return STATUS_OK;
+}
+
+/*
+ * Creates the parts of an entry that may fail.
+ */
+static enum status
+create_parts(struct entry *entry)
+{
+	struct proc *proc = entry->proc;
+	enum status status = view_create(&entry->view);
+
+	if (status == STATUS_OK)
+		status = entry_routers_create(
+		    &proc->links, &entry_router_ops, entry, &entry->routers);
+	if (status == STATUS_OK)
+		status = open_http(entry);
+	if (status == STATUS_OK)
+		status =
+		    loop_timer_create(proc->loop, on_tick, entry, &entry->tick);
+	if (status == STATUS_OK)
+		status = local_create(&proc->links, entry->config.syncd_address,
+		    &local_callbacks, entry, &entry->local);
+	return status;
+}
+
+/*
+ * Creates an entry, opens its port for callers and connects to its syncd. The
+ * process and the texts of the configuration must outlive it.
+ */
+enum status
+entry_create(
+    struct proc *proc, const struct entry_config *config, struct entry **out)
+{
+	struct entry *entry = calloc(1, sizeof(*entry));
+	enum status status;
+
+	if (entry == NULL)
+		return status_set(STATUS_NO_MEMORY, "entry");
+	entry->proc = proc;
+	entry->config = *config;
+	entry->random = g_rand_new_with_seed((guint32)proc->hello.boot);
+	entry->requests = g_ptr_array_new();
+	entry->submissions = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->outstanding =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	entry_http_register_metrics();
+	entry_submit_register_metrics();
+	status = create_parts(entry);
+	if (status != STATUS_OK) {
+		entry_destroy(entry);
+		return status;
+	}
+	loop_timer_set(entry->tick, 0);
+	*out = entry;
+	return STATUS_OK;
+}
+
+/*
+ * Closes an entry at once; requests in flight are cut.
+ */
+void
+entry_destroy(struct entry *entry)
+{
+	if (entry == NULL)
+		return;
+	httpd_destroy(entry->httpd);
+	entry_routers_destroy(entry->routers);
+	local_destroy(entry->local);
+	loop_timer_destroy(entry->tick);
+	view_destroy(entry->view);
+	g_hash_table_destroy(entry->submissions);
+	g_hash_table_destroy(entry->outstanding);
+	g_ptr_array_free(entry->requests, TRUE);
+	g_rand_free(entry->random);
+	g_free(entry->address);
+	free(entry);
+}
+
+/*
+ * Returns the "ip:port" that callers use.
+ */
+const char *
+entry_address(const struct entry *entry)
+{
+	return entry->address;
+}
+
+/*
+ * Tells whether the entry has a configuration and takes requests.
+ */
+bool
+entry_is_ready(const struct entry *entry)
+{
+	return local_inventory(entry->local) != NULL;
+}
+
+/*
+ * Begins the graceful shutdown. Callers may hold an address answer that names
+ * this entry, so it keeps serving until the last of them has run out. Each
+ * answer from now on closes its connection, so that callers move on.
+ */
+void
+entry_drain(struct entry *entry)
+{
+	int64_t now = loop_now(entry->proc->loop);
+
+	entry->stop_listening_at =
+	    now + entry->config.validity_usec + entry->config.drain_extra_usec;
+	entry->quiet_since = now;
+	httpd_close_after_answers(entry->httpd);
+	send_role_state(entry);
+}
+
+/*
+ * Returns the name of the state of a request.
+ */
+static const char *
+state_name(enum stream_state state)
+{
+	switch (state) {
+	case STREAM_WAITING:
+		return "waiting";
+	case STREAM_CONNECTING:
+		return "connecting";
+	case STREAM_SENT:
+		return "sent";
+	case STREAM_ENDED:
+		return "ended";
+	}
+	return "";
+}
+
+/*
+ * Returns the table of open requests.
+ */
+static json_t *
+dump_requests(const struct entry *entry)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < entry->requests->len; i++) {
+		const struct entry_request *r = entry->requests->pdata[i];
+		const struct stream *s = r->stream;
+
+		json_array_append_new(list,
+		    json_pack("{s:s,s:s,s:s,s:s?,s:s,s:i,s:i,s:I}", "request",
+			s->request_id, "organisation", s->organisation,
+			"service", s->service, "replica", r->replica, "state",
+			state_name(s->state), "submissions",
+			(int)s->submissions, "delivered",
+			(int)s->delivered->len, "deadline",
+			(json_int_t)s->deadline));
+	}
+	return list;
+}
+
+/*
+ * Returns a new reference to the state of the entry, read from its tables.
+ */
+json_t *
+entry_dump(struct entry *entry)
+{
+	return json_pack("{s:s,s:s,s:b,s:b,s:b,s:o,s:o,s:o}", "node",
+	    entry->proc->hello.node, "address", entry->address, "ready",
+	    (int)entry_is_ready(entry), "draining", (int)entry->proc->draining,
+	    "listening", (int)entry->listening, "local",
+	    local_dump(entry->local), "routers",
+	    entry_routers_dump(entry->routers), "requests",
+	    dump_requests(entry));
+}
--- /dev/null
+++ b/src/entry_main.c
@@ -0,0 +1,129 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "entry.h"
+#include "log.h"
+
+#define PROGRAM "chestnuthoist-entry"
+#define PATH_TEXT_MAX 4000
+#define VALIDITY_MAX_MS 600000
+
+/*
+ * Returns the state of the entry for the admin server.
+ */
+static json_t *
+on_dump(void *arg)
+{
+	return entry_dump(arg);
+}
+
+/*
+ * Tells the admin server whether the entry is ready.
+ */
+static bool
+on_ready(void *arg)
+{
+	return entry_is_ready(arg);
+}
+
+/*
+ * Begins the graceful shutdown.
+ */
+static void
+on_drain(void *arg)
+{
+	entry_drain(arg);
+}
+
+/*
+ * Writes the addresses that were opened, under the final name in one step, so
+ * that a reader sees all of it or nothing.
+ */
+static enum status
+write_port_file(const char *path, const struct entry *entry, struct proc *proc)
+{
+	char temporary[PATH_TEXT_MAX + 8];
+	FILE *file;
+
+	if (path == NULL)
+		return STATUS_OK;
+	snprintf(temporary, sizeof(temporary), "%s.new", path);
+	file = fopen(temporary, "w");
+	if (file == NULL)
+		return status_set(STATUS_IO, "cannot write %s", temporary);
+	fprintf(file, "http=%s admin=127.0.0.1:%u\n", entry_address(entry),
+	    httpd_port(proc->admin));
+	if (fclose(file) != 0 || rename(temporary, path) != 0)
+		return status_set(STATUS_IO, "cannot write %s", path);
+	return STATUS_OK;
+}
+
+/*
+ * Serves until the loop is stopped.
+ */
+static enum status
+serve(struct proc *proc, const struct setting *settings)
+{
+	struct entry_config config = {
+	    .http_address = settings_get(settings, "http-address")->text,
+	    .syncd_address = settings_get(settings, "syncd-address")->text,
+	    .validity_usec =
+		settings_get(settings, "address-validity-ms")->number *
+		LOOP_USEC_PER_MSEC,
+	    .drain_extra_usec =
+		settings_get(settings, "drain-extra-ms")->number *
+		LOOP_USEC_PER_MSEC};
+	struct entry *entry = NULL;
+	enum status status = entry_create(proc, &config, &entry);
+
+	if (status == STATUS_OK)
+		status = write_port_file(
+		    settings_get(settings, "port-file")->text, entry, proc);
+	if (status == STATUS_OK) {
+		proc_set_arg(proc, entry);
+		log_event(EV_STARTED, "http=%s admin_port=%u",
+		    entry_address(entry), httpd_port(proc->admin));
+		loop_run(proc->loop);
+		log_event(EV_STOPPED, "draining=%d", (int)proc->draining);
+	}
+	entry_destroy(entry);
+	return status;
+}
+
+/*
+ * Runs the entry.
+ */
+int
+main(int argc, char **argv)
+{
+	static struct proc_ops ops = {on_dump, on_ready, on_drain};
+	struct setting *settings = (struct setting[]){PROC_SETTINGS,
+	    {"http-address", SETTING_ADDRESS, "127.0.0.1:0", 0, 0,
+		"Address for callers", false, NULL, 0},
+	    {"syncd-address", SETTING_ADDRESS, NULL, 0, 0,
+		"Address of the syncd of this node", true, NULL, 0},
+	    {"address-validity-ms", SETTING_INT, "10000", 100, VALIDITY_MAX_MS,
+		"How long callers may use an address answer", false, NULL, 0},
+	    {"drain-extra-ms", SETTING_INT, "6000", 0, VALIDITY_MAX_MS,
+		"Wait after the validity before the port is closed", false,
+		NULL, 0},
+	    {"port-file", SETTING_TEXT, NULL, 1, PATH_TEXT_MAX,
+		"File that receives the opened addresses", false, NULL, 0},
+	    {0}};
+	struct proc *proc = NULL;
+	enum status status;
+	int code = proc_settings_or_exit_code(settings, PROGRAM,
+	    "Takes callers' requests and streams the responses.", &argc, &argv);
+
+	if (code >= 0)
+		return code;
+	status =
+	    proc_create(settings, PROGRAM, CH__ROLE__ROLE_ENTRY, &ops, &proc);
+	if (status == STATUS_OK)
+		status = serve(proc, settings);
+	if (status != STATUS_OK)
+		log_event(EV_START_FAILED, "%s", status_message());
+	proc_destroy(proc);
+	settings_free(settings);
+	return status == STATUS_OK ? PROC_EXIT_OK : PROC_EXIT_FAILED;
+}
--- /dev/null
+++ b/src/entry_submit.c
@@ -0,0 +1,423 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "choose.h"
+#include "entry_priv.h"
+#include "log.h"
+#include "owner.h"
+
+#define NO_REPLICA_RETRY_USEC (100 * LOOP_USEC_PER_MSEC)
+#define GONE_CHECK_USEC (250 * LOOP_USEC_PER_MSEC)
+#define REPLICA_KEY_MAX 160
+
+static struct metric submissions = {"chestnuthoist_entry_submissions_total", "",
+    "Requests submitted to routers, repeated ones included.", METRIC_COUNTER, 0,
+    NULL};
+static struct metric resubmissions = {"chestnuthoist_entry_resubmissions_total",
+    "", "Requests submitted to a router again.", METRIC_COUNTER, 0, NULL};
+static struct metric stale_frames = {"chestnuthoist_entry_stale_frames_total",
+    "", "Messages of routers about submissions that are over.", METRIC_COUNTER,
+    0, NULL};
+static struct metric duplicate_tokens = {
+    "chestnuthoist_entry_duplicate_tokens_total", "",
+    "Tokens at positions that were delivered before.", METRIC_COUNTER, 0, NULL};
+static struct metric cancels = {"chestnuthoist_entry_cancels_total", "",
+    "Submissions cancelled at their router.", METRIC_COUNTER, 0, NULL};
+
+/*
+ * Registers the metrics of submission.
+ */
+void
+entry_submit_register_metrics(void)
+{
+	metric_register(&submissions);
+	metric_register(&resubmissions);
+	metric_register(&stale_frames);
+	metric_register(&duplicate_tokens);
+	metric_register(&cancels);
+}
+
+/*
+ * Writes the key of a replica in the table of open submissions.
+ */
+static void
+replica_key(char out[REPLICA_KEY_MAX], const char *service, const char *replica)
+{
+	snprintf(out, REPLICA_KEY_MAX, "%s/%s", service, replica);
+}
+
+/*
+ * Adds to the open submissions of the replica of a request.
+ */
+static void
+count_outstanding(struct entry_request *r, int change)
+{
+	GHashTable *table = r->entry->outstanding;
+	char key[REPLICA_KEY_MAX];
+	gintptr n;
+
+	replica_key(key, r->stream->service, r->replica);
+	n = (gintptr)g_hash_table_lookup(table, key) + change;
+	if (n > 0)
+		g_hash_table_insert(table, g_strdup(key), (gpointer)n);
+	else
+		g_hash_table_remove(table, key);
+}
+
+/*
+ * Detaches a request from its router and its submission.
+ */
+static void
+detach(struct entry_request *r)
+{
+	if (r->router == NULL)
+		return;
+	if (r->number != 0)
+		g_hash_table_remove(r->entry->submissions, &r->number);
+	r->number = 0;
+	count_outstanding(r, -1);
+	entry_routers_release(r->router);
+	r->router = NULL;
+}
+
+/*
+ * Tells the router of a request to cancel it, and detaches the request.
+ */
+void
+entry_submit_cancel(struct entry_request *r)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Cancel cancel = CH__CANCEL__INIT;
+
+	if (r->number != 0) {
+		cancel.stream = r->number;
+		frame.kind_case = CH__FRAME__KIND_CANCEL;
+		frame.cancel = &cancel;
+		entry_router_send(r->router, &frame);
+		cancels.value++;
+	}
+	detach(r);
+}
+
+/*
+ * Returns the address of the router that owns a replica, or NULL.
+ */
+static const char *
+router_of(uint32_t index, void *arg)
+{
+	const struct entry *entry = arg;
+	const struct inv *inv = local_inventory(entry->local);
+	const struct inv_replica *replica = &inv->replicas[index];
+	const struct view_member *owner = owner_of_replica(entry->view,
+	    lstr_from(inv->places[replica->place].region),
+	    lstr_from(replica->name));
+
+	if (owner == NULL || owner->router_address == NULL ||
+	    owner->router_address[0] == '\0')
+		return NULL;
+	return owner->router_address;
+}
+
+/*
+ * Tells whether an instance is known to be leaving.
+ */
+static bool
+is_leaving(struct lstr instance, void *arg)
+{
+	const struct entry *entry = arg;
+
+	return local_instance_leaving(entry->local, instance);
+}
+
+/*
+ * Returns the open submissions of this entry on a replica.
+ */
+static uint32_t
+outstanding_on(uint32_t index, void *arg)
+{
+	const struct entry *entry = arg;
+	const struct inv *inv = local_inventory(entry->local);
+	const struct inv_replica *replica = &inv->replicas[index];
+	char key[REPLICA_KEY_MAX];
+
+	replica_key(key, inv->services[replica->service].name, replica->name);
+	return (uint32_t)(gintptr)g_hash_table_lookup(entry->outstanding, key);
+}
+
+/*
+ * Chooses replica and router of a request.
+ */
+static enum status
+choose(struct entry_request *r, struct choose_result *out)
+{
+	struct entry *entry = r->entry;
+	const struct inv *inv = local_inventory(entry->local);
+	struct choose_world world = {.inv = inv,
+	    .place = inv_find_place(inv, lstr_from(entry->proc->hello.place)),
+	    .router = router_of,
+	    .leaving = is_leaving,
+	    .outstanding = outstanding_on,
+	    .arg = entry};
+	uint32_t service = inv_find_service(inv, lstr_from(r->stream->service));
+
+	if (service == INV_NONE)
+		return status_set(STATUS_NOT_FOUND, "the service is gone");
+	return choose_replica(&world, service,
+	    lstr_from(r->stream->idempotent ? "" : r->stream->key),
+	    lstr_from(r->stream->idempotent ? r->replica : ""), entry->random,
+	    out);
+}
+
+/*
+ * Does what the state of a request asks for after an event.
+ */
+static void
+act(struct entry_request *r, enum stream_action action,
+    const struct stream_outcome *outcome, int64_t now)
+{
+	switch (action) {
+	case STREAM_NONE:
+	case STREAM_DELIVER:
+		return;
+	case STREAM_CANCEL_AND_RETRY:
+		entry_submit_cancel(r);
+		resubmissions.value++;
+		break;
+	case STREAM_RETRY:
+		detach(r);
+		resubmissions.value++;
+		if (r->stream->retry_at <= now)
+			entry_submit(r, now);
+		break;
+	case STREAM_END:
+		if (outcome->outcome == CH__OUTCOME__OUTCOME_UNKNOWN)
+			entry_submit_cancel(r);
+		else
+			detach(r);
+		entry_answer_end(r, outcome);
+		break;
+	}
+}
+
+/*
+ * Writes Submit to the established link of the chosen router. A request that
+ * could not be written waits for another choice; nothing of it has left.
+ */
+static void
+send_submit(struct entry_request *r, int64_t now)
+{
+	struct entry *entry = r->entry;
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Submit submit;
+	ProtobufCBinaryData *delivered =
+	    g_new(ProtobufCBinaryData, r->stream->delivered->len + 1);
+	struct stream_outcome outcome;
+	enum status status;
+
+	stream_submit(
+	    r->stream, entry->last_number + 1, r->replica, &submit, delivered);
+	frame.kind_case = CH__FRAME__KIND_SUBMIT;
+	frame.submit = &submit;
+	status = entry_router_send(r->router, &frame);
+	g_free(delivered);
+	if (status != STATUS_OK) {
+		stream_on_lost(r->stream, now, entry->random, &outcome);
+		r->stream->retry_at = now + NO_REPLICA_RETRY_USEC;
+		detach(r);
+		return;
+	}
+	submissions.value++;
+	r->number = ++entry->last_number;
+	g_hash_table_insert(entry->submissions, &r->number, r);
+	stream_sent(r->stream);
+}
+
+/*
+ * Chooses a replica for a waiting request and submits it to the router that
+ * owns the replica, now or when the link is up. Without an eligible replica
+ * the request waits.
+ */
+void
+entry_submit(struct entry_request *r, int64_t now)
+{
+	struct choose_result chosen = {INV_NONE, NULL};
+
+	if (choose(r, &chosen) != STATUS_OK ||
+	    entry_routers_use(r->entry->routers, chosen.router, &r->router) !=
+		STATUS_OK) {
+		r->stream->retry_at = now + NO_REPLICA_RETRY_USEC;
+		return;
+	}
+	g_free(r->replica);
+	r->replica = g_strdup(
+	    local_inventory(r->entry->local)->replicas[chosen.replica].name);
+	count_outstanding(r, 1);
+	stream_chosen(r->stream);
+	if (entry_router_is_up(r->router))
+		send_submit(r, now);
+}
+
+/*
+ * Submits the requests that waited for a link.
+ */
+static void
+on_router_up(struct entry_router *router, void *arg)
+{
+	struct entry *entry = arg;
+	int64_t now = loop_now(entry->proc->loop);
+
+	entry->view_changed = true;
+	for (guint i = 0; i < entry->requests->len; i++) {
+		struct entry_request *r = entry->requests->pdata[i];
+
+		if (r->router == router &&
+		    r->stream->state == STREAM_CONNECTING)
+			send_submit(r, now);
+	}
+}
+
+/*
+ * Brings the view up to date with the routers found to be down, so that their
+ * replicas get other owners at once.
+ */
+static void
+refresh_view(struct entry *entry, int64_t now)
+{
+	const struct view *known = local_view(entry->local);
+	struct view *view = NULL;
+
+	entry->view_changed = false;
+	if (known == NULL || view_create(&view) != STATUS_OK)
+		return;
+	for (size_t i = 0; i < view_count(known); i++) {
+		struct view_member member = *view_at(known, i);
+		bool changed;
+
+		if (entry_routers_is_down(
+			entry->routers, member.router_address, now))
+			member.state = VIEW_SUSPECTED;
+		view_put(view, &member, &changed);
+	}
+	view_destroy(entry->view);
+	entry->view = view;
+}
+
+/*
+ * Handles the loss of a router for each request that it had.
+ */
+static void
+on_router_lost(struct entry_router *router, void *arg)
+{
+	struct entry *entry = arg;
+	int64_t now = loop_now(entry->proc->loop);
+
+	refresh_view(entry, now);
+	for (guint i = 0; i < entry->requests->len; i++) {
+		struct entry_request *r = entry->requests->pdata[i];
+		struct stream_outcome outcome;
+		enum stream_action action;
+
+		if (r->router != router)
+			continue;
+		action =
+		    stream_on_lost(r->stream, now, entry->random, &outcome);
+		act(r, action, &outcome, now);
+	}
+}
+
+/*
+ * Finds the request of a submission number; NULL when it is over.
+ */
+static struct entry_request *
+find_submission(
+    struct entry *entry, struct entry_router *router, uint64_t number)
+{
+	struct entry_request *r =
+	    g_hash_table_lookup(entry->submissions, &number);
+
+	if (r != NULL && r->router == router)
+		return r;
+	stale_frames.value++;
+	return NULL;
+}
+
+/*
+ * Takes a token or an end from a router.
+ */
+static void
+on_router_frame(struct entry_router *router, const Ch__Frame *frame, void *arg)
+{
+	struct entry *entry = arg;
+	int64_t now = loop_now(entry->proc->loop);
+	struct entry_request *r = NULL;
+	struct stream_outcome outcome;
+	enum stream_action action;
+
+	if (frame->kind_case == CH__FRAME__KIND_TOKEN) {
+		r = find_submission(entry, router, frame->token->stream);
+		if (r == NULL)
+			return;
+		action = stream_on_token(
+		    r->stream, frame->token, now, entry->random, &outcome);
+		if (action == STREAM_DELIVER)
+			entry_answer_token(r, frame->token);
+		else if (action == STREAM_NONE)
+			duplicate_tokens.value++;
+		act(r, action, &outcome, now);
+	} else if (frame->kind_case == CH__FRAME__KIND_DONE) {
+		r = find_submission(entry, router, frame->done->stream);
+		if (r == NULL)
+			return;
+		action = stream_on_done(
+		    r->stream, frame->done, now, entry->random, &outcome);
+		/* The router has ended the submission; nothing to cancel. */
+		detach(r);
+		act(r, action, &outcome, now);
+	}
+}
+
+const struct entry_routers_ops entry_router_ops = {
+    on_router_up, on_router_frame, on_router_lost};
+
+/*
+ * Handles what time asks of one request.
+ */
+static void
+tick_request(struct entry_request *r, bool check_gone, int64_t now)
+{
+	struct stream_outcome outcome;
+	enum stream_action action;
+
+	if (r->stream->state == STREAM_ENDED)
+		return;
+	if (check_gone && httpd_caller_gone(r->http)) {
+		httpd_abort(r->http);
+		return;
+	}
+	action = stream_on_time(r->stream, now, &outcome);
+	if (action == STREAM_END)
+		act(r, action, &outcome, now);
+	else if (r->stream->state == STREAM_WAITING &&
+	    now >= r->stream->retry_at)
+		entry_submit(r, now);
+}
+
+/*
+ * Handles what time asks of all requests: deadlines, resubmissions, callers
+ * that are gone.
+ */
+void
+entry_submit_tick(struct entry *entry, int64_t now)
+{
+	bool check_gone = now >= entry->next_gone_check_at;
+
+	if (check_gone) {
+		entry->next_gone_check_at = now + GONE_CHECK_USEC;
+		if (entry_routers_sweep(entry->routers, now))
+			entry->view_changed = true;
+	}
+	if (entry->view_changed)
+		refresh_view(entry, now);
+	for (guint i = 0; i < entry->requests->len; i++)
+		tick_request(entry->requests->pdata[i], check_gone, now);
+}
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -314,6 +314,9 @@
 	} else if (strcmp(request->method, "GET") != 0) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
 	}
+	for (const char *const *h = request->headers; h != NULL && *h != NULL;
+	     h++)
+		call->headers = curl_slist_append(call->headers, *h);
 	call->headers = curl_slist_append(call->headers, "Expect:");
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
 }
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -38,6 +38,8 @@
 	const char *url;
 	/* Copied. JSON when not empty. */
 	struct lstr body;
+	/* NULL, or lines "Name: value" that end with NULL; copied. */
+	const char *const *headers;
 	/* 0 for none, else microseconds since the epoch. */
 	int64_t deadline;
 	/* Never reuses a connection, so the library never sends it twice. */
--- /dev/null
+++ b/tests/entry_world.h
@@ -0,0 +1,467 @@
+#ifndef CH_TEST_ENTRY_WORLD_H
+#define CH_TEST_ENTRY_WORLD_H
+
+#include "harness.h"
+
+#include <string.h>
+
+#include "conf.h"
+#include "entry.h"
+#include "fetch.h"
+
+#define WORLD_ROUTERS 2
+#define WORLD_TOKENS 4
+#define WORLD_VALIDITY_USEC (200 * LOOP_USEC_PER_MSEC)
+#define WORLD_DRAIN_EXTRA_USEC (100 * LOOP_USEC_PER_MSEC)
+
+#define WORLD_INVENTORY                                                        \
+	"{'places':[{'name':'p1','region':'r'}],'links':[],"                   \
+	"'services':[{'name':'m','kind':'pipeline','layers':6},"               \
+	"{'name':'s','kind':'plain'}],"                                        \
+	"'accelerators':[{'kind':'k','layer_us':100}],"                        \
+	"'instances':["                                                        \
+	"{'name':'m1','place':'p1','service':'m','replica':'m1',"              \
+	"'address':'127.0.0.1:1','accelerator':'k','first':0,'last':5},"       \
+	"{'name':'s1','place':'p1','service':'s','replica':'s1',"              \
+	"'address':'127.0.0.1:3'}]}"
+#define WORLD_RULES                                                            \
+	"{'organisations':[{'name':'o','priority':1,'weight':10,"              \
+	"'max_concurrent':5}],"                                                \
+	"'requests':[{'service':'s','operation':'swap','idempotent':false}],"  \
+	"'defaults':{'priority':3,'weight':1,'max_concurrent':2,"              \
+	"'deadline_ms':9000,'allow_unknown':false}}"
+
+/* What a router of the tests does with a submission. */
+enum script {
+	SCRIPT_RUN,
+	/* Two tokens, then the process is gone. */
+	SCRIPT_DIE,
+	SCRIPT_HOLD,
+	SCRIPT_MOVE,
+	SCRIPT_REFUSE
+};
+
+struct world;
+
+struct router {
+	struct world *world;
+	Ch__Hello hello;
+	struct link_context context;
+	struct link_listener *listener;
+	struct link *link;
+	char node[8];
+	char address[32];
+	int submits;
+	int cancels;
+	uint32_t attempt;
+	size_t delivered;
+};
+
+/* A syncd, two routers, an entry and a caller in one loop. */
+struct world {
+	struct loop *loop;
+	Ch__Hello hello;
+	struct link_context context;
+	struct link_listener *syncd;
+	struct link *syncd_link;
+	struct conf *conf;
+	struct router routers[WORLD_ROUTERS];
+	/* Taken by one submission each; the last one stays. */
+	enum script script[4];
+	int script_at;
+	struct proc proc;
+	struct entry *entry;
+	bool role_leaving;
+	struct fetch *fetch;
+	bool done;
+	enum status status;
+	long http_status;
+	struct lstr_buf body;
+	/* Sent with the next calls when not NULL. */
+	const char *header;
+};
+
+/*
+ * Parses JSON written with single quotes.
+ */
+static inline json_t *
+world_json(const char *text)
+{
+	char *copy = strdup(text);
+	json_t *json;
+
+	for (char *c = copy; *c != '\0'; c++) {
+		if (*c == '\'')
+			*c = '"';
+	}
+	json = json_loads(copy, 0, NULL);
+	free(copy);
+	ck_assert_ptr_nonnull(json);
+	return json;
+}
+
+/*
+ * Sends the configuration and the view to the entry.
+ */
+static inline void
+world_send_state(struct world *w)
+{
+	struct conf_feed *feed = conf_feed_create(w->conf, 0);
+	Ch__Member members[WORLD_ROUTERS];
+	Ch__Member *list[WORLD_ROUTERS];
+	Ch__View view = CH__VIEW__INIT;
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__ConfigUpdate *update;
+
+	while (feed != NULL && (update = conf_feed_next(feed)) != NULL) {
+		frame.kind_case = CH__FRAME__KIND_CONFIG_UPDATE;
+		frame.config_update = update;
+		link_send(w->syncd_link, &frame);
+		ch__config_update__free_unpacked(update, NULL);
+	}
+	conf_feed_destroy(feed);
+	for (int i = 0; i < WORLD_ROUTERS; i++) {
+		Ch__Member *m = &members[i];
+
+		ch__member__init(m);
+		m->node = w->routers[i].node;
+		m->place = "p1";
+		m->region = "r";
+		m->state = CH__NODE_STATE__NODE_STATE_LIVE;
+		m->entry_address = "127.0.0.1:7";
+		m->router_address = w->routers[i].address;
+		m->syncd_address = "127.0.0.1:8";
+		m->entry_ready = m->router_ready = true;
+		list[i] = m;
+	}
+	view.version = 1;
+	view.whole = true;
+	view.n_members = WORLD_ROUTERS;
+	view.members = list;
+	frame.kind_case = CH__FRAME__KIND_VIEW;
+	frame.view = &view;
+	link_send(w->syncd_link, &frame);
+}
+
+static inline void
+syncd_up(struct link *link, void *arg)
+{
+	((struct world *)arg)->syncd_link = link;
+}
+
+static inline void
+syncd_frame(struct link *link, const Ch__Frame *frame, void *arg)
+{
+	struct world *w = arg;
+
+	(void)link;
+	if (frame->kind_case == CH__FRAME__KIND_SUBSCRIBE)
+		world_send_state(w);
+	if (frame->kind_case == CH__FRAME__KIND_ROLE_STATE)
+		w->role_leaving = frame->role_state->leaving;
+}
+
+static inline void
+syncd_down(struct link *link, enum status status, void *arg)
+{
+	(void)link;
+	(void)status;
+	((struct world *)arg)->syncd_link = NULL;
+}
+
+/*
+ * Sends tokens from one position to before another.
+ */
+static inline void
+router_send_tokens(
+    struct router *router, uint64_t stream, uint32_t from, uint32_t to)
+{
+	for (uint32_t i = from; i < to; i++) {
+		Ch__Frame frame = CH__FRAME__INIT;
+		Ch__Token token = CH__TOKEN__INIT;
+		char text[16];
+
+		snprintf(text, sizeof(text), "t%u", i);
+		token.stream = stream;
+		token.position = i;
+		token.text.data = (uint8_t *)text;
+		token.text.len = strlen(text);
+		frame.kind_case = CH__FRAME__KIND_TOKEN;
+		frame.token = &token;
+		link_send(router->link, &frame);
+	}
+}
+
+/*
+ * Sends the end of a submission.
+ */
+static inline void
+router_send_done(struct router *router, const Ch__Submit *submit,
+    Ch__Outcome outcome, const char *code)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Done done = CH__DONE__INIT;
+
+	done.stream = submit->stream;
+	done.outcome = outcome;
+	done.code = (char *)code;
+	done.message = (char *)code;
+	done.tokens = submit->max_tokens;
+	done.status = 200;
+	done.body.data = (uint8_t *)"answer";
+	done.body.len = strlen("answer");
+	done.attempt = submit->attempt;
+	frame.kind_case = CH__FRAME__KIND_DONE;
+	frame.done = &done;
+	link_send(router->link, &frame);
+}
+
+/*
+ * Ends a router as if its process had died.
+ */
+static inline void
+router_die(struct router *router)
+{
+	link_listener_destroy(router->listener);
+	router->listener = NULL;
+	if (router->link != NULL)
+		link_close(router->link, STATUS_CLOSED);
+}
+
+/*
+ * Does with a submission what the script says.
+ */
+static inline void
+router_take_submit(struct router *router, const Ch__Submit *submit)
+{
+	struct world *w = router->world;
+	enum script script = w->script[w->script_at];
+	uint32_t from = (uint32_t)submit->n_delivered;
+
+	if (w->script_at < 3)
+		w->script_at++;
+	router->submits++;
+	router->attempt = submit->attempt;
+	router->delivered = submit->n_delivered;
+	switch (script) {
+	case SCRIPT_RUN:
+		router_send_tokens(
+		    router, submit->stream, from, submit->max_tokens);
+		router_send_done(router, submit, CH__OUTCOME__OUTCOME_RUN, "");
+		break;
+	case SCRIPT_DIE:
+		if (submit->max_tokens > 0)
+			router_send_tokens(
+			    router, submit->stream, from, from + 2);
+		router_die(router);
+		break;
+	case SCRIPT_MOVE:
+		router_send_done(
+		    router, submit, CH__OUTCOME__OUTCOME_MOVED, "moved");
+		break;
+	case SCRIPT_REFUSE:
+		router_send_done(
+		    router, submit, CH__OUTCOME__OUTCOME_NOT_RUN, "queue-full");
+		break;
+	case SCRIPT_HOLD:
+		break;
+	}
+}
+
+static inline void
+router_up(struct link *link, void *arg)
+{
+	((struct router *)arg)->link = link;
+}
+
+static inline void
+router_frame(struct link *link, const Ch__Frame *frame, void *arg)
+{
+	struct router *router = arg;
+
+	(void)link;
+	if (frame->kind_case == CH__FRAME__KIND_CANCEL)
+		router->cancels++;
+	if (frame->kind_case == CH__FRAME__KIND_SUBMIT)
+		router_take_submit(router, frame->submit);
+}
+
+static inline void
+router_down(struct link *link, enum status status, void *arg)
+{
+	struct router *router = arg;
+
+	(void)status;
+	if (router->link == link)
+		router->link = NULL;
+}
+
+/*
+ * Fills the identity and the link context of one of the processes.
+ */
+static inline void
+world_identity(struct world *w, const char *node, Ch__Role role,
+    Ch__Hello *hello, struct link_context *context)
+{
+	ch__hello__init(hello);
+	hello->node = (char *)node;
+	hello->place = "p1";
+	hello->region = "r";
+	hello->role = role;
+	hello->protocol = LINK_PROTOCOL;
+	context->loop = w->loop;
+	context->hello = hello;
+	context->silence_limit_usec = HARNESS_DEADLINE_USEC;
+	context->queue_max_bytes = LINK_QUEUE_MAX_BYTES;
+}
+
+/*
+ * Starts the routers.
+ */
+static inline void
+world_start_routers(struct world *w)
+{
+	static const struct link_ops ops = {
+	    router_up, router_frame, router_down};
+
+	for (int i = 0; i < WORLD_ROUTERS; i++) {
+		struct router *r = &w->routers[i];
+
+		r->world = w;
+		snprintf(r->node, sizeof(r->node), "n%d", i);
+		world_identity(
+		    w, r->node, CH__ROLE__ROLE_ROUTER, &r->hello, &r->context);
+		ck_assert_int_eq(link_listen(&r->context, "127.0.0.1:0", &ops,
+				     r, &r->listener),
+		    STATUS_OK);
+		snprintf(r->address, sizeof(r->address), "127.0.0.1:%u",
+		    link_listener_port(r->listener));
+	}
+}
+
+static inline bool
+world_is_ready(void *arg)
+{
+	const struct world *w = arg;
+	json_t *dump = entry_dump(w->entry);
+	json_t *local = json_object_get(dump, "local");
+	bool ready = json_is_true(json_object_get(dump, "ready")) &&
+	    json_integer_value(json_object_get(local, "members")) ==
+		WORLD_ROUTERS;
+
+	json_decref(dump);
+	return ready;
+}
+
+/*
+ * Starts everything and waits until the entry is ready.
+ */
+static inline void
+world_start(struct world *w)
+{
+	static const struct link_ops ops = {syncd_up, syncd_frame, syncd_down};
+	struct entry_config config = {.http_address = "127.0.0.1:0",
+	    .validity_usec = WORLD_VALIDITY_USEC,
+	    .drain_extra_usec = WORLD_DRAIN_EXTRA_USEC};
+	json_t *inventory = world_json(WORLD_INVENTORY);
+	json_t *rules = world_json(WORLD_RULES);
+	struct part_set *set = NULL;
+	char address[32];
+
+	memset(w, 0, sizeof(*w));
+	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
+	world_identity(w, "n0", CH__ROLE__ROLE_SYNCD, &w->hello, &w->context);
+	part_split(inventory, rules, &set);
+	json_decref(inventory);
+	json_decref(rules);
+	w->conf = conf_create();
+	ck_assert_int_eq(conf_adopt(w->conf, 1, "c1", set), CONF_APPLIED);
+	ck_assert_int_eq(
+	    link_listen(&w->context, "127.0.0.1:0", &ops, w, &w->syncd),
+	    STATUS_OK);
+	snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    link_listener_port(w->syncd));
+	world_start_routers(w);
+	w->proc.loop = w->loop;
+	world_identity(
+	    w, "n0", CH__ROLE__ROLE_ENTRY, &w->proc.hello, &w->proc.links);
+	config.syncd_address = address;
+	ck_assert_int_eq(entry_create(&w->proc, &config, &w->entry), STATUS_OK);
+	ck_assert_int_eq(fetch_create(w->loop, &w->fetch), STATUS_OK);
+	ck_assert(harness_wait(w->loop, world_is_ready, w));
+}
+
+/*
+ * Stops the entry and the caller.
+ */
+static inline void
+world_stop(struct world *w)
+{
+	entry_destroy(w->entry);
+	fetch_destroy(w->fetch);
+	lstr_buf_free(&w->body);
+}
+
+static inline void
+world_on_done(
+    struct fetch_call *call, const struct fetch_result *result, void *arg)
+{
+	struct world *w = arg;
+
+	(void)call;
+	w->done = true;
+	w->status = result->status;
+	w->http_status = result->http_status;
+	lstr_buf_clear(&w->body);
+	lstr_buf_append(&w->body, result->body);
+	lstr_buf_append(&w->body, lstr_make("", 1));
+}
+
+/*
+ * Starts a call of the entry.
+ */
+static inline struct fetch_call *
+world_call(struct world *w, const char *method, const char *path,
+    const char *body, int64_t deadline)
+{
+	static const struct fetch_ops ops = {NULL, world_on_done};
+	char url[128];
+	const char *headers[] = {w->header, NULL};
+	struct fetch_request request = {.method = method,
+	    .url = url,
+	    .headers = headers,
+	    .body = lstr_from(body),
+	    .deadline = deadline,
+	    .once = true};
+	struct fetch_call *call = NULL;
+
+	w->done = false;
+	snprintf(
+	    url, sizeof(url), "http://%s%s", entry_address(w->entry), path);
+	ck_assert_int_eq(
+	    fetch_start(w->fetch, &request, &ops, w, &call), STATUS_OK);
+	return call;
+}
+
+static inline bool
+world_is_done(void *arg)
+{
+	return ((struct world *)arg)->done;
+}
+
+/*
+ * Posts a request written with single quotes and waits for the answer.
+ */
+static inline void
+world_post(struct world *w, const char *text)
+{
+	json_t *json = world_json(text);
+	char *body = json_dumps(json, 0);
+
+	world_call(w, "POST", "/v1/requests", body, 0);
+	free(body);
+	json_decref(json);
+	ck_assert(harness_wait(w->loop, world_is_done, w));
+}
+
+#endif
