--- /dev/null
+++ b/bench/load_report.h
@@ -0,0 +1,221 @@
+#ifndef CH_LOAD_REPORT_H
+#define CH_LOAD_REPORT_H
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "loop.h"
+
+/* Kinds of requests. */
+enum load_kind {
+	LOAD_LOOKUP,
+	LOAD_ORDER,
+	LOAD_KINDS
+};
+
+/* How many requests of one kind ended in which way. */
+struct load_counts {
+	int64_t sent;
+	int64_t run;
+	int64_t not_run;
+	int64_t unknown;
+	/* No line with an outcome arrived. */
+	int64_t incomplete;
+	/* The answer differs from what was asked for. */
+	int64_t wrong;
+	int64_t retries;
+	int64_t unfinished;
+};
+
+struct load_report {
+	struct load_counts counts[LOAD_KINDS];
+	/* Numbers of final outcomes by "outcome/code". */
+	GHashTable *codes;
+	/* Durations in microseconds. */
+	GArray *first_token;
+	GArray *gap;
+	GArray *order;
+	int64_t tokens;
+	int64_t started_at;
+	int64_t ended_at;
+};
+
+/*
+ * Prepares an empty report.
+ */
+static inline void
+load_report_init(struct load_report *report)
+{
+	report->codes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	report->first_token = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	report->gap = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	report->order = g_array_new(FALSE, FALSE, sizeof(int64_t));
+}
+
+/*
+ * Frees a report.
+ */
+static inline void
+load_report_free(struct load_report *report)
+{
+	g_hash_table_destroy(report->codes);
+	g_array_free(report->first_token, TRUE);
+	g_array_free(report->gap, TRUE);
+	g_array_free(report->order, TRUE);
+}
+
+/*
+ * Counts a final outcome by its code.
+ */
+static inline void
+load_report_code(
+    struct load_report *report, const char *outcome, const char *code)
+{
+	char *key = g_strdup_printf("%s/%s", outcome, code);
+	gintptr n = (gintptr)g_hash_table_lookup(report->codes, key);
+
+	g_hash_table_insert(report->codes, key, (gpointer)(n + 1));
+}
+
+/*
+ * Orders durations.
+ */
+static inline int
+load_compare(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/*
+ * Returns a percentile in milliseconds; 0 without values. The array must be
+ * sorted.
+ */
+static inline double
+load_percentile(const GArray *values, int percent)
+{
+	guint at;
+
+	if (values->len == 0)
+		return 0;
+	at = (guint)((uint64_t)values->len * (unsigned int)percent / 100);
+	if (at >= values->len)
+		at = values->len - 1;
+	return (double)g_array_index(values, int64_t, at) /
+	    (double)LOOP_USEC_PER_MSEC;
+}
+
+/*
+ * Returns the percentiles of durations as an object, in milliseconds.
+ */
+static inline json_t *
+load_durations(GArray *values)
+{
+	g_array_sort(values, load_compare);
+	return json_pack("{s:I,s:f,s:f,s:f,s:f}", "count",
+	    (json_int_t)values->len, "p50_ms", load_percentile(values, 50),
+	    "p95_ms", load_percentile(values, 95), "p99_ms",
+	    load_percentile(values, 99), "max_ms",
+	    load_percentile(values, 100));
+}
+
+/*
+ * Returns the counts of one kind as an object.
+ */
+static inline json_t *
+load_counts_json(const struct load_counts *c)
+{
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "sent",
+	    (json_int_t)c->sent, "run", (json_int_t)c->run, "not_run",
+	    (json_int_t)c->not_run, "unknown", (json_int_t)c->unknown,
+	    "incomplete", (json_int_t)c->incomplete, "wrong",
+	    (json_int_t)c->wrong, "retries", (json_int_t)c->retries,
+	    "unfinished", (json_int_t)c->unfinished);
+}
+
+/*
+ * Returns the whole report as an object.
+ */
+static inline json_t *
+load_report_json(struct load_report *report)
+{
+	double seconds = (double)(report->ended_at - report->started_at) /
+	    (double)LOOP_USEC_PER_SEC;
+	json_t *codes = json_object();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, report->codes);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		json_object_set_new(
+		    codes, key, json_integer((json_int_t)(gintptr)value));
+	return json_pack("{s:f,s:I,s:f,s:o,s:o,s:o,s:o,s:o,s:o}", "seconds",
+	    seconds, "tokens", (json_int_t)report->tokens, "tokens_per_second",
+	    seconds > 0 ? (double)report->tokens / seconds : 0.0, "lookups",
+	    load_counts_json(&report->counts[LOAD_LOOKUP]), "orders",
+	    load_counts_json(&report->counts[LOAD_ORDER]), "codes", codes,
+	    "first_token", load_durations(report->first_token), "token_gap",
+	    load_durations(report->gap), "order_latency",
+	    load_durations(report->order));
+}
+
+/*
+ * Prints an object of the report in one line of text.
+ */
+static inline void
+load_print_line(const char *name, json_t *object)
+{
+	const char *key;
+	json_t *value;
+
+	printf("%-16s", name);
+	json_object_foreach(object, key, value)
+	{
+		if (json_is_real(value))
+			printf(" %s=%.2f", key, json_real_value(value));
+		else
+			printf(" %s=%lld", key,
+			    (long long)json_integer_value(value));
+	}
+	printf("\n");
+}
+
+/*
+ * Prints the report as text or as JSON.
+ */
+static inline void
+load_report_print(struct load_report *report, bool as_json)
+{
+	json_t *json = load_report_json(report);
+	char *text;
+	const char *key;
+	json_t *value;
+
+	if (as_json) {
+		text = json_dumps(json, JSON_COMPACT);
+		printf("%s\n", text);
+		free(text);
+	} else {
+		json_object_foreach(json, key, value)
+		{
+			if (json_is_object(value))
+				load_print_line(key, value);
+			else if (json_is_real(value))
+				printf("%-16s %.2f\n", key,
+				    json_real_value(value));
+			else
+				printf("%-16s %lld\n", key,
+				    (long long)json_integer_value(value));
+		}
+	}
+	json_decref(json);
+}
+
+#endif
