Use small search tables for compressed links

Cause: a compressed link took 1.04 MB; the owner of claim buckets has about a hundred links. Change: hash and chain tables of 8,192 positions.

--- a/src/frame.c
+++ b/src/frame.c
@@ -25,6 +25,8 @@
  * about a hundred links, so larger windows would cost memory.
  */
 #define COMPRESSION_WINDOW_LOG 15
+/* Search tables of 8,192 positions; the default ones take 1 MB a link. */
+#define COMPRESSION_TABLE_LOG 13
 #define OVERHEAD_BYTES crypto_secretstream_xchacha20poly1305_ABYTES
 
 /* Largest cipher text: incompressible data grows by less than 1/128. */
@@ -210,6 +212,10 @@
 	    codec->compressor, ZSTD_c_compressionLevel, COMPRESSION_LEVEL);
 	ZSTD_CCtx_setParameter(
 	    codec->compressor, ZSTD_c_windowLog, COMPRESSION_WINDOW_LOG);
+	ZSTD_CCtx_setParameter(
+	    codec->compressor, ZSTD_c_hashLog, COMPRESSION_TABLE_LOG);
+	ZSTD_CCtx_setParameter(
+	    codec->compressor, ZSTD_c_chainLog, COMPRESSION_TABLE_LOG);
 	return STATUS_OK;
 }
 
