Test the load tool against a stand-in for an entry

Cause: a load tool that passes over wrong answers hides faults of the whole system. Change: tests/test_load.c runs the built tool against good, wrong, swapped, short, cut, refused and unknown answers. Conclusion: the tool's counts can be relied on for these cases.

--- /dev/null
+++ b/tests/test_load.c
@@ -0,0 +1,290 @@
+#include "child.h"
+
+#include <fcntl.h>
+
+#include <jansson.h>
+
+#include "fakes/fake_token.h"
+#include "httpd.h"
+#include "loop.h"
+
+#define BODY_MAX_BYTES 65536
+#define OUTPUT_MAX_BYTES 8192
+#define KEY_MAX 128
+#define VALIDITY_MSEC 10000
+
+/* What the stand-in for an entry answers. */
+enum mode {
+	MODE_GOOD,
+	MODE_WRONG_TOKEN,
+	MODE_SWAPPED,
+	MODE_SHORT,
+	MODE_CUT,
+	MODE_REFUSE_FIRST,
+	MODE_UNKNOWN_FIRST
+};
+
+/* A stand-in for an entry, and the load tool. */
+struct world {
+	struct loop *loop;
+	struct httpd *httpd;
+	enum mode mode;
+	int requests;
+	char keys[2][KEY_MAX];
+	pid_t pid;
+	int exit_code;
+	bool ended;
+	char output[OUTPUT_MAX_BYTES];
+	json_t *report;
+};
+
+/*
+ * Streams the tokens of a lookup with the fault of the mode.
+ */
+static void
+answer_lookup(struct world *w, struct httpd_request *request, json_t *body)
+{
+	struct lstr prompt =
+	    lstr_from(json_string_value(json_object_get(body, "prompt")));
+	uint32_t count =
+	    (uint32_t)json_integer_value(json_object_get(body, "max_tokens"));
+
+	if (w->mode == MODE_SHORT)
+		count--;
+	httpd_stream_begin(request, 200, "application/x-ndjson");
+	for (uint32_t i = 0; i < count; i++) {
+		char token[FAKE_TOKEN_MAX];
+		char line[128];
+
+		fake_token_text(token, prompt, i);
+		if (w->mode == MODE_WRONG_TOKEN && i == 1)
+			token[0] = 'x';
+		snprintf(line, sizeof(line),
+		    "{\"position\":%u,\"token\":\"%s\"}\n",
+		    w->mode == MODE_SWAPPED ? i ^ 1U : i, token);
+		httpd_stream_write(request, lstr_from(line));
+	}
+	if (w->mode != MODE_CUT) {
+		char line[64];
+
+		snprintf(line, sizeof(line),
+		    "{\"outcome\":\"run\",\"tokens\":%u}\n", count);
+		httpd_stream_write(request, lstr_from(line));
+	}
+	httpd_stream_end(request);
+}
+
+/*
+ * Answers a request of the load tool.
+ */
+static void
+on_request(struct httpd_request *request, void *arg)
+{
+	static const char run[] =
+	    "{\"outcome\":\"run\",\"status\":200,"
+	    "\"body\":\"{\\\"operation\\\":\\\"swap\\\"}\"}";
+	struct world *w = arg;
+	struct lstr text = httpd_body(request);
+	int64_t valid_until =
+	    loop_now(w->loop) / LOOP_USEC_PER_MSEC + VALIDITY_MSEC;
+	const char *key = httpd_header(request, "Idempotency-Key");
+	char answer[256];
+	json_t *body;
+
+	if (lstr_equal_c(httpd_path(request), "/v1/addresses")) {
+		snprintf(answer, sizeof(answer),
+		    "{\"addresses\":[{\"address\":\"127.0.0.1:%u\"}],"
+		    "\"valid_until\":%lld}",
+		    httpd_port(w->httpd), (long long)valid_until);
+		httpd_respond(
+		    request, 200, "application/json", lstr_from(answer));
+		return;
+	}
+	w->requests++;
+	if (key != NULL && w->requests <= 2)
+		snprintf(w->keys[w->requests - 1], KEY_MAX, "%s", key);
+	if (w->requests == 1 &&
+	    (w->mode == MODE_REFUSE_FIRST || w->mode == MODE_UNKNOWN_FIRST)) {
+		bool refuse = w->mode == MODE_REFUSE_FIRST;
+
+		httpd_respond(request, refuse ? 503 : 502, "application/json",
+		    lstr_from(refuse ? "{\"outcome\":\"not-run\","
+				       "\"code\":\"queue-full\"}"
+				     : "{\"outcome\":\"unknown\","
+				       "\"code\":\"router-lost\"}"));
+		return;
+	}
+	body = json_loadb(text.data, text.len, 0, NULL);
+	if (key != NULL)
+		httpd_respond(request, 200, "application/json", lstr_from(run));
+	else
+		answer_lookup(w, request, body);
+	json_decref(body);
+}
+
+/*
+ * Starts the load tool with its output in a file.
+ */
+static void
+start_load(struct world *w, const char *file, int lookups, int orders)
+{
+	const char *build = getenv("BUILD") ? getenv("BUILD") : "build";
+	posix_spawn_file_actions_t actions;
+	char words[8][64];
+	char program[128];
+	char *argv[10] = {program};
+
+	snprintf(program, sizeof(program), "%s/bench/load", build);
+	snprintf(words[0], 64, "--entry=127.0.0.1:%u", httpd_port(w->httpd));
+	snprintf(words[1], 64, "--lookups=%d", lookups);
+	snprintf(words[2], 64, "--orders=%d", orders);
+	snprintf(words[3], 64, "--organisations=o,p");
+	snprintf(words[4], 64, "--max-tokens=4");
+	snprintf(words[5], 64, "--retries=2");
+	snprintf(words[6], 64, "--json=true");
+	for (int i = 0; i < 7; i++)
+		argv[i + 1] = words[i];
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(
+	    &actions, STDOUT_FILENO, file, O_WRONLY | O_CREAT | O_TRUNC, 0600);
+	ck_assert_int_eq(
+	    posix_spawn(&w->pid, program, &actions, NULL, argv, environ), 0);
+	posix_spawn_file_actions_destroy(&actions);
+}
+
+static bool
+has_ended(void *arg)
+{
+	struct world *w = arg;
+	int status;
+
+	if (waitpid(w->pid, &status, WNOHANG) != w->pid)
+		return false;
+	w->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	return true;
+}
+
+/*
+ * Runs the load tool against the stand-in and reads its report.
+ */
+static void
+run_load(struct world *w, enum mode mode, int lookups, int orders)
+{
+	static const struct httpd_ops ops = {on_request, NULL};
+	const char *build = getenv("BUILD") ? getenv("BUILD") : "build";
+	char file[160];
+	FILE *output;
+
+	memset(w, 0, sizeof(*w));
+	w->mode = mode;
+	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
+	ck_assert_int_eq(httpd_create(w->loop, "127.0.0.1:0", BODY_MAX_BYTES,
+			     &ops, w, &w->httpd),
+	    STATUS_OK);
+	snprintf(
+	    file, sizeof(file), "%s/tests/load-%ld", build, (long)getpid());
+	start_load(w, file, lookups, orders);
+	ck_assert(harness_wait(w->loop, has_ended, w));
+	output = fopen(file, "r");
+	ck_assert_ptr_nonnull(output);
+	w->report = json_loadf(output, 0, NULL);
+	fclose(output);
+	unlink(file);
+	ck_assert_ptr_nonnull(w->report);
+}
+
+/*
+ * Returns a count of a kind of request from the report.
+ */
+static int
+count(const struct world *w, const char *kind, const char *name)
+{
+	return (int)json_integer_value(
+	    json_object_get(json_object_get(w->report, kind), name));
+}
+
+static void
+world_stop(struct world *w)
+{
+	json_decref(w->report);
+	httpd_destroy(w->httpd);
+}
+
+/* Guards against good answers counted as wrong. */
+START_TEST(good_answers_are_counted_as_run)
+{
+	struct world w;
+
+	run_load(&w, MODE_GOOD, 20, 10);
+	ck_assert_int_eq(w.exit_code, 0);
+	ck_assert_int_eq(count(&w, "lookups", "run"), 20);
+	ck_assert_int_eq(count(&w, "orders", "run"), 10);
+	ck_assert_int_eq(count(&w, "lookups", "wrong"), 0);
+	ck_assert_int_eq(count(&w, "orders", "wrong"), 0);
+	ck_assert_int_eq(count(&w, "first_token", "count"), 20);
+	ck_assert_int_eq(count(&w, "token_gap", "count"), 60);
+	ck_assert_int_eq(w.requests, 30);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against a tool that passes over wrong answers. */
+START_TEST(wrong_answers_are_found)
+{
+	static const enum mode modes[] = {
+	    MODE_WRONG_TOKEN, MODE_SWAPPED, MODE_SHORT};
+
+	for (size_t i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
+		struct world w;
+
+		run_load(&w, modes[i], 3, 0);
+		ck_assert_int_ne(w.exit_code, 0);
+		ck_assert_int_eq(count(&w, "lookups", "wrong"), 3);
+		world_stop(&w);
+	}
+}
+END_TEST
+
+/* Guards against a cut response counted as whole, and endless retries. */
+START_TEST(cut_responses_are_incomplete)
+{
+	struct world w;
+
+	run_load(&w, MODE_CUT, 2, 0);
+	ck_assert_int_eq(count(&w, "lookups", "incomplete"), 2);
+	ck_assert_int_eq(count(&w, "lookups", "run"), 0);
+	ck_assert_int_eq(count(&w, "lookups", "retries"), 4);
+	ck_assert_int_eq(w.requests, 6);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against retries that are not made or not counted. */
+START_TEST(refusal_is_retried)
+{
+	struct world w;
+
+	run_load(&w, MODE_REFUSE_FIRST, 1, 0);
+	ck_assert_int_eq(count(&w, "lookups", "run"), 1);
+	ck_assert_int_eq(count(&w, "lookups", "retries"), 1);
+	world_stop(&w);
+}
+END_TEST
+
+/* Guards against an order that is sent again with another key. */
+START_TEST(unknown_order_is_asked_again_with_its_key)
+{
+	struct world w;
+
+	run_load(&w, MODE_UNKNOWN_FIRST, 0, 1);
+	ck_assert_int_eq(count(&w, "orders", "run"), 1);
+	ck_assert_int_eq(w.requests, 2);
+	ck_assert_str_ne(w.keys[0], "");
+	ck_assert_str_eq(w.keys[0], w.keys[1]);
+	world_stop(&w);
+}
+END_TEST
+
+HARNESS_MAIN("load", good_answers_are_counted_as_run, wrong_answers_are_found,
+    cut_responses_are_incomplete, refusal_is_retried,
+    unknown_order_is_asked_again_with_its_key)
