--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -22,16 +22,18 @@
 	"Time for the whole command", false, NULL, 0},
     {NULL, SETTING_TEXT, NULL, 0, 0, NULL, false, NULL, 0}};
 
-/* The commands of record need record.c and are added with it. */
-static const struct ctl_command *const commands[] = {
-    &ctl_apply_command, &ctl_show_command, &ctl_status_command, NULL};
+static const struct ctl_command *const commands[] = {&ctl_apply_command,
+    &ctl_show_command, &ctl_status_command, &ctl_record_verify_command,
+    &ctl_record_explain_command, NULL};
 
 static const char usage[] = "COMMAND [ARGUMENT...]";
 static const char summary[] =
     "Operates a chestnuthoist cluster. Commands:\n"
     "  apply --inventory FILE --rules FILE --base REVISION|current\n"
     "  show\n"
-    "  status";
+    "  status\n"
+    "  record verify --node NODE\n"
+    "  record explain --node NODE REQUEST REQUEST";
 
 /*
  * Runs one command.
