--- a/src/member.h
+++ b/src/member.h
@@ -37,6 +37,7 @@
 
 /* The own entry. */
 void member_set_self(struct member *, const struct view_member *, int64_t);
+const struct view_member *member_self(const struct member *);
 enum member_call member_next_call(struct member *, int64_t);
 const char *member_lease(const struct member *);
 uint64_t member_version(const struct member *);
--- a/src/member_self.c
+++ b/src/member_self.c
@@ -105,3 +105,12 @@
 		m->retry_at = now + MEMBER_RETRY_USEC;
 	}
 }
+
+/*
+ * Returns the own entry, valid until member_set_self().
+ */
+const struct view_member *
+member_self(const struct member *m)
+{
+	return view_at(m->self, 0);
+}
--- a/src/settings.h
+++ b/src/settings.h
@@ -22,6 +22,8 @@
  * max bound the value of SETTING_INT and the length of SETTING_TEXT. After
  * settings_parse(), text or number holds the value.
  */
+/* The order of the fields is that of the rows of a table. */
+/* NOLINTNEXTLINE(clang-analyzer-optin.performance.Padding) */
 struct setting {
 	const char *name;
 	enum setting_kind kind;
--- /dev/null
+++ b/src/syncd_claims.c
@@ -0,0 +1,544 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "syncd_priv.h"
+
+/* Requests of local routers that wait for an answer. */
+#define FORWARDS_MAX 65536
+/* Reports that wait for a connection to the owner. */
+#define OUTCOMES_MAX 4096
+#define KEEP_USEC (60 * LOOP_USEC_PER_SEC)
+/* Route of the requests of this node's own routers. */
+#define ROUTE_SELF 0
+
+/* A request of a local router, wherever its bucket is owned. */
+struct forward {
+	uint64_t id;
+	/* Session and number of the router. */
+	uint64_t session;
+	uint64_t sequence;
+	struct claim_request request;
+	uint32_t bucket;
+	/* Node that has it; NULL while it must be sent. */
+	char *sent_to;
+};
+
+struct waiting_outcome {
+	struct claim_report report;
+	uint32_t bucket;
+};
+
+/* A call of the key-value service for the claim module. */
+struct claim_io {
+	struct syncd *syncd;
+	uint64_t ticket;
+	uint32_t bucket;
+};
+
+static struct metric refused = {"chestnuthoist_claim_forwards_refused_total",
+    "", "Claim requests refused because too many wait.", METRIC_COUNTER, 0,
+    NULL};
+static struct metric outcomes_dropped = {
+    "chestnuthoist_claim_outcomes_dropped_total", "",
+    "Claim outcomes dropped because too many wait.", METRIC_COUNTER, 0, NULL};
+
+static void run_actions(struct syncd *);
+
+/*
+ * Takes the answer to a read of a slot.
+ */
+static void
+on_slot_read(const struct kv_result *result, void *arg)
+{
+	struct claim_io *io = arg;
+	struct syncd *s = io->syncd;
+
+	syncd_kv_result(s, result->status);
+	claim_slot_read(s->claim, io->ticket, result->status, result->version,
+	    result->value, syncd_now(s));
+	g_free(io);
+	run_actions(s);
+}
+
+/*
+ * Takes the answer to a swap of a slot.
+ */
+static void
+on_slot_swapped(const struct kv_result *result, void *arg)
+{
+	struct claim_io *io = arg;
+	struct syncd *s = io->syncd;
+
+	syncd_kv_result(s, result->status);
+	claim_slot_swapped(s->claim, io->ticket, result->status,
+	    result->version, syncd_now(s));
+	g_free(io);
+	run_actions(s);
+}
+
+/*
+ * Takes one page of a ring.
+ */
+static void
+on_ring(const struct kv_result *result, void *arg)
+{
+	struct claim_io *io = arg;
+	struct syncd *s = io->syncd;
+	char prefix[SYNCD_KEY_MAX_BYTES];
+	int64_t slot;
+
+	g_snprintf(prefix, sizeof(prefix), "claim/%u/", io->bucket);
+	syncd_kv_result(s, result->status);
+	for (size_t i = 0; i < result->count; i++) {
+		struct lstr name = result->items[i].key;
+
+		name.data += strlen(prefix);
+		name.len -= strlen(prefix);
+		if (lstr_to_int64(name, &slot) == STATUS_OK && slot >= 0 &&
+		    slot <= UINT32_MAX)
+			claim_ring_item(s->claim, io->ticket, (uint32_t)slot,
+			    result->items[i].version, result->items[i].value);
+	}
+	if (result->status == STATUS_OK && result->more && result->count > 0) {
+		s->kv->vtable->list(s->kv, lstr_from(prefix),
+		    result->items[result->count - 1].key,
+		    syncd_now(s) + SYNCD_KV_CALL_USEC, on_ring, io);
+		return;
+	}
+	claim_ring_done(s->claim, io->ticket, result->status, syncd_now(s));
+	g_free(io);
+	run_actions(s);
+}
+
+/*
+ * Makes the call of an action.
+ */
+static void
+start_io(struct syncd *s, const struct claim_action *action)
+{
+	struct claim_io *io = g_new0(struct claim_io, 1);
+	int64_t deadline = syncd_now(s) + SYNCD_KV_CALL_USEC;
+	char key[SYNCD_KEY_MAX_BYTES];
+
+	io->syncd = s;
+	io->ticket = action->ticket;
+	io->bucket = action->bucket;
+	if (action->kind == CLAIM_READ_RING) {
+		g_snprintf(key, sizeof(key), "claim/%u/", action->bucket);
+		s->kv->vtable->list(s->kv, lstr_from(key), lstr_from(""),
+		    deadline, on_ring, io);
+		return;
+	}
+	g_snprintf(
+	    key, sizeof(key), "claim/%u/%u", action->bucket, action->slot);
+	if (action->kind == CLAIM_READ_SLOT)
+		s->kv->vtable->get(
+		    s->kv, lstr_from(key), deadline, on_slot_read, io);
+	else
+		s->kv->vtable->put(s->kv, lstr_from(key),
+		    lstr_make(action->value, action->value_len),
+		    action->version, lstr_from(""), deadline, on_slot_swapped,
+		    io);
+}
+
+/*
+ * Sends an answer to a session.
+ */
+static void
+send_reply(struct syncd *s, uint64_t session_id, uint64_t sequence,
+    const struct claim_reply *reply)
+{
+	struct syncd_session *session =
+	    g_hash_table_lookup(s->sessions, &session_id);
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__ClaimReply message = CH__CLAIM_REPLY__INIT;
+
+	if (session == NULL)
+		return;
+	message.sequence = sequence;
+	message.identity.data = (uint8_t *)reply->identity;
+	message.identity.len = CLAIM_ID_BYTES;
+	message.token.data = (uint8_t *)reply->token;
+	message.token.len = CLAIM_ID_BYTES;
+	message.result = reply->result;
+	message.state = reply->state;
+	message.status = reply->status;
+	message.fence = reply->fence;
+	frame.kind_case = CH__FRAME__KIND_CLAIM_REPLY;
+	frame.claim_reply = &message;
+	link_send(session->link, &frame);
+}
+
+/*
+ * Answers a forwarded request and forgets it.
+ */
+static void
+end_forward(
+    struct syncd *s, struct forward *forward, const struct claim_reply *reply)
+{
+	send_reply(s, forward->session, forward->sequence, reply);
+	g_hash_table_remove(s->forwards, &forward->id);
+}
+
+/*
+ * Carries out the actions of the claim module and sets its timer.
+ */
+static void
+run_actions(struct syncd *s)
+{
+	struct claim_action action;
+	int64_t at;
+
+	while (claim_next_action(s->claim, &action)) {
+		const struct claim_reply *reply = &action.reply;
+		struct forward *forward;
+
+		if (action.kind != CLAIM_REPLY) {
+			start_io(s, &action);
+		} else if (reply->route != ROUTE_SELF) {
+			send_reply(s, reply->route, reply->sequence, reply);
+		} else {
+			forward =
+			    g_hash_table_lookup(s->forwards, &reply->sequence);
+			if (forward != NULL)
+				end_forward(s, forward, reply);
+		}
+		claim_action_clear(&action);
+	}
+	at = claim_next_at(s->claim);
+	if (at == INT64_MAX)
+		loop_timer_clear(s->claim_timer);
+	else
+		loop_timer_set(s->claim_timer, at);
+}
+
+/*
+ * Returns the node that owns a bucket, or NULL.
+ */
+static const char *
+owner_node(const struct syncd *s, uint32_t bucket)
+{
+	const struct view_member *owner =
+	    owner_of_bucket(member_view(s->member), bucket);
+
+	return owner ? owner->node : NULL;
+}
+
+/*
+ * Sends a request to the owner of its bucket. Without a connection it waits.
+ */
+static void
+route_forward(struct syncd *s, struct forward *forward)
+{
+	const char *owner = owner_node(s, forward->bucket);
+	struct claim_request request = forward->request;
+	struct syncd_outgoing *out;
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__ClaimRequest message = CH__CLAIM_REQUEST__INIT;
+
+	if (owner == NULL)
+		return;
+	if (strcmp(owner, s->proc->hello.node) == 0) {
+		forward->sent_to = g_strdup(owner);
+		request.route = ROUTE_SELF;
+		request.sequence = forward->id;
+		claim_ask(s->claim, forward->bucket, &request, syncd_now(s));
+		return;
+	}
+	out = syncd_reach(s, owner, syncd_now(s) + KEEP_USEC);
+	if (out == NULL || !peer_is_up(out->peer))
+		return;
+	message.sequence = forward->id;
+	message.identity.data = forward->request.identity;
+	message.identity.len = CLAIM_ID_BYTES;
+	message.token.data = forward->request.token;
+	message.token.len = CLAIM_ID_BYTES;
+	message.expiry = forward->request.expiry;
+	message.deadline = forward->request.deadline;
+	message.origin = s->proc->hello.node;
+	frame.kind_case = CH__FRAME__KIND_CLAIM_REQUEST;
+	frame.claim_request = &message;
+	if (peer_send(out->peer, &frame) == STATUS_OK)
+		forward->sent_to = g_strdup(owner);
+}
+
+static void
+forward_free(gpointer data)
+{
+	struct forward *forward = data;
+
+	g_free(forward->sent_to);
+	g_free(forward);
+}
+
+/*
+ * Takes a request: one of a local router goes to the owner, one of another
+ * syncd is decided here even if this node no longer owns the bucket, which is
+ * slower but safe.
+ */
+void
+syncd_claims_request(struct syncd *s, const struct syncd_origin *from,
+    const Ch__ClaimRequest *message)
+{
+	struct claim_request request = {.sequence = message->sequence,
+	    .expiry = message->expiry,
+	    .deadline = message->deadline};
+	struct claim_reply unavailable = {
+	    .result = CH__CLAIM_RESULT__CLAIM_RESULT_UNAVAILABLE};
+	struct forward *forward;
+	uint32_t bucket;
+
+	if (from->session == NULL || message->identity.len != CLAIM_ID_BYTES ||
+	    message->token.len != CLAIM_ID_BYTES)
+		return;
+	memcpy(request.identity, message->identity.data, CLAIM_ID_BYTES);
+	memcpy(request.token, message->token.data, CLAIM_ID_BYTES);
+	bucket = claim_bucket_of(request.identity, s->settings.claim_buckets);
+	request.route = from->session->id;
+	if (from->session->role == CH__ROLE__ROLE_SYNCD) {
+		claim_ask(s->claim, bucket, &request, syncd_now(s));
+		run_actions(s);
+		return;
+	}
+	if (g_hash_table_size(s->forwards) >= FORWARDS_MAX) {
+		refused.value++;
+		memcpy(unavailable.identity, request.identity, CLAIM_ID_BYTES);
+		memcpy(unavailable.token, request.token, CLAIM_ID_BYTES);
+		send_reply(
+		    s, from->session->id, message->sequence, &unavailable);
+		return;
+	}
+	forward = g_new0(struct forward, 1);
+	forward->id = ++s->last_forward;
+	forward->session = from->session->id;
+	forward->sequence = message->sequence;
+	forward->request = request;
+	forward->bucket = bucket;
+	g_hash_table_insert(s->forwards, &forward->id, forward);
+	route_forward(s, forward);
+	run_actions(s);
+}
+
+/*
+ * Takes the owner's answer to a forwarded request.
+ */
+void
+syncd_claims_reply(struct syncd *s, const Ch__ClaimReply *message)
+{
+	struct forward *forward =
+	    g_hash_table_lookup(s->forwards, &message->sequence);
+	struct claim_reply reply = {.result = message->result,
+	    .state = message->state,
+	    .status = message->status,
+	    .fence = message->fence};
+
+	if (forward == NULL || message->token.len != CLAIM_ID_BYTES ||
+	    memcmp(message->token.data, forward->request.token,
+		CLAIM_ID_BYTES) != 0)
+		return;
+	memcpy(reply.identity, forward->request.identity, CLAIM_ID_BYTES);
+	memcpy(reply.token, forward->request.token, CLAIM_ID_BYTES);
+	end_forward(s, forward, &reply);
+}
+
+/*
+ * Hands a report to the owner of its bucket; false to try again later.
+ */
+static bool
+route_outcome(struct syncd *s, const struct waiting_outcome *outcome)
+{
+	const char *owner = owner_node(s, outcome->bucket);
+	struct syncd_outgoing *out;
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__ClaimOutcome message = CH__CLAIM_OUTCOME__INIT;
+
+	if (owner == NULL)
+		return false;
+	if (strcmp(owner, s->proc->hello.node) == 0) {
+		claim_report(
+		    s->claim, outcome->bucket, &outcome->report, syncd_now(s));
+		return true;
+	}
+	out = syncd_reach(s, owner, syncd_now(s) + KEEP_USEC);
+	if (out == NULL || !peer_is_up(out->peer))
+		return false;
+	message.identity.data = (uint8_t *)outcome->report.identity;
+	message.identity.len = CLAIM_ID_BYTES;
+	message.token.data = (uint8_t *)outcome->report.token;
+	message.token.len = CLAIM_ID_BYTES;
+	message.state = outcome->report.state;
+	message.status = outcome->report.status;
+	message.expiry = outcome->report.expiry;
+	frame.kind_case = CH__FRAME__KIND_CLAIM_OUTCOME;
+	frame.claim_outcome = &message;
+	return peer_send(out->peer, &frame) == STATUS_OK;
+}
+
+/*
+ * Takes a report of a router, or of another syncd for a bucket here.
+ */
+void
+syncd_claims_outcome(struct syncd *s, const struct syncd_origin *from,
+    const Ch__ClaimOutcome *message)
+{
+	struct waiting_outcome outcome = {.report = {.state = message->state,
+					      .status = message->status,
+					      .expiry = message->expiry}};
+
+	if (from->session == NULL || message->identity.len != CLAIM_ID_BYTES ||
+	    message->token.len != CLAIM_ID_BYTES ||
+	    (message->state != CH__CLAIM_STATE__CLAIM_STATE_NOT_RUN &&
+		message->state != CH__CLAIM_STATE__CLAIM_STATE_RAN))
+		return;
+	memcpy(outcome.report.identity, message->identity.data, CLAIM_ID_BYTES);
+	memcpy(outcome.report.token, message->token.data, CLAIM_ID_BYTES);
+	outcome.bucket =
+	    claim_bucket_of(outcome.report.identity, s->settings.claim_buckets);
+	if (from->session->role == CH__ROLE__ROLE_SYNCD) {
+		claim_report(
+		    s->claim, outcome.bucket, &outcome.report, syncd_now(s));
+	} else if (!route_outcome(s, &outcome)) {
+		if (s->outcomes.length >= OUTCOMES_MAX) {
+			g_free(g_queue_pop_head(&s->outcomes));
+			outcomes_dropped.value++;
+		}
+		g_queue_push_tail(
+		    &s->outcomes, g_memdup2(&outcome, sizeof(outcome)));
+	}
+	run_actions(s);
+}
+
+/*
+ * Sends the requests again that a node had when its connection broke. They
+ * are recognised by their tokens.
+ */
+void
+syncd_claims_lost(struct syncd *s, const char *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->forwards);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct forward *forward = value;
+
+		if (g_strcmp0(forward->sent_to, node) == 0)
+			g_clear_pointer(&forward->sent_to, g_free);
+	}
+}
+
+/*
+ * Refuses a request whose deadline has passed; true when it was refused.
+ */
+static gboolean
+refuse_late(gpointer key, gpointer value, gpointer data)
+{
+	struct forward *forward = value;
+	struct syncd *s = data;
+	struct claim_reply reply = {
+	    .result = CH__CLAIM_RESULT__CLAIM_RESULT_UNAVAILABLE};
+
+	(void)key;
+	if (forward->request.deadline > syncd_now(s))
+		return FALSE;
+	memcpy(reply.identity, forward->request.identity, CLAIM_ID_BYTES);
+	memcpy(reply.token, forward->request.token, CLAIM_ID_BYTES);
+	send_reply(s, forward->session, forward->sequence, &reply);
+	return TRUE;
+}
+
+/*
+ * Drops the buckets that this node no longer owns and that are at rest.
+ */
+static void
+drop_buckets(struct syncd *s)
+{
+	for (uint32_t i = 0; i < s->settings.claim_buckets; i++) {
+		const char *owner = owner_node(s, i);
+
+		if (claim_is_idle(s->claim, i) &&
+		    g_strcmp0(owner, s->proc->hello.node) != 0)
+			claim_drop(s->claim, i);
+	}
+}
+
+/*
+ * Routes what waits, again when its bucket has a new owner.
+ */
+void
+syncd_claims_tick(struct syncd *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint waiting = s->outcomes.length;
+
+	g_hash_table_foreach_remove(s->forwards, refuse_late, s);
+	g_hash_table_iter_init(&iter, s->forwards);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct forward *forward = value;
+		const char *owner = owner_node(s, forward->bucket);
+
+		if (forward->sent_to != NULL &&
+		    g_strcmp0(owner, forward->sent_to) != 0)
+			g_clear_pointer(&forward->sent_to, g_free);
+		if (forward->sent_to == NULL)
+			route_forward(s, forward);
+	}
+	for (; waiting > 0; waiting--) {
+		struct waiting_outcome *outcome =
+		    g_queue_pop_head(&s->outcomes);
+
+		if (route_outcome(s, outcome))
+			g_free(outcome);
+		else
+			g_queue_push_tail(&s->outcomes, outcome);
+	}
+	drop_buckets(s);
+	run_actions(s);
+}
+
+/*
+ * The claim module has something due.
+ */
+static void
+on_claim_timer(void *arg)
+{
+	struct syncd *s = arg;
+
+	claim_tick(s->claim, syncd_now(s));
+	run_actions(s);
+}
+
+/*
+ * Creates the tables.
+ */
+enum status
+syncd_claims_open(struct syncd *s)
+{
+	struct claim_settings settings = {.buckets = s->settings.claim_buckets,
+	    .slots = s->settings.claim_slots,
+	    .interval_usec = s->settings.claim_interval_usec,
+	    .owner_id = s->proc->hello.boot};
+
+	s->claim = claim_create(&settings);
+	s->forwards = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, forward_free);
+	g_queue_init(&s->outcomes);
+	metric_register(&refused);
+	metric_register(&outcomes_dropped);
+	return loop_timer_create(s->loop, on_claim_timer, s, &s->claim_timer);
+}
+
+/*
+ * Frees the tables.
+ */
+void
+syncd_claims_close(struct syncd *s)
+{
+	claim_destroy(s->claim);
+	if (s->forwards != NULL)
+		g_hash_table_destroy(s->forwards);
+	g_queue_clear_full(&s->outcomes, g_free);
+	loop_timer_destroy(s->claim_timer);
+}
--- /dev/null
+++ b/src/syncd_http.c
@@ -0,0 +1,431 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "log.h"
+#include "syncd_priv.h"
+
+#define TYPE_JSON "application/json"
+#define BODY_MAX_BYTES INV_TEXT_MAX_BYTES
+/* Time to hear from members that are not among the heartbeat peers. */
+#define STATUS_WAIT_USEC (2 * LOOP_USEC_PER_SEC)
+/* A revision heard longer ago is asked for again. */
+#define STATUS_FRESH_USEC (3 * LOOP_USEC_PER_SEC)
+#define STATUS_REQUESTS_MAX 64
+#define RECORD_REQUESTS_MAX 8
+/* Largest answer with records; more is refused. */
+#define RECORDS_MAX_BYTES ((size_t)64 * 1024 * 1024)
+
+struct status_request {
+	struct httpd_request *request;
+	int64_t begin;
+	int64_t deadline;
+};
+
+/* A request for the records of a node, while its keys are listed. */
+struct record_request {
+	struct syncd *syncd;
+	struct httpd_request *request;
+	char *node;
+	char *prefix;
+	json_t *records;
+	size_t bytes;
+};
+
+/*
+ * Answers with JSON, which it takes.
+ */
+void
+syncd_http_respond(
+    struct httpd_request *request, unsigned int status, json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	httpd_respond(request, text ? status : 500, TYPE_JSON,
+	    lstr_from(text ? text : "{}"));
+	free(text);
+	json_decref(json);
+}
+
+/*
+ * Answers with a code and a message.
+ */
+void
+syncd_http_refuse(struct httpd_request *request, unsigned int status,
+    const char *code, const char *message)
+{
+	syncd_http_respond(request, status,
+	    json_pack("{s:s, s:s}", "code", code, "message", message));
+}
+
+/*
+ * Handles GET /v1/config.
+ */
+static void
+answer_config(struct syncd *s, struct httpd_request *request)
+{
+	json_t *inventory = NULL;
+	json_t *rules = NULL;
+
+	if (conf_documents(s->conf, &inventory, &rules) != STATUS_OK) {
+		syncd_http_refuse(request, 404, "no-configuration",
+		    "no configuration is in force");
+		return;
+	}
+	syncd_http_respond(request, 200,
+	    json_pack("{s:I, s:s, s:o, s:o}", "revision",
+		(json_int_t)conf_revision(s->conf), "change",
+		conf_change_id(s->conf), "inventory", inventory, "rules",
+		rules));
+}
+
+/*
+ * Tells whether a member's revision was heard since a time.
+ */
+static bool
+is_heard(const struct syncd *s, const char *node, int64_t since)
+{
+	const struct syncd_heard *heard = g_hash_table_lookup(s->heard, node);
+
+	return strcmp(node, s->proc->hello.node) == 0 ||
+	    (heard != NULL && heard->at >= since);
+}
+
+/*
+ * Builds the row of a member.
+ */
+static json_t *
+status_row(const struct syncd *s, const struct view_member *m)
+{
+	static const char *const states[] = {
+	    "", "live", "leaving", "suspected"};
+	const struct syncd_heard *heard =
+	    g_hash_table_lookup(s->heard, m->node);
+	json_t *row = json_pack("{s:s, s:s, s:s, s:s, s:b, s:b}", "node",
+	    m->node, "place", m->place, "region", m->region, "state",
+	    states[m->state], "entry_ready", m->entry_ready, "router_ready",
+	    m->router_ready);
+
+	if (strcmp(m->node, s->proc->hello.node) == 0)
+		json_object_set_new(row, "revision",
+		    json_integer((json_int_t)conf_revision(s->conf)));
+	else if (heard != NULL)
+		json_object_set_new(
+		    row, "revision", json_integer((json_int_t)heard->revision));
+	else
+		json_object_set_new(row, "revision", json_null());
+	return row;
+}
+
+/*
+ * Answers a status request.
+ */
+static void
+answer_status(struct syncd *s, struct httpd_request *request)
+{
+	const struct view *view = member_view(s->member);
+	json_t *members = json_array();
+
+	for (size_t i = 0; i < view_count(view); i++)
+		json_array_append_new(members, status_row(s, view_at(view, i)));
+	syncd_http_respond(request, 200,
+	    json_pack("{s:s, s:I, s:b, s:o}", "node", s->proc->hello.node,
+		"revision", (json_int_t)conf_revision(s->conf), "kv_reachable",
+		member_service_is_up(s->member), "members", members));
+}
+
+/*
+ * Handles GET /v1/status: asks the members that were not heard lately.
+ */
+static void
+take_status(struct syncd *s, struct httpd_request *request)
+{
+	const struct view *view = member_view(s->member);
+	int64_t now = syncd_now(s);
+	struct status_request *waiting;
+
+	if (s->status_requests->len >= STATUS_REQUESTS_MAX) {
+		syncd_http_refuse(
+		    request, 503, "busy", "too many requests wait");
+		return;
+	}
+	for (size_t i = 0; i < view_count(view); i++) {
+		const char *node = view_at(view, i)->node;
+
+		if (!is_heard(s, node, now - STATUS_FRESH_USEC))
+			syncd_reach(s, node, now + 2 * STATUS_WAIT_USEC);
+	}
+	waiting = g_new0(struct status_request, 1);
+	waiting->request = request;
+	waiting->begin = now - STATUS_FRESH_USEC;
+	waiting->deadline = now + STATUS_WAIT_USEC;
+	g_ptr_array_add(s->status_requests, waiting);
+}
+
+/*
+ * Answers the status requests that have waited long enough, or heard from
+ * all.
+ */
+void
+syncd_http_tick(struct syncd *s)
+{
+	const struct view *view = member_view(s->member);
+	int64_t now = syncd_now(s);
+
+	for (guint i = s->status_requests->len; i > 0; i--) {
+		struct status_request *waiting =
+		    s->status_requests->pdata[i - 1];
+		bool all = true;
+
+		for (size_t k = 0; k < view_count(view); k++)
+			all = all &&
+			    (view_at(view, k)->state == VIEW_SUSPECTED ||
+				is_heard(
+				    s, view_at(view, k)->node, waiting->begin));
+		if (waiting->request != NULL && !all && now < waiting->deadline)
+			continue;
+		if (waiting->request != NULL)
+			answer_status(s, waiting->request);
+		g_ptr_array_remove_index(s->status_requests, i - 1);
+		g_free(waiting);
+	}
+}
+
+static void
+record_request_release(struct record_request *r)
+{
+	json_decref(r->records);
+	g_free(r->node);
+	g_free(r->prefix);
+	g_free(r);
+}
+
+/*
+ * Ends a request.
+ */
+static void
+record_request_free(struct record_request *r)
+{
+	g_ptr_array_remove(r->syncd->record_requests, r);
+	record_request_release(r);
+}
+
+/*
+ * Finds or adds the record of a boot.
+ */
+static json_t *
+record_of_boot(struct record_request *r, const char *boot)
+{
+	size_t index;
+	json_t *record;
+
+	json_array_foreach(r->records, index, record)
+	{
+		if (strcmp(json_string_value(json_object_get(record, "boot")),
+			boot) == 0)
+			return record;
+	}
+	record = json_pack(
+	    "{s:s, s:s, s:[]}", "boot", boot, "public_key", "", "segments");
+	json_array_append_new(r->records, record);
+	return record;
+}
+
+/*
+ * Adds one key of a record: "<boot>/key" or "<boot>/<segment>".
+ */
+static void
+add_record_item(struct record_request *r, const struct kv_item *item)
+{
+	size_t skip = strlen(r->prefix);
+	char *name = g_strndup(item->key.data + skip, item->key.len - skip);
+	char *slash = strchr(name, '/');
+	char *text;
+	json_t *record;
+	size_t size;
+
+	if (slash == NULL) {
+		g_free(name);
+		return;
+	}
+	*slash = '\0';
+	record = record_of_boot(r, name);
+	if (strcmp(slash + 1, "key") == 0) {
+		size = 2 * item->value.len + 1;
+		text = g_malloc(size);
+		sodium_bin2hex(text, size,
+		    (const unsigned char *)item->value.data, item->value.len);
+		json_object_set_new(record, "public_key", json_string(text));
+	} else {
+		size = sodium_base64_ENCODED_LEN(
+		    item->value.len, sodium_base64_VARIANT_ORIGINAL);
+		text = g_malloc(size);
+		sodium_bin2base64(text, size,
+		    (const unsigned char *)item->value.data, item->value.len,
+		    sodium_base64_VARIANT_ORIGINAL);
+		json_array_append_new(
+		    json_object_get(record, "segments"), json_string(text));
+		r->bytes += size;
+	}
+	g_free(text);
+	g_free(name);
+}
+
+/*
+ * Takes one page of the keys of a record.
+ */
+static void
+on_records(const struct kv_result *result, void *arg)
+{
+	struct record_request *r = arg;
+	struct syncd *s = r->syncd;
+
+	syncd_kv_result(s, result->status);
+	for (size_t i = 0; i < result->count; i++)
+		add_record_item(r, &result->items[i]);
+	if (r->request == NULL) {
+		record_request_free(r);
+	} else if (result->status != STATUS_OK) {
+		syncd_http_refuse(r->request, 503, "unavailable",
+		    "the key-value service does not answer");
+		record_request_free(r);
+	} else if (r->bytes > RECORDS_MAX_BYTES) {
+		syncd_http_refuse(r->request, 507, "too-large",
+		    "the records are larger than one answer may be");
+		record_request_free(r);
+	} else if (result->more && result->count > 0) {
+		s->kv->vtable->list(s->kv, lstr_from(r->prefix),
+		    result->items[result->count - 1].key,
+		    syncd_now(s) + SYNCD_KV_CALL_USEC, on_records, r);
+	} else {
+		syncd_http_respond(r->request, 200,
+		    json_pack(
+			"{s:s, s:O}", "node", r->node, "records", r->records));
+		record_request_free(r);
+	}
+}
+
+/*
+ * Handles GET /v1/records?node=N.
+ */
+static void
+take_records(struct syncd *s, struct httpd_request *request)
+{
+	const char *node = httpd_query(request, "node");
+	struct record_request *r;
+
+	if (node == NULL || node[0] == '\0' || strchr(node, '/') != NULL) {
+		syncd_http_refuse(
+		    request, 400, "invalid", "the query needs node=NAME");
+		return;
+	}
+	if (s->record_requests->len >= RECORD_REQUESTS_MAX) {
+		syncd_http_refuse(
+		    request, 503, "busy", "too many requests wait");
+		return;
+	}
+	r = g_new0(struct record_request, 1);
+	r->syncd = s;
+	r->request = request;
+	r->node = g_strdup(node);
+	r->prefix = g_strdup_printf("record/%s/", node);
+	r->records = json_array();
+	g_ptr_array_add(s->record_requests, r);
+	s->kv->vtable->list(s->kv, lstr_from(r->prefix), lstr_from(""),
+	    syncd_now(s) + SYNCD_KV_CALL_USEC, on_records, r);
+}
+
+/*
+ * Serves the operators.
+ */
+static void
+on_request(struct httpd_request *request, void *arg)
+{
+	struct syncd *s = arg;
+	struct lstr path = httpd_path(request);
+	bool get = lstr_equal_c(httpd_method(request), "GET");
+
+	if (lstr_equal_c(path, "/v1/config") && get)
+		answer_config(s, request);
+	else if (lstr_equal_c(path, "/v1/config") &&
+	    lstr_equal_c(httpd_method(request), "POST"))
+		syncd_publish(s, request);
+	else if (lstr_equal_c(path, "/v1/status") && get)
+		take_status(s, request);
+	else if (lstr_equal_c(path, "/v1/records") && get)
+		take_records(s, request);
+	else
+		syncd_http_refuse(request, 404, "not-found",
+		    "/v1/config, /v1/status and /v1/records are served");
+}
+
+/*
+ * Forgets a request that is over.
+ */
+static void
+on_closed(struct httpd_request *request, void *arg)
+{
+	struct syncd *s = arg;
+
+	syncd_publish_closed(s, request);
+	for (guint i = 0; i < s->status_requests->len; i++) {
+		struct status_request *waiting = s->status_requests->pdata[i];
+
+		if (waiting->request == request)
+			waiting->request = NULL;
+	}
+	for (guint i = 0; i < s->record_requests->len; i++) {
+		struct record_request *r = s->record_requests->pdata[i];
+
+		if (r->request == request)
+			r->request = NULL;
+	}
+}
+
+/*
+ * Opens the operators' server.
+ */
+enum status
+syncd_http_open(struct syncd *s)
+{
+	static const struct httpd_ops ops = {on_request, on_closed};
+
+	s->publishes = g_ptr_array_new();
+	s->status_requests = g_ptr_array_new();
+	s->record_requests = g_ptr_array_new();
+	return httpd_create(s->loop, s->settings.operator_address,
+	    BODY_MAX_BYTES, &ops, s, &s->httpd);
+}
+
+/*
+ * Refuses what waits and closes the server.
+ */
+void
+syncd_http_close(struct syncd *s)
+{
+	if (s->publishes == NULL)
+		return;
+	syncd_publish_close(s);
+	for (guint i = 0; i < s->status_requests->len; i++) {
+		struct status_request *waiting = s->status_requests->pdata[i];
+
+		if (waiting->request != NULL)
+			syncd_http_refuse(waiting->request, 503, "stopping",
+			    "the process is stopping");
+	}
+	while (s->record_requests->len > 0) {
+		struct record_request *r =
+		    g_ptr_array_remove_index(s->record_requests, 0);
+
+		if (r->request != NULL)
+			syncd_http_refuse(r->request, 503, "stopping",
+			    "the process is stopping");
+		record_request_release(r);
+	}
+	httpd_destroy(s->httpd);
+	g_ptr_array_set_free_func(s->status_requests, g_free);
+	g_ptr_array_free(s->status_requests, TRUE);
+	g_ptr_array_free(s->record_requests, TRUE);
+	g_ptr_array_free(s->publishes, TRUE);
+}
--- /dev/null
+++ b/src/syncd_main.c
@@ -0,0 +1,128 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "log.h"
+#include "syncd.h"
+
+#define PROGRAM "chestnuthoist-syncd"
+
+static struct setting settings[] = {PROC_SETTINGS,
+    {"listen", SETTING_ADDRESS, "127.0.0.1:0", 0, 0,
+	"Address for frames of other processes", false, NULL, 0},
+    {"operator-address", SETTING_ADDRESS, "127.0.0.1:0", 0, 0,
+	"Address of the operators' HTTP API", false, NULL, 0},
+    {"kv-address", SETTING_ADDRESS, NULL, 0, 0,
+	"Address of the key-value service", true, NULL, 0},
+    {"list-address", SETTING_ADDRESS, NULL, 0, 0,
+	"Address of the platform's list of instances", false, NULL, 0},
+    {"claim-buckets", SETTING_INT, "32", 1, 4096,
+	"Buckets of claims; the same on all nodes", false, NULL, 0},
+    {"claim-interval-ms", SETTING_INT, "100", 1, 60000,
+	"Least time between commits of a bucket, milliseconds", false, NULL, 0},
+    {"claim-slots", SETTING_INT, "512", 8, 65536,
+	"Slots in the ring of a bucket; the same on all nodes", false, NULL, 0},
+    {"lease-ms", SETTING_INT, "30000", 1000, 600000,
+	"Time of the membership lease, milliseconds", false, NULL, 0},
+    {"heartbeat-ms", SETTING_INT, "1000", 50, 60000,
+	"Time between heartbeats, milliseconds", false, NULL, 0},
+    {"seed-peers", SETTING_TEXT, NULL, 0, 4096,
+	"Addresses of other syncds, separated by commas", false, NULL, 0},
+    {"port-file", SETTING_TEXT, NULL, 1, 4096,
+	"File that receives the addresses when ready", false, NULL, 0},
+    {0}};
+
+/*
+ * Fills the settings of the process.
+ */
+static void
+fill(struct syncd_settings *out)
+{
+	out->listen = settings_get(settings, "listen")->text;
+	out->operator_address =
+	    settings_get(settings, "operator-address")->text;
+	out->kv_address = settings_get(settings, "kv-address")->text;
+	out->list_address = settings_get(settings, "list-address")->text;
+	out->seed_peers = settings_get(settings, "seed-peers")->text;
+	out->claim_buckets =
+	    (uint32_t)settings_get(settings, "claim-buckets")->number;
+	out->claim_slots =
+	    (uint32_t)settings_get(settings, "claim-slots")->number;
+	out->claim_interval_usec =
+	    settings_get(settings, "claim-interval-ms")->number *
+	    LOOP_USEC_PER_MSEC;
+	out->lease_usec =
+	    settings_get(settings, "lease-ms")->number * LOOP_USEC_PER_MSEC;
+	out->heartbeat_usec =
+	    settings_get(settings, "heartbeat-ms")->number * LOOP_USEC_PER_MSEC;
+}
+
+/*
+ * Returns "ip:port" of a setting with the port in use; the caller frees it
+ * with g_free().
+ */
+static char *
+address_of(const char *name, uint16_t port)
+{
+	const char *text = settings_get(settings, name)->text;
+	const char *colon = strrchr(text, ':');
+
+	return g_strdup_printf("%.*s:%u", (int)(colon - text), text, port);
+}
+
+/*
+ * Writes the addresses in use. The file appears whole under its name.
+ */
+static bool
+write_ports(const struct proc *proc, const struct syncd *syncd)
+{
+	const char *path = settings_get(settings, "port-file")->text;
+	char *frames = address_of("listen", syncd_frames_port(syncd));
+	char *operator=
+	    address_of("operator-address", syncd_operator_port(syncd));
+	char *admin = address_of("admin-address", httpd_port(proc->admin));
+	char *line = g_strdup_printf(
+	    "frames=%s operator=%s admin=%s\n", frames, operator, admin);
+	bool written =
+	    path == NULL || g_file_set_contents(path, line, -1, NULL);
+
+	log_event(EV_STARTED, "%s", line);
+	g_free(frames);
+	g_free(operator);
+	g_free(admin);
+	g_free(line);
+	return written;
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct proc_ops ops = {syncd_dump, syncd_ready, syncd_drain};
+	struct syncd_settings values;
+	struct syncd *syncd = NULL;
+	struct proc *proc = NULL;
+	int code = proc_settings_or_exit_code(settings, PROGRAM,
+	    "Keeps configuration, membership, claims and records", &argc,
+	    &argv);
+
+	if (code >= 0)
+		return code;
+	fill(&values);
+	if (proc_create(settings, PROGRAM, CH__ROLE__ROLE_SYNCD, &ops, &proc) !=
+		STATUS_OK ||
+	    syncd_create(proc, &values, &syncd) != STATUS_OK) {
+		log_event(EV_START_FAILED, "%s", status_message());
+		return PROC_EXIT_FAILED;
+	}
+	proc_set_arg(proc, syncd);
+	if (!write_ports(proc, syncd)) {
+		log_event(EV_START_FAILED, "the port file cannot be written");
+		return PROC_EXIT_FAILED;
+	}
+	loop_run(proc->loop);
+	log_event(EV_STOPPED, "node=%s", proc->hello.node);
+	syncd_destroy(syncd);
+	proc_destroy(proc);
+	settings_free(settings);
+	return PROC_EXIT_OK;
+}
--- /dev/null
+++ b/src/syncd_member.c
@@ -0,0 +1,378 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "syncd_priv.h"
+
+#define MEMBER_PREFIX "member/"
+
+/*
+ * Notes whether the key-value service answers.
+ */
+void
+syncd_kv_result(struct syncd *s, enum status status)
+{
+	bool up = status != STATUS_UNAVAILABLE && status != STATUS_AMBIGUOUS;
+
+	if (up == member_service_is_up(s->member))
+		return;
+	log_event(
+	    up ? EV_KV_UP : EV_KV_DOWN, "address=%s", s->settings.kv_address);
+	if (up)
+		member_service_up(s->member, syncd_now(s));
+	else
+		member_service_down(s->member);
+}
+
+/*
+ * Writes the key of a node.
+ */
+static struct lstr
+member_key(const struct syncd *s, char key[SYNCD_KEY_MAX_BYTES])
+{
+	g_snprintf(
+	    key, SYNCD_KEY_MAX_BYTES, MEMBER_PREFIX "%s", s->proc->hello.node);
+	return lstr_from(key);
+}
+
+static void
+on_granted(const struct kv_result *result, void *arg)
+{
+	struct syncd *s = arg;
+
+	syncd_kv_result(s, result->status);
+	member_granted(s->member, result->status, result->lease, syncd_now(s));
+}
+
+static void
+on_renewed(const struct kv_result *result, void *arg)
+{
+	struct syncd *s = arg;
+
+	syncd_kv_result(s, result->status);
+	member_renewed(s->member, result->status, syncd_now(s));
+}
+
+static void
+on_written(const struct kv_result *result, void *arg)
+{
+	struct syncd *s = arg;
+
+	syncd_kv_result(s, result->status);
+	member_written(
+	    s->member, result->status, result->version, syncd_now(s));
+	syncd_member_flush(s);
+}
+
+/*
+ * Makes the call that is due for the own entry.
+ */
+static void
+call_own(struct syncd *s)
+{
+	int64_t deadline = syncd_now(s) + SYNCD_KV_CALL_USEC;
+	const struct view_member *self;
+	char key[SYNCD_KEY_MAX_BYTES];
+	char *text;
+
+	switch (member_next_call(s->member, syncd_now(s))) {
+	case MEMBER_GRANT:
+		s->kv->vtable->lease_grant(
+		    s->kv, s->settings.lease_usec, deadline, on_granted, s);
+		break;
+	case MEMBER_RENEW:
+		s->kv->vtable->lease_renew(s->kv,
+		    lstr_from(member_lease(s->member)), deadline, on_renewed,
+		    s);
+		break;
+	case MEMBER_PUT:
+		self = member_self(s->member);
+		text = member_to_text(self);
+		s->kv->vtable->put(s->kv, member_key(s, key), lstr_from(text),
+		    member_version(s->member),
+		    lstr_from(member_lease(s->member)), deadline, on_written,
+		    s);
+		free(text);
+		break;
+	case MEMBER_NONE:
+		break;
+	}
+}
+
+/*
+ * Takes the items of a list or a watch.
+ */
+static void
+take_items(struct syncd *s, const struct kv_result *result)
+{
+	int64_t now = syncd_now(s);
+
+	for (size_t i = 0; i < result->count; i++) {
+		const struct kv_item *item = &result->items[i];
+		struct lstr node = item->key;
+		struct view_member entry;
+		json_t *json = NULL;
+
+		if (!lstr_starts_with(node, MEMBER_PREFIX))
+			continue;
+		node.data += strlen(MEMBER_PREFIX);
+		node.len -= strlen(MEMBER_PREFIX);
+		if (item->deleted) {
+			member_removed(s->member, node, now);
+		} else if (member_from_text(item->value, &json, &entry) ==
+			STATUS_OK &&
+		    lstr_equal_c(node, entry.node)) {
+			member_entered(s->member, &entry, now);
+		}
+		json_decref(json);
+	}
+}
+
+/*
+ * Ends a failed call of a watch; the next one waits.
+ */
+static void
+watch_failed(struct syncd_watch *watch)
+{
+	watch->retry_at = syncd_now(watch->syncd) + SYNCD_RETRY_USEC;
+}
+
+/*
+ * Takes one page of the list of members.
+ */
+static void
+on_list(const struct kv_result *result, void *arg)
+{
+	struct syncd_watch *watch = arg;
+	struct syncd *s = watch->syncd;
+
+	watch->calling = false;
+	syncd_kv_result(s, result->status);
+	if (result->status != STATUS_OK) {
+		watch->after = 0;
+		watch_failed(watch);
+		return;
+	}
+	if (watch->after == 0) {
+		watch->after = result->revision;
+		member_list_begin(s->member);
+	}
+	take_items(s, result);
+	if (result->more && result->count > 0) {
+		watch->calling = true;
+		s->kv->vtable->list(s->kv, lstr_from(MEMBER_PREFIX),
+		    result->items[result->count - 1].key,
+		    syncd_now(s) + SYNCD_KV_CALL_USEC, on_list, watch);
+		return;
+	}
+	member_list_end(s->member, syncd_now(s));
+	watch->watching = true;
+	syncd_member_flush(s);
+}
+
+/*
+ * Takes the changes of the members.
+ */
+static void
+on_watch(const struct kv_result *result, void *arg)
+{
+	struct syncd_watch *watch = arg;
+	struct syncd *s = watch->syncd;
+
+	watch->calling = false;
+	if (result->status == STATUS_EXPIRED) {
+		watch->watching = false;
+		watch->after = 0;
+		return;
+	}
+	syncd_kv_result(s, result->status);
+	if (result->status != STATUS_OK) {
+		watch_failed(watch);
+		return;
+	}
+	take_items(s, result);
+	watch->after = result->revision;
+	syncd_member_flush(s);
+}
+
+/*
+ * Reads the members once; watches them while this is a duty. A node that
+ * takes up the duty reads the list first.
+ */
+static void
+run_watch(struct syncd *s)
+{
+	struct syncd_watch *watch = &s->member_watch;
+	int64_t now = syncd_now(s);
+
+	if (watch->calling || now < watch->retry_at)
+		return;
+	if (!watch->watching) {
+		watch->calling = true;
+		watch->after = 0;
+		s->kv->vtable->list(s->kv, lstr_from(MEMBER_PREFIX),
+		    lstr_from(""), now + SYNCD_KV_CALL_USEC, on_list, watch);
+	} else if (s->is_watcher) {
+		watch->calling = true;
+		s->kv->vtable->watch(s->kv, lstr_from(MEMBER_PREFIX),
+		    watch->after, now + SYNCD_WATCH_USEC,
+		    now + SYNCD_WATCH_CALL_USEC, on_watch, watch);
+	}
+}
+
+/*
+ * Does what is due.
+ */
+void
+syncd_member_tick(struct syncd *s)
+{
+	bool was_watcher = s->is_watcher;
+
+	member_tick(s->member, syncd_now(s));
+	syncd_member_flush(s);
+	if (s->is_watcher && !was_watcher && !s->member_watch.calling)
+		s->member_watch.watching = false;
+	call_own(s);
+	run_watch(s);
+}
+
+/*
+ * Sends a view message to subscribers of this node.
+ */
+static void
+send_to_subscribers(struct syncd *s, Ch__View *message)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	GHashTableIter iter;
+	gpointer value;
+
+	frame.kind_case = CH__FRAME__KIND_VIEW;
+	frame.view = message;
+	g_hash_table_iter_init(&iter, s->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_session *session = value;
+
+		if (session->subscribed)
+			link_send(session->link, &frame);
+	}
+}
+
+/*
+ * Tells others what has changed, and adapts the duties of this node.
+ */
+void
+syncd_member_flush(struct syncd *s)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__View *message = member_take_changes(s->member);
+
+	frame.kind_case = CH__FRAME__KIND_VIEW;
+	if (message != NULL) {
+		bool was_watcher = s->is_watcher;
+
+		send_to_subscribers(s, message);
+		ch__view__free_unpacked(message, NULL);
+		syncd_peers_update(s);
+		if (s->is_watcher && !was_watcher && !s->member_watch.calling)
+			s->member_watch.watching = false;
+	}
+	frame.view = member_take_base_changes(s->member);
+	if (frame.view != NULL) {
+		if (s->is_watcher)
+			syncd_send_place(s, &frame);
+		ch__view__free_unpacked(frame.view, NULL);
+	}
+	frame.view = member_take_suspicions(s->member);
+	if (frame.view != NULL) {
+		syncd_send_syncds(s, &frame, NULL);
+		ch__view__free_unpacked(frame.view, NULL);
+	}
+}
+
+/*
+ * Sends the whole view: with suspicions to a subscriber, without them to a
+ * syncd.
+ */
+void
+syncd_member_send(const struct syncd_origin *to, bool subscriber)
+{
+	struct syncd *s = to->session->syncd;
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__View *message = NULL;
+
+	if (subscriber)
+		view_to_message(member_view(s->member),
+		    member_view_version(s->member), &message);
+	else
+		message = member_base(s->member);
+	frame.kind_case = CH__FRAME__KIND_VIEW;
+	frame.view = message;
+	syncd_send(to, &frame);
+	ch__view__free_unpacked(message, NULL);
+}
+
+/*
+ * Takes what an entry or router of this node announces.
+ */
+void
+syncd_member_role(struct syncd *s, const Ch__RoleState *state)
+{
+	struct view_member self = *member_self(s->member);
+
+	if (state->role == CH__ROLE__ROLE_ENTRY) {
+		self.entry_address = state->address;
+		self.entry_ready = state->ready && !state->leaving;
+	} else if (state->role == CH__ROLE__ROLE_ROUTER) {
+		self.router_address = state->address;
+		self.router_ready = state->ready && !state->leaving;
+		if (state->record_key.len == VIEW_RECORD_KEY_BYTES)
+			memcpy(self.record_key, state->record_key.data,
+			    VIEW_RECORD_KEY_BYTES);
+	} else {
+		return;
+	}
+	if (state->leaving)
+		self.state = VIEW_LEAVING;
+	else if (!s->draining)
+		self.state = VIEW_LIVE;
+	member_set_self(s->member, &self, syncd_now(s));
+}
+
+/*
+ * Notes that an entry or router of this node is no longer connected.
+ */
+void
+syncd_member_role_gone(struct syncd *s, Ch__Role role)
+{
+	struct view_member self = *member_self(s->member);
+	static char none[] = "";
+
+	if (role == CH__ROLE__ROLE_ENTRY) {
+		self.entry_address = none;
+		self.entry_ready = false;
+	} else {
+		self.router_address = none;
+		self.router_ready = false;
+	}
+	member_set_self(s->member, &self, syncd_now(s));
+}
+
+/*
+ * Creates the membership of this node.
+ */
+void
+syncd_member_open(struct syncd *s)
+{
+	static char none[] = "";
+	struct view_member self = {.node = s->proc->hello.node,
+	    .place = s->proc->hello.place,
+	    .region = s->proc->hello.region,
+	    .boot = s->proc->hello.boot,
+	    .state = VIEW_LIVE,
+	    .entry_address = none,
+	    .router_address = none,
+	    .syncd_address = s->frames_address};
+
+	s->member = member_create(&self, s->settings.lease_usec);
+	s->member_watch.syncd = s;
+}
--- /dev/null
+++ b/src/syncd_peers.c
@@ -0,0 +1,592 @@
+#include <string.h>
+
+#include "log.h"
+#include "syncd_priv.h"
+
+/* An on-demand connection stays this long after its last use. */
+#define KEEP_USEC (60 * LOOP_USEC_PER_SEC)
+
+static struct metric heartbeats = {"chestnuthoist_heartbeats_total", "",
+    "Heartbeats received.", METRIC_COUNTER, 0, NULL};
+
+/*
+ * Sends a message to where another one came from.
+ */
+enum status
+syncd_send(const struct syncd_origin *to, const Ch__Frame *frame)
+{
+	return to->session != NULL ? link_send(to->session->link, frame)
+				   : peer_send(to->outgoing->peer, frame);
+}
+
+/*
+ * Sends a message to the processes of this node that have a role.
+ */
+void
+syncd_send_local(struct syncd *s, Ch__Role role, const Ch__Frame *frame)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_session *session = value;
+
+		if (session->local && session->role == role)
+			link_send(session->link, frame);
+	}
+}
+
+/*
+ * Sends a message to all connected syncds but one.
+ */
+void
+syncd_send_syncds(
+    struct syncd *s, const Ch__Frame *frame, const struct syncd_origin *except)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_session *session = value;
+
+		if (session->role == CH__ROLE__ROLE_SYNCD &&
+		    (except == NULL || except->session != session))
+			link_send(session->link, frame);
+	}
+	g_hash_table_iter_init(&iter, s->outgoing);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_outgoing *out = value;
+
+		if (except == NULL || except->outgoing != out)
+			peer_send(out->peer, frame);
+	}
+}
+
+/*
+ * Sends a message to the syncds of this place that have connected here.
+ */
+void
+syncd_send_place(struct syncd *s, const Ch__Frame *frame)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_session *session = value;
+
+		if (session->role == CH__ROLE__ROLE_SYNCD &&
+		    strcmp(link_peer(session->link)->place,
+			s->proc->hello.place) == 0)
+			link_send(session->link, frame);
+	}
+}
+
+/*
+ * Tells whether an entry or router of this node is connected.
+ */
+bool
+syncd_has_local(const struct syncd *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct syncd_session *)value)->local)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Sends a heartbeat.
+ */
+static void
+send_heartbeat(struct syncd *s, const struct syncd_origin *to)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Heartbeat message = CH__HEARTBEAT__INIT;
+
+	message.node = s->proc->hello.node;
+	message.boot = s->proc->hello.boot;
+	message.revision = conf_revision(s->conf);
+	message.view_version = member_view_version(s->member);
+	message.state = s->draining ? CH__NODE_STATE__NODE_STATE_LEAVING
+				    : CH__NODE_STATE__NODE_STATE_LIVE;
+	frame.kind_case = CH__FRAME__KIND_HEARTBEAT;
+	frame.heartbeat = &message;
+	syncd_send(to, &frame);
+}
+
+/*
+ * Takes a heartbeat; one on an accepted link is answered.
+ */
+static void
+take_heartbeat(struct syncd *s, const struct syncd_origin *from,
+    const Ch__Heartbeat *message)
+{
+	struct syncd_heard *heard =
+	    g_hash_table_lookup(s->heard, message->node);
+
+	heartbeats.value++;
+	if (heard == NULL) {
+		if (g_hash_table_size(s->heard) >= VIEW_MEMBERS_MAX)
+			return;
+		heard = g_new0(struct syncd_heard, 1);
+		g_hash_table_insert(s->heard, g_strdup(message->node), heard);
+	}
+	heard->revision = message->revision;
+	heard->at = syncd_now(s);
+	member_heard(s->member, lstr_from(message->node), heard->at);
+	if (from->session != NULL) {
+		from->session->revision = message->revision;
+		send_heartbeat(s, from);
+	}
+	syncd_config_heard(s, from, message->revision);
+}
+
+/*
+ * Gives a subscriber what is in force.
+ */
+static void
+take_subscribe(struct syncd *s, const struct syncd_origin *from,
+    const Ch__Subscribe *message)
+{
+	bool syncd;
+
+	if (from->session == NULL)
+		return;
+	syncd = from->session->role == CH__ROLE__ROLE_SYNCD;
+	from->session->subscribed = !syncd;
+	syncd_config_send(s, from, message->revision);
+	syncd_member_send(from, !syncd);
+	syncd_instances_send(s, from);
+}
+
+/*
+ * Handles the messages that only processes of this node may send.
+ */
+static void
+take_local_frame(struct syncd *s, const Ch__Frame *frame)
+{
+	switch (frame->kind_case) {
+	case CH__FRAME__KIND_ROLE_STATE:
+		syncd_member_role(s, frame->role_state);
+		syncd_records_key(s, frame->role_state);
+		break;
+	case CH__FRAME__KIND_RECORD_STORE:
+		syncd_records_store(s, frame->record_store);
+		break;
+	default:
+		break;
+	}
+}
+
+/*
+ * Handles a message of any process.
+ */
+static void
+take_frame(
+    struct syncd *s, const struct syncd_origin *from, const Ch__Frame *frame)
+{
+	switch (frame->kind_case) {
+	case CH__FRAME__KIND_SUBSCRIBE:
+		take_subscribe(s, from, frame->subscribe);
+		break;
+	case CH__FRAME__KIND_CONFIG_UPDATE:
+		syncd_config_apply(s, from, frame->config_update);
+		break;
+	case CH__FRAME__KIND_CONFIG_PULL:
+		syncd_config_send(s, from, frame->config_pull->have);
+		break;
+	case CH__FRAME__KIND_VIEW:
+		/* A watcher reads the service itself. */
+		if (!(s->is_watcher && member_service_is_up(s->member)) ||
+		    !frame->view->whole)
+			member_pushed(s->member, frame->view, syncd_now(s));
+		break;
+	case CH__FRAME__KIND_HEARTBEAT:
+		take_heartbeat(s, from, frame->heartbeat);
+		break;
+	case CH__FRAME__KIND_INSTANCES:
+		syncd_instances_take(s, from, frame->instances);
+		break;
+	case CH__FRAME__KIND_CLAIM_REQUEST:
+		syncd_claims_request(s, from, frame->claim_request);
+		break;
+	case CH__FRAME__KIND_CLAIM_REPLY:
+		syncd_claims_reply(s, frame->claim_reply);
+		break;
+	case CH__FRAME__KIND_CLAIM_OUTCOME:
+		syncd_claims_outcome(s, from, frame->claim_outcome);
+		break;
+	case CH__FRAME__KIND_RECORD_APPEND:
+		syncd_records_append(s, from, frame->record_append);
+		break;
+	case CH__FRAME__KIND_RECORD_ACK:
+		syncd_records_ack(s, frame->record_ack);
+		break;
+	case CH__FRAME__KIND_RECORD_STORED:
+		syncd_records_stored(s, frame->record_stored);
+		break;
+	default:
+		if (from->session != NULL && from->session->local)
+			take_local_frame(s, frame);
+		break;
+	}
+	syncd_member_flush(s);
+}
+
+/*
+ * Registers an accepted link. A watcher gives a syncd of its place what it
+ * knows.
+ */
+static void
+on_session_up(struct link *link, void *arg)
+{
+	struct syncd *s = arg;
+	struct syncd_session *session = g_new0(struct syncd_session, 1);
+	const Ch__Hello *hello = link_peer(link);
+	struct syncd_origin origin = {.session = session};
+
+	session->syncd = s;
+	session->id = ++s->last_session;
+	session->link = link;
+	session->role = hello->role;
+	session->local = strcmp(hello->node, s->proc->hello.node) == 0 &&
+	    hello->role != CH__ROLE__ROLE_SYNCD;
+	link_set_data(link, session);
+	g_hash_table_insert(s->sessions, &session->id, session);
+	if (session->role != CH__ROLE__ROLE_SYNCD || !s->is_watcher ||
+	    strcmp(hello->place, s->proc->hello.place) != 0)
+		return;
+	syncd_member_send(&origin, false);
+	syncd_instances_send(s, &origin);
+	send_heartbeat(s, &origin);
+}
+
+static void
+on_session_frame(struct link *link, const Ch__Frame *frame, void *arg)
+{
+	struct syncd_origin origin = {.session = link_get_data(link)};
+
+	take_frame(arg, &origin, frame);
+}
+
+/*
+ * Forgets an accepted link, and the role that it stood for.
+ */
+static void
+on_session_down(struct link *link, enum status status, void *arg)
+{
+	struct syncd *s = arg;
+	struct syncd_session *session = link_get_data(link);
+	bool another = false;
+	GHashTableIter iter;
+	gpointer value;
+
+	(void)status;
+	if (session == NULL)
+		return;
+	g_hash_table_steal(s->sessions, &session->id);
+	g_hash_table_iter_init(&iter, s->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct syncd_session *other = value;
+
+		another |= other->local && other->role == session->role;
+	}
+	if (session->local && !another)
+		syncd_member_role_gone(s, session->role);
+	g_free(session);
+	syncd_member_flush(s);
+}
+
+/*
+ * A connection to another syncd is up: asks a seed for everything, tells
+ * others what is in force here.
+ */
+static void
+on_outgoing_up(struct peer *peer, void *arg)
+{
+	struct syncd_outgoing *out = arg;
+	struct syncd *s = out->syncd;
+	struct syncd_origin origin = {.outgoing = out};
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Subscribe message = CH__SUBSCRIBE__INIT;
+
+	(void)peer;
+	send_heartbeat(s, &origin);
+	if (out->node != NULL)
+		return;
+	message.role = CH__ROLE__ROLE_SYNCD;
+	message.revision = conf_pull_from(s->conf);
+	frame.kind_case = CH__FRAME__KIND_SUBSCRIBE;
+	frame.subscribe = &message;
+	peer_send(out->peer, &frame);
+}
+
+static void
+on_outgoing_frame(struct peer *peer, const Ch__Frame *frame, void *arg)
+{
+	struct syncd_outgoing *out = arg;
+	struct syncd_origin origin = {.outgoing = out};
+
+	(void)peer;
+	take_frame(out->syncd, &origin, frame);
+}
+
+/*
+ * The link broke. peer.h probes with a new connection.
+ */
+static void
+on_outgoing_down(struct peer *peer, enum status status, void *arg)
+{
+	struct syncd_outgoing *out = arg;
+
+	(void)peer;
+	(void)status;
+	if (out->node != NULL)
+		syncd_claims_lost(out->syncd, out->node);
+}
+
+/*
+ * A new connection failed as well: the node is suspected.
+ */
+static void
+on_outgoing_failed(struct peer *peer, unsigned int count, void *arg)
+{
+	struct syncd_outgoing *out = arg;
+
+	(void)peer;
+	if (out->node == NULL)
+		return;
+	if (count == 1)
+		log_event(EV_PEER_SUSPECTED, "node=%s", out->node);
+	member_failed(
+	    out->syncd->member, lstr_from(out->node), syncd_now(out->syncd));
+}
+
+static const struct peer_ops outgoing_callbacks = {
+    on_outgoing_up, on_outgoing_frame, on_outgoing_down, on_outgoing_failed};
+
+static void
+outgoing_free(gpointer data)
+{
+	struct syncd_outgoing *out = data;
+
+	peer_destroy(out->peer);
+	g_free(out->node);
+	g_free(out);
+}
+
+/*
+ * Opens a connection to a syncd; node is NULL for a seed.
+ */
+static struct syncd_outgoing *
+open_outgoing(struct syncd *s, const char *node, const char *address)
+{
+	struct syncd_outgoing *out = g_new0(struct syncd_outgoing, 1);
+
+	out->syncd = s;
+	out->node = g_strdup(node);
+	if (peer_create(&s->proc->links, address, &outgoing_callbacks, out,
+		&out->peer) != STATUS_OK) {
+		g_free(out->node);
+		g_free(out);
+		return NULL;
+	}
+	return out;
+}
+
+/*
+ * Finds or opens the connection to a member, and keeps it until the given
+ * time. Returns NULL for this node and for one without an address.
+ */
+struct syncd_outgoing *
+syncd_reach(struct syncd *s, const char *node, int64_t keep_until)
+{
+	const struct view_member *m =
+	    view_find(member_view(s->member), lstr_from(node));
+	struct syncd_outgoing *out = g_hash_table_lookup(s->outgoing, node);
+
+	if (m == NULL || m->syncd_address[0] == '\0' ||
+	    strcmp(node, s->proc->hello.node) == 0)
+		return NULL;
+	if (out != NULL &&
+	    strcmp(peer_address(out->peer), m->syncd_address) != 0) {
+		g_hash_table_remove(s->outgoing, node);
+		out = NULL;
+	}
+	if (out == NULL) {
+		out = open_outgoing(s, node, m->syncd_address);
+		if (out == NULL)
+			return NULL;
+		g_hash_table_insert(s->outgoing, out->node, out);
+	}
+	out->keep_until = MAX(out->keep_until, keep_until);
+	return out;
+}
+
+/*
+ * Marks a member's connection as a duty.
+ */
+static void
+want(struct syncd *s, const struct view_member *m, bool heartbeat)
+{
+	struct syncd_outgoing *out = syncd_reach(s, m->node, 0);
+
+	if (out == NULL)
+		return;
+	out->wanted = true;
+	out->heartbeat |= heartbeat;
+}
+
+/*
+ * Tells whether a connection is no longer needed.
+ */
+static gboolean
+is_unused(gpointer key, gpointer value, gpointer data)
+{
+	struct syncd_outgoing *out = value;
+	struct syncd *s = data;
+
+	(void)key;
+	return !out->wanted && out->keep_until < syncd_now(s);
+}
+
+/*
+ * Adapts the connections to the view: heartbeat peers, the watchers of the
+ * place and the keeper of the record copy.
+ */
+void
+syncd_peers_update(struct syncd *s)
+{
+	const struct view *view = member_view(s->member);
+	const struct view_member *peers[OWNER_HEARTBEAT_PEERS];
+	struct lstr self = lstr_from(s->proc->hello.node);
+	size_t count = owner_heartbeat_peers(view, self, peers);
+	const struct view_member *keeper =
+	    owner_record_peer(view, self, lstr_from(s->proc->hello.place));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->outgoing);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_outgoing *out = value;
+
+		out->wanted = out->heartbeat = false;
+		/* A suspected peer is probed on, so that its return shows. */
+		out->keep_until =
+		    MAX(out->keep_until, syncd_now(s) + KEEP_USEC);
+	}
+	for (size_t i = 0; i < count; i++)
+		want(s, peers[i], true);
+	for (size_t i = 0; i < view_count(view); i++) {
+		const struct view_member *m = view_at(view, i);
+
+		if (strcmp(m->place, s->proc->hello.place) == 0 &&
+		    owner_is_watcher(view, lstr_from(m->node)))
+			want(s, m, false);
+	}
+	if (keeper != NULL)
+		want(s, keeper, false);
+	s->is_watcher = owner_is_watcher(view, self);
+}
+
+/*
+ * Sends the heartbeats that are due and closes what is unused or gone. Seeds
+ * are connected while something is missing here.
+ */
+void
+syncd_peers_tick(struct syncd *s)
+{
+	int64_t now = syncd_now(s);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now < s->heartbeat_at)
+		return;
+	s->heartbeat_at = now + s->settings.heartbeat_usec;
+	g_hash_table_foreach_remove(s->outgoing, is_unused, s);
+	g_hash_table_iter_init(&iter, s->outgoing);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_outgoing *out = value;
+		struct syncd_origin origin = {.outgoing = out};
+
+		if (view_find(member_view(s->member), lstr_from(out->node)) ==
+		    NULL)
+			g_hash_table_iter_remove(&iter);
+		else if (out->heartbeat)
+			send_heartbeat(s, &origin);
+	}
+	if (conf_revision(s->conf) > 0 &&
+	    view_count(member_view(s->member)) > 1)
+		g_ptr_array_set_size(s->seeds, 0);
+}
+
+/*
+ * Opens the connections to the seeds of a comma-separated list.
+ */
+static void
+open_seeds(struct syncd *s)
+{
+	char **addresses = g_strsplit(
+	    s->settings.seed_peers ? s->settings.seed_peers : "", ",", 0);
+
+	for (char **a = addresses; *a != NULL; a++) {
+		struct syncd_outgoing *out =
+		    **a != '\0' ? open_outgoing(s, NULL, *a) : NULL;
+
+		if (out != NULL)
+			g_ptr_array_add(s->seeds, out);
+	}
+	g_strfreev(addresses);
+}
+
+/*
+ * Listens for frames and opens the first connections.
+ */
+enum status
+syncd_peers_open(struct syncd *s)
+{
+	static const struct link_ops callbacks = {
+	    on_session_up, on_session_frame, on_session_down};
+
+	s->sessions =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	s->outgoing =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, outgoing_free);
+	s->seeds = g_ptr_array_new_with_free_func(outgoing_free);
+	s->heard =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	metric_register(&heartbeats);
+	open_seeds(s);
+	return link_listen(
+	    &s->proc->links, s->settings.listen, &callbacks, s, &s->listener);
+}
+
+/*
+ * Closes all connections without further callbacks.
+ */
+void
+syncd_peers_close(struct syncd *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	link_listener_destroy(s->listener);
+	g_hash_table_iter_init(&iter, s->sessions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct syncd_session *session = value;
+
+		link_orphan(session->link);
+		link_close(session->link, STATUS_CLOSED);
+	}
+	g_hash_table_destroy(s->sessions);
+	g_hash_table_destroy(s->outgoing);
+	g_ptr_array_free(s->seeds, TRUE);
+	g_hash_table_destroy(s->heard);
+}
--- /dev/null
+++ b/src/syncd_priv.h
@@ -0,0 +1,205 @@
+#ifndef CH_SYNCD_PRIV_H
+#define CH_SYNCD_PRIV_H
+
+#include <glib.h>
+
+#include "claim.h"
+#include "conf.h"
+#include "httpd.h"
+#include "inst.h"
+#include "kv.h"
+#include "member.h"
+#include "metric.h"
+#include "owner.h"
+#include "peer.h"
+#include "record.h"
+#include "syncd.h"
+
+/* Shared by the files syncd*.c only. */
+
+#define SYNCD_KV_CALL_USEC (2 * LOOP_USEC_PER_SEC)
+#define SYNCD_TICK_USEC (100 * LOOP_USEC_PER_MSEC)
+#define SYNCD_RETRY_USEC (1 * LOOP_USEC_PER_SEC)
+/* Time that a watch waits at the service, and the limit of the call. */
+#define SYNCD_WATCH_USEC (25 * LOOP_USEC_PER_SEC)
+#define SYNCD_WATCH_CALL_USEC (30 * LOOP_USEC_PER_SEC)
+#define SYNCD_KEY_MAX_BYTES 256
+
+struct syncd;
+
+/* An accepted link. Its number is never used again. */
+struct syncd_session {
+	struct syncd *syncd;
+	uint64_t id;
+	struct link *link;
+	Ch__Role role;
+	/* An entry or router of this node. */
+	bool local;
+	bool subscribed;
+	/* Revision that was sent, or heard in heartbeats. */
+	uint64_t revision;
+};
+
+/* A connection that this process opens to another syncd. */
+struct syncd_outgoing {
+	struct syncd *syncd;
+	struct peer *peer;
+	/* Empty for a seed. */
+	char *node;
+	/* Belongs to the duties of this node; else kept until a time. */
+	bool wanted;
+	bool heartbeat;
+	int64_t keep_until;
+};
+
+/* Where a message came from, and where its answer goes: one of the two. */
+struct syncd_origin {
+	struct syncd_session *session;
+	struct syncd_outgoing *outgoing;
+};
+
+/* A prefix that is read once and then watched while it is a duty. */
+struct syncd_watch {
+	struct syncd *syncd;
+	bool calling;
+	bool watching;
+	int64_t retry_at;
+	uint64_t after;
+};
+
+struct syncd_heard {
+	uint64_t revision;
+	int64_t at;
+};
+
+struct syncd {
+	struct proc *proc;
+	struct loop *loop;
+	struct syncd_settings settings;
+	struct fetch *fetch;
+	struct kv *kv;
+	struct inst *inst;
+	struct link_listener *listener;
+	struct httpd *httpd;
+	struct loop_timer *timer;
+	struct loop_timer *claim_timer;
+	char frames_address[64];
+	bool draining;
+	bool removed_self;
+	bool ready_logged;
+
+	/* Sessions by id; outgoing connections by node; seeds. */
+	GHashTable *sessions;
+	uint64_t last_session;
+	GHashTable *outgoing;
+	GPtrArray *seeds;
+	int64_t heartbeat_at;
+	/* Node to struct syncd_heard. */
+	GHashTable *heard;
+
+	struct member *member;
+	struct syncd_watch member_watch;
+	bool is_watcher;
+
+	struct conf *conf;
+	struct syncd_watch config_watch;
+	struct config_load *load;
+	int64_t pull_at;
+
+	struct claim *claim;
+	/* Forwarded claim requests by number. */
+	GHashTable *forwards;
+	uint64_t last_forward;
+	GQueue outcomes;
+
+	struct rec_copies *copies;
+	GQueue stores;
+	/* "node boot" of the copies that are held. */
+	GHashTable *copied;
+
+	/* Names from the list, and from routers with the time of expiry. */
+	GHashTable *list_leaving;
+	GHashTable *router_leaving;
+	int64_t poll_at;
+
+	/* Requests of operators that wait. */
+	GPtrArray *publishes;
+	GPtrArray *status_requests;
+	GPtrArray *record_requests;
+};
+
+int64_t syncd_now(const struct syncd *);
+void syncd_kv_result(struct syncd *, enum status);
+
+/* syncd_peers.c */
+enum status syncd_peers_open(struct syncd *);
+void syncd_peers_close(struct syncd *);
+void syncd_peers_update(struct syncd *);
+void syncd_peers_tick(struct syncd *);
+struct syncd_outgoing *syncd_reach(struct syncd *, const char *, int64_t);
+enum status syncd_send(const struct syncd_origin *, const Ch__Frame *);
+void syncd_send_local(struct syncd *, Ch__Role, const Ch__Frame *);
+void syncd_send_syncds(
+    struct syncd *, const Ch__Frame *, const struct syncd_origin *);
+void syncd_send_place(struct syncd *, const Ch__Frame *);
+bool syncd_has_local(const struct syncd *);
+
+/* syncd_member.c */
+void syncd_member_open(struct syncd *);
+void syncd_member_tick(struct syncd *);
+void syncd_member_role(struct syncd *, const Ch__RoleState *);
+void syncd_member_role_gone(struct syncd *, Ch__Role);
+void syncd_member_flush(struct syncd *);
+void syncd_member_send(const struct syncd_origin *, bool);
+
+/* syncd_config.c and syncd_publish.c */
+void syncd_config_tick(struct syncd *);
+void syncd_config_close(struct syncd *);
+void syncd_config_send(struct syncd *, const struct syncd_origin *, uint64_t);
+void syncd_config_apply(
+    struct syncd *, const struct syncd_origin *, const Ch__ConfigUpdate *);
+void syncd_config_heard(struct syncd *, const struct syncd_origin *, uint64_t);
+void syncd_config_changed(struct syncd *);
+void syncd_config_part_key(
+    const uint8_t[PART_DIGEST_BYTES], char[SYNCD_KEY_MAX_BYTES]);
+void syncd_publish(struct syncd *, struct httpd_request *);
+void syncd_publish_close(struct syncd *);
+void syncd_publish_closed(struct syncd *, struct httpd_request *);
+
+/* syncd_claims.c */
+enum status syncd_claims_open(struct syncd *);
+void syncd_claims_tick(struct syncd *);
+void syncd_claims_request(
+    struct syncd *, const struct syncd_origin *, const Ch__ClaimRequest *);
+void syncd_claims_reply(struct syncd *, const Ch__ClaimReply *);
+void syncd_claims_outcome(
+    struct syncd *, const struct syncd_origin *, const Ch__ClaimOutcome *);
+void syncd_claims_lost(struct syncd *, const char *);
+void syncd_claims_close(struct syncd *);
+
+/* syncd_records.c */
+enum status syncd_records_open(struct syncd *);
+void syncd_records_tick(struct syncd *);
+void syncd_records_append(
+    struct syncd *, const struct syncd_origin *, const Ch__RecordAppend *);
+void syncd_records_ack(struct syncd *, const Ch__RecordAck *);
+void syncd_records_store(struct syncd *, const Ch__RecordStore *);
+void syncd_records_stored(struct syncd *, const Ch__RecordStored *);
+void syncd_records_key(struct syncd *, const Ch__RoleState *);
+void syncd_records_close(struct syncd *);
+
+/* syncd_instances.c */
+void syncd_instances_tick(struct syncd *);
+void syncd_instances_take(
+    struct syncd *, const struct syncd_origin *, const Ch__Instances *);
+void syncd_instances_send(struct syncd *, const struct syncd_origin *);
+
+/* syncd_http.c */
+enum status syncd_http_open(struct syncd *);
+void syncd_http_close(struct syncd *);
+void syncd_http_tick(struct syncd *);
+void syncd_http_respond(struct httpd_request *, unsigned int, json_t *);
+void syncd_http_refuse(
+    struct httpd_request *, unsigned int, const char *, const char *);
+
+#endif
--- /dev/null
+++ b/src/syncd_publish.c
@@ -0,0 +1,455 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "syncd_priv.h"
+
+#define MANIFEST_KEY "config/manifest"
+/* Changes of operators that are published at the same time. */
+#define PUBLISHES_MAX 4
+#define PUBLISH_USEC (20 * LOOP_USEC_PER_SEC)
+#define PART_CALLS_MAX 16
+
+/*
+ * A change of an operator: the manifest is read, the missing parts are
+ * written, then the manifest is swapped. After an unclear answer the manifest
+ * is read back and recognised by the change id.
+ */
+struct publish {
+	struct syncd *syncd;
+	/* NULL when the operator is gone. */
+	struct httpd_request *request;
+	uint64_t base;
+	char *change_id;
+	int64_t deadline;
+	struct part_set *parts;
+	struct part_manifest *manifest;
+	uint64_t version;
+	/* Names of the parts that are stored already. */
+	GHashTable *stored;
+	size_t next;
+	size_t open_calls;
+	bool failed;
+	/* A swap of the manifest may have taken effect. */
+	bool ambiguous;
+};
+
+struct part_put {
+	struct publish *publish;
+	struct part *part;
+};
+
+static void read_manifest(struct publish *);
+static void write_parts(struct publish *);
+
+static void
+publish_release(struct publish *p)
+{
+	if (p->parts != NULL)
+		part_set_destroy(p->parts);
+	if (p->manifest != NULL)
+		part_manifest_destroy(p->manifest);
+	if (p->stored != NULL)
+		g_hash_table_destroy(p->stored);
+	g_free(p->change_id);
+	g_free(p);
+}
+
+/*
+ * Ends a change.
+ */
+static void
+publish_free(struct publish *p)
+{
+	g_ptr_array_remove(p->syncd->publishes, p);
+	publish_release(p);
+}
+
+/*
+ * Answers the operator and ends the change.
+ */
+static void
+finish(struct publish *p, unsigned int http, json_t *answer)
+{
+	if (p->request != NULL)
+		syncd_http_respond(p->request, http, answer);
+	else
+		json_decref(answer);
+	publish_free(p);
+}
+
+static void
+finish_refused(
+    struct publish *p, unsigned int http, const char *code, const char *message)
+{
+	if (p->request != NULL)
+		syncd_http_refuse(p->request, http, code, message);
+	publish_free(p);
+}
+
+/*
+ * Ends a change that is in force.
+ */
+static void
+finish_accepted(struct publish *p, uint64_t revision)
+{
+	struct syncd *s = p->syncd;
+
+	log_event(EV_CONFIG_ACCEPTED, "revision=%llu change=%s",
+	    (unsigned long long)revision, p->change_id);
+	if (conf_adopt(s->conf, revision, p->change_id, p->parts) ==
+	    CONF_APPLIED)
+		syncd_config_changed(s);
+	p->parts = NULL;
+	finish(p, 200,
+	    json_pack("{s:I, s:s}", "revision", (json_int_t)revision, "change",
+		p->change_id));
+}
+
+/*
+ * Refuses a change that is based on another revision.
+ */
+static void
+finish_conflict(struct publish *p, uint64_t revision)
+{
+	finish(p, 409,
+	    json_pack("{s:s, s:s, s:I}", "code", "conflict", "message",
+		"the configuration has changed; edit the current revision "
+		"and apply it again",
+		"revision", (json_int_t)revision));
+}
+
+/*
+ * Ends a change whose calls fail: an unclear one says so.
+ */
+static void
+finish_unavailable(struct publish *p)
+{
+	if (p->ambiguous)
+		finish_refused(p, 504, "unknown",
+		    "the change may have been accepted; apply it again with "
+		    "the same change id");
+	else
+		finish_refused(p, 503, "unavailable",
+		    "the key-value service does not answer; nothing was "
+		    "changed");
+}
+
+/*
+ * Takes the answer to the swap of the manifest.
+ */
+static void
+on_swapped(const struct kv_result *result, void *arg)
+{
+	struct publish *p = arg;
+
+	if (result->status == STATUS_OK) {
+		finish_accepted(p, p->manifest->revision);
+		return;
+	}
+	if (result->status == STATUS_AMBIGUOUS)
+		p->ambiguous = true;
+	if (result->status == STATUS_UNAVAILABLE && !p->ambiguous)
+		finish_unavailable(p);
+	else
+		read_manifest(p);
+}
+
+/*
+ * Swaps the manifest.
+ */
+static void
+swap_manifest(struct publish *p)
+{
+	struct syncd *s = p->syncd;
+	json_t *json = part_manifest_to_json(p->manifest);
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	s->kv->vtable->put(s->kv, lstr_from(MANIFEST_KEY), lstr_from(text),
+	    p->version, lstr_from(""), syncd_now(s) + SYNCD_KV_CALL_USEC,
+	    on_swapped, p);
+	free(text);
+	json_decref(json);
+}
+
+/*
+ * Ends the write of a part.
+ */
+static void
+part_end(struct part_put *put, bool stored)
+{
+	struct publish *p = put->publish;
+
+	p->open_calls--;
+	if (stored)
+		g_hash_table_add(p->stored, put->part->name);
+	else
+		p->failed = true;
+	g_free(put);
+	write_parts(p);
+}
+
+/*
+ * Takes the answer to reading a part back.
+ */
+static void
+on_part_read(const struct kv_result *result, void *arg)
+{
+	part_end(arg, result->status == STATUS_OK);
+}
+
+/*
+ * Takes the answer to the write of a part. A part that exists is the same,
+ * since it is named by its digest. After an unclear answer it is read back.
+ */
+static void
+on_part_written(const struct kv_result *result, void *arg)
+{
+	struct part_put *put = arg;
+	struct syncd *s = put->publish->syncd;
+	char key[SYNCD_KEY_MAX_BYTES];
+
+	if (result->status == STATUS_AMBIGUOUS) {
+		syncd_config_part_key(put->part->digest, key);
+		s->kv->vtable->get(s->kv, lstr_from(key),
+		    syncd_now(s) + SYNCD_KV_CALL_USEC, on_part_read, put);
+		return;
+	}
+	part_end(put,
+	    result->status == STATUS_OK || result->status == STATUS_CONFLICT);
+}
+
+/*
+ * Writes the parts that are not stored, then swaps the manifest. Parts whose
+ * write failed are tried again until the deadline.
+ */
+static void
+write_parts(struct publish *p)
+{
+	struct syncd *s = p->syncd;
+
+	while (!p->failed && p->next < p->parts->count &&
+	    p->open_calls < PART_CALLS_MAX) {
+		struct part *part = p->parts->items[p->next++];
+		char key[SYNCD_KEY_MAX_BYTES];
+		struct part_put *put;
+
+		if (g_hash_table_contains(p->stored, part->name))
+			continue;
+		put = g_new0(struct part_put, 1);
+		put->publish = p;
+		put->part = part;
+		p->open_calls++;
+		syncd_config_part_key(part->digest, key);
+		s->kv->vtable->put(s->kv, lstr_from(key),
+		    lstr_make(part->content, part->len), KV_VERSION_NONE,
+		    lstr_from(""), syncd_now(s) + SYNCD_KV_CALL_USEC,
+		    on_part_written, put);
+	}
+	if (p->open_calls > 0)
+		return;
+	if (!p->failed) {
+		swap_manifest(p);
+	} else if (syncd_now(s) > p->deadline) {
+		finish_unavailable(p);
+	} else {
+		/* Reads the manifest, then writes what is missing. */
+		p->failed = false;
+		read_manifest(p);
+	}
+}
+
+/*
+ * Notes the parts that the manifest in force already has.
+ */
+static void
+note_stored(struct publish *p, const struct part_manifest *current)
+{
+	for (size_t i = 0; i < current->count; i++) {
+		const struct part *part =
+		    part_set_find(p->parts, lstr_from(current->refs[i].name));
+
+		if (part != NULL &&
+		    memcmp(part->digest, current->refs[i].digest,
+			PART_DIGEST_BYTES) == 0)
+			g_hash_table_add(p->stored, part->name);
+	}
+}
+
+/*
+ * Goes on from the manifest in force, which is NULL when there is none.
+ */
+static void
+take_current(
+    struct publish *p, const struct part_manifest *current, uint64_t version)
+{
+	uint64_t revision = current ? current->revision : 0;
+
+	if (current != NULL && strcmp(current->change_id, p->change_id) == 0) {
+		finish_accepted(p, revision);
+		return;
+	}
+	if (revision != p->base) {
+		finish_conflict(p, revision);
+		return;
+	}
+	if (current != NULL)
+		note_stored(p, current);
+	p->version = version;
+	p->next = 0;
+	if (p->manifest == NULL)
+		p->manifest =
+		    part_manifest_create(p->parts, p->base + 1, p->change_id);
+	write_parts(p);
+}
+
+/*
+ * Takes the manifest in force.
+ */
+static void
+on_current(const struct kv_result *result, void *arg)
+{
+	struct publish *p = arg;
+	struct part_manifest *current = NULL;
+	json_t *json = NULL;
+
+	syncd_kv_result(p->syncd, result->status);
+	if (result->status == STATUS_NOT_FOUND) {
+		take_current(p, NULL, KV_VERSION_NONE);
+		return;
+	}
+	if (result->status != STATUS_OK) {
+		if (p->ambiguous && syncd_now(p->syncd) <= p->deadline)
+			read_manifest(p);
+		else
+			finish_unavailable(p);
+		return;
+	}
+	json = json_loadb(result->value.data, result->value.len, 0, NULL);
+	if (json == NULL ||
+	    part_manifest_from_json(json, &current) != STATUS_OK) {
+		json_decref(json);
+		finish_refused(p, 500, "invalid-manifest",
+		    "the manifest in the key-value service cannot be read");
+		return;
+	}
+	json_decref(json);
+	take_current(p, current, result->version);
+	part_manifest_destroy(current);
+}
+
+/*
+ * Reads the manifest in force.
+ */
+static void
+read_manifest(struct publish *p)
+{
+	struct syncd *s = p->syncd;
+
+	if (syncd_now(s) > p->deadline) {
+		finish_unavailable(p);
+		return;
+	}
+	s->kv->vtable->get(s->kv, lstr_from(MANIFEST_KEY),
+	    syncd_now(s) + SYNCD_KV_CALL_USEC, on_current, p);
+}
+
+/*
+ * Checks an operator's document and splits it into parts. Returns NULL when
+ * it is refused; status_message() says why.
+ */
+static struct part_set *
+check_document(const json_t *body)
+{
+	const json_t *inventory = json_object_get(body, "inventory");
+	const json_t *rules = json_object_get(body, "rules");
+	const json_t *change = json_object_get(body, "change");
+	struct part_set *parts = NULL;
+	struct inv *inv = NULL;
+
+	if (!json_is_integer(json_object_get(body, "base")) ||
+	    json_integer_value(json_object_get(body, "base")) < 0 ||
+	    !json_is_string(change) || json_string_length(change) == 0 ||
+	    json_string_length(change) > PART_CHANGE_ID_MAX_BYTES ||
+	    !json_is_object(inventory) || !json_is_object(rules)) {
+		status_set(STATUS_INVALID,
+		    "base (revision), change (1 to %d characters), inventory "
+		    "and rules are needed",
+		    PART_CHANGE_ID_MAX_BYTES);
+		return NULL;
+	}
+	if (inv_parse(inventory, rules, &inv) != STATUS_OK)
+		return NULL;
+	inv_destroy(inv);
+	if (part_split(inventory, rules, &parts) != STATUS_OK)
+		return NULL;
+	return parts;
+}
+
+/*
+ * Handles POST /v1/config.
+ */
+void
+syncd_publish(struct syncd *s, struct httpd_request *request)
+{
+	json_t *body = NULL;
+	struct part_set *parts;
+	struct publish *p;
+
+	if (s->publishes->len >= PUBLISHES_MAX) {
+		syncd_http_refuse(
+		    request, 503, "busy", "other changes are being published");
+		return;
+	}
+	if (inv_load(httpd_body(request), "body", &body) != STATUS_OK ||
+	    (parts = check_document(body)) == NULL) {
+		syncd_http_refuse(request, 400, "invalid", status_message());
+		json_decref(body);
+		return;
+	}
+	p = g_new0(struct publish, 1);
+	p->syncd = s;
+	p->request = request;
+	p->base = (uint64_t)json_integer_value(json_object_get(body, "base"));
+	p->change_id =
+	    g_strdup(json_string_value(json_object_get(body, "change")));
+	p->deadline = syncd_now(s) + PUBLISH_USEC;
+	p->parts = parts;
+	p->stored = g_hash_table_new(g_str_hash, g_str_equal);
+	json_decref(body);
+	g_ptr_array_add(s->publishes, p);
+	read_manifest(p);
+}
+
+/*
+ * Forgets the operator of a change; the change goes on.
+ */
+void
+syncd_publish_closed(struct syncd *s, struct httpd_request *request)
+{
+	for (guint i = 0; i < s->publishes->len; i++) {
+		struct publish *p = s->publishes->pdata[i];
+
+		if (p->request == request)
+			p->request = NULL;
+	}
+}
+
+/*
+ * Ends all changes; their calls were ended with the client. What may have
+ * been accepted is not called refused.
+ */
+void
+syncd_publish_close(struct syncd *s)
+{
+	while (s->publishes->len > 0) {
+		struct publish *p = g_ptr_array_remove_index(s->publishes, 0);
+
+		if (p->request != NULL)
+			syncd_http_refuse(p->request, 504, "unknown",
+			    "the process is stopping; the change may have "
+			    "been accepted, apply it again with the same "
+			    "change id");
+		publish_release(p);
+	}
+}
--- /dev/null
+++ b/src/syncd_records.c
@@ -0,0 +1,407 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "log.h"
+#include "syncd_priv.h"
+
+/* Values that wait to be stored: 64 MB as in the router, and this many. */
+#define STORES_MAX 4096
+#define STORES_MAX_BYTES ((size_t)64 * 1024 * 1024)
+/* Writes on their way at the same time. */
+#define STORE_CALLS_MAX 4
+
+/* A value to be created under record/. */
+struct store {
+	struct syncd *syncd;
+	char *key;
+	uint8_t *value;
+	size_t len;
+	bool calling;
+	bool done;
+	int64_t retry_at;
+	/* What is told when it is stored; node is NULL for public keys. */
+	char *node;
+	uint64_t boot;
+	uint32_t segment;
+	uint64_t last_sequence;
+	/* Stored here in place of a dead router. */
+	bool recovered;
+};
+
+/* A boot of a router whose copies are held. */
+struct copied {
+	char *node;
+	uint64_t boot;
+	bool recovering;
+};
+
+static struct metric stored = {"chestnuthoist_record_segments_stored_total", "",
+    "Record segments stored.", METRIC_COUNTER, 0, NULL};
+static struct metric recovered_stored = {
+    "chestnuthoist_record_segments_recovered_total", "",
+    "Record segments stored in place of a dead router.", METRIC_COUNTER, 0,
+    NULL};
+static struct metric refused = {"chestnuthoist_record_stores_refused_total", "",
+    "Record segments refused because too many wait.", METRIC_COUNTER, 0, NULL};
+
+static void
+store_free(gpointer data)
+{
+	struct store *store = data;
+
+	g_free(store->key);
+	g_free(store->value);
+	g_free(store->node);
+	g_free(store);
+}
+
+/*
+ * Returns the bytes that wait.
+ */
+static size_t
+waiting_bytes(const struct syncd *s)
+{
+	size_t bytes = 0;
+
+	for (const GList *l = s->stores.head; l != NULL; l = l->next)
+		bytes += ((const struct store *)l->data)->len;
+	return bytes;
+}
+
+/*
+ * Queues a value. Takes the key. Returns NULL when too many wait.
+ */
+static struct store *
+add_store(struct syncd *s, char *key, const void *value, size_t len)
+{
+	struct store *store;
+
+	if (s->stores.length >= STORES_MAX ||
+	    waiting_bytes(s) + len > STORES_MAX_BYTES) {
+		refused.value++;
+		g_free(key);
+		return NULL;
+	}
+	store = g_new0(struct store, 1);
+	store->syncd = s;
+	store->key = key;
+	store->value = g_memdup2(value, len);
+	store->len = len;
+	g_queue_push_tail(&s->stores, store);
+	return store;
+}
+
+/*
+ * Tells the router and the keeper of the copy that a segment is stored.
+ */
+static void
+tell_stored(const struct store *store)
+{
+	struct syncd *s = store->syncd;
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__RecordStored message = CH__RECORD_STORED__INIT;
+	const struct view_member *keeper;
+	struct syncd_outgoing *out;
+
+	stored.value++;
+	message.node = store->node;
+	message.boot = store->boot;
+	message.segment = store->segment;
+	message.last_sequence = store->last_sequence;
+	frame.kind_case = CH__FRAME__KIND_RECORD_STORED;
+	frame.record_stored = &message;
+	if (store->recovered) {
+		recovered_stored.value++;
+		rec_copies_stored(s->copies, lstr_from(store->node),
+		    store->boot, store->segment);
+		return;
+	}
+	syncd_send_local(s, CH__ROLE__ROLE_ROUTER, &frame);
+	keeper = owner_record_peer(member_view(s->member),
+	    lstr_from(s->proc->hello.node), lstr_from(s->proc->hello.place));
+	out = keeper ? g_hash_table_lookup(s->outgoing, keeper->node) : NULL;
+	if (out != NULL)
+		peer_send(out->peer, &frame);
+}
+
+/*
+ * Takes the answer to a write. A key that exists holds the same value: it
+ * names the boot and the segment, and only this process writes it. Anything
+ * else is tried again.
+ */
+static void
+on_stored(const struct kv_result *result, void *arg)
+{
+	struct store *store = arg;
+	struct syncd *s = store->syncd;
+
+	store->calling = false;
+	syncd_kv_result(s, result->status);
+	if (result->status != STATUS_OK && result->status != STATUS_CONFLICT) {
+		store->retry_at = syncd_now(s) + SYNCD_RETRY_USEC;
+		return;
+	}
+	if (store->node != NULL)
+		tell_stored(store);
+	g_queue_remove(&s->stores, store);
+	store_free(store);
+}
+
+/*
+ * Starts the writes that are due, in order.
+ */
+static void
+run_stores(struct syncd *s)
+{
+	int64_t now = syncd_now(s);
+	int calls = 0;
+
+	for (GList *l = s->stores.head; l != NULL && calls < STORE_CALLS_MAX;
+	     l = l->next) {
+		struct store *store = l->data;
+
+		calls++;
+		if (store->calling || now < store->retry_at)
+			continue;
+		store->calling = true;
+		s->kv->vtable->put(s->kv, lstr_from(store->key),
+		    lstr_make(store->value, store->len), KV_VERSION_NONE,
+		    lstr_from(""), now + SYNCD_KV_CALL_USEC, on_stored, store);
+	}
+}
+
+/*
+ * Queues a segment.
+ */
+static void
+add_segment(struct syncd *s, const Ch__RecordStore *message, bool recovered)
+{
+	char *key =
+	    g_strdup_printf("record/%s/%016" PRIx64 "/%08u%s", message->node,
+		message->boot, message->segment, recovered ? ".recovered" : "");
+	struct store *store;
+
+	for (GList *l = s->stores.head; l != NULL; l = l->next) {
+		if (strcmp(((struct store *)l->data)->key, key) != 0)
+			continue;
+		/* The router sends again what it waits for. */
+		g_free(key);
+		return;
+	}
+	store = add_store(s, key, message->content.data, message->content.len);
+	if (store == NULL)
+		return;
+	store->node = g_strdup(message->node);
+	store->boot = message->boot;
+	store->segment = message->segment;
+	store->last_sequence = message->last_sequence;
+	store->recovered = recovered;
+	run_stores(s);
+}
+
+/*
+ * Takes a segment of the local router.
+ */
+void
+syncd_records_store(struct syncd *s, const Ch__RecordStore *message)
+{
+	if (strcmp(message->node, s->proc->hello.node) == 0)
+		add_segment(s, message, false);
+}
+
+/*
+ * Stores the public key that a router announces, so that its segments can be
+ * verified after it is gone.
+ */
+void
+syncd_records_key(struct syncd *s, const Ch__RoleState *state)
+{
+	char *key;
+
+	if (state->role != CH__ROLE__ROLE_ROUTER ||
+	    state->record_key.len != REC_PUBLIC_KEY_BYTES)
+		return;
+	key = g_strdup_printf(
+	    "record/%s/%016" PRIx64 "/key", s->proc->hello.node, state->boot);
+	if (g_hash_table_contains(s->copied, key)) {
+		g_free(key);
+		return;
+	}
+	if (g_hash_table_size(s->copied) < REC_COPIES_MAX_SOURCES)
+		g_hash_table_insert(s->copied, g_strdup(key), NULL);
+	add_store(s, key, state->record_key.data, state->record_key.len);
+	run_stores(s);
+}
+
+/*
+ * Copies entries: those of the local router go to the keeper, those of
+ * another node are kept here and acknowledged.
+ */
+void
+syncd_records_append(struct syncd *s, const struct syncd_origin *from,
+    const Ch__RecordAppend *message)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__RecordAck ack = CH__RECORD_ACK__INIT;
+	const struct view_member *keeper;
+	struct syncd_outgoing *out;
+	struct copied *copied;
+	char *name;
+
+	if (from->session == NULL)
+		return;
+	if (from->session->local) {
+		keeper = owner_record_peer(member_view(s->member),
+		    lstr_from(s->proc->hello.node),
+		    lstr_from(s->proc->hello.place));
+		out = keeper ? g_hash_table_lookup(s->outgoing, keeper->node)
+			     : NULL;
+		frame.kind_case = CH__FRAME__KIND_RECORD_APPEND;
+		frame.record_append = (Ch__RecordAppend *)message;
+		if (out != NULL)
+			peer_send(out->peer, &frame);
+		return;
+	}
+	if (from->session->role != CH__ROLE__ROLE_SYNCD ||
+	    strcmp(link_peer(from->session->link)->node, message->node) != 0 ||
+	    rec_copies_append(s->copies, message, &ack) != STATUS_OK)
+		return;
+	name = g_strdup_printf("%s %016" PRIx64, message->node, message->boot);
+	if (!g_hash_table_contains(s->copied, name)) {
+		copied = g_new0(struct copied, 1);
+		copied->node = g_strdup(message->node);
+		copied->boot = message->boot;
+		g_hash_table_insert(s->copied, g_strdup(name), copied);
+	}
+	g_free(name);
+	frame.kind_case = CH__FRAME__KIND_RECORD_ACK;
+	frame.record_ack = &ack;
+	syncd_send(from, &frame);
+}
+
+/*
+ * Passes an acknowledgement on to the local router.
+ */
+void
+syncd_records_ack(struct syncd *s, const Ch__RecordAck *message)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+
+	if (strcmp(message->node, s->proc->hello.node) != 0)
+		return;
+	frame.kind_case = CH__FRAME__KIND_RECORD_ACK;
+	frame.record_ack = (Ch__RecordAck *)message;
+	syncd_send_local(s, CH__ROLE__ROLE_ROUTER, &frame);
+}
+
+/*
+ * Frees copies that their node has stored.
+ */
+void
+syncd_records_stored(struct syncd *s, const Ch__RecordStored *message)
+{
+	rec_copies_stored(s->copies, lstr_from(message->node), message->boot,
+	    message->segment);
+}
+
+/*
+ * Tells whether the router that made copies is gone: its node is no member,
+ * or its router is not running or runs with another key.
+ */
+static bool
+is_dead(const struct syncd *s, const struct copied *copied)
+{
+	const struct view_member *m =
+	    view_find(member_view(s->member), lstr_from(copied->node));
+
+	if (m == NULL)
+		return view_count(member_view(s->member)) > 0;
+	return m->state != VIEW_SUSPECTED && m->router_address[0] == '\0';
+}
+
+/*
+ * Stores the tail of a router that is gone; the stored segments release their
+ * copies. Returns whether all is stored.
+ */
+static bool
+recover(struct syncd *s, struct copied *copied)
+{
+	struct lstr node = lstr_from(copied->node);
+	Ch__RecordStore *message = NULL;
+
+	if (!is_dead(s, copied)) {
+		copied->recovering = false;
+		return false;
+	}
+	if (!copied->recovering) {
+		log_event(EV_RECORD_RECOVERED, "node=%s boot=%016" PRIx64,
+		    copied->node, copied->boot);
+		rec_copies_restart_recover(s->copies, node, copied->boot);
+	}
+	copied->recovering = true;
+	while (s->stores.length < STORES_MAX / 2 &&
+	    rec_copies_recover(s->copies, node, copied->boot, &message) ==
+		STATUS_OK) {
+		add_segment(s, message, true);
+		ch__record_store__free_unpacked(message, NULL);
+	}
+	return s->stores.length == 0;
+}
+
+/*
+ * Does what is due.
+ */
+void
+syncd_records_tick(struct syncd *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (member_service_is_up(s->member)) {
+		g_hash_table_iter_init(&iter, s->copied);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			if (value != NULL && recover(s, value))
+				g_hash_table_iter_remove(&iter);
+		}
+	}
+	run_stores(s);
+}
+
+static void
+copied_free(gpointer data)
+{
+	struct copied *copied = data;
+
+	if (copied == NULL)
+		return;
+	g_free(copied->node);
+	g_free(copied);
+}
+
+/*
+ * Creates the tables.
+ */
+enum status
+syncd_records_open(struct syncd *s)
+{
+	s->copied =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, copied_free);
+	g_queue_init(&s->stores);
+	metric_register(&stored);
+	metric_register(&recovered_stored);
+	metric_register(&refused);
+	return rec_copies_create(s->proc->hello.node, &s->copies);
+}
+
+/*
+ * Frees the tables; the calls were ended with the client.
+ */
+void
+syncd_records_close(struct syncd *s)
+{
+	g_queue_clear_full(&s->stores, store_free);
+	if (s->copied != NULL)
+		g_hash_table_destroy(s->copied);
+	rec_copies_destroy(s->copies);
+}
--- /dev/null
+++ b/tests/test_syncd.c
@@ -0,0 +1,442 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include "cluster.h"
+#include "log.h"
+#include "record.h"
+#include "sample.h"
+
+#define NODES 3
+#define IN_FORCE_USEC (6 * LOOP_USEC_PER_SEC)
+#define CLAIM_USEC (10 * LOOP_USEC_PER_SEC)
+
+static const struct sample_size size = {2, 6, 2, 5};
+
+/* A stand-in for the router of a node, connected to its syncd. */
+struct router {
+	struct cluster *cluster;
+	struct link_context context;
+	Ch__Hello hello;
+	char node[8];
+	struct peer *peer;
+	uint64_t sequence;
+	bool replied;
+	Ch__ClaimResult result;
+	uint64_t acked;
+	uint32_t stored;
+	size_t members;
+	uint64_t revision;
+};
+
+static void
+on_up(struct peer *peer, void *arg)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Subscribe message = CH__SUBSCRIBE__INIT;
+
+	(void)arg;
+	message.role = CH__ROLE__ROLE_ROUTER;
+	frame.kind_case = CH__FRAME__KIND_SUBSCRIBE;
+	frame.subscribe = &message;
+	peer_send(peer, &frame);
+}
+
+static void
+on_frame(struct peer *peer, const Ch__Frame *frame, void *arg)
+{
+	struct router *r = arg;
+
+	(void)peer;
+	if (frame->kind_case == CH__FRAME__KIND_CLAIM_REPLY &&
+	    frame->claim_reply->sequence == r->sequence) {
+		r->replied = true;
+		r->result = frame->claim_reply->result;
+	} else if (frame->kind_case == CH__FRAME__KIND_RECORD_ACK) {
+		r->acked = frame->record_ack->sequence;
+	} else if (frame->kind_case == CH__FRAME__KIND_RECORD_STORED) {
+		r->stored = frame->record_stored->segment;
+	} else if (frame->kind_case == CH__FRAME__KIND_VIEW) {
+		r->members = frame->view->n_members;
+	} else if (frame->kind_case == CH__FRAME__KIND_CONFIG_UPDATE) {
+		r->revision = frame->config_update->revision;
+	}
+}
+
+static void
+on_down(struct peer *peer, enum status status, void *arg)
+{
+	(void)peer;
+	(void)status;
+	(void)arg;
+}
+
+static const struct peer_ops router_ops = {on_up, on_frame, on_down, NULL};
+
+static bool
+router_is_up(void *arg)
+{
+	return peer_is_up(((struct router *)arg)->peer);
+}
+
+static void
+router_start(struct router *r, struct cluster *c, int node)
+{
+	memset(r, 0, sizeof(*r));
+	r->cluster = c;
+	snprintf(r->node, sizeof(r->node), "n%d", node);
+	ch__hello__init(&r->hello);
+	r->hello.node = r->node;
+	r->hello.role = CH__ROLE__ROLE_ROUTER;
+	r->hello.protocol = LINK_PROTOCOL;
+	r->hello.boot = 7;
+	r->context.loop = c->loop;
+	r->context.hello = &r->hello;
+	r->context.silence_limit_usec = LINK_SILENCE_LIMIT_USEC;
+	r->context.queue_max_bytes = LINK_QUEUE_MAX_BYTES;
+	ck_assert_int_eq(
+	    frame_key_from_hex(CLUSTER_KEY, r->context.key), STATUS_OK);
+	ck_assert_int_eq(
+	    peer_create(&r->context, c->frames[node], &router_ops, r, &r->peer),
+	    STATUS_OK);
+	ck_assert(harness_wait(c->loop, router_is_up, r));
+}
+
+static bool
+is_replied(void *arg)
+{
+	return ((struct router *)arg)->replied;
+}
+
+/*
+ * Asks for a claim and returns the answer.
+ */
+static Ch__ClaimResult
+claim(struct router *r, char identity, char token)
+{
+	uint8_t id[16];
+	uint8_t tok[16];
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__ClaimRequest message = CH__CLAIM_REQUEST__INIT;
+	int64_t now = loop_now(r->cluster->loop);
+
+	memset(id, identity, sizeof(id));
+	memset(tok, token, sizeof(tok));
+	message.sequence = ++r->sequence;
+	message.identity.data = id;
+	message.identity.len = sizeof(id);
+	message.token.data = tok;
+	message.token.len = sizeof(tok);
+	message.expiry = now + 120 * LOOP_USEC_PER_SEC;
+	message.deadline = now + CLAIM_USEC;
+	frame.kind_case = CH__FRAME__KIND_CLAIM_REQUEST;
+	frame.claim_request = &message;
+	r->replied = false;
+	ck_assert_int_eq(peer_send(r->peer, &frame), STATUS_OK);
+	ck_assert(harness_wait(r->cluster->loop, is_replied, r));
+	return r->result;
+}
+
+/*
+ * Posts the sample configuration with an address changed.
+ */
+static long
+publish(struct cluster *c, int node, int base, const char *change,
+    const char *address)
+{
+	json_t *inventory = sample_inventory(&size);
+
+	sample_move_instance(inventory, 0, address);
+	return cluster_call(c, "POST", c->operators[node], "/v1/config",
+	    json_pack("{s:i, s:s, s:o, s:o}", "base", base, "change", change,
+		"inventory", inventory, "rules", sample_rules(&size)));
+}
+
+/*
+ * Waits until all nodes have a revision in force and returns how long the
+ * last one took, in microseconds.
+ */
+static int64_t
+wait_revision(struct cluster *c, int revision)
+{
+	int64_t begin = loop_now(c->loop);
+
+	for (int i = 0; i < c->count; i++) {
+		do {
+			ck_assert_int_lt(
+			    loop_now(c->loop) - begin, HARNESS_DEADLINE_USEC);
+			cluster_call(
+			    c, "GET", c->operators[i], "/v1/config", NULL);
+		} while (c->http_status != 200 ||
+		    json_integer_value(json_object_get(c->answer, "revision")) <
+			revision);
+	}
+	return loop_now(c->loop) - begin;
+}
+
+/* Guards against configurations that reach only some nodes, or overwrite a
+ * change that an operator has not seen. */
+START_TEST(configuration_reaches_all)
+{
+	struct cluster c;
+	int64_t took;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	ck_assert_int_eq(publish(&c, 0, 0, "one", "10.0.0.1:1"), 200);
+	took = wait_revision(&c, 1);
+	ck_assert_int_le(took, IN_FORCE_USEC);
+	ck_assert_int_eq(publish(&c, 2, 1, "two", "10.0.0.1:2"), 200);
+	took = wait_revision(&c, 2);
+	printf("in force everywhere after %lld ms\n",
+	    (long long)(took / LOOP_USEC_PER_MSEC));
+	ck_assert_int_le(took, IN_FORCE_USEC);
+	ck_assert_int_eq(publish(&c, 1, 1, "three", "10.0.0.1:3"), 409);
+	ck_assert_int_eq(
+	    json_integer_value(json_object_get(c.answer, "revision")), 2);
+	/* The same change again is the same change. */
+	ck_assert_int_eq(publish(&c, 1, 1, "two", "10.0.0.1:2"), 200);
+	ck_assert_int_eq(cluster_call(&c, "POST", c.operators[0], "/v1/config",
+			     json_pack("{s:i, s:s, s:{}, s:{}}", "base", 2,
+				 "change", "x", "inventory", "rules")),
+	    400);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against taking a lost answer for a refusal of the change. */
+START_TEST(change_with_lost_answers_is_accepted_once)
+{
+	struct cluster c;
+
+	cluster_start(&c, 1);
+	cluster_wait_members(&c, 1);
+	cluster_fault(&c, "lose-answers");
+	ck_assert_int_eq(publish(&c, 0, 0, "one", "10.0.0.1:1"), 200);
+	cluster_fault(&c, "none");
+	ck_assert_int_eq(publish(&c, 0, 0, "other", "10.0.0.1:1"), 409);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against two routers that run the same order, also when the owner of
+ * the bucket dies in between. */
+START_TEST(claims_are_exclusive_across_nodes)
+{
+	static const char identities[] = "abcdefgh";
+	struct cluster c;
+	struct router first;
+	struct router second;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	router_start(&first, &c, 0);
+	router_start(&second, &c, 1);
+	for (const char *i = identities; *i != '\0'; i++) {
+		ck_assert_int_eq(claim(&first, *i, '1'),
+		    CH__CLAIM_RESULT__CLAIM_RESULT_GRANTED);
+		ck_assert_int_eq(claim(&second, *i, '2'),
+		    CH__CLAIM_RESULT__CLAIM_RESULT_DUPLICATE);
+	}
+	child_kill(&c.syncds[2]);
+	for (const char *i = identities; *i != '\0'; i++)
+		ck_assert_int_eq(claim(&second, *i, '3'),
+		    CH__CLAIM_RESULT__CLAIM_RESULT_DUPLICATE);
+	ck_assert_int_eq(
+	    claim(&second, 'z', '3'), CH__CLAIM_RESULT__CLAIM_RESULT_GRANTED);
+	peer_destroy(first.peer);
+	peer_destroy(second.peer);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against orders that hang or are granted while the service is down,
+ * and against a cluster that does not recover. */
+START_TEST(outage_refuses_claims_and_changes)
+{
+	struct cluster c;
+	struct router router;
+	int64_t deadline;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	ck_assert_int_eq(publish(&c, 0, 0, "one", "10.0.0.1:1"), 200);
+	wait_revision(&c, 1);
+	router_start(&router, &c, 0);
+	cluster_fault(&c, "outage");
+	ck_assert_int_eq(claim(&router, 'a', '1'),
+	    CH__CLAIM_RESULT__CLAIM_RESULT_UNAVAILABLE);
+	ck_assert_int_eq(publish(&c, 1, 1, "two", "10.0.0.1:2"), 503);
+	ck_assert_int_eq(cluster_members(&c, 1, "live"), NODES);
+	cluster_fault(&c, "none");
+	deadline = loop_now(c.loop) + HARNESS_DEADLINE_USEC;
+	while (
+	    claim(&router, 'a', '2') != CH__CLAIM_RESULT__CLAIM_RESULT_GRANTED)
+		ck_assert_int_lt(loop_now(c.loop), deadline);
+	ck_assert_int_eq(publish(&c, 1, 1, "two", "10.0.0.1:2"), 200);
+	wait_revision(&c, 2);
+	peer_destroy(router.peer);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a new node that cannot start while the service is down. */
+START_TEST(new_node_reads_from_a_peer)
+{
+	struct cluster c;
+
+	cluster_start(&c, 2);
+	cluster_wait_members(&c, 2);
+	ck_assert_int_eq(publish(&c, 0, 0, "one", "10.0.0.1:1"), 200);
+	wait_revision(&c, 1);
+	cluster_fault(&c, "outage");
+	c.count = 3;
+	cluster_start_syncd(&c, 2, "a");
+	wait_revision(&c, 1);
+	ck_assert_int_ge(cluster_members(&c, 2, "live"), 2);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a dead node that goes on owning work, and a new boot that is
+ * not taken back. */
+START_TEST(dead_node_is_suspected_and_removed)
+{
+	struct cluster c;
+	int64_t begin;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	child_kill(&c.syncds[1]);
+	begin = loop_now(c.loop);
+	while (cluster_members(&c, 0, "live") != NODES - 1 ||
+	    cluster_members(&c, 2, "live") != NODES - 1)
+		ck_assert_int_lt(
+		    loop_now(c.loop) - begin, HARNESS_DEADLINE_USEC);
+	printf("no longer live after %lld ms\n",
+	    (long long)((loop_now(c.loop) - begin) / LOOP_USEC_PER_MSEC));
+	while (cluster_members(&c, 0, "suspected") != 0)
+		ck_assert_int_lt(
+		    loop_now(c.loop) - begin, HARNESS_DEADLINE_USEC);
+	cluster_start_syncd(&c, 1, "a");
+	cluster_wait_members(&c, NODES);
+	cluster_stop(&c);
+}
+END_TEST
+
+static bool
+is_acked(void *arg)
+{
+	return ((struct router *)arg)->acked > 0;
+}
+
+static bool
+is_stored(void *arg)
+{
+	return ((struct router *)arg)->stored > 0;
+}
+
+/*
+ * Sends the next copy of a record.
+ */
+static void
+send_copy(struct router *r, struct rec *rec)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+
+	ck_assert_int_eq(rec_next_copy(rec, &frame.record_append), STATUS_OK);
+	frame.kind_case = CH__FRAME__KIND_RECORD_APPEND;
+	ck_assert_int_eq(peer_send(r->peer, &frame), STATUS_OK);
+	ch__record_append__free_unpacked(frame.record_append, NULL);
+}
+
+/*
+ * Announces a router with the key of its record.
+ */
+static void
+announce(struct router *r, const struct rec *rec)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__RoleState message = CH__ROLE_STATE__INIT;
+
+	message.role = CH__ROLE__ROLE_ROUTER;
+	message.address = (char *)"127.0.0.1:9";
+	message.ready = true;
+	message.boot = r->hello.boot;
+	message.record_key.data = (uint8_t *)rec_public_key(rec);
+	message.record_key.len = REC_PUBLIC_KEY_BYTES;
+	frame.kind_case = CH__FRAME__KIND_ROLE_STATE;
+	frame.role_state = &message;
+	ck_assert_int_eq(peer_send(r->peer, &frame), STATUS_OK);
+}
+
+/*
+ * Returns how many segments a node's record has, or -1 while it has no key.
+ */
+static int
+segment_count(struct cluster *c, int node)
+{
+	const json_t *record;
+
+	if (cluster_call(c, "GET", c->operators[node], "/v1/records?node=n0",
+		NULL) != 200)
+		return -1;
+	record = json_array_get(json_object_get(c->answer, "records"), 0);
+	if (json_string_length(json_object_get(record, "public_key")) !=
+	    2 * REC_PUBLIC_KEY_BYTES)
+		return -1;
+	return (int)json_array_size(json_object_get(record, "segments"));
+}
+
+/* Guards against entries that one crash loses: the copy is acknowledged, the
+ * segment stored, and the tail of a dead router stored by the peer. */
+START_TEST(record_survives_its_router)
+{
+	struct cluster c;
+	struct router router;
+	struct rec *rec = NULL;
+	struct rec_event event = {.organisation = lstr_from("o"),
+	    .request = lstr_from("r"),
+	    .replica = lstr_from("x"),
+	    .reason = CH__RECORD_REASON__RECORD_REASON_ARRIVAL};
+	Ch__Frame frame = CH__FRAME__INIT;
+	uint64_t sequence;
+	int64_t deadline;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	router_start(&router, &c, 0);
+	ck_assert_int_eq(rec_create("n0", router.hello.boot, &rec), STATUS_OK);
+	announce(&router, rec);
+	ck_assert_int_eq(rec_append(rec, &event, &sequence), STATUS_OK);
+	send_copy(&router, rec);
+	ck_assert(harness_wait(c.loop, is_acked, &router));
+	ck_assert_uint_eq(router.acked, sequence);
+	rec_acknowledged(rec, sequence);
+	ck_assert_int_eq(rec_close_segment(rec, loop_now(c.loop)), STATUS_OK);
+	ck_assert_int_eq(rec_next_store(rec, &frame.record_store), STATUS_OK);
+	frame.kind_case = CH__FRAME__KIND_RECORD_STORE;
+	ck_assert_int_eq(peer_send(router.peer, &frame), STATUS_OK);
+	ch__record_store__free_unpacked(frame.record_store, NULL);
+	ck_assert(harness_wait(c.loop, is_stored, &router));
+	rec_stored(rec, router.stored);
+	ck_assert_int_eq(segment_count(&c, 1), 1);
+	/* The next entry is copied only; then the router dies. */
+	ck_assert_int_eq(rec_append(rec, &event, &sequence), STATUS_OK);
+	router.acked = 0;
+	send_copy(&router, rec);
+	ck_assert(harness_wait(c.loop, is_acked, &router));
+	peer_destroy(router.peer);
+	deadline = loop_now(c.loop) + HARNESS_DEADLINE_USEC;
+	while (segment_count(&c, 1) != 2)
+		ck_assert_int_lt(loop_now(c.loop), deadline);
+	rec_destroy(rec);
+	cluster_stop(&c);
+}
+END_TEST
+
+HARNESS_MAIN("syncd", configuration_reaches_all,
+    change_with_lost_answers_is_accepted_once,
+    claims_are_exclusive_across_nodes, outage_refuses_claims_and_changes,
+    new_node_reads_from_a_peer, dead_node_is_suspected_and_removed,
+    record_survives_its_router)
