--- a/src/entry.c
+++ b/src/entry.c
@@ -307,17 +307,34 @@
 	return list;
 }
 
+/*
+ * Returns how many routers own replicas in the eyes of this entry.
+ */
+static int
+count_usable_routers(const struct entry *entry)
+{
+	int count = 0;
+
+	for (size_t i = 0; i < view_count(entry->view); i++) {
+		const struct view_member *member = view_at(entry->view, i);
+
+		if (member->state == VIEW_LIVE && member->router_ready)
+			count++;
+	}
+	return count;
+}
+
 /*
  * Returns a new reference to the state of the entry, read from its tables.
  */
 json_t *
 entry_dump(struct entry *entry)
 {
-	return json_pack("{s:s,s:s,s:b,s:b,s:b,s:o,s:o,s:o}", "node",
+	return json_pack("{s:s,s:s,s:b,s:b,s:b,s:i,s:o,s:o,s:o}", "node",
 	    entry->proc->hello.node, "address", entry->address, "ready",
 	    (int)entry_is_ready(entry), "draining", (int)entry->proc->draining,
-	    "listening", (int)entry->listening, "local",
-	    local_dump(entry->local), "routers",
-	    entry_routers_dump(entry->routers), "requests",
+	    "listening", (int)entry->listening, "usable_routers",
+	    count_usable_routers(entry), "local", local_dump(entry->local),
+	    "routers", entry_routers_dump(entry->routers), "requests",
 	    dump_requests(entry));
 }
--- a/src/entry_submit.c
+++ b/src/entry_submit.c
@@ -164,8 +164,7 @@
 		return status_set(STATUS_NOT_FOUND, "the service is gone");
 	return choose_replica(&world, service,
 	    lstr_from(r->stream->idempotent ? "" : r->stream->key),
-	    lstr_from(r->stream->idempotent ? r->replica : ""), entry->random,
-	    out);
+	    lstr_from(r->replica), entry->random, out);
 }
 
 /*
