--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -12,7 +12,9 @@
 #include <glib.h>
 
 #include "claim.h"
+#include "frame.h"
 #include "owner.h"
+#include "record.h"
 #include "sched.h"
 #include "view.h"
 
@@ -26,6 +28,7 @@
 #define CLAIMS 48000
 #define CLAIMS_PER_SECOND 48
 #define CLAIM_WINDOW_USEC ((int64_t)120 * 1000000)
+#define COPIES 50000
 #define CLAIM_SLOTS 512
 #define CLAIM_INTERVAL_USEC ((int64_t)400 * 1000)
 #define START_USEC ((int64_t)1796362391 * 1000000)
@@ -42,6 +45,17 @@
 	return (double)clock() / CLOCKS_PER_SEC;
 }
 
+/*
+ * Returns the bytes that are allocated, large blocks included.
+ */
+static size_t
+allocated(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
 /*
  * Enters one node into a view.
  */
@@ -128,13 +142,13 @@
 	static char owners[REPLICAS][NAME_MAX_BYTES];
 	struct view *view = NULL;
 	Ch__View *message = NULL;
-	size_t memory = mallinfo2().uordblks;
+	size_t memory = allocated();
 	double start;
 
 	view_create(&view);
 	for (unsigned int i = 0; i < NODES; i++)
 		put_node(view, i);
-	memory = mallinfo2().uordblks - memory;
+	memory = allocated() - memory;
 	view_to_message(view, 1, &message);
 	printf("view members=%d memory_bytes=%zu whole_message_bytes=%zu "
 	       "bytes_each=%zu\n",
@@ -263,7 +277,7 @@
 	struct claim *claim = claim_create(&settings);
 	struct slot *slots = calloc(CLAIM_SLOTS, sizeof(*slots));
 	struct claim_totals totals = {0};
-	size_t memory = mallinfo2().uordblks;
+	size_t memory = allocated();
 	int64_t now = START_USEC;
 	double start = processor_time();
 
@@ -281,7 +295,7 @@
 	    (double)totals.bytes / CLAIMS, (size_t)totals.longest,
 	    (processor_time() - start) * USEC_PER_SEC / CLAIMS);
 	printf("claims message_bytes_per_claim=%zu memory_bytes=%zu\n",
-	    claim_message_bytes(), mallinfo2().uordblks - memory);
+	    claim_message_bytes(), allocated() - memory);
 	for (int i = 0; i < CLAIM_SLOTS; i++)
 		free(slots[i].value);
 	free(slots);
@@ -296,7 +310,7 @@
 {
 	GRand *rand = g_rand_new_with_seed(SEED);
 	struct sched *sched = NULL;
-	size_t memory = mallinfo2().uordblks;
+	size_t memory = allocated();
 	Ch__RecordReason reason;
 	double start;
 	double pushed;
@@ -320,7 +334,7 @@
 		sched_push(sched, &request, &entry);
 	}
 	pushed = processor_time();
-	memory = mallinfo2().uordblks - memory;
+	memory = allocated() - memory;
 	while (sched_take(sched, &data, &reason))
 		;
 	printf("queue entries=%d organisations=%d push_usec=%.2f "
@@ -333,6 +347,109 @@
 	g_rand_free(rand);
 }
 
+/*
+ * Returns a codec whose peer has answered, so that it can write.
+ */
+static struct frame_codec *
+ready_codec(struct frame_codec **peer)
+{
+	static const uint8_t key[FRAME_KEY_BYTES] = {1};
+	struct frame_codec *codec = NULL;
+	struct lstr_buf to_codec = {0};
+	struct lstr_buf to_peer = {0};
+	Ch__Frame *frame = NULL;
+
+	frame_codec_create(key, true, &codec);
+	frame_codec_create(key, false, peer);
+	frame_preface(codec, &to_peer);
+	frame_preface(*peer, &to_codec);
+	frame_read(codec, &to_codec, &frame, &to_peer);
+	frame_read(*peer, &to_peer, &frame, &to_codec);
+	frame_read(codec, &to_codec, &frame, &to_peer);
+	lstr_buf_free(&to_codec);
+	lstr_buf_free(&to_peer);
+	return codec;
+}
+
+/*
+ * Writes the copy of one entry of the record, as a router does.
+ */
+static void
+write_copy(
+    struct frame_codec *codec, GRand *rand, uint64_t n, struct lstr_buf *out)
+{
+	uint8_t request[16];
+	uint8_t digest[REC_DIGEST_BYTES];
+	char organisation[NAME_MAX_BYTES];
+	char replica[NAME_MAX_BYTES];
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__RecordAppend append = CH__RECORD_APPEND__INIT;
+	Ch__RecordEntry entry = CH__RECORD_ENTRY__INIT;
+	Ch__RecordEntry *entries[] = {&entry};
+
+	for (size_t i = 0; i < sizeof(request); i++)
+		request[i] = (uint8_t)g_rand_int(rand);
+	for (size_t i = 0; i < sizeof(digest); i++)
+		digest[i] = (uint8_t)g_rand_int(rand);
+	snprintf(organisation, sizeof(organisation), "organisation-%05d",
+	    g_rand_int_range(rand, 0, ORGANISATIONS));
+	snprintf(replica, sizeof(replica), "replica-%04d",
+	    g_rand_int_range(rand, 0, 8));
+	entry.sequence = n;
+	entry.organisation = organisation;
+	entry.replica = replica;
+	entry.request_id.data = request;
+	entry.request_id.len = sizeof(request);
+	entry.arrival = START_USEC + (int64_t)n * 12345;
+	entry.start = entry.arrival + g_rand_int_range(rand, 100, 300000);
+	entry.revision = 100000;
+	entry.reason = CH__RECORD_REASON__RECORD_REASON_SHARE;
+	entry.attempt = 1;
+	append.node = "node-0001";
+	append.boot = 0x1234567890abcdefull;
+	append.segment = 5;
+	append.previous_digest.data = digest;
+	append.previous_digest.len = n % 800 == 0 ? sizeof(digest) : 0;
+	append.entries = entries;
+	append.n_entries = 1;
+	frame.kind_case = CH__FRAME__KIND_RECORD_APPEND;
+	frame.record_append = &append;
+	frame_write(codec, &frame, out);
+}
+
+/*
+ * Measures the copies of the record on a link, plain and compressed.
+ */
+static void
+measure_copies(bool compressed)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct frame_codec *peer = NULL;
+	struct frame_codec *codec = ready_codec(&peer);
+	struct lstr_buf out = {0};
+	size_t bytes = 0;
+	size_t memory = allocated();
+	double start;
+
+	if (compressed)
+		frame_compress(codec);
+	start = processor_time();
+	for (uint64_t n = 0; n < COPIES; n++) {
+		write_copy(codec, rand, n, &out);
+		bytes += out.len;
+		lstr_buf_clear(&out);
+	}
+	printf("record copies compressed=%d bytes_each=%.1f usec_each=%.2f "
+	       "memory_bytes=%zu\n",
+	    compressed, (double)bytes / COPIES,
+	    (processor_time() - start) * USEC_PER_SEC / COPIES,
+	    allocated() - memory);
+	lstr_buf_free(&out);
+	frame_codec_destroy(codec);
+	frame_codec_destroy(peer);
+	g_rand_free(rand);
+}
+
 /*
  * Prints all slopes.
  */
@@ -343,5 +460,7 @@
 	measure_view();
 	measure_claims();
 	measure_queue();
+	measure_copies(false);
+	measure_copies(true);
 	return EXIT_SUCCESS;
 }
--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -1357,7 +1357,7 @@
   assert(message->base.descriptor == &ch__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ch__hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ch__hello__field_descriptors[7] =
 {
   {
     "node",
@@ -1431,9 +1431,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "compress",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__Hello, compress),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__hello__field_indices_by_name[] = {
   2,   /* field[2] = boot */
+  6,   /* field[6] = compress */
   0,   /* field[0] = node */
   3,   /* field[3] = place */
   5,   /* field[5] = protocol */
@@ -1443,7 +1456,7 @@
 static const ProtobufCIntRange ch__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ch__hello__descriptor =
 {
@@ -1453,7 +1466,7 @@
   "Ch__Hello",
   "ch",
   sizeof(Ch__Hello),
-  6,
+  7,
   ch__hello__field_descriptors,
   ch__hello__field_indices_by_name,
   1,  ch__hello__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -112,10 +112,14 @@
   char *place;
   char *region;
   uint32_t protocol;
+  /*
+   * The sender accepts compressed messages after this one.
+   */
+  protobuf_c_boolean compress;
 };
 #define CH__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, CH__ROLE__ROLE_UNSPECIFIED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, CH__ROLE__ROLE_UNSPECIFIED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Ch__Ping
--- a/src/frame.c
+++ b/src/frame.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 
 #include <sodium.h>
+#include <zstd.h>
 
 #include "frame.h"
 
@@ -14,8 +15,24 @@
 #define PREFACE_BYTES (MAGIC_BYTES + NONCE_BYTES)
 #define LENGTH_BYTES 4
 #define HEADER_BYTES crypto_secretstream_xchacha20poly1305_HEADERBYTES
+/* First byte of each plain text: how the message behind it is coded. */
+#define CODING_BYTES 1
+#define CODING_PLAIN 0
+#define CODING_ZSTD 1
+#define COMPRESSION_LEVEL 3
+/*
+ * A window of 32 KB holds the last few hundred control messages; a syncd has
+ * about a hundred links, so larger windows would cost memory.
+ */
+#define COMPRESSION_WINDOW_LOG 15
+/* Search tables of 8,192 positions; the default ones take 1 MB a link. */
+#define COMPRESSION_TABLE_LOG 13
 #define OVERHEAD_BYTES crypto_secretstream_xchacha20poly1305_ABYTES
 
+/* Largest cipher text: incompressible data grows by less than 1/128. */
+#define WIRE_MAX_BYTES                                                         \
+	(FRAME_MAX_BYTES + FRAME_MAX_BYTES / 128 + 512 + OVERHEAD_BYTES)
+
 enum read_state {
 	READ_PREFACE,
 	READ_HEADER,
@@ -30,6 +47,9 @@
 	enum read_state read_state;
 	crypto_secretstream_xchacha20poly1305_state push;
 	crypto_secretstream_xchacha20poly1305_state pull;
+	/* One stream a direction, so that messages share a window. */
+	ZSTD_CCtx *compressor;
+	ZSTD_DCtx *decompressor;
 };
 
 /*
@@ -78,6 +98,8 @@
 {
 	if (codec == NULL)
 		return;
+	ZSTD_freeCCtx(codec->compressor);
+	ZSTD_freeDCtx(codec->decompressor);
 	sodium_memzero(codec, sizeof(*codec));
 	free(codec);
 }
@@ -174,37 +196,168 @@
 }
 
 /*
- * Encrypts and appends one message. Returns STATUS_FULL for a message above
- * FRAME_MAX_BYTES; nothing is appended then.
+ * Compresses the messages written from now on. The peer must have said that
+ * it accepts them. Control messages repeat names and addresses, so the
+ * window is shared by all messages of the link.
+ */
+enum status
+frame_compress(struct frame_codec *codec)
+{
+	if (codec->compressor != NULL)
+		return STATUS_OK;
+	codec->compressor = ZSTD_createCCtx();
+	if (codec->compressor == NULL)
+		return status_set(STATUS_NO_MEMORY, "compressor");
+	ZSTD_CCtx_setParameter(
+	    codec->compressor, ZSTD_c_compressionLevel, COMPRESSION_LEVEL);
+	ZSTD_CCtx_setParameter(
+	    codec->compressor, ZSTD_c_windowLog, COMPRESSION_WINDOW_LOG);
+	ZSTD_CCtx_setParameter(
+	    codec->compressor, ZSTD_c_hashLog, COMPRESSION_TABLE_LOG);
+	ZSTD_CCtx_setParameter(
+	    codec->compressor, ZSTD_c_chainLog, COMPRESSION_TABLE_LOG);
+	return STATUS_OK;
+}
+
+/*
+ * Compresses a packed message behind the coding byte; the output is complete
+ * for the reader. plain has room for the bound of the length.
+ */
+static enum status
+compress_message(struct frame_codec *codec, const uint8_t *packed, size_t len,
+    uint8_t *plain, size_t *plain_len)
+{
+	ZSTD_inBuffer in = {packed, len, 0};
+	ZSTD_outBuffer out = {plain + CODING_BYTES, ZSTD_compressBound(len), 0};
+	size_t left =
+	    ZSTD_compressStream2(codec->compressor, &out, &in, ZSTD_e_flush);
+
+	if (ZSTD_isError(left) || left != 0)
+		return status_set(STATUS_IO, "message cannot be compressed");
+	plain[0] = CODING_ZSTD;
+	*plain_len = CODING_BYTES + out.pos;
+	return STATUS_OK;
+}
+
+/*
+ * Encrypts a plain text and appends it with its length.
+ */
+static enum status
+seal(struct frame_codec *codec, const uint8_t *plain, size_t len,
+    uint8_t *cipher, struct lstr_buf *out)
+{
+	uint32_t wire_length = htonl((uint32_t)(len + OVERHEAD_BYTES));
+	enum status status;
+
+	crypto_secretstream_xchacha20poly1305_push(&codec->push, cipher, NULL,
+	    plain, len, NULL, 0,
+	    crypto_secretstream_xchacha20poly1305_TAG_MESSAGE);
+	status = lstr_buf_append(out, lstr_make(&wire_length, LENGTH_BYTES));
+	if (status == STATUS_OK)
+		status = lstr_buf_append(
+		    out, lstr_make(cipher, len + OVERHEAD_BYTES));
+	return status;
+}
+
+/*
+ * Compresses if enabled, encrypts and appends one message. Returns
+ * STATUS_FULL for a message above FRAME_MAX_BYTES; nothing is appended then.
+ * After any other failure the connection must be closed.
  */
 enum status
 frame_write(
     struct frame_codec *codec, const Ch__Frame *frame, struct lstr_buf *out)
 {
 	size_t len = ch__frame__get_packed_size(frame);
-	uint32_t wire_length = htonl((uint32_t)(len + OVERHEAD_BYTES));
+	size_t bound = CODING_BYTES + ZSTD_compressBound(len);
+	size_t plain_len = CODING_BYTES + len;
+	enum status status = STATUS_OK;
 	uint8_t *buffer;
-	enum status status;
+	uint8_t *plain;
 
 	assert(frame_is_ready(codec));
 	if (len > FRAME_MAX_BYTES)
 		return status_set(
 		    STATUS_FULL, "message of %zu bytes is too large", len);
-	buffer = malloc(2 * len + OVERHEAD_BYTES);
+	buffer = malloc(len + 2 * bound + OVERHEAD_BYTES);
 	if (buffer == NULL)
 		return status_set(STATUS_NO_MEMORY, "message");
-	ch__frame__pack(frame, buffer);
-	crypto_secretstream_xchacha20poly1305_push(&codec->push, buffer + len,
-	    NULL, buffer, len, NULL, 0,
-	    crypto_secretstream_xchacha20poly1305_TAG_MESSAGE);
-	status = lstr_buf_append(out, lstr_make(&wire_length, LENGTH_BYTES));
+	plain = buffer + len;
+	if (codec->compressor != NULL) {
+		ch__frame__pack(frame, buffer);
+		status =
+		    compress_message(codec, buffer, len, plain, &plain_len);
+	} else {
+		plain[0] = CODING_PLAIN;
+		ch__frame__pack(frame, plain + CODING_BYTES);
+	}
 	if (status == STATUS_OK)
-		status = lstr_buf_append(
-		    out, lstr_make(buffer + len, len + OVERHEAD_BYTES));
+		status = seal(codec, plain, plain_len, plain + bound, out);
 	free(buffer);
 	return status;
 }
 
+/*
+ * Decompresses one message into a new buffer that the caller frees. A message
+ * that would exceed FRAME_MAX_BYTES is STATUS_INVALID.
+ */
+static enum status
+decompress_message(struct frame_codec *codec, const uint8_t *data, size_t len,
+    struct lstr_buf *message)
+{
+	uint8_t chunk[ZSTD_BLOCKSIZE_MAX / 8];
+	ZSTD_inBuffer in = {data, len, 0};
+	ZSTD_outBuffer out = {chunk, sizeof(chunk), 0};
+
+	if (codec->decompressor == NULL)
+		codec->decompressor = ZSTD_createDCtx();
+	if (codec->decompressor == NULL)
+		return status_set(STATUS_NO_MEMORY, "decompressor");
+	do {
+		size_t rc;
+
+		out.pos = 0;
+		rc = ZSTD_decompressStream(codec->decompressor, &out, &in);
+		if (ZSTD_isError(rc) ||
+		    message->len + out.pos > FRAME_MAX_BYTES)
+			return status_set(
+			    STATUS_INVALID, "message cannot be decompressed");
+		if (lstr_buf_append(message, lstr_make(chunk, out.pos)) !=
+		    STATUS_OK)
+			return STATUS_NO_MEMORY;
+	} while (in.pos < in.size || out.pos == out.size);
+	return STATUS_OK;
+}
+
+/*
+ * Unpacks the message of a plain text.
+ */
+static enum status
+decode(struct frame_codec *codec, const uint8_t *plain, size_t len,
+    Ch__Frame **out)
+{
+	struct lstr_buf message = {0};
+	enum status status = STATUS_OK;
+
+	*out = NULL;
+	if (len < CODING_BYTES || plain[0] > CODING_ZSTD)
+		return status_set(STATUS_INVALID, "unknown message coding");
+	if (plain[0] == CODING_PLAIN) {
+		*out = ch__frame__unpack(
+		    NULL, len - CODING_BYTES, plain + CODING_BYTES);
+	} else {
+		status = decompress_message(
+		    codec, plain + CODING_BYTES, len - CODING_BYTES, &message);
+		if (status == STATUS_OK)
+			*out = ch__frame__unpack(
+			    NULL, message.len, (uint8_t *)message.data);
+		lstr_buf_free(&message);
+	}
+	if (status == STATUS_OK && *out == NULL)
+		status = status_set(STATUS_INVALID, "message is malformed");
+	return status;
+}
+
 /*
  * Decrypts and unpacks the message whose bytes are complete.
  */
@@ -213,20 +366,18 @@
     Ch__Frame **out)
 {
 	uint8_t *plain = malloc(len - OVERHEAD_BYTES + 1);
+	enum status status;
 	unsigned char tag;
 
 	if (plain == NULL)
 		return status_set(STATUS_NO_MEMORY, "message");
 	if (crypto_secretstream_xchacha20poly1305_pull(
-		&codec->pull, plain, NULL, &tag, cipher, len, NULL, 0) != 0) {
-		free(plain);
-		return status_set(STATUS_DENIED, "message is not authentic");
-	}
-	*out = ch__frame__unpack(NULL, len - OVERHEAD_BYTES, plain);
+		&codec->pull, plain, NULL, &tag, cipher, len, NULL, 0) != 0)
+		status = status_set(STATUS_DENIED, "message is not authentic");
+	else
+		status = decode(codec, plain, len - OVERHEAD_BYTES, out);
 	free(plain);
-	if (*out == NULL)
-		return status_set(STATUS_INVALID, "message is malformed");
-	return STATUS_OK;
+	return status;
 }
 
 /*
@@ -253,8 +404,7 @@
 		return status;
 	memcpy(&length, in->data, LENGTH_BYTES);
 	length = ntohl(length);
-	if (length < OVERHEAD_BYTES ||
-	    length > FRAME_MAX_BYTES + OVERHEAD_BYTES)
+	if (length < OVERHEAD_BYTES || length > WIRE_MAX_BYTES)
 		return status_set(STATUS_INVALID,
 		    "frame length of %u bytes is out of range", length);
 	if (in->len < LENGTH_BYTES + (size_t)length)
--- a/src/link.c
+++ b/src/link.c
@@ -270,6 +270,11 @@
 	link->peer = frame->hello;
 	frame->kind_case = CH__FRAME__KIND__NOT_SET;
 	frame->hello = NULL;
+	if (link->peer->compress && link->context->hello->compress &&
+	    frame_compress(link->codec) != STATUS_OK) {
+		link_close(link, STATUS_NO_MEMORY);
+		return;
+	}
 	log_event(EV_LINK_UP, "peer=%s role=%d address=%s", link->peer->node,
 	    (int)link->peer->role, link->address);
 	link->ops->up(link, link->arg);
--- a/src/proc.c
+++ b/src/proc.c
@@ -127,6 +127,11 @@
 	proc->hello.region = settings_get(settings, "region")->text;
 	proc->hello.role = role;
 	proc->hello.protocol = LINK_PROTOCOL;
+	/*
+	 * Control between syncds is compressed. Tokens between entries and
+	 * routers are not: they are short, and processor time counts there.
+	 */
+	proc->hello.compress = role == CH__ROLE__ROLE_SYNCD;
 	randombytes_buf(&proc->hello.boot, sizeof(proc->hello.boot));
 	proc->links.loop = proc->loop;
 	proc->links.hello = &proc->hello;
--- /dev/null
+++ b/src/router_submit.c
@@ -0,0 +1,247 @@
+#include <string.h>
+
+#include "router_priv.h"
+
+/* A router without a configuration can be asked again after this time. */
+#define NOT_READY_WAIT_USEC (1 * LOOP_USEC_PER_SEC)
+
+/*
+ * Refuses a submission for which no state was made.
+ */
+static void
+refuse(struct router_entry *entry, const Ch__Submit *submit,
+    Ch__Outcome outcome, const char *code, const char *message,
+    int64_t retry_at)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Done done = CH__DONE__INIT;
+
+	done.stream = submit->stream;
+	done.outcome = outcome;
+	done.code = (char *)code;
+	done.message = (char *)message;
+	done.retry_at = retry_at;
+	done.tokens = (uint32_t)submit->n_delivered;
+	done.attempt = submit->attempt > 0 ? submit->attempt - 1 : 0;
+	frame.kind_case = CH__FRAME__KIND_DONE;
+	frame.done = &done;
+	router_count(outcome == CH__OUTCOME__OUTCOME_MOVED ? ROUTER_MOVED
+							   : ROUTER_NOT_RUN);
+	entry->vtable->send(entry, &frame);
+}
+
+/*
+ * Refuses a submission that the router cannot take at all. Returns false when
+ * it can.
+ */
+static bool
+refuse_at_once(
+    struct router *router, struct router_entry *entry, const Ch__Submit *submit)
+{
+	const Ch__Outcome not_run = CH__OUTCOME__OUTCOME_NOT_RUN;
+	int64_t now = router_now(router);
+
+	if (router->inv == NULL) {
+		refuse(entry, submit, not_run, "not-ready",
+		    "the router has no configuration yet",
+		    now + NOT_READY_WAIT_USEC);
+		return true;
+	}
+	if (router->draining) {
+		refuse(entry, submit, CH__OUTCOME__OUTCOME_MOVED, "leaving",
+		    "the router is leaving", now);
+		return true;
+	}
+	if (g_hash_table_size(router->jobs) >= ROUTER_JOBS_MAX) {
+		refuse(entry, submit, not_run, "router-full",
+		    "the router holds as many requests as it may",
+		    now + NOT_READY_WAIT_USEC);
+		return true;
+	}
+	if (g_hash_table_contains(entry->jobs, &submit->stream)) {
+		refuse(entry, submit, not_run, "stream-in-use",
+		    "the stream number is in use", 0);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Finds organisation and replica of a submission. Returns the code of the
+ * refusal, or NULL.
+ */
+static const char *
+look_up(struct router *router, const Ch__Submit *submit,
+    struct inv_organisation *organisation, uint32_t *replica)
+{
+	if (submit->request_id.len == 0 ||
+	    submit->request_id.len > REC_TEXT_MAX_BYTES ||
+	    strlen(submit->organisation) > INV_NAME_MAX_BYTES)
+		return "request-invalid";
+	if (inv_organisation_for(router->inv, lstr_from(submit->organisation),
+		organisation) != STATUS_OK)
+		return "organisation-unknown";
+	if (inv_find_service(router->inv, lstr_from(submit->service)) ==
+	    INV_NONE)
+		return "service-unknown";
+	*replica = inv_find_replica(router->inv, lstr_from(submit->service),
+	    lstr_from(submit->replica));
+	return *replica == INV_NONE ? "replica-unknown" : NULL;
+}
+
+/*
+ * Fills what the configuration says about a request. A request counts as an
+ * order when either the entry or the rules say that it must not be repeated.
+ */
+static void
+fill_job(struct job *job, const struct inv_organisation *organisation,
+    struct replica *replica)
+{
+	struct router *router = job->router;
+	uint32_t service = router->inv->replicas[replica->index].service;
+	uint32_t rest = job->submit->max_tokens;
+
+	rest = rest > job->delivered->len ? rest - job->delivered->len : 1;
+	job->replica = replica;
+	replica->jobs++;
+	job->pipeline = replica->pipeline;
+	job->priority = organisation->priority;
+	job->weight = organisation->weight;
+	job->cost = job->pipeline ? rest : 1;
+	job->once = !job->submit->idempotent ||
+	    !inv_is_idempotent(
+		router->inv, service, lstr_from(job->submit->operation));
+	if (job->submit->deadline == 0)
+		job->submit->deadline =
+		    router_now(router) + router->inv->defaults.deadline_usec;
+	if (job->submit->arrival == 0)
+		job->submit->arrival = router_now(router);
+}
+
+/*
+ * Asks limit.c whether a request may enter the queue.
+ */
+static void
+decide(struct job *job, const struct inv_organisation *organisation,
+    struct limit_decision *out)
+{
+	struct router *router = job->router;
+	struct replica *replica = job->replica;
+	int64_t pace = replica_usec_per_cost(replica);
+	struct limit_case c = {
+	    .organisation = lstr_from(job->submit->organisation),
+	    .max_concurrent = organisation->max_concurrent,
+	    .queued = sched_count(replica->sched),
+	    .queue_max = router->config.queue_max,
+	    .run_usec = replica_run_usec(replica, job->cost),
+	    .turn_usec = pace * job->cost,
+	    .deadline = job->submit->deadline};
+
+	if (replica->running >= replica_limit(replica))
+		c.wait_usec =
+		    sched_expected_wait(replica->sched, c.organisation,
+			job->priority, job->weight, pace) +
+		    c.turn_usec;
+	limit_decide(router->limits, &c, router_now(router), out);
+}
+
+/*
+ * Ends a request that was not admitted.
+ */
+static void
+end_refused(struct job *job, const struct limit_decision *decision)
+{
+	struct job_end end = {.outcome = CH__OUTCOME__OUTCOME_NOT_RUN,
+	    .code = decision->code,
+	    .message = decision->message,
+	    .retry_at = decision->retry_at,
+	    .body = lstr_from("")};
+
+	job_finish(job, &end);
+}
+
+/*
+ * Counts the request for the retry budget of its service.
+ */
+static void
+count_for_budget(struct router *router, const char *service)
+{
+	struct retry_budget *budget =
+	    g_hash_table_lookup(router->budgets, service);
+
+	if (budget == NULL) {
+		budget = g_new0(struct retry_budget, 1);
+		retry_budget_init(budget, router_now(router));
+		g_hash_table_insert(router->budgets, g_strdup(service), budget);
+	}
+	retry_request(budget);
+}
+
+/*
+ * Admits or refuses a request whose state was made.
+ */
+static void
+admit(struct job *job, const struct inv_organisation *organisation)
+{
+	struct router *router = job->router;
+	struct replica *replica = job->replica;
+	struct limit_decision decision;
+
+	decide(job, organisation, &decision);
+	if (!decision.admitted) {
+		end_refused(job, &decision);
+		return;
+	}
+	job->counted = limit_enter(router->limits,
+			   lstr_from(job->submit->organisation)) == STATUS_OK;
+	if (job->once) {
+		/* Goes on in router_claims.c when the claim is granted. */
+		claims_begin(job, router_now(router));
+		return;
+	}
+	if (replica_queue(job) != STATUS_OK) {
+		job_end_simple(job, CH__OUTCOME__OUTCOME_NOT_RUN, "queue-full",
+		    "the queue of the replica is full");
+		return;
+	}
+	replica_dispatch(replica);
+}
+
+/*
+ * Takes a submission of an entry: refuses it, or makes its state and admits
+ * it. The own view of who owns the replica is not asked; whoever receives a
+ * submission serves it.
+ */
+void
+router_submit(
+    struct router *router, struct router_entry *entry, const Ch__Submit *submit)
+{
+	struct inv_organisation organisation;
+	struct replica *replica;
+	const char *code;
+	struct job *job;
+	uint32_t index = INV_NONE;
+
+	router_count(ROUTER_SUBMITS);
+	if (refuse_at_once(router, entry, submit))
+		return;
+	code = look_up(router, submit, &organisation, &index);
+	if (code != NULL) {
+		refuse(entry, submit, CH__OUTCOME__OUTCOME_NOT_RUN, code,
+		    "a name is too long, or the configuration in force does "
+		    "not have it",
+		    0);
+		return;
+	}
+	replica = replica_for(router, index);
+	job = replica != NULL ? job_create(router, entry, submit) : NULL;
+	if (job == NULL) {
+		refuse(entry, submit, CH__OUTCOME__OUTCOME_NOT_RUN,
+		    "out-of-memory", "no memory for the request",
+		    router_now(router) + NOT_READY_WAIT_USEC);
+		return;
+	}
+	count_for_budget(router, submit->service);
+	fill_job(job, &organisation, replica);
+	admit(job, &organisation);
+}
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -147,5 +147,64 @@
 }
 END_TEST
 
-HARNESS_MAIN("frame", messages_arrive_in_order, partial_message_waits,
-    other_key_is_refused, replayed_message_is_refused, huge_length_is_refused)
+/* Guards against messages that the shared window mixes up. */
+START_TEST(compressed_messages_arrive_in_order)
+{
+	struct pair p = {0};
+	Ch__Frame *frame = NULL;
+
+	ck_assert_int_eq(handshake(&p, test_key, test_key), STATUS_OK);
+	write_cancel(&p, 1);
+	ck_assert_int_eq(frame_compress(p.client), STATUS_OK);
+	for (uint64_t i = 2; i <= 1000; i++)
+		write_cancel(&p, i);
+	for (uint64_t i = 1; i <= 1000; i++) {
+		ck_assert_int_eq(
+		    frame_read(p.server, &p.to_server, &frame, &p.to_client),
+		    STATUS_OK);
+		ck_assert_ptr_nonnull(frame);
+		ck_assert_uint_eq(frame->cancel->stream, i);
+		ch__frame__free_unpacked(frame, NULL);
+	}
+	pair_free(&p);
+}
+END_TEST
+
+/* Guards against large messages that fit neither way, and wrong limits. */
+START_TEST(largest_message_goes_through_compressed)
+{
+	struct pair p = {0};
+	Ch__Frame *received = NULL;
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__RecordStore store = CH__RECORD_STORE__INIT;
+	size_t len = FRAME_MAX_BYTES - 64;
+	uint8_t *random = malloc(len);
+
+	for (size_t i = 0; i < len; i++)
+		random[i] = (uint8_t)((i * 2654435761u) >> 13);
+	ck_assert_int_eq(handshake(&p, test_key, test_key), STATUS_OK);
+	ck_assert_int_eq(frame_compress(p.client), STATUS_OK);
+	store.content.data = random;
+	store.content.len = len;
+	frame.kind_case = CH__FRAME__KIND_RECORD_STORE;
+	frame.record_store = &store;
+	ck_assert_int_eq(
+	    frame_write(p.client, &frame, &p.to_server), STATUS_OK);
+	ck_assert_int_eq(
+	    frame_read(p.server, &p.to_server, &received, &p.to_client),
+	    STATUS_OK);
+	ck_assert_ptr_nonnull(received);
+	ck_assert_mem_eq(received->record_store->content.data, random, len);
+	ch__frame__free_unpacked(received, NULL);
+	store.content.len = FRAME_MAX_BYTES;
+	ck_assert_int_eq(
+	    frame_write(p.client, &frame, &p.to_server), STATUS_FULL);
+	free(random);
+	pair_free(&p);
+}
+END_TEST
+
+HARNESS_MAIN("frame", compressed_messages_arrive_in_order,
+    largest_message_goes_through_compressed, messages_arrive_in_order,
+    partial_message_waits, other_key_is_refused, replayed_message_is_refused,
+    huge_length_is_refused)
--- a/tests/test_trail.c
+++ b/tests/test_trail.c
@@ -12,7 +12,7 @@
 
 /* A route, and a token that followed it. */
 struct sample {
-	char names[STAGES_MAX + 1][8];
+	char names[STAGES_MAX + 1][16];
 	struct engine_stage stages[STAGES_MAX];
 	struct engine_step steps[STAGES_MAX + 1];
 	struct engine_token token;
