Ask for a claim again when a key was in doubt

Cause: an order refused as "not run" and sent again at once got "duplicate-in-progress", which is right for up to 2 s until NOT_RUN is written; but the router kept that answer until the key expired, so the order could never run although nothing of it had run. Change: the router does not keep the answer to an order whose claim belongs to another token without a known outcome; the next request asks for a claim again. At-most-once still rests on the claim. Conclusion: the key can be used again as the design says.

--- a/src/router_claims.c
+++ b/src/router_claims.c
@@ -343,7 +343,8 @@
 {
 	router_count(ROUTER_DUPLICATES);
 	job->claim_requested = false;
-	if (reply->state == CH__CLAIM_STATE__CLAIM_STATE_RAN)
+	job->order->in_doubt = reply->state != CH__CLAIM_STATE__CLAIM_STATE_RAN;
+	if (!job->order->in_doubt)
 		job_end_simple(job, CH__OUTCOME__OUTCOME_UNKNOWN,
 		    "duplicate-ran",
 		    "an order with this key ran; its answer is no longer "
@@ -498,8 +499,8 @@
 /*
  * Gives the end of an order to the requests that wait for it, and keeps it
  * for later ones. An order that did not run is forgotten, so that its key can
- * be used again. The tokens of a pipeline are not kept: a duplicate learns
- * only that it ran.
+ * be used again, and so is one that another token holds in doubt. The tokens of
+ * a pipeline are not kept: a duplicate learns only that it ran.
  */
 void
 claims_answer(struct job *job, const struct job_end *end)
@@ -522,7 +523,7 @@
 	waiters = order->waiters;
 	order->waiters = g_ptr_array_new();
 	if (end->outcome == CH__OUTCOME__OUTCOME_NOT_RUN ||
-	    end->outcome == CH__OUTCOME__OUTCOME_MOVED)
+	    end->outcome == CH__OUTCOME__OUTCOME_MOVED || order->in_doubt)
 		g_hash_table_remove(router->orders, order->identity);
 	else
 		keep(router, order, answer);
--- a/src/router_priv.h
+++ b/src/router_priv.h
@@ -71,6 +71,11 @@
 	/* The request that runs it; NULL when it has ended. */
 	struct job *job;
 	GPtrArray *waiters;
+	/*
+	 * The claim belongs to another token without a known outcome. The
+	 * answer is not kept, because a later claim may be granted.
+	 */
+	bool in_doubt;
 	int64_t expires_at;
 	Ch__Outcome outcome;
 	char *code;
--- a/tests/test_router_orders.c
+++ b/tests/test_router_orders.c
@@ -151,6 +151,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a key that stays unusable on this router after its claim has
+ * been given up: NOT_RUN may be written up to 2 s after the order was refused.
+ */
+START_TEST(key_in_doubt_is_claimed_again)
+{
+	struct world w;
+	char key[64];
+
+	world_ready(&w, 4);
+	w.claims = CLAIM_DUP_CLAIMED;
+	world_call(&w, 1, key_of(&w, 1, key), "buy", LIMIT);
+	WORLD_WAIT(&w, world_stream(&w, 1)->done);
+	check_end(&w, 1, CH__OUTCOME__OUTCOME_UNKNOWN, "duplicate-in-progress");
+	w.claims = CLAIM_GRANT;
+	world_call(&w, 2, key, "buy", LIMIT);
+	WORLD_WAIT(&w, w.plain_count == 1);
+	world_plain_end(w.plain_calls[0], STATUS_OK, true, "done");
+	WORLD_WAIT(&w, world_stream(&w, 2)->done);
+	check_end(&w, 2, CH__OUTCOME__OUTCOME_RUN, "");
+	world_end(&w);
+}
+END_TEST
+
 /*
  * Guards against "not run" for an order that may have run, and against a
  * second try of it.
@@ -338,6 +362,7 @@
 HARNESS_MAIN("router_orders", order_waits_for_its_claim,
     unavailable_claim_sends_nothing, late_grant_sends_nothing,
     duplicate_gets_the_kept_answer, claimed_key_is_not_run_again,
-    lost_answer_is_unknown, refused_connection_is_not_run, keys_are_checked,
+    key_in_doubt_is_claimed_again, lost_answer_is_unknown,
+    refused_connection_is_not_run, keys_are_checked,
     claim_is_sent_again_with_its_token, sent_order_outlives_its_entry,
     queued_order_can_end_unsent, drain_settles_orders)
