Write the port file when the ports are open

Cause: the router wrote its port file only with a configuration in force, so nothing that waits for its ports could publish the first configuration. The three programs had three versions of the same code. Ruled out: a longer wait in the scripts, which would never end.

--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -5,7 +5,7 @@
 #include "log.h"
 
 #define PROGRAM "chestnuthoist-entry"
-#define PATH_TEXT_MAX 4000
+#define ADDRESSES_TEXT_MAX 80
 #define VALIDITY_MAX_MS 600000
 
 /*
@@ -36,26 +36,15 @@
 }
 
 /*
- * Writes the addresses that were opened, under the final name in one step, so
- * that a reader sees all of it or nothing.
+ * Tells the addresses of the process once its ports are open.
  */
 static enum status
-write_port_file(const char *path, const struct entry *entry, struct proc *proc)
+announce(const struct proc *proc, const struct entry *entry)
 {
-	char temporary[PATH_TEXT_MAX + 8];
-	FILE *file;
+	char addresses[ADDRESSES_TEXT_MAX];
 
-	if (path == NULL)
-		return STATUS_OK;
-	snprintf(temporary, sizeof(temporary), "%s.new", path);
-	file = fopen(temporary, "w");
-	if (file == NULL)
-		return status_set(STATUS_IO, "cannot write %s", temporary);
-	fprintf(file, "http=%s admin=127.0.0.1:%u\n", entry_address(entry),
-	    httpd_port(proc->admin));
-	if (fclose(file) != 0 || rename(temporary, path) != 0)
-		return status_set(STATUS_IO, "cannot write %s", path);
-	return STATUS_OK;
+	snprintf(addresses, sizeof(addresses), "http=%s", entry_address(entry));
+	return proc_started(proc, addresses);
 }
 
 /*
@@ -77,12 +66,9 @@
 	enum status status = entry_create(proc, &config, &entry);
 
 	if (status == STATUS_OK)
-		status = write_port_file(
-		    settings_get(settings, "port-file")->text, entry, proc);
+		status = announce(proc, entry);
 	if (status == STATUS_OK) {
 		proc_set_arg(proc, entry);
-		log_event(EV_STARTED, "http=%s admin_port=%u",
-		    entry_address(entry), httpd_port(proc->admin));
 		loop_run(proc->loop);
 		log_event(EV_STOPPED, "draining=%d", (int)proc->draining);
 	}
@@ -107,8 +93,6 @@
 	    {"drain-extra-ms", SETTING_INT, "6000", 0, VALIDITY_MAX_MS,
 		"Wait after the validity before the port is closed", false,
 		NULL, 0},
-	    {"port-file", SETTING_TEXT, NULL, 1, PATH_TEXT_MAX,
-		"File that receives the opened addresses", false, NULL, 0},
 	    {0}};
 	struct proc *proc = NULL;
 	enum status status;
--- a/src/proc.c
+++ b/src/proc.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
 #include <sodium.h>
 
 #include "log.h"
@@ -141,6 +142,19 @@
 	    settings_get(settings, "cluster-key")->text, proc->links.key);
 }
 
+/*
+ * Returns "ip:port" of a setting with the port that is in use; the caller
+ * frees it with g_free().
+ */
+char *
+proc_address(const struct setting *settings, const char *name, uint16_t port)
+{
+	const char *text = settings_get(settings, name)->text;
+	const char *colon = strrchr(text, ':');
+
+	return g_strdup_printf("%.*s:%u", (int)(colon - text), text, port);
+}
+
 /*
  * Opens the admin server and takes the signals.
  */
@@ -182,6 +196,7 @@
 	    (enum log_severity)settings_get(settings, "log-level")->number);
 	signal(SIGPIPE, SIG_IGN);
 	proc->ops = ops;
+	proc->port_file = settings_get(settings, "port-file")->text;
 	status = loop_create(&proc->loop);
 	if (status == STATUS_OK)
 		status = fill_identity(proc, settings, role);
@@ -196,6 +211,29 @@
 	return STATUS_OK;
 }
 
+/*
+ * Logs that the process has opened its ports, and writes the port file if one
+ * is asked for: "<name>=<address> admin=<address>". The file appears whole
+ * under its name. addresses is "name=ip:port", several separated by spaces.
+ */
+enum status
+proc_started(const struct proc *proc, const char *addresses)
+{
+	char *line =
+	    g_strdup_printf("%s admin=%s\n", addresses, proc->admin_address);
+	enum status status = STATUS_OK;
+
+	if (proc->port_file != NULL &&
+	    !g_file_set_contents(proc->port_file, line, -1, NULL))
+		status = status_set(STATUS_IO,
+		    "setting --port-file: '%s' cannot be written",
+		    proc->port_file);
+	else
+		log_event(EV_STARTED, "%s", g_strchomp(line));
+	g_free(line);
+	return status;
+}
+
 /*
  * Sets the pointer that the callbacks are given.
  */
@@ -215,6 +253,7 @@
 		return;
 	httpd_destroy(proc->admin);
 	loop_destroy(proc->loop);
+	g_free(proc->admin_address);
 	sodium_memzero(proc->links.key, sizeof(proc->links.key));
 	free(proc);
 }
--- a/src/proc.h
+++ b/src/proc.h
@@ -16,6 +16,8 @@
 #define PROC_EXIT_FAILED 1
 #define PROC_EXIT_SETTINGS 2
 
+#define PROC_PATH_MAX_BYTES 4000
+
 /*
  * What every daemon has: its loop, its identity, the cluster key and the
  * admin HTTP server with /metrics, /dump, /ready and /live. SIGTERM calls
@@ -26,6 +28,9 @@
 	struct link_context links;
 	Ch__Hello hello;
 	struct httpd *admin;
+	/* "ip:port" of the admin server. */
+	char *admin_address;
+	const char *port_file;
 	struct proc_ops *ops;
 	void *arg;
 	bool draining;
@@ -62,6 +67,8 @@
     struct proc_ops *, struct proc **);
 void proc_set_arg(struct proc *, void *);
 void proc_destroy(struct proc *);
+char *proc_address(const struct setting *, const char *, uint16_t);
+enum status proc_started(const struct proc *, const char *);
 int proc_settings_or_exit_code(
     struct setting *, const char *, const char *, int *, char ***);
 
--- a/src/router.c
+++ b/src/router.c
@@ -255,8 +255,6 @@
 	log_event(EV_ROUTER_READY, "revision=%llu address=%s",
 	    (unsigned long long)inv->revision, router->config.address);
 	router_send_role_state(router);
-	if (router->config.on_ready != NULL)
-		router->config.on_ready(router->config.arg);
 }
 
 /*
--- a/src/router.h
+++ b/src/router.h
@@ -59,8 +59,6 @@
 	size_t queue_max;
 	int64_t token_timeout_usec;
 	int64_t load_interval_usec;
-	/* Called once when the first configuration is in force; may be NULL. */
-	void (*on_ready)(void *);
 	/* Called once when the drain is complete. */
 	void (*on_drained)(void *);
 	void *arg;
--- a/src/router_main.c
+++ b/src/router_main.c
@@ -11,7 +11,6 @@
 
 #define PROGRAM "chestnuthoist-router"
 #define ADDRESS_TEXT_MAX 80
-#define PATH_TEXT_MAX 4096
 #define FLUSH_CHECK_USEC (20 * LOOP_USEC_PER_MSEC)
 /* A drained router waits this long for entries to read what is queued. */
 #define FLUSH_LIMIT_USEC (5 * LOOP_USEC_PER_SEC)
@@ -41,7 +40,6 @@
 	struct loop_timer *flush_timer;
 	int64_t flush_until;
 	char address[ADDRESS_TEXT_MAX];
-	const char *port_file;
 };
 
 static struct setting settings[] = {PROC_SETTINGS,
@@ -58,8 +56,6 @@
 	"Requests that may wait for one replica", false, NULL, 0},
     {"engine-load-interval-ms", SETTING_INT, "5000", 50, 600000,
 	"Time between two load queries to an engine", false, NULL, 0},
-    {"port-file", SETTING_TEXT, NULL, 1, 4000,
-	"File that is written with the addresses when ready", false, NULL, 0},
     {NULL, SETTING_TEXT, NULL, 0, 0, NULL, false, NULL, 0}};
 
 /*
@@ -222,31 +218,6 @@
 static const struct local_ops local_callbacks = {on_config, on_view,
     on_instances, on_syncd_frame, on_syncd_up, on_syncd_down};
 
-/*
- * Writes the addresses to the port file, whole or not at all.
- */
-static void
-write_port_file(void *arg)
-{
-	struct process *p = arg;
-	char temporary[PATH_TEXT_MAX];
-	FILE *file;
-
-	if (p->port_file == NULL)
-		return;
-	snprintf(temporary, sizeof(temporary), "%s.new", p->port_file);
-	file = fopen(temporary, "w");
-	if (file == NULL) {
-		log_event(EV_START_FAILED, "port file %s cannot be written",
-		    temporary);
-		return;
-	}
-	fprintf(file, "frames=%s admin=127.0.0.1:%u\n", p->address,
-	    httpd_port(p->proc->admin));
-	if (fclose(file) == 0)
-		rename(temporary, p->port_file);
-}
-
 /*
  * Ends the process when the entries have read what was sent to them.
  */
@@ -342,7 +313,6 @@
 	    .place = p->proc->hello.place,
 	    .boot = p->proc->hello.boot,
 	    .address = p->address,
-	    .on_ready = write_port_file,
 	    .on_drained = on_drained,
 	    .arg = p};
 
@@ -369,7 +339,6 @@
 	enum status status = fetch_create(loop, &p->fetch);
 
 	p->syncd.base.vtable = &syncd_vtable;
-	p->port_file = settings_get(settings, "port-file")->text;
 	if (status == STATUS_OK)
 		status = engine_http_create(loop, p->fetch, &p->engine);
 	if (status == STATUS_OK)
@@ -413,6 +382,18 @@
 	fetch_destroy(p->fetch);
 }
 
+/*
+ * Tells the addresses of the process once its ports are open.
+ */
+static enum status
+announce(const struct process *p)
+{
+	char addresses[ADDRESS_TEXT_MAX + sizeof("frames=")];
+
+	snprintf(addresses, sizeof(addresses), "frames=%s", p->address);
+	return proc_started(p->proc, addresses);
+}
+
 /*
  * Runs the router of a node until it is told to stop.
  */
@@ -434,13 +415,12 @@
 		proc_set_arg(process.proc, &process);
 		status = start(&process);
 	}
-	if (status == STATUS_OK) {
-		log_event(EV_STARTED, "frames=%s admin=127.0.0.1:%u",
-		    process.address, httpd_port(process.proc->admin));
+	if (status == STATUS_OK)
+		status = announce(&process);
+	if (status == STATUS_OK)
 		loop_run(process.proc->loop);
-	} else {
+	else
 		log_event(EV_START_FAILED, "%s", status_message());
-	}
 	stop(&process);
 	proc_destroy(process.proc);
 	settings_free(settings);
--- a/src/syncd_main.c
+++ b/src/syncd_main.c
@@ -28,8 +28,6 @@
 	"Time between heartbeats, milliseconds", false, NULL, 0},
     {"seed-peers", SETTING_TEXT, NULL, 0, 4096,
 	"Addresses of other syncds, separated by commas", false, NULL, 0},
-    {"port-file", SETTING_TEXT, NULL, 1, 4096,
-	"File that receives the addresses when ready", false, NULL, 0},
     {0}};
 
 /*
@@ -58,42 +56,28 @@
 }
 
 /*
- * Returns "ip:port" of a setting with the port in use; the caller frees it
- * with g_free().
+ * Tells the addresses of the process once its ports are open.
  */
-static char *
-address_of(const char *name, uint16_t port)
+static enum status
+announce(const struct proc *proc, const struct syncd *syncd)
 {
-	const char *text = settings_get(settings, name)->text;
-	const char *colon = strrchr(text, ':');
+	char *frames =
+	    proc_address(settings, "listen", syncd_frames_port(syncd));
+	char *operators = proc_address(
+	    settings, "operator-address", syncd_operator_port(syncd));
+	char *addresses =
+	    g_strdup_printf("frames=%s operator=%s", frames, operators);
+	enum status status = proc_started(proc, addresses);
 
-	return g_strdup_printf("%.*s:%u", (int)(colon - text), text, port);
+	g_free(frames);
+	g_free(operators);
+	g_free(addresses);
+	return status;
 }
 
 /*
- * Writes the addresses in use. The file appears whole under its name.
+ * Runs the syncd.
  */
-static bool
-write_ports(const struct proc *proc, const struct syncd *syncd)
-{
-	const char *path = settings_get(settings, "port-file")->text;
-	char *frames = address_of("listen", syncd_frames_port(syncd));
-	char *operator=
-	    address_of("operator-address", syncd_operator_port(syncd));
-	char *admin = address_of("admin-address", httpd_port(proc->admin));
-	char *line = g_strdup_printf(
-	    "frames=%s operator=%s admin=%s\n", frames, operator, admin);
-	bool written =
-	    path == NULL || g_file_set_contents(path, line, -1, NULL);
-
-	log_event(EV_STARTED, "%s", line);
-	g_free(frames);
-	g_free(operator);
-	g_free(admin);
-	g_free(line);
-	return written;
-}
-
 int
 main(int argc, char **argv)
 {
@@ -115,8 +99,8 @@
 		return PROC_EXIT_FAILED;
 	}
 	proc_set_arg(proc, syncd);
-	if (!write_ports(proc, syncd)) {
-		log_event(EV_START_FAILED, "the port file cannot be written");
+	if (announce(proc, syncd) != STATUS_OK) {
+		log_event(EV_START_FAILED, "%s", status_message());
 		return PROC_EXIT_FAILED;
 	}
 	loop_run(proc->loop);
