--- a/src/proc.h
+++ b/src/proc.h
@@ -57,10 +57,14 @@
 		0},                                                            \
 	    {"admin-address", SETTING_ADDRESS, "127.0.0.1:0", 0, 0,            \
 		"Address for metrics, dump and health", false, NULL, 0},       \
+	    {"log-level", SETTING_INT, "6", 3, 7,                              \
+		"Least severe severity logged (RFC 5424 number)", false, NULL, \
+		0},                                                            \
 	{                                                                      \
-		"log-level", SETTING_INT, "6", 3, 7,                           \
-		    "Least severe severity logged (RFC 5424 number)", false,   \
-		    NULL, 0                                                    \
+		"port-file", SETTING_TEXT, NULL, 1, PROC_PATH_MAX_BYTES,       \
+		    "File that receives the addresses once the ports are "     \
+		    "open",                                                    \
+		    false, NULL, 0                                             \
 	}
 
 enum status proc_create(struct setting *, const char *, Ch__Role,
