--- a/tests/test_entry_process.c
+++ b/tests/test_entry_process.c
@@ -1,3 +1,4 @@
+#include "child.h"
 #include "entry_world.h"
 
 #define LOOKUP                                                                 \
@@ -282,8 +283,38 @@
 }
 END_TEST
 
-HARNESS_MAIN("entry_process", stream_arrives_whole,
-    stream_is_resumed_when_its_router_dies,
+/* Guards against a port file that does not lead to the admin server. */
+START_TEST(port_file_names_the_admin_server)
+{
+	static const char key[] =
+	    "--cluster-key=00112233445566778899aabbccddeeff"
+	    "00112233445566778899aabbccddeeff";
+	static const char *const args[] = {"--node=n1", "--place=p1",
+	    "--region=r", "--syncd-address=127.0.0.1:1", key, NULL};
+	static const struct fetch_ops ops = {NULL, world_on_done};
+	struct fetch_request request = {.method = "GET"};
+	struct world w = {0};
+	struct child child;
+	char address[64];
+	char url[128];
+
+	ck_assert_int_eq(loop_create(&w.loop), STATUS_OK);
+	ck_assert_int_eq(fetch_create(w.loop, &w.fetch), STATUS_OK);
+	child_start(&child, w.loop, "chestnuthoist-entry", args);
+	child_address(&child, "admin=", address, sizeof(address));
+	snprintf(url, sizeof(url), "http://%s/live", address);
+	request.url = url;
+	ck_assert_int_eq(
+	    fetch_start(w.fetch, &request, &ops, &w, NULL), STATUS_OK);
+	ck_assert(harness_wait(w.loop, world_is_done, &w));
+	ck_assert_int_eq(w.status, STATUS_OK);
+	ck_assert_int_eq(w.http_status, 200);
+	child_kill(&child);
+}
+END_TEST
+
+HARNESS_MAIN("entry_process", port_file_names_the_admin_server,
+    stream_arrives_whole, stream_is_resumed_when_its_router_dies,
     order_is_not_repeated_when_its_router_dies,
     plain_lookup_is_repeated_when_its_router_dies,
     order_without_a_router_is_not_run, refusal_is_passed_on,
