Name the admin address in the port file

Cause: an edit was lost, so the port file said admin=(null) and the demonstration could not read any state.

--- a/src/proc.c
+++ b/src/proc.c
@@ -166,6 +166,9 @@
 	    settings_get(settings, "admin-address")->text, ADMIN_BODY_MAX_BYTES,
 	    &admin_ops, proc, &proc->admin);
 
+	if (status == STATUS_OK)
+		proc->admin_address = proc_address(
+		    settings, "admin-address", httpd_port(proc->admin));
 	if (status == STATUS_OK)
 		status =
 		    loop_on_signal(proc->loop, SIGTERM, on_term_signal, proc);
