--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -1357,7 +1357,7 @@
   assert(message->base.descriptor == &ch__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ch__hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ch__hello__field_descriptors[7] =
 {
   {
     "node",
@@ -1431,9 +1431,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "compress",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__Hello, compress),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__hello__field_indices_by_name[] = {
   2,   /* field[2] = boot */
+  6,   /* field[6] = compress */
   0,   /* field[0] = node */
   3,   /* field[3] = place */
   5,   /* field[5] = protocol */
@@ -1443,7 +1456,7 @@
 static const ProtobufCIntRange ch__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ch__hello__descriptor =
 {
@@ -1453,7 +1466,7 @@
   "Ch__Hello",
   "ch",
   sizeof(Ch__Hello),
-  6,
+  7,
   ch__hello__field_descriptors,
   ch__hello__field_indices_by_name,
   1,  ch__hello__number_ranges,
@@ -2102,7 +2115,7 @@
   (ProtobufCMessageInit) ch__config_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__config_update__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ch__config_update__field_descriptors[8] =
 {
   {
     "revision",
@@ -2164,18 +2177,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ConfigUpdate, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "frames",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ConfigUpdate, frames),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "set_digest",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ConfigUpdate, set_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__config_update__field_indices_by_name[] = {
   4,   /* field[4] = change_id */
   2,   /* field[2] = changed */
+  6,   /* field[6] = frames */
   3,   /* field[3] = removed */
   0,   /* field[0] = revision */
+  5,   /* field[5] = sequence */
+  7,   /* field[7] = set_digest */
   1,   /* field[1] = since */
 };
 static const ProtobufCIntRange ch__config_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ch__config_update__descriptor =
 {
@@ -2185,7 +2237,7 @@
   "Ch__ConfigUpdate",
   "ch",
   sizeof(Ch__ConfigUpdate),
-  5,
+  8,
   ch__config_update__field_descriptors,
   ch__config_update__field_indices_by_name,
   1,  ch__config_update__number_ranges,
@@ -2616,7 +2668,7 @@
   (ProtobufCMessageInit) ch__instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__instances__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ch__instances__field_descriptors[3] =
 {
   {
     "items",
@@ -2642,15 +2694,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__Instances, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__instances__field_indices_by_name[] = {
   0,   /* field[0] = items */
   1,   /* field[1] = source */
+  2,   /* field[2] = whole */
 };
 static const ProtobufCIntRange ch__instances__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ch__instances__descriptor =
 {
@@ -2660,7 +2725,7 @@
   "Ch__Instances",
   "ch",
   sizeof(Ch__Instances),
-  2,
+  3,
   ch__instances__field_descriptors,
   ch__instances__field_indices_by_name,
   1,  ch__instances__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -112,10 +112,14 @@
   char *place;
   char *region;
   uint32_t protocol;
+  /*
+   * The sender accepts compressed messages after this one.
+   */
+  protobuf_c_boolean compress;
 };
 #define CH__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, CH__ROLE__ROLE_UNSPECIFIED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, CH__ROLE__ROLE_UNSPECIFIED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Ch__Ping
@@ -262,10 +266,24 @@
   size_t n_removed;
   char **removed;
   char *change_id;
+  /*
+   * A large update is a transfer of several frames, which comes into force
+   * only when all have arrived. sequence counts them from 0.
+   */
+  uint32_t sequence;
+  /*
+   * Number of frames of the transfer; 0 stands for 1.
+   */
+  uint32_t frames;
+  /*
+   * Digest over the names and digests of all parts of the revision, with
+   * which a receiver checks the result of the whole update.
+   */
+  ProtobufCBinaryData set_digest;
 };
 #define CH__CONFIG_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__config_update__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
 
 
 struct  Ch__ConfigPull
@@ -354,10 +372,14 @@
    * Name of the source: "list" or the node whose router saw it.
    */
   char *source;
+  /*
+   * True when items holds every leaving instance, false for changes only.
+   */
+  protobuf_c_boolean whole;
 };
 #define CH__INSTANCES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__instances__descriptor) \
-    , 0,NULL, (char *)protobuf_c_empty_string }
+    , 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ch__ClaimRequest
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -314,6 +314,9 @@
 	} else if (strcmp(request->method, "GET") != 0) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
 	}
+	for (const char *const *h = request->headers; h != NULL && *h != NULL;
+	     h++)
+		call->headers = curl_slist_append(call->headers, *h);
 	call->headers = curl_slist_append(call->headers, "Expect:");
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
 }
@@ -377,3 +380,16 @@
 	curl_multi_remove_handle(call->fetch->multi, call->easy);
 	call_free(call);
 }
+
+/*
+ * Returns the HTTP status of an answer whose body is arriving, 0 before the
+ * header has arrived.
+ */
+long
+fetch_http_status(const struct fetch_call *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	return status;
+}
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -38,6 +38,8 @@
 	const char *url;
 	/* Copied. JSON when not empty. */
 	struct lstr body;
+	/* NULL, or lines "Name: value" that end with NULL; copied. */
+	const char *const *headers;
 	/* 0 for none, else microseconds since the epoch. */
 	int64_t deadline;
 	/* Never reuses a connection, so the library never sends it twice. */
@@ -50,5 +52,6 @@
 enum status fetch_start(struct fetch *, const struct fetch_request *,
     const struct fetch_ops *, void *, struct fetch_call **);
 void fetch_cancel(struct fetch_call *);
+long fetch_http_status(const struct fetch_call *);
 
 #endif
--- a/src/settings.h
+++ b/src/settings.h
@@ -22,6 +22,8 @@
  * max bound the value of SETTING_INT and the length of SETTING_TEXT. After
  * settings_parse(), text or number holds the value.
  */
+/* The order of the fields is that of the rows of a table. */
+/* NOLINTNEXTLINE(clang-analyzer-optin.performance.Padding) */
 struct setting {
 	const char *name;
 	enum setting_kind kind;
@@ -29,7 +31,8 @@
 	int64_t min;
 	int64_t max;
 	const char *help;
-	bool required;
+	/* A truth value as wide as its neighbours: tables have no padding. */
+	int64_t required;
 	char *text;
 	int64_t number;
 };
