Add fuzz targets and fix an overflow that one found

Cause: The decoders of frames, documents, requests and record segments take bytes from outside. Conclusion: The overflow was in a value that is refused, so no request was treated wrongly, but it is undefined behaviour.

--- a/Makefile
+++ b/Makefile
@@ -24,11 +24,18 @@
 FAKES = $(FAKE_SRC:tests/fakes/%.c=$(BUILD)/fakes/%)
 TOOL_SRC = $(wildcard bench/*.c)
 TOOLS = $(TOOL_SRC:bench/%.c=$(BUILD)/bench/%)
+FUZZ_SRC = $(wildcard tests/fuzz/fuzz_*.c)
+FUZZERS = $(FUZZ_SRC:tests/fuzz/%.c=$(BUILD)/fuzz/%)
+FUZZ_FLAGS = -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined
+# 200000 inputs of a fixed seed for each target, under 60 s together.
+FUZZ_RUNS ?= 200000
+FUZZ_SEED ?= 1
 STYLE_SRC = $(wildcard src/*.c src/*.h tests/*.c tests/*.h tests/fakes/*.c \
-	tests/fakes/*.h bench/*.c bench/*.h)
-LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c bench/*.c)
+	tests/fakes/*.h tests/fuzz/*.c tests/fuzz/*.h bench/*.c bench/*.h)
+LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c tests/fuzz/*.c \
+	bench/*.c)
 
-.PHONY: all setup proto check test demo model lint format tidy clean
+.PHONY: all setup proto check test demo model fuzz lint format tidy clean
 
 all: $(BINS) $(FAKES) $(TOOLS)
 
@@ -72,6 +79,12 @@
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $< $(LIB) $(PKG_LIBS) -lm
 
+$(BUILD)/fuzz/%: tests/fuzz/%.c $(LIB_SRC) proto/chestnuthoist.pb-c.c
+	@mkdir -p $(@D)
+	@echo "  FUZZ $@"
+	@clang -std=gnu11 -g -O1 -D_GNU_SOURCE $(FUZZ_FLAGS) $(PKG_CFLAGS) \
+	    -iquote src -iquote proto -o $@ $^ $(PKG_LIBS)
+
 # Generated code is committed; run this after a change of the schema.
 proto:
 	cd proto && protoc-c --c_out=. chestnuthoist.proto
@@ -89,6 +102,15 @@
 model: setup
 	@spec/run
 
+fuzz: $(FUZZERS)
+	@set -e; for f in $(FUZZERS); do n=$$(basename $$f); \
+	    rm -rf $$f.corpus; mkdir $$f.corpus; \
+	    $$f -runs=$(FUZZ_RUNS) -seed=$(FUZZ_SEED) -max_len=4096 \
+	    -timeout=10 -artifact_prefix=$$f- $$f.corpus \
+	    tests/fuzz/seeds/$$n >$$f.log 2>&1 || \
+	    { tail -40 $$f.log; exit 1; }; \
+	    echo "ok $$n $(FUZZ_RUNS) runs, seed $(FUZZ_SEED)"; done
+
 format:
 	clang-format -i $(STYLE_SRC)
 
--- a/src/intake.c
+++ b/src/intake.c
@@ -107,7 +107,8 @@
 	if (strcmp(name, "deadline") == 0) {
 		status = take_int(
 		    name, value, 1, INT64_MAX / MSEC_USEC, &number, refusal);
-		intake->deadline = number * MSEC_USEC;
+		if (status == STATUS_OK)
+			intake->deadline = number * MSEC_USEC;
 		return status;
 	}
 	return refuse(refusal, HTTP_BAD_REQUEST, "unknown-field",
--- /dev/null
+++ b/tests/fuzz/fuzz_record.c
@@ -0,0 +1,31 @@
+#include <string.h>
+
+#include "fuzz.h"
+#include "record_chain.h"
+
+/*
+ * Verifies the input as a stored segment, twice in a row, and as the body of
+ * one that is signed. Guards against stored values that stop the verifier.
+ */
+int
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct lstr segments[2] = {
+	    lstr_make(data, size), lstr_make(data, size)};
+	Ch__RecordBody *body = ch__record_body__unpack(NULL, size, data);
+	struct lstr_buf content = {0};
+	struct rec_signer signer;
+	struct rec_report report;
+
+	rec_verify(segments, 2, NULL, NULL, NULL, &report);
+	if (body != NULL && rec_signer_create(&signer) == STATUS_OK &&
+	    rec_seal(body, &signer, &content) == STATUS_OK) {
+		segments[0] = lstr_buf_view(&content);
+		segments[1] = segments[0];
+		rec_verify(segments, 2, NULL, NULL, NULL, &report);
+	}
+	lstr_buf_free(&content);
+	ch__record_body__free_unpacked(body, NULL);
+	return 0;
+}
