--- a/src/syncd.c
+++ b/src/syncd.c
@@ -186,6 +186,8 @@
 	conf_destroy(s->conf);
 	g_hash_table_destroy(s->list_leaving);
 	g_hash_table_destroy(s->router_leaving);
+	/* Closed links are freed in the next round. */
+	loop_run_once(s->loop, syncd_now(s));
 	g_free(s);
 }
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -10,7 +10,6 @@
 #define CLUSTER_NODES_MAX 4
 #define CLUSTER_KEY                                                            \
 	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
-#define CLUSTER_KEY_OPTION "--cluster-key=" CLUSTER_KEY
 #define CLUSTER_CALL_USEC (30 * LOOP_USEC_PER_SEC)
 
 /* A key-value service, the syncds of some nodes and an HTTP client. */
@@ -19,6 +18,8 @@
 	struct fetch *fetch;
 	struct child kv;
 	char kv_address[64];
+	struct child list;
+	char list_address[64];
 	struct child syncds[CLUSTER_NODES_MAX];
 	char frames[CLUSTER_NODES_MAX][64];
 	char operators[CLUSTER_NODES_MAX][64];
@@ -84,14 +85,18 @@
 	char place_option[64];
 	char kv[96];
 	char seeds[96];
-	const char *const args[] = {node, place_option, "--region=r",
-	    CLUSTER_KEY_OPTION, kv, seeds, "--lease-ms=3000",
-	    "--heartbeat-ms=200", "--claim-buckets=4", "--claim-interval-ms=20",
-	    "--claim-slots=64", "--log-level=4", NULL};
+	char list[96];
+	char key[96];
+	const char *const args[] = {node, place_option, "--region=r", key, kv,
+	    seeds, "--lease-ms=3000", "--heartbeat-ms=200", "--claim-buckets=4",
+	    "--claim-interval-ms=20", "--claim-slots=64", "--log-level=4",
+	    c->list_address[0] != '\0' ? list : NULL, NULL};
 
 	snprintf(node, sizeof(node), "--node=n%d", i);
 	snprintf(place_option, sizeof(place_option), "--place=%s", place);
 	snprintf(kv, sizeof(kv), "--kv-address=%s", c->kv_address);
+	snprintf(key, sizeof(key), "--cluster-key=%s", CLUSTER_KEY);
+	snprintf(list, sizeof(list), "--list-address=%s", c->list_address);
 	snprintf(
 	    seeds, sizeof(seeds), "--seed-peers=%s", i > 0 ? c->frames[0] : "");
 	child_start(&c->syncds[i], c->loop, "chestnuthoist-syncd", args);
@@ -115,6 +120,9 @@
 	ck_assert_int_eq(fetch_create(c->loop, &c->fetch), STATUS_OK);
 	child_start(&c->kv, c->loop, "fakes/fake_kv", args);
 	child_address(&c->kv, "http=", c->kv_address, sizeof(c->kv_address));
+	child_start(&c->list, c->loop, "fakes/fake_list", args);
+	child_address(
+	    &c->list, "http=", c->list_address, sizeof(c->list_address));
 	c->count = count;
 	for (int i = 0; i < count; i++)
 		cluster_start_syncd(c, i, i + 1 < count ? "a" : "b");
@@ -126,7 +134,10 @@
 	for (int i = 0; i < c->count; i++)
 		child_kill(&c->syncds[i]);
 	child_kill(&c->kv);
+	child_kill(&c->list);
 	json_decref(c->answer);
+	/* Closed links are freed in the next round. */
+	loop_run_once(c->loop, loop_now(c->loop));
 	fetch_destroy(c->fetch);
 	loop_destroy(c->loop);
 }
--- a/tests/test_syncd.c
+++ b/tests/test_syncd.c
@@ -9,6 +9,8 @@
 
 #define NODES 3
 #define IN_FORCE_USEC (6 * LOOP_USEC_PER_SEC)
+/* G5: no new work after 5 s from the first source that reports it. */
+#define LEAVING_USEC (5 * LOOP_USEC_PER_SEC)
 #define CLAIM_USEC (10 * LOOP_USEC_PER_SEC)
 
 static const struct sample_size size = {2, 6, 2, 5};
@@ -18,7 +20,7 @@
 	struct cluster *cluster;
 	struct link_context context;
 	Ch__Hello hello;
-	char node[8];
+	char node[16];
 	struct peer *peer;
 	uint64_t sequence;
 	bool replied;
@@ -27,6 +29,7 @@
 	uint32_t stored;
 	size_t members;
 	uint64_t revision;
+	bool leaving;
 };
 
 static void
@@ -60,6 +63,8 @@
 		r->members = frame->view->n_members;
 	} else if (frame->kind_case == CH__FRAME__KIND_CONFIG_UPDATE) {
 		r->revision = frame->config_update->revision;
+	} else if (frame->kind_case == CH__FRAME__KIND_INSTANCES) {
+		r->leaving = frame->instances->n_items > 0;
 	}
 }
 
@@ -324,6 +329,109 @@
 }
 END_TEST
 
+static bool
+is_leaving(void *arg)
+{
+	return ((struct router *)arg)->leaving;
+}
+
+/*
+ * Reports an instance as leaving, as a router does.
+ */
+static void
+report_leaving(struct router *r, const char *name)
+{
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__Instances message = CH__INSTANCES__INIT;
+	Ch__Instance item = CH__INSTANCE__INIT;
+	Ch__Instance *items[] = {&item};
+
+	item.name = (char *)name;
+	item.leaving = true;
+	message.source = r->node;
+	message.items = items;
+	message.n_items = 1;
+	frame.kind_case = CH__FRAME__KIND_INSTANCES;
+	frame.instances = &message;
+	ck_assert_int_eq(peer_send(r->peer, &frame), STATUS_OK);
+}
+
+/* Guards against work that is sent to an instance that is leaving: reports of
+ * routers and the list reach the routers of all nodes within seconds. */
+START_TEST(leaving_instances_reach_all_routers)
+{
+	struct cluster c;
+	struct router first;
+	struct router other;
+	int64_t begin;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	router_start(&first, &c, 0);
+	router_start(&other, &c, 2);
+	begin = loop_now(c.loop);
+	report_leaving(&first, "i00001-0");
+	ck_assert(harness_wait(c.loop, is_leaving, &other));
+	ck_assert_int_le(loop_now(c.loop) - begin, LEAVING_USEC);
+	peer_destroy(first.peer);
+	peer_destroy(other.peer);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a list that only the watchers know. */
+START_TEST(list_reaches_all_routers)
+{
+	struct cluster c;
+	struct router routers[NODES];
+	int64_t begin;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	for (int i = 0; i < NODES; i++)
+		router_start(&routers[i], &c, i);
+	begin = loop_now(c.loop);
+	ck_assert_int_eq(cluster_call(&c, "POST", c.list_address, "/v1/set",
+			     json_pack("{s:s, s:s}", "name", "i00001-0",
+				 "state", "leaving")),
+	    200);
+	for (int i = 0; i < NODES; i++) {
+		ck_assert(harness_wait(c.loop, is_leaving, &routers[i]));
+		ck_assert_int_le(loop_now(c.loop) - begin, LEAVING_USEC);
+	}
+	printf("leaving known to all routers after %lld ms\n",
+	    (long long)((loop_now(c.loop) - begin) / LOOP_USEC_PER_MSEC));
+	for (int i = 0; i < NODES; i++)
+		peer_destroy(routers[i].peer);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a stop that leaves the node in the view, or never ends. */
+START_TEST(stopped_node_leaves_at_once)
+{
+	struct cluster c;
+	int64_t deadline;
+	int status = -1;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	ck_assert_int_eq(kill(c.syncds[1].pid, SIGTERM), 0);
+	deadline = loop_now(c.loop) + HARNESS_DEADLINE_USEC;
+	while (waitpid(c.syncds[1].pid, &status, WNOHANG) == 0) {
+		loop_run_once(c.loop, loop_now(c.loop) + LOOP_USEC_PER_MSEC);
+		ck_assert_int_lt(loop_now(c.loop), deadline);
+	}
+	c.syncds[1].pid = 0;
+	ck_assert(WIFEXITED(status));
+	ck_assert_int_eq(WEXITSTATUS(status), 0);
+	while (cluster_members(&c, 0, "live") != NODES - 1 ||
+	    cluster_members(&c, 0, "suspected") != 0)
+		ck_assert_int_lt(loop_now(c.loop), deadline);
+	cluster_stop(&c);
+}
+END_TEST
+
 static bool
 is_acked(void *arg)
 {
@@ -439,4 +547,5 @@
     change_with_lost_answers_is_accepted_once,
     claims_are_exclusive_across_nodes, outage_refuses_claims_and_changes,
     new_node_reads_from_a_peer, dead_node_is_suspected_and_removed,
-    record_survives_its_router)
+    leaving_instances_reach_all_routers, list_reaches_all_routers,
+    stopped_node_leaves_at_once, record_survives_its_router)
