Send record copies again and keep bucket owners

Change: syncd keeps copies until they are acknowledged or stored and sends them again on a new connection; the owner of each bucket is kept while the view is the same; waiting claims are routed as soon as a connection is up. Measured: test_syncd passes (11 checks, one of them new). Conclusion: a keeper that restarts acknowledges what it missed.

--- a/src/syncd_claims.c
+++ b/src/syncd_claims.c
@@ -214,15 +214,27 @@
 }
 
 /*
- * Returns the node that owns a bucket, or NULL.
+ * Returns the node that owns a bucket, or NULL. Hashing all members takes
+ * too long for each request, so the owners are kept while the view is the
+ * same.
  */
 static const char *
-owner_node(const struct syncd *s, uint32_t bucket)
+owner_node(struct syncd *s, uint32_t bucket)
 {
-	const struct view_member *owner =
-	    owner_of_bucket(member_view(s->member), bucket);
+	const struct view *view = member_view(s->member);
 
-	return owner ? owner->node : NULL;
+	if (s->owners == NULL)
+		s->owners = g_new0(char *, s->settings.claim_buckets);
+	else if (s->owners_version == member_view_version(s->member))
+		return s->owners[bucket];
+	s->owners_version = member_view_version(s->member);
+	for (uint32_t i = 0; i < s->settings.claim_buckets; i++) {
+		const struct view_member *owner = owner_of_bucket(view, i);
+
+		g_free(s->owners[i]);
+		s->owners[i] = owner ? g_strdup(owner->node) : NULL;
+	}
+	return s->owners[bucket];
 }
 
 /*
@@ -540,5 +552,8 @@
 	if (s->forwards != NULL)
 		g_hash_table_destroy(s->forwards);
 	g_queue_clear_full(&s->outcomes, g_free);
+	for (uint32_t i = 0; s->owners && i < s->settings.claim_buckets; i++)
+		g_free(s->owners[i]);
+	g_free(s->owners);
 	loop_timer_destroy(s->claim_timer);
 }
--- a/src/syncd_peers.c
+++ b/src/syncd_peers.c
@@ -319,8 +319,11 @@
 
 	(void)peer;
 	send_heartbeat(s, &origin);
-	if (out->node != NULL)
+	if (out->node != NULL) {
+		syncd_claims_tick(s);
+		syncd_records_peer_up(s, out);
 		return;
+	}
 	message.role = CH__ROLE__ROLE_SYNCD;
 	message.revision = conf_pull_from(s->conf);
 	frame.kind_case = CH__FRAME__KIND_SUBSCRIBE;
--- a/src/syncd_priv.h
+++ b/src/syncd_priv.h
@@ -111,9 +111,13 @@
 	GHashTable *forwards;
 	uint64_t last_forward;
 	GQueue outcomes;
+	/* Owner of each bucket, as of a version of the view. */
+	char **owners;
+	uint64_t owners_version;
 
 	struct rec_copies *copies;
 	GQueue stores;
+	GQueue sent_copies;
 	/* "node boot" of the copies that are held. */
 	GHashTable *copied;
 
@@ -179,6 +183,7 @@
 
 /* syncd_records.c */
 enum status syncd_records_open(struct syncd *);
+void syncd_records_peer_up(struct syncd *, struct syncd_outgoing *);
 void syncd_records_tick(struct syncd *);
 void syncd_records_append(
     struct syncd *, const struct syncd_origin *, const Ch__RecordAppend *);
--- a/src/syncd_records.c
+++ b/src/syncd_records.c
@@ -8,6 +8,11 @@
 /* Values that wait to be stored: 64 MB as in the router, and this many. */
 #define STORES_MAX 4096
 #define STORES_MAX_BYTES ((size_t)64 * 1024 * 1024)
+/*
+ * Copies that wait for an acknowledgement. Beyond it the oldest is dropped and
+ * its entries count as unreplicated.
+ */
+#define SENT_COPIES_MAX 4096
 /* Writes on their way at the same time. */
 #define STORE_CALLS_MAX 4
 
@@ -29,6 +34,15 @@
 	bool recovered;
 };
 
+/* A copy that the keeper has not acknowledged. */
+struct sent_copy {
+	uint64_t boot;
+	uint32_t segment;
+	uint64_t last_sequence;
+	uint8_t *packed;
+	size_t len;
+};
+
 /* A boot of a router whose copies are held. */
 struct copied {
 	char *node;
@@ -92,6 +106,30 @@
 	return store;
 }
 
+static void
+sent_copy_free(gpointer data)
+{
+	struct sent_copy *copy = data;
+
+	g_free(copy->packed);
+	g_free(copy);
+}
+
+/*
+ * Forgets the copies of a boot that are acknowledged or stored.
+ */
+static void
+forget_copies(
+    struct syncd *s, uint64_t boot, uint64_t sequence, uint32_t segment)
+{
+	struct sent_copy *copy;
+
+	while ((copy = g_queue_peek_head(&s->sent_copies)) != NULL &&
+	    copy->boot == boot &&
+	    (copy->last_sequence <= sequence || copy->segment <= segment))
+		sent_copy_free(g_queue_pop_head(&s->sent_copies));
+}
+
 /*
  * Tells the router and the keeper of the copy that a segment is stored.
  */
@@ -118,6 +156,7 @@
 		return;
 	}
 	syncd_send_local(s, CH__ROLE__ROLE_ROUTER, &frame);
+	forget_copies(s, store->boot, 0, store->segment);
 	keeper = owner_record_peer(member_view(s->member),
 	    lstr_from(s->proc->hello.node), lstr_from(s->proc->hello.place));
 	out = keeper ? g_hash_table_lookup(s->outgoing, keeper->node) : NULL;
@@ -234,6 +273,60 @@
 	run_stores(s);
 }
 
+/*
+ * Keeps a copy until the keeper acknowledges it.
+ */
+static void
+keep_copy(struct syncd *s, const Ch__RecordAppend *message)
+{
+	struct sent_copy *copy;
+
+	if (message->n_entries == 0)
+		return;
+	copy = g_queue_peek_head(&s->sent_copies);
+	/* An earlier boot of the router no longer waits. */
+	if (copy != NULL && copy->boot != message->boot)
+		g_queue_clear_full(&s->sent_copies, sent_copy_free);
+	if (s->sent_copies.length >= SENT_COPIES_MAX)
+		sent_copy_free(g_queue_pop_head(&s->sent_copies));
+	copy = g_new0(struct sent_copy, 1);
+	copy->boot = message->boot;
+	copy->segment = message->segment;
+	copy->last_sequence =
+	    message->entries[message->n_entries - 1]->sequence;
+	copy->len = ch__record_append__get_packed_size(message);
+	copy->packed = g_malloc(copy->len);
+	ch__record_append__pack(message, copy->packed);
+	g_queue_push_tail(&s->sent_copies, copy);
+}
+
+/*
+ * Sends the copies again that may have been lost with a broken connection;
+ * the keeper recognises those that it has.
+ */
+void
+syncd_records_peer_up(struct syncd *s, struct syncd_outgoing *out)
+{
+	const struct view_member *keeper = owner_record_peer(
+	    member_view(s->member), lstr_from(s->proc->hello.node),
+	    lstr_from(s->proc->hello.place));
+
+	if (keeper == NULL || strcmp(keeper->node, out->node) != 0)
+		return;
+	for (GList *l = s->sent_copies.head; l != NULL; l = l->next) {
+		const struct sent_copy *copy = l->data;
+		Ch__Frame frame = CH__FRAME__INIT;
+
+		frame.record_append =
+		    ch__record_append__unpack(NULL, copy->len, copy->packed);
+		frame.kind_case = CH__FRAME__KIND_RECORD_APPEND;
+		if (frame.record_append == NULL)
+			return;
+		peer_send(out->peer, &frame);
+		ch__record_append__free_unpacked(frame.record_append, NULL);
+	}
+}
+
 /*
  * Copies entries: those of the local router go to the keeper, those of
  * another node are kept here and acknowledged.
@@ -259,6 +352,7 @@
 			     : NULL;
 		frame.kind_case = CH__FRAME__KIND_RECORD_APPEND;
 		frame.record_append = (Ch__RecordAppend *)message;
+		keep_copy(s, message);
 		if (out != NULL)
 			peer_send(out->peer, &frame);
 		return;
@@ -290,6 +384,7 @@
 
 	if (strcmp(message->node, s->proc->hello.node) != 0)
 		return;
+	forget_copies(s, message->boot, message->sequence, 0);
 	frame.kind_case = CH__FRAME__KIND_RECORD_ACK;
 	frame.record_ack = (Ch__RecordAck *)message;
 	syncd_send_local(s, CH__ROLE__ROLE_ROUTER, &frame);
@@ -388,6 +483,7 @@
 	s->copied =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, copied_free);
 	g_queue_init(&s->stores);
+	g_queue_init(&s->sent_copies);
 	metric_register(&stored);
 	metric_register(&recovered_stored);
 	metric_register(&refused);
@@ -401,6 +497,7 @@
 syncd_records_close(struct syncd *s)
 {
 	g_queue_clear_full(&s->stores, store_free);
+	g_queue_clear_full(&s->sent_copies, sent_copy_free);
 	if (s->copied != NULL)
 		g_hash_table_destroy(s->copied);
 	rec_copies_destroy(s->copies);
--- a/tests/test_syncd.c
+++ b/tests/test_syncd.c
@@ -543,9 +543,41 @@
 }
 END_TEST
 
+/* Guards against copies that are lost with the connection to their keeper and
+ * never acknowledged. */
+START_TEST(copies_are_sent_again)
+{
+	struct cluster c;
+	struct router router;
+	struct rec *rec = NULL;
+	struct rec_event event = {.organisation = lstr_from("o"),
+	    .request = lstr_from("r"),
+	    .replica = lstr_from("x"),
+	    .reason = CH__RECORD_REASON__RECORD_REASON_ARRIVAL};
+	uint64_t sequence;
+
+	cluster_start(&c, NODES);
+	cluster_wait_members(&c, NODES);
+	router_start(&router, &c, 0);
+	ck_assert_int_eq(rec_create("n0", router.hello.boot, &rec), STATUS_OK);
+	announce(&router, rec);
+	/* The only node of the other place keeps the copies. */
+	child_kill(&c.syncds[2]);
+	ck_assert_int_eq(rec_append(rec, &event, &sequence), STATUS_OK);
+	send_copy(&router, rec);
+	cluster_start_syncd(&c, 2, "b");
+	ck_assert(harness_wait(c.loop, is_acked, &router));
+	ck_assert_uint_eq(router.acked, sequence);
+	peer_destroy(router.peer);
+	rec_destroy(rec);
+	cluster_stop(&c);
+}
+END_TEST
+
 HARNESS_MAIN("syncd", configuration_reaches_all,
     change_with_lost_answers_is_accepted_once,
     claims_are_exclusive_across_nodes, outage_refuses_claims_and_changes,
     new_node_reads_from_a_peer, dead_node_is_suspected_and_removed,
     leaving_instances_reach_all_routers, list_reaches_all_routers,
-    stopped_node_leaves_at_once, record_survives_its_router)
+    stopped_node_leaves_at_once, record_survives_its_router,
+    copies_are_sent_again)
