--- a/src/proc.h
+++ b/src/proc.h
@@ -16,6 +16,8 @@
 #define PROC_EXIT_FAILED 1
 #define PROC_EXIT_SETTINGS 2
 
+#define PROC_PATH_MAX_BYTES 4000
+
 /*
  * What every daemon has: its loop, its identity, the cluster key and the
  * admin HTTP server with /metrics, /dump, /ready and /live. SIGTERM calls
@@ -26,6 +28,9 @@
 	struct link_context links;
 	Ch__Hello hello;
 	struct httpd *admin;
+	/* "ip:port" of the admin server. */
+	char *admin_address;
+	const char *port_file;
 	struct proc_ops *ops;
 	void *arg;
 	bool draining;
@@ -52,16 +57,22 @@
 		0},                                                            \
 	    {"admin-address", SETTING_ADDRESS, "127.0.0.1:0", 0, 0,            \
 		"Address for metrics, dump and health", false, NULL, 0},       \
+	    {"log-level", SETTING_INT, "6", 3, 7,                              \
+		"Least severe severity logged (RFC 5424 number)", false, NULL, \
+		0},                                                            \
 	{                                                                      \
-		"log-level", SETTING_INT, "6", 3, 7,                           \
-		    "Least severe severity logged (RFC 5424 number)", false,   \
-		    NULL, 0                                                    \
+		"port-file", SETTING_TEXT, NULL, 1, PROC_PATH_MAX_BYTES,       \
+		    "File that receives the addresses once the ports are "     \
+		    "open",                                                    \
+		    false, NULL, 0                                             \
 	}
 
 enum status proc_create(struct setting *, const char *, Ch__Role,
     struct proc_ops *, struct proc **);
 void proc_set_arg(struct proc *, void *);
 void proc_destroy(struct proc *);
+char *proc_address(const struct setting *, const char *, uint16_t);
+enum status proc_started(const struct proc *, const char *);
 int proc_settings_or_exit_code(
     struct setting *, const char *, const char *, int *, char ***);
 
