Find dead and slow stages sooner

Cause: in trials with the stand-in engines a silent stage held its streams for the whole time-out of 1 s plus the probe, a stage that became slow kept its streams to the end, and one wrong trail led to the first stage being avoided, which left a replica of four instances without a chain. Change: after 200 ms of silence the stages are asked whether they live; five late tokens in a row make the router look for a chain twice as fast, within the retry budget; a wrong trail blames the stage whose step is wrong, and an instance without which no chain is left is only suspected.

--- a/src/job.c
+++ b/src/job.c
@@ -377,6 +377,27 @@
 	loop_timer_set(job->timer, at);
 }
 
+/*
+ * Tells whether a running attempt may be given up for a better chain, and
+ * stores when the next one starts. It is charged to the retry budget; without
+ * budget the attempt goes on.
+ */
+bool
+job_may_move(struct job *job, int64_t *at)
+{
+	struct retry_case failed = {
+	    !job->once, false, job->failures + 1, job->submit->deadline};
+
+	if (job->failures + 1 >= ATTEMPTS_MAX || job->router->draining ||
+	    retry_decide(budget_for(job), &failed, router_now(job->router),
+		job->router->rand, at) != RETRY_OK)
+		return false;
+	job->failures++;
+	job->maybe_ran = true;
+	router_count(ROUTER_RETRIES);
+	return true;
+}
+
 /*
  * Tells whether a request may be sent now. An order may be sent once, after
  * its claim was granted, before its deadline; the deadline is not after the
--- a/src/route.h
+++ b/src/route.h
@@ -77,6 +77,7 @@
     struct route_table *, const struct route *, int64_t gap_usec, int64_t now);
 
 void route_avoid(struct route_table *, uint32_t slot, int64_t until);
+void route_forgive(struct route_table *, uint32_t slot);
 void route_penalise(struct route_table *, uint32_t slot, int64_t until);
 void route_leaving(
     struct route_table *, uint32_t slot, enum route_source, bool, int64_t now);
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -341,6 +341,15 @@
 		slot->avoid_until = until;
 }
 
+/*
+ * Takes an instance into use again at once.
+ */
+void
+route_forgive(struct route_table *table, uint32_t index)
+{
+	route_slot(table, index)->avoid_until = 0;
+}
+
 /*
  * Makes an instance less attractive until a time, without excluding it.
  */
--- a/src/router_load.c
+++ b/src/router_load.c
@@ -43,9 +43,10 @@
 }
 
 /*
- * Goes on with a request when all stages of its failed attempt have answered.
- * When none is known to be at fault, all are suspected. The next attempt
- * starts from the timer, outside the callbacks of the HTTP client.
+ * Takes what one stage said. A silent attempt fails when one of its stages
+ * does. A failed one goes on when all stages have answered; when none is known
+ * to be at fault, all are suspected. The next attempt starts from the timer,
+ * outside the callbacks of the HTTP client.
  */
 static void
 probe_answered(struct job *job, uint32_t slot, bool failed)
@@ -53,7 +54,7 @@
 	struct router *router = job->router;
 	int64_t until = router_now(router) + AVOID_USEC;
 
-	if (job->state != JOB_PROBING || job->probes == 0)
+	if (job->probes == 0)
 		return;
 	job->probes--;
 	if (failed) {
@@ -61,7 +62,11 @@
 		if (slot != ROUTE_NONE)
 			route_avoid(router->routes, slot, until);
 	}
-	if (job->probes > 0)
+	if (job->state == JOB_RUNNING && failed) {
+		pipeline_on_dead_stage(job);
+		return;
+	}
+	if (job->probes > 0 || job->state != JOB_PROBING)
 		return;
 	for (uint32_t i = 0; !job->culprit_found && i < job->route.count; i++) {
 		uint32_t suspect = job->route.stages[i].slot;
--- a/src/router_pipeline.c
+++ b/src/router_pipeline.c
@@ -11,6 +11,20 @@
  */
 #define SILENCE_RATIO 4
 #define NO_STAGE SIZE_MAX
+/*
+ * After this silence the stages are asked whether they live. A dead one fails
+ * the attempt long before the time-out, which slow ones must be given.
+ */
+#define SUSPECT_USEC (200 * LOOP_USEC_PER_MSEC)
+/*
+ * So many tokens in a row, each this many times later than expected and above
+ * the target of 46 ms, make the router look for a better chain: one that is
+ * expected to be at least twice as fast.
+ */
+#define SLOW_TOKENS 5
+#define SLOW_RATIO 4
+#define SLOW_MIN_USEC (46 * LOOP_USEC_PER_MSEC)
+#define BETTER_RATIO 2
 
 static void on_token(struct engine_call *, const struct engine_token *, void *);
 static void on_end(struct engine_call *, const struct engine_end *, void *);
@@ -51,8 +65,13 @@
 	job->silence_at = now + (wait > expected ? wait : expected);
 	if (job->silence_at > job->submit->deadline)
 		job->silence_at = job->submit->deadline;
+	job->suspect_at =
+	    now + (SUSPECT_USEC > expected ? SUSPECT_USEC : expected);
+	if (job->suspect_at > job->silence_at)
+		job->suspect_at = job->silence_at;
+	job->suspected = false;
 	if (!loop_timer_is_set(job->timer))
-		loop_timer_set(job->timer, job->silence_at);
+		loop_timer_set(job->timer, job->suspect_at);
 }
 
 /*
@@ -118,6 +137,8 @@
 	job->attempt++;
 	job->last_token_at = 0;
 	job->culprit_found = false;
+	job->slow_tokens = 0;
+	job->probes = 0;
 	job->sent_once = true;
 	router_count(ROUTER_ATTEMPTS);
 	if (!send_attempt(job)) {
@@ -150,6 +171,18 @@
 	job->on_route = false;
 }
 
+/*
+ * Logs why the present attempt failed.
+ */
+static void
+log_failure(const struct job *job, const char *reason)
+{
+	log_event(EV_ATTEMPT_FAILED,
+	    "request=%.*s attempt=%u delivered=%u reason=%s",
+	    (int)job->submit->request_id.len, job->submit->request_id.data,
+	    job->attempt, job->delivered->len, reason);
+}
+
 /*
  * Fails the present attempt. A stage that is known to be at fault is avoided;
  * when none is known, the stages are asked whether they live.
@@ -160,10 +193,7 @@
 {
 	struct router *router = job->router;
 
-	log_event(EV_ATTEMPT_FAILED,
-	    "request=%.*s attempt=%u delivered=%u reason=%s",
-	    (int)job->submit->request_id.len, job->submit->request_id.data,
-	    job->attempt, job->delivered->len, reason);
+	log_failure(job, reason);
 	job->maybe_ran = job->maybe_ran || !nothing_ran;
 	if (stage != NO_STAGE)
 		route_avoid(router->routes, job->route.stages[stage].slot,
@@ -180,6 +210,20 @@
 	job_retry(job, nothing_ran);
 }
 
+/*
+ * Fails a silent attempt one of whose stages does not answer; the instance is
+ * avoided already.
+ */
+void
+pipeline_on_dead_stage(struct job *job)
+{
+	if (!job->suspected || job->once || job->last_seen)
+		return;
+	log_failure(job, "dead-stage");
+	end_attempt(job);
+	job_retry(job, false);
+}
+
 /*
  * Handles the timer of a running attempt: the deadline of the request, or
  * silence of the chain.
@@ -200,8 +244,13 @@
 		    "the deadline passed before the last token");
 	} else if (now >= job->silence_at) {
 		fail_attempt(job, NO_STAGE, false, "silence");
-	} else {
+	} else if (now >= job->suspect_at && !job->suspected) {
+		job->suspected = true;
+		load_probe(job);
 		loop_timer_set(job->timer, job->silence_at);
+	} else {
+		loop_timer_set(job->timer,
+		    job->suspected ? job->silence_at : job->suspect_at);
 	}
 }
 
@@ -226,18 +275,110 @@
 
 /*
  * Notes the time of a token for the limit of the replica and for the links.
+ * Returns the time since the token before, 0 for the first one.
  */
-static void
+static int64_t
 observe(struct job *job, int64_t now)
 {
-	if (job->last_token_at > 0) {
-		int64_t gap = now - job->last_token_at;
+	int64_t gap = job->last_token_at > 0 ? now - job->last_token_at : 0;
 
-		limit_adaptive_observe(
-		    &job->replica->limit, gap, job->replica->running, now);
-		route_observe(job->router->routes, &job->route, gap, now);
-	}
 	job->last_token_at = now;
+	if (gap == 0)
+		return 0;
+	limit_adaptive_observe(
+	    &job->replica->limit, gap, job->replica->running, now);
+	route_observe(job->router->routes, &job->route, gap, now);
+	if (gap > SLOW_RATIO * job->route.token_usec && gap > SLOW_MIN_USEC)
+		job->slow_tokens++;
+	else
+		job->slow_tokens = 0;
+	return gap;
+}
+
+/*
+ * Tells whether two routes use the same instances.
+ */
+static bool
+same_route(const struct route *a, const struct route *b)
+{
+	if (a->count != b->count)
+		return false;
+	for (uint32_t i = 0; i < a->count; i++) {
+		if (a->stages[i].slot != b->stages[i].slot)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Gives up an attempt on a chain that has become slow, when there is a better
+ * one and the retry budget allows it. The response goes on there.
+ */
+static void
+leave_slow_chain(struct job *job, int64_t gap, int64_t now)
+{
+	struct router *router = job->router;
+	struct route other;
+	int64_t at;
+
+	if (job->slow_tokens < SLOW_TOKENS || job->once || job->last_seen ||
+	    job->replica->index == INV_NONE)
+		return;
+	job->slow_tokens = 0;
+	if (route_choose(router->routes, job->replica->index, now, router->rand,
+		&other) != STATUS_OK ||
+	    other.cost_usec * BETTER_RATIO > gap ||
+	    same_route(&other, &job->route) || !job_may_move(job, &at))
+		return;
+	log_failure(job, "slow");
+	end_attempt(job);
+	job->state = JOB_BACKOFF;
+	loop_timer_set(job->timer, at);
+}
+
+/*
+ * Returns the stage that is at fault for a wrong trail: the one that the
+ * wrong step names, else the one whose step is wrong or missing, else the
+ * last one, which sent a step too many.
+ */
+static size_t
+blamed_stage(const struct job *job, const struct engine_token *token, size_t at)
+{
+	struct engine_stage stages[ROUTE_STAGES_MAX];
+
+	fill_stages(job, stages);
+	for (uint32_t i = 0; at < token->step_count && i < job->route.count;
+	     i++) {
+		if (lstr_equal(token->steps[at].instance, stages[i].instance))
+			return i;
+	}
+	return at < job->route.count ? at : job->route.count - 1;
+}
+
+/*
+ * Fails an attempt whose token may not be delivered. The blame may be wrong,
+ * so an instance without which no chain is left is only suspected.
+ */
+static void
+reject_token(struct job *job, const struct engine_token *token,
+    enum trail_verdict verdict, size_t at)
+{
+	struct router *router = job->router;
+	int64_t now = router_now(router);
+	size_t blamed = verdict >= TRAIL_GAP ? blamed_stage(job, token, at) : 0;
+	uint32_t slot = job->route.stages[blamed].slot;
+	struct route other;
+
+	log_failure(job, trail_verdict_name(verdict));
+	route_avoid(router->routes, slot, now + AVOID_USEC);
+	if (job->replica->index == INV_NONE ||
+	    route_choose(router->routes, job->replica->index, now, NULL,
+		&other) != STATUS_OK) {
+		route_forgive(router->routes, slot);
+		route_penalise(router->routes, slot, now + AVOID_USEC);
+	}
+	end_attempt(job);
+	job_retry(job, false);
 }
 
 /*
@@ -249,6 +390,7 @@
 	struct job *job = arg;
 	int64_t now = router_now(job->router);
 	enum trail_verdict verdict;
+	int64_t gap;
 	size_t at;
 
 	if (call != job->call)
@@ -263,15 +405,15 @@
 		    job->submit->request_id.data, job->attempt, token->position,
 		    trail_verdict_name(verdict));
 		if (!job->last_seen)
-			fail_attempt(job, at < job->route.count ? at : 0, false,
-			    trail_verdict_name(verdict));
+			reject_token(job, token, verdict, at);
 		return;
 	}
-	observe(job, now);
+	gap = observe(job, now);
 	job_add_token(job, token->text);
 	job_send_tokens(job);
 	job->last_seen = token->last;
 	expect_token(job, now);
+	leave_slow_chain(job, gap, now);
 }
 
 /*
--- a/src/router_priv.h
+++ b/src/router_priv.h
@@ -115,8 +115,13 @@
 	struct plain_call *plain_call;
 	int64_t silence_at;
 	int64_t last_token_at;
+	/* Time at which the stages of a silent attempt are asked. */
+	int64_t suspect_at;
+	bool suspected;
 	uint32_t probes;
 	bool culprit_found;
+	/* Tokens in a row that came much later than expected. */
+	uint32_t slow_tokens;
 
 	/* Orders. */
 	struct order *order;
@@ -226,6 +231,7 @@
 void job_send_tokens(struct job *);
 void job_add_token(struct job *, struct lstr);
 void job_retry(struct job *, bool nothing_ran);
+bool job_may_move(struct job *, int64_t *at);
 void job_leave(struct job *);
 bool job_may_send(struct job *);
 
@@ -244,6 +250,7 @@
 /* router_pipeline.c and router_plain.c */
 void pipeline_start(struct job *);
 void pipeline_on_timer(struct job *);
+void pipeline_on_dead_stage(struct job *);
 void plain_begin(struct job *);
 
 /* router_load.c */
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -60,11 +60,13 @@
 	return inv;
 }
 
+#define TOKEN_TIMEOUT_USEC (100 * LOOP_USEC_PER_MSEC)
+
 /*
  * Starts a router without a configuration.
  */
 static inline void
-world_start(struct world *w, uint32_t concurrency)
+world_start(struct world *w, uint32_t concurrency, int64_t token_timeout_usec)
 {
 	struct router_config config = {.engine = &w->engine,
 	    .plain = &w->plain,
@@ -76,7 +78,7 @@
 	    .seed = 7006,
 	    .replica_concurrency = concurrency,
 	    .queue_max = 4,
-	    .token_timeout_usec = 100 * LOOP_USEC_PER_MSEC,
+	    .token_timeout_usec = token_timeout_usec,
 	    .load_interval_usec = 3600 * LOOP_USEC_PER_SEC,
 	    .on_drained = world_on_drained,
 	    .arg = w};
@@ -97,17 +99,28 @@
 }
 
 /*
- * Starts a router with the configuration of the tests.
+ * Starts a router with the configuration of the tests and a given time-out
+ * for tokens.
  */
 static inline void
-world_ready(struct world *w, uint32_t concurrency)
+world_ready_with(
+    struct world *w, uint32_t concurrency, int64_t token_timeout_usec)
 {
-	world_start(w, concurrency);
+	world_start(w, concurrency, token_timeout_usec);
 	w->inv = world_inv();
 	router_on_config(w->router, w->inv);
 	ck_assert(w->role_ready);
 }
 
+/*
+ * Starts a router with the configuration of the tests.
+ */
+static inline void
+world_ready(struct world *w, uint32_t concurrency)
+{
+	world_ready_with(w, concurrency, TOKEN_TIMEOUT_USEC);
+}
+
 /*
  * Frees everything.
  */
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -16,7 +16,7 @@
 	struct world w;
 	struct stream *s;
 
-	world_start(&w, 4);
+	world_start(&w, 4, TOKEN_TIMEOUT_USEC);
 	world_submit(&w, 1);
 	s = world_stream(&w, 1);
 	ck_assert(s->done);
@@ -164,6 +164,99 @@
 }
 END_TEST
 
+/*
+ * Guards against a dead stage that is found only at the end of the time-out
+ * for tokens, and against a slow one that is taken for dead.
+ */
+START_TEST(silent_stage_is_found_early)
+{
+	struct world w;
+	char dead[16];
+	int64_t begun;
+
+	world_ready_with(&w, 4, HARNESS_DEADLINE_USEC / 2);
+	world_submit(&w, 1);
+	g_strlcpy(dead, last_call(&w)->names[1], sizeof(dead));
+	w.dead = dead;
+	begun = loop_now(w.loop);
+	WORLD_WAIT(&w, w.call_count == 2);
+	ck_assert_int_lt(loop_now(w.loop) - begun, HARNESS_DEADLINE_USEC / 4);
+	ck_assert_str_ne(last_call(&w)->names[1], dead);
+	/* Now every stage answers, but no token comes. */
+	w.dead = NULL;
+	begun = loop_now(w.loop);
+	WORLD_WAIT(&w, loop_now(w.loop) - begun > LOOP_USEC_PER_SEC);
+	ck_assert_uint_eq(w.call_count, 2);
+	world_end(&w);
+}
+END_TEST
+
+/*
+ * Guards against a response that stays on a chain which has become slow while
+ * another one is fast.
+ */
+START_TEST(slow_chain_is_left)
+{
+	struct world w;
+	uint32_t position = 0;
+	int64_t sent_at;
+
+	world_ready_with(&w, 4, HARNESS_DEADLINE_USEC);
+	world_submit(&w, 1);
+	while (w.call_count == 1) {
+		ck_assert_uint_lt(position, 20);
+		world_token(w.calls[0], position++, "a", false);
+		sent_at = loop_now(w.loop);
+		WORLD_WAIT(&w,
+		    w.call_count == 2 ||
+			loop_now(w.loop) - sent_at > 60 * LOOP_USEC_PER_MSEC);
+	}
+	ck_assert(w.calls[0]->cancelled);
+	ck_assert(strcmp(w.calls[0]->names[0], w.calls[1]->names[0]) != 0 ||
+	    strcmp(w.calls[0]->names[1], w.calls[1]->names[1]) != 0);
+	ck_assert_uint_eq(w.calls[1]->start, position);
+	world_token(w.calls[1], position, "b", true);
+	world_call_end(w.calls[1], STATUS_OK, true, false);
+	WORLD_WAIT(&w, world_stream(&w, 1)->done);
+	ck_assert_uint_eq(world_stream(&w, 1)->count, position + 1);
+	world_end(&w);
+}
+END_TEST
+
+/*
+ * Guards against one wrong token after another that leaves a replica without
+ * any instance: the stage whose step is wrong is avoided, and never the last
+ * chain.
+ */
+START_TEST(wrong_trail_blames_its_stage)
+{
+	struct world w;
+	struct engine_call *call;
+	char wrong[16];
+
+	world_ready(&w, 4);
+	world_submit(&w, 1);
+	call = last_call(&w);
+	g_strlcpy(wrong, call->names[1], sizeof(wrong));
+	call->steps[2] = call->steps[1];
+	call->count = 3;
+	world_token(call, 0, "a", false);
+	WORLD_WAIT(&w, w.call_count == 2);
+	ck_assert_str_ne(last_call(&w)->names[1], wrong);
+	for (size_t i = 3; i <= 4; i++) {
+		call = last_call(&w);
+		call->steps[0].first++;
+		world_token(call, 0, "a", false);
+		WORLD_WAIT(&w, w.call_count == i || world_stream(&w, 1)->done);
+	}
+	ck_assert_str_eq(world_stream(&w, 1)->tokens, "");
+	ck_assert_uint_eq(w.call_count, 4);
+	world_submit(&w, 2);
+	ck_assert_uint_eq(w.call_count, 5);
+	world_end(&w);
+}
+END_TEST
+
 /* Guards against a response that ends early and is passed off as complete. */
 START_TEST(stream_without_last_token_is_resumed)
 {
@@ -377,7 +470,8 @@
 HARNESS_MAIN("router", router_without_configuration_refuses,
     tokens_reach_the_entry, answer_is_released_without_copy,
     old_token_is_dropped_after_retry, crossed_token_is_not_delivered,
-    dead_stage_is_avoided, stream_without_last_token_is_resumed,
+    dead_stage_is_avoided, silent_stage_is_found_early, slow_chain_is_left,
+    wrong_trail_blames_its_stage, stream_without_last_token_is_resumed,
     request_moves_without_a_chain, leaving_engine_is_excluded_and_reported,
     cancelled_work_stops, queue_is_bounded, organisation_is_checked,
     drain_finishes_running_work, failed_lookup_is_repeated_elsewhere,
