Split the engine adapter and the tests of the entry

Change: the JSON of the engine protocol moves to engine_json.c, the tests of the choice of a replica to test_choose.c with the shared configuration in entry_inv.h. No behaviour and no check changes.

--- a/src/engine_http.c
+++ b/src/engine_http.c
@@ -3,13 +3,10 @@
 #include <string.h>
 
 #include <glib.h>
-#include <jansson.h>
-
-#include "engine.h"
+#include "engine_json.h"
 #include "metric.h"
 #include "ndjson.h"
 
-#define STAGES_MAX 64
 #define URL_MAX 512
 /* Calls that nobody waits for: cancellations and load queries. */
 #define SIDE_CALLS_MAX 4096
@@ -77,66 +74,6 @@
 	    LSTR_ARG(instance), operation);
 }
 
-/*
- * Makes a JSON string of a borrowed string; NULL when it is not UTF-8.
- */
-static json_t *
-text_json(struct lstr s)
-{
-	return json_stringn(s.data, s.len);
-}
-
-/*
- * Makes the route of an attempt in JSON.
- */
-static json_t *
-route_json(const struct engine_attempt *attempt)
-{
-	json_t *route = json_array();
-
-	for (size_t i = 0; i < attempt->stage_count; i++) {
-		const struct engine_stage *stage = &attempt->stages[i];
-
-		json_array_append_new(route,
-		    json_pack("{s:o,s:o,s:I,s:I}", "instance",
-			text_json(stage->instance), "address",
-			text_json(stage->address), "first",
-			(json_int_t)stage->first, "last",
-			(json_int_t)stage->last));
-	}
-	return route;
-}
-
-/*
- * Makes the body of a generate call. Returns NULL when a text is not UTF-8 or
- * memory runs out. The caller frees the result with free().
- */
-static char *
-attempt_body(const struct engine_attempt *attempt)
-{
-	json_t *delivered = json_array();
-	json_t *body;
-	char *text;
-
-	for (size_t i = 0; i < attempt->delivered_count; i++)
-		json_array_append_new(
-		    delivered, text_json(attempt->delivered[i]));
-	body = json_pack("{s:o,s:I,s:o,s:o,s:o,s:I,s:I,s:I,s:I,s:I}", "request",
-	    text_json(attempt->request), "attempt",
-	    (json_int_t)attempt->attempt, "route", route_json(attempt),
-	    "prompt", text_json(attempt->prompt), "delivered", delivered,
-	    "start", (json_int_t)attempt->start, "max_tokens",
-	    (json_int_t)attempt->max_tokens, "priority",
-	    (json_int_t)attempt->priority, "deadline_ms",
-	    (json_int_t)(attempt->deadline / LOOP_USEC_PER_MSEC), "fence",
-	    (json_int_t)attempt->fence);
-	if (body == NULL)
-		return NULL;
-	text = json_dumps(body, JSON_COMPACT);
-	json_decref(body);
-	return text;
-}
-
 /*
  * Frees a call.
  */
@@ -167,60 +104,6 @@
 	call_free(call);
 }
 
-/*
- * Reads a field that must be a number from 0 to UINT32_MAX.
- */
-static bool
-read_u32(const json_t *object, const char *name, uint32_t *out)
-{
-	const json_t *value = json_object_get(object, name);
-	json_int_t number = json_integer_value(value);
-
-	if (!json_is_integer(value) || number < 0 || number > UINT32_MAX)
-		return false;
-	*out = (uint32_t)number;
-	return true;
-}
-
-/*
- * Reads a field that must be a string; borrowed from the object.
- */
-static bool
-read_text(const json_t *object, const char *name, struct lstr *out)
-{
-	const json_t *value = json_object_get(object, name);
-
-	if (!json_is_string(value))
-		return false;
-	*out = lstr_make(json_string_value(value), json_string_length(value));
-	return true;
-}
-
-/*
- * Reads the trail of a token into steps; returns the number, or -1 when it
- * breaks the protocol.
- */
-static int
-read_trail(const json_t *object, struct engine_step steps[STAGES_MAX])
-{
-	const json_t *trail = json_object_get(object, "trail");
-	size_t count = json_array_size(trail);
-
-	if (!json_is_array(trail) || count > STAGES_MAX)
-		return -1;
-	for (size_t i = 0; i < count; i++) {
-		const json_t *item = json_array_get(trail, i);
-
-		if (!read_text(item, "instance", &steps[i].instance) ||
-		    !read_u32(item, "first", &steps[i].first) ||
-		    !read_u32(item, "last", &steps[i].last) ||
-		    !read_u32(item, "attempt", &steps[i].attempt) ||
-		    !read_u32(item, "position", &steps[i].position))
-			return -1;
-	}
-	return (int)count;
-}
-
 /*
  * Reads one line of a generation and hands it to the listener. Returns
  * STATUS_INVALID when the line breaks the protocol.
@@ -228,16 +111,16 @@
 static enum status
 take_line(struct engine_call *call, struct lstr line)
 {
-	struct engine_step steps[STAGES_MAX];
+	struct engine_step steps[ENGINE_JSON_STAGES_MAX];
 	struct engine_token token = {.steps = steps};
 	json_t *object = json_loadb(line.data, line.len, 0, NULL);
 	const json_t *last = json_object_get(object, "last");
-	int count = read_trail(object, steps);
+	int count = engine_json_trail(object, steps);
 	bool valid = count >= 0 && json_is_boolean(last) &&
-	    read_text(object, "request", &token.request) &&
-	    read_u32(object, "attempt", &token.attempt) &&
-	    read_u32(object, "position", &token.position) &&
-	    read_text(object, "token", &token.text);
+	    engine_json_text(object, "request", &token.request) &&
+	    engine_json_u32(object, "attempt", &token.attempt) &&
+	    engine_json_u32(object, "position", &token.position) &&
+	    engine_json_text(object, "token", &token.text);
 
 	if (valid) {
 		token.step_count = (size_t)count;
@@ -321,7 +204,7 @@
 {
 	json_t *object = json_loadb(body.data, body.len, 0, NULL);
 	struct lstr error;
-	bool leaving = read_text(object, "error", &error) &&
+	bool leaving = engine_json_text(object, "error", &error) &&
 	    lstr_equal_c(error, "leaving");
 
 	json_decref(object);
@@ -420,7 +303,7 @@
 send_attempt(struct engine_call *call, const struct engine_attempt *attempt)
 {
 	char url[URL_MAX];
-	char *body = attempt_body(attempt);
+	char *body = engine_json_attempt(attempt);
 	struct fetch_request request = {.method = "POST",
 	    .url = url,
 	    .body = lstr_from(body),
@@ -449,7 +332,8 @@
 	struct engine_call *call;
 	enum status status;
 
-	if (attempt->stage_count == 0 || attempt->stage_count > STAGES_MAX)
+	if (attempt->stage_count == 0 ||
+	    attempt->stage_count > ENGINE_JSON_STAGES_MAX)
 		return status_set(STATUS_INVALID, "a route of %zu stages",
 		    attempt->stage_count);
 	call = calloc(1, sizeof(*call));
@@ -583,8 +467,8 @@
 		    STATUS_IO, "HTTP status %ld", result->http_status);
 	object = json_loadb(result->body.data, result->body.len, 0, NULL);
 	leaving = json_object_get(object, "leaving");
-	valid = read_u32(object, "running", &load->running) &&
-	    read_u32(object, "queued", &load->queued) &&
+	valid = engine_json_u32(object, "running", &load->running) &&
+	    engine_json_u32(object, "queued", &load->queued) &&
 	    json_is_boolean(leaving);
 	load->leaving = json_is_true(leaving);
 	json_decref(object);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -1,89 +1,11 @@
-#include "harness.h"
+#include "entry_inv.h"
 
-#include <string.h>
-
-#include "choose.h"
 #include "intake.h"
 #include "stream.h"
 
 #define SEED 11
 #define NOW ((int64_t)1796362391 * LOOP_USEC_PER_SEC)
 #define IN_FUTURE_MS "1796362400000"
-#define REPLICAS 3
-#define KEYS 300
-
-#define INVENTORY                                                              \
-	"{'places':[{'name':'p1','region':'r'},{'name':'p2','region':'r'}],"   \
-	"'links':[],"                                                          \
-	"'services':[{'name':'m','kind':'pipeline','layers':6},"               \
-	"{'name':'s','kind':'plain'}],"                                        \
-	"'accelerators':[{'kind':'k','layer_us':100}],"                        \
-	"'instances':["                                                        \
-	"{'name':'m1a','place':'p1','service':'m','replica':'m1',"             \
-	"'address':'127.0.0.1:1','accelerator':'k','first':0,'last':2},"       \
-	"{'name':'m1b','place':'p1','service':'m','replica':'m1',"             \
-	"'address':'127.0.0.1:2','accelerator':'k','first':3,'last':5},"       \
-	"{'name':'m1c','place':'p1','service':'m','replica':'m1',"             \
-	"'address':'127.0.0.1:2','accelerator':'k','first':2,'last':5},"       \
-	"{'name':'s1','place':'p1','service':'s','replica':'s1',"              \
-	"'address':'127.0.0.1:3'},"                                            \
-	"{'name':'s2','place':'p1','service':'s','replica':'s2',"              \
-	"'address':'127.0.0.1:4'},"                                            \
-	"{'name':'s3','place':'p2','service':'s','replica':'s3',"              \
-	"'address':'127.0.0.1:5'}]}"
-#define RULES                                                                  \
-	"{'organisations':[{'name':'o','priority':1,'weight':10,"              \
-	"'max_concurrent':5}],"                                                \
-	"'requests':[{'service':'s','operation':'swap','idempotent':false}],"  \
-	"'defaults':{'priority':3,'weight':1,'max_concurrent':2,"              \
-	"'deadline_ms':9000,'allow_unknown':false}}"
-
-/*
- * Replaces single quotes, so that JSON is readable in this file.
- */
-static char *
-quoted(const char *text)
-{
-	char *copy = strdup(text);
-
-	ck_assert_ptr_nonnull(copy);
-	for (char *c = copy; *c != '\0'; c++) {
-		if (*c == '\'')
-			*c = '"';
-	}
-	return copy;
-}
-
-/*
- * Parses JSON written with single quotes.
- */
-static json_t *
-load(const char *text)
-{
-	char *copy = quoted(text);
-	json_t *json = json_loads(copy, 0, NULL);
-
-	ck_assert_ptr_nonnull(json);
-	free(copy);
-	return json;
-}
-
-/*
- * Makes the configuration of the tests.
- */
-static struct inv *
-make_inv(void)
-{
-	json_t *inventory = load(INVENTORY);
-	json_t *rules = load(RULES);
-	struct inv *inv = NULL;
-
-	ck_assert_msg(inv_parse(inventory, rules, &inv) == STATUS_OK, "%s",
-	    status_message());
-	json_decref(inventory);
-	json_decref(rules);
-	return inv;
-}
 
 /*
  * Parses a request; returns the code of the refusal, or NULL.
@@ -495,128 +417,10 @@
 }
 END_TEST
 
-/* What the choice of a replica is told in the tests. */
-struct choice {
-	const char *leaving;
-	uint32_t without_router;
-	uint32_t busy;
-};
-
-static const char *
-router_of(uint32_t replica, void *arg)
-{
-	struct choice *c = arg;
-
-	return replica == c->without_router ? NULL : "127.0.0.1:9";
-}
-
-static bool
-is_leaving(struct lstr instance, void *arg)
-{
-	struct choice *c = arg;
-
-	return c->leaving != NULL && lstr_equal_c(instance, c->leaving);
-}
-
-static uint32_t
-open_on(uint32_t replica, void *arg)
-{
-	struct choice *c = arg;
-
-	return replica == c->busy ? 5 : 0;
-}
-
-/*
- * Chooses a replica of a service by name.
- */
-static uint32_t
-choose(const struct inv *inv, struct choice *c, const char *service,
-    const char *key, const char *avoid, GRand *random)
-{
-	struct choose_world world = {.inv = inv,
-	    .place = inv_find_place(inv, lstr_from("p1")),
-	    .router = router_of,
-	    .leaving = is_leaving,
-	    .outstanding = open_on,
-	    .arg = c};
-	struct choose_result result;
-
-	if (choose_replica(&world, inv_find_service(inv, lstr_from(service)),
-		lstr_from(key), lstr_from(avoid), random, &result) != STATUS_OK)
-		return INV_NONE;
-	return result.replica;
-}
-
-/* Guards against a pipeline sent where a layer has no instance. */
-START_TEST(replica_without_a_chain_is_not_chosen)
-{
-	struct inv *inv = make_inv();
-	GRand *random = g_rand_new_with_seed(SEED);
-	struct choice c = {.without_router = INV_NONE, .busy = INV_NONE};
-
-	ck_assert_uint_ne(choose(inv, &c, "m", "", "", random), INV_NONE);
-	c.leaving = "m1c";
-	ck_assert_uint_ne(choose(inv, &c, "m", "", "", random), INV_NONE);
-	/* m1c overlaps m1a, so it does not stand in for m1b. */
-	c.leaving = "m1b";
-	ck_assert_uint_eq(choose(inv, &c, "m", "", "", random), INV_NONE);
-	g_rand_free(random);
-	inv_destroy(inv);
-}
-END_TEST
-
-/* Guards against one key sent to two replicas, and keys all sent to one. */
-START_TEST(key_decides_the_replica)
-{
-	struct inv *inv = make_inv();
-	GRand *random = g_rand_new_with_seed(SEED);
-	struct choice c = {.without_router = INV_NONE, .busy = INV_NONE};
-	uint32_t first = inv_find_replica(inv, lstr_from("s"), lstr_from("s1"));
-	int counts[REPLICAS] = {0};
-
-	for (int i = 0; i < KEYS; i++) {
-		char key[32];
-		uint32_t chosen;
-
-		snprintf(key, sizeof(key), "1-%d", i);
-		chosen = choose(inv, &c, "s", key, "", random);
-		ck_assert_uint_eq(
-		    chosen, choose(inv, &c, "s", key, "", random));
-		counts[chosen - first]++;
-	}
-	for (int i = 0; i < REPLICAS; i++)
-		ck_assert_int_gt(counts[i], KEYS / REPLICAS / 2);
-	g_rand_free(random);
-	inv_destroy(inv);
-}
-END_TEST
-
-/* Guards against lookups sent to busy replicas or without a router. */
-START_TEST(lookups_go_to_idle_replicas_with_a_router)
-{
-	struct inv *inv = make_inv();
-	GRand *random = g_rand_new_with_seed(SEED);
-	uint32_t first = inv_find_replica(inv, lstr_from("s"), lstr_from("s1"));
-	struct choice c = {.without_router = first, .busy = first + 1};
-
-	/* Of the two that have a router, one is busy. */
-	for (int i = 0; i < KEYS; i++)
-		ck_assert_uint_eq(
-		    choose(inv, &c, "s", "", "", random), first + 2);
-	for (int i = 0; i < KEYS; i++)
-		ck_assert_uint_eq(
-		    choose(inv, &c, "s", "", "s3", random), first + 1);
-	g_rand_free(random);
-	inv_destroy(inv);
-}
-END_TEST
-
 HARNESS_MAIN("entry", valid_request_is_read, faulty_requests_are_refused,
     long_name_is_refused, malformed_keys_are_refused,
     resumed_stream_delivers_each_position_once, gap_gives_up_the_submission,
     lost_order_is_unknown, unsent_order_is_not_run,
     moved_order_is_submitted_again, refusal_after_a_part_ran_is_never_not_run,
     resubmission_is_bounded, no_resubmission_past_the_deadline,
-    lost_router_after_the_last_token_is_run, deadline_ends_every_state,
-    replica_without_a_chain_is_not_chosen, key_decides_the_replica,
-    lookups_go_to_idle_replicas_with_a_router)
+    lost_router_after_the_last_token_is_run, deadline_ends_every_state)
