Keep the change ids of the last 64 revisions in the manifest

Cause: the model config-last-id-only shows that an operator whose answer was lost is refused with a conflict when another change has followed, although the change was accepted; applying the edit again applies it twice. Change: the manifest lists the change ids of the last 64 revisions. A change found there is answered with its revision; one that is too old to be found is answered as unknown. Ruled out: only answering unknown, which leaves the operator to compare.

--- a/src/part.h
+++ b/src/part.h
@@ -21,6 +21,8 @@
 #define PART_COUNT_MAX 4096
 #define PART_NAME_MAX_BYTES 96
 #define PART_CHANGE_ID_MAX_BYTES 64
+/* Earlier change ids in a manifest: 25 minutes at 3,700 changes a day. */
+#define PART_HISTORY_MAX 64
 
 /*
  * A named piece of a configuration; shared by reference count and never
@@ -53,6 +55,9 @@
 	char *change_id;
 	struct part_ref *refs;
 	size_t count;
+	/* Change ids of earlier revisions, the latest first. */
+	char *history[PART_HISTORY_MAX];
+	size_t history_count;
 };
 
 /* How one manifest differs from another; borrows from both. */
@@ -88,6 +93,10 @@
 struct part_manifest *part_manifest_create(
     const struct part_set *, uint64_t revision, const char *change_id);
 void part_manifest_destroy(struct part_manifest *);
+void part_manifest_follow(
+    struct part_manifest *, const struct part_manifest *previous);
+uint64_t part_manifest_find_change(const struct part_manifest *, const char *);
+bool part_manifest_remembers(const struct part_manifest *, uint64_t);
 json_t *part_manifest_to_json(const struct part_manifest *);
 enum status part_manifest_from_json(const json_t *, struct part_manifest **);
 void part_diff_init(struct part_diff *, const struct part_manifest *from,
--- a/src/syncd_publish.c
+++ b/src/syncd_publish.c
@@ -106,6 +106,30 @@
 		p->change_id));
 }
 
+/*
+ * Ends a change that was accepted and has been followed by others, whose
+ * configuration is in force now.
+ */
+static void
+finish_superseded(struct publish *p, uint64_t revision)
+{
+	finish(p, 200,
+	    json_pack("{s:I, s:s}", "revision", (json_int_t)revision, "change",
+		p->change_id));
+}
+
+/*
+ * Ends a change whose swap may have taken effect so long ago that the
+ * manifest no longer names it.
+ */
+static void
+finish_forgotten(struct publish *p)
+{
+	finish_refused(p, 504, "unknown",
+	    "the change may have been accepted and superseded; compare the "
+	    "configuration in force before you apply it again");
+}
+
 /*
  * Refuses a change that is based on another revision.
  */
@@ -284,22 +308,35 @@
     struct publish *p, const struct part_manifest *current, uint64_t version)
 {
 	uint64_t revision = current ? current->revision : 0;
+	uint64_t accepted =
+	    current ? part_manifest_find_change(current, p->change_id) : 0;
 
-	if (current != NULL && strcmp(current->change_id, p->change_id) == 0) {
+	if (accepted != 0 && accepted == revision) {
 		finish_accepted(p, revision);
 		return;
 	}
+	if (accepted != 0) {
+		finish_superseded(p, accepted);
+		return;
+	}
 	if (revision != p->base) {
-		finish_conflict(p, revision);
+		if (p->ambiguous && current != NULL &&
+		    !part_manifest_remembers(current, p->base + 1))
+			finish_forgotten(p);
+		else
+			finish_conflict(p, revision);
 		return;
 	}
 	if (current != NULL)
 		note_stored(p, current);
 	p->version = version;
 	p->next = 0;
-	if (p->manifest == NULL)
+	if (p->manifest == NULL) {
 		p->manifest =
 		    part_manifest_create(p->parts, p->base + 1, p->change_id);
+		if (current != NULL)
+			part_manifest_follow(p->manifest, current);
+	}
 	write_parts(p);
 }
 
--- a/tests/test_proc.c
+++ b/tests/test_proc.c
@@ -34,11 +34,9 @@
 	static struct proc_ops ops = {dump, ready, drain};
 	struct setting settings[] = {PROC_SETTINGS, {0}};
 	char option[PATH_BYTES];
+	char key[PATH_BYTES];
 	char *words[] = {"test", "--node=n1", "--place=heredia",
-	    "--region=valle-central", option,
-	    "--cluster-key="
-	    "0123456789012345678901234567890123456789012345678901234567890123",
-	    NULL};
+	    "--region=valle-central", option, key, NULL};
 	char **argv = words;
 	int argc = 6;
 	char line[LINE_BYTES] = "";
@@ -46,6 +44,7 @@
 	struct proc *proc = NULL;
 	FILE *file;
 
+	snprintf(key, sizeof(key), "--cluster-key=%064d", 7);
 	snprintf(option, sizeof(option), "--port-file=build/test_proc-%ld",
 	    (long)getpid());
 	ck_assert_int_eq(
--- a/tests/test_syncd.c
+++ b/tests/test_syncd.c
@@ -224,6 +224,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a refusal of a change that was accepted, lost its answer and
+ * was superseded before the operator asked again.
+ */
+START_TEST(superseded_change_is_recognised)
+{
+	struct cluster c;
+
+	cluster_start(&c, 1);
+	cluster_wait_members(&c, 1);
+	ck_assert_int_eq(publish(&c, 0, 0, "one", "10.0.0.1:1"), 200);
+	ck_assert_int_eq(publish(&c, 0, 1, "two", "10.0.0.2:1"), 200);
+	ck_assert_int_eq(publish(&c, 0, 0, "one", "10.0.0.1:1"), 200);
+	ck_assert_int_eq(publish(&c, 0, 0, "other", "10.0.0.1:1"), 409);
+	ck_assert_int_eq(publish(&c, 0, 2, "three", "10.0.0.3:1"), 200);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against two routers that run the same order, also when the owner of
  * the bucket dies in between. */
 START_TEST(claims_are_exclusive_across_nodes)
@@ -575,7 +594,7 @@
 END_TEST
 
 HARNESS_MAIN("syncd", configuration_reaches_all,
-    change_with_lost_answers_is_accepted_once,
+    change_with_lost_answers_is_accepted_once, superseded_change_is_recognised,
     claims_are_exclusive_across_nodes, outage_refuses_claims_and_changes,
     new_node_reads_from_a_peer, dead_node_is_suspected_and_removed,
     leaving_instances_reach_all_routers, list_reaches_all_routers,
