Grow the concurrency limit faster while tokens are on time

Cause: the limit of a replica grew by one each 200 ms, so a burst of 128 streams on a replica that starts with 16 waited more than 20 s for it. Change: while tokens come within 1.25 times their time without load, the limit grows by an eighth; above, by one as before. Measured: build/tests/test_limit: from 16 to 128 within 5 s of simulated time.

--- a/src/limit.c
+++ b/src/limit.c
@@ -23,6 +23,11 @@
 #define BUSY_RATIO 1.25
 #define TARGET_USEC 46000.0
 #define DECREASE_FACTOR 0.9
+/*
+ * Below the busy ratio the limit grows by this part of itself, so that a burst
+ * does not wait many seconds for it; above, by one.
+ */
+#define INCREASE_PART 0.125
 /*
  * The value without load follows slower tokens only while at most this many
  * requests run. If it rose under load, a saturated replica would raise its own
@@ -215,7 +220,7 @@
 /*
  * Takes the time of one token that was made while running requests shared the
  * replica. At most once each ADJUST_INTERVAL_USEC the limit shrinks by a
- * tenth (congested) or grows by one (not congested, and the limit was used).
+ * tenth (congested) or grows (not congested, and the limit was used).
  */
 void
 limit_adaptive_observe(
@@ -235,7 +240,9 @@
 	if (is_congested(a))
 		a->limit *= DECREASE_FACTOR;
 	else if (a->peak + 1 > a->limit)
-		a->limit += 1;
+		a->limit += a->token_usec <= a->base_usec * BUSY_RATIO
+		    ? 1 + a->limit * INCREASE_PART
+		    : 1;
 	a->limit = CLAMP(a->limit, a->min, a->max);
 	if (a->peak <= LIGHT_RUNNING)
 		a->base_usec += BASE_SMOOTHING * (a->token_usec - a->base_usec);
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -186,6 +186,22 @@
 }
 END_TEST
 
+/* Guards against a burst that waits many seconds for a limit to grow. */
+START_TEST(limit_grows_fast_without_load)
+{
+	struct limit_adaptive a;
+	int64_t now = NOW;
+
+	limit_adaptive_init(&a, 16, 256);
+	while (limit_adaptive_value(&a) < 128) {
+		now += 10 * MSEC;
+		limit_adaptive_observe(
+		    &a, 20000, limit_adaptive_value(&a), now);
+		ck_assert_int_lt(now - NOW, 5000 * MSEC);
+	}
+}
+END_TEST
+
 /* Guards against a limit that grows while it is not used. */
 START_TEST(unused_limit_does_not_grow)
 {
@@ -202,4 +218,5 @@
 
 HARNESS_MAIN("limit", each_limit_has_its_code, late_finish_is_refused,
     counts_are_exact, adaptive_limit_follows_capacity,
-    slower_hardware_is_learned, unused_limit_does_not_grow)
+    slower_hardware_is_learned, limit_grows_fast_without_load,
+    unused_limit_does_not_grow)
