Close the links of entries at the end of the router

Cause: the address sanitizer reported 9766 bytes in links that were never freed when the process ended with entries connected. Change: the links are closed and one more round of the loop frees them; stop() is not called when the process could not be created.

--- a/src/router_main.c
+++ b/src/router_main.c
@@ -371,6 +371,7 @@
 
 		p->entries = entry->next;
 		link_orphan(entry->link);
+		link_close(entry->link, STATUS_CLOSED);
 		free(entry);
 	}
 	link_listener_destroy(p->listener);
@@ -380,6 +381,8 @@
 	if (p->engine != NULL)
 		p->engine->vtable->destroy(p->engine);
 	fetch_destroy(p->fetch);
+	/* Closed links free themselves in the next round. */
+	loop_run_once(p->proc->loop, 0);
 }
 
 /*
@@ -421,7 +424,8 @@
 		loop_run(process.proc->loop);
 	else
 		log_event(EV_START_FAILED, "%s", status_message());
-	stop(&process);
+	if (process.proc != NULL)
+		stop(&process);
 	proc_destroy(process.proc);
 	settings_free(settings);
 	return status == STATUS_OK ? PROC_EXIT_OK : PROC_EXIT_FAILED;
