Refuse a longer claim window for an existing service

Cause: the horizon of a bucket forgets claims by their expiry. A window that grows gives a used key a later expiry, so it could be granted again once its slot was overwritten. Change: a configuration that lengthens window_ms of a service is refused with 400 and a message that names the service; a syncd that has not taken the base revision answers 503 and changes nothing. Ruled out: a horizon of issue times, which refuses valid keys of services with long windows; the window in the identity, which lets a key run once for each.

--- a/src/inventory.c
+++ b/src/inventory.c
@@ -1140,6 +1140,16 @@
 	return STATUS_OK;
 }
 
+/*
+ * Returns the claim window of a service in microseconds.
+ */
+int64_t
+inv_claim_window(const struct inv_service *service)
+{
+	return service->window_usec > 0 ? service->window_usec
+					: INV_WINDOW_DEFAULT_USEC;
+}
+
 /*
  * Tells whether an operation of a service may be repeated: by the rule that
  * names it, else by the rule for "*", else it may.
--- a/src/inventory.h
+++ b/src/inventory.h
@@ -13,6 +13,8 @@
 #define INV_NONE UINT32_MAX
 
 #define INV_PRIORITY_MAX 7
+/* Claim window of a service that states none, microseconds. */
+#define INV_WINDOW_DEFAULT_USEC ((int64_t)120 * 1000000)
 #define INV_WEIGHT_MAX 1000
 #define INV_CONCURRENT_MAX 1000000
 #define INV_NAME_MAX_BYTES 63
@@ -155,6 +157,7 @@
 uint32_t inv_find_replica(const struct inv *, struct lstr service, struct lstr);
 enum status inv_organisation_for(
     const struct inv *, struct lstr, struct inv_organisation *);
+int64_t inv_claim_window(const struct inv_service *);
 bool inv_is_idempotent(const struct inv *, uint32_t service, struct lstr);
 int64_t inv_link_latency(const struct inv *, uint32_t, uint32_t);
 
--- a/src/router_claims.c
+++ b/src/router_claims.c
@@ -7,7 +7,6 @@
 /* An order without a granted claim is refused after this time. */
 #define CLAIM_LIMIT_USEC (2 * LOOP_USEC_PER_SEC)
 /* A key is valid for this long unless the service says otherwise. */
-#define WINDOW_DEFAULT_USEC (120 * LOOP_USEC_PER_SEC)
 /* Clocks of callers may be ahead by this much. */
 #define CLOCK_AHEAD_USEC (5 * LOOP_USEC_PER_SEC)
 #define SUFFIX_MAX_BYTES 64
@@ -58,7 +57,7 @@
 {
 	const struct inv *inv = job->router->inv;
 	uint32_t service = inv->replicas[job->replica->index].service;
-	int64_t window = inv->services[service].window_usec;
+	int64_t window = inv_claim_window(&inv->services[service]);
 	const char *key = job->submit->idempotency_key;
 	struct key_verdict verdict = {CH__OUTCOME__OUTCOME_NOT_RUN, NULL, NULL};
 	int64_t issued;
@@ -74,7 +73,7 @@
 				  "A-Z a-z 0-9 _ ->";
 		return verdict;
 	}
-	*expires_at = issued + (window > 0 ? window : WINDOW_DEFAULT_USEC);
+	*expires_at = issued + window;
 	if (issued > now + CLOCK_AHEAD_USEC) {
 		verdict.code = "key-from-the-future";
 		verdict.message = "the key was issued in the future";
--- a/src/syncd_publish.c
+++ b/src/syncd_publish.c
@@ -9,6 +9,7 @@
 #define PUBLISHES_MAX 4
 #define PUBLISH_USEC (20 * LOOP_USEC_PER_SEC)
 #define PART_CALLS_MAX 16
+#define USEC_PER_MSEC 1000
 
 /*
  * A change of an operator: the manifest is read, the missing parts are
@@ -23,6 +24,7 @@
 	char *change_id;
 	int64_t deadline;
 	struct part_set *parts;
+	struct inv *inv;
 	struct part_manifest *manifest;
 	uint64_t version;
 	/* Names of the parts that are stored already. */
@@ -51,6 +53,7 @@
 		part_manifest_destroy(p->manifest);
 	if (p->stored != NULL)
 		g_hash_table_destroy(p->stored);
+	inv_destroy(p->inv);
 	g_free(p->change_id);
 	g_free(p);
 }
@@ -300,6 +303,55 @@
 	}
 }
 
+/*
+ * Refuses a longer claim window for a service that has one. A claim whose slot
+ * was overwritten is known as expired by the expiry that it had; with a
+ * longer window the same key would be valid again and could run twice.
+ */
+static enum status
+check_windows(const struct inv *from, const struct inv *to)
+{
+	for (uint32_t i = 0; from != NULL && i < from->service_count; i++) {
+		const struct inv_service *old = &from->services[i];
+		uint32_t found = inv_find_service(to, lstr_from(old->name));
+		int64_t before = inv_claim_window(old);
+		int64_t after;
+
+		if (found == INV_NONE)
+			continue;
+		after = inv_claim_window(&to->services[found]);
+		if (after > before)
+			return status_set(STATUS_INVALID,
+			    "services: window_ms of '%s' cannot grow from "
+			    "%lld to %lld; use a new service name",
+			    old->name, (long long)(before / USEC_PER_MSEC),
+			    (long long)(after / USEC_PER_MSEC));
+	}
+	return STATUS_OK;
+}
+
+/*
+ * Compares a change with the configuration that it is based on. Returns false
+ * after it was refused.
+ */
+static bool
+check_against_base(struct publish *p)
+{
+	const struct conf *conf = p->syncd->conf;
+
+	if (conf_revision(conf) != p->base) {
+		finish_refused(p, 503, "behind",
+		    "this syncd has not taken the base revision yet; nothing "
+		    "was changed");
+		return false;
+	}
+	if (check_windows(conf_inventory(conf), p->inv) != STATUS_OK) {
+		finish_refused(p, 400, "invalid", status_message());
+		return false;
+	}
+	return true;
+}
+
 /*
  * Goes on from the manifest in force, which is NULL when there is none.
  */
@@ -327,6 +379,9 @@
 			finish_conflict(p, revision);
 		return;
 	}
+	/* Once only: after a swap that may have taken effect it is too late. */
+	if (p->manifest == NULL && !check_against_base(p))
+		return;
 	if (current != NULL)
 		note_stored(p, current);
 	p->version = version;
@@ -392,17 +447,17 @@
 }
 
 /*
- * Checks an operator's document and splits it into parts. Returns NULL when
- * it is refused; status_message() says why.
+ * Checks an operator's document and splits it into parts; the caller frees
+ * both with inv_destroy() and part_set_destroy(). Returns NULL when it is
+ * refused; status_message() says why.
  */
 static struct part_set *
-check_document(const json_t *body)
+check_document(const json_t *body, struct inv **inv)
 {
 	const json_t *inventory = json_object_get(body, "inventory");
 	const json_t *rules = json_object_get(body, "rules");
 	const json_t *change = json_object_get(body, "change");
 	struct part_set *parts = NULL;
-	struct inv *inv = NULL;
 
 	if (!json_is_integer(json_object_get(body, "base")) ||
 	    json_integer_value(json_object_get(body, "base")) < 0 ||
@@ -415,11 +470,12 @@
 		    PART_CHANGE_ID_MAX_BYTES);
 		return NULL;
 	}
-	if (inv_parse(inventory, rules, &inv) != STATUS_OK)
+	if (inv_parse(inventory, rules, inv) != STATUS_OK)
 		return NULL;
-	inv_destroy(inv);
-	if (part_split(inventory, rules, &parts) != STATUS_OK)
+	if (part_split(inventory, rules, &parts) != STATUS_OK) {
+		inv_destroy(*inv);
 		return NULL;
+	}
 	return parts;
 }
 
@@ -431,6 +487,7 @@
 {
 	json_t *body = NULL;
 	struct part_set *parts;
+	struct inv *inv = NULL;
 	struct publish *p;
 
 	if (s->publishes->len >= PUBLISHES_MAX) {
@@ -439,7 +496,7 @@
 		return;
 	}
 	if (inv_load(httpd_body(request), "body", &body) != STATUS_OK ||
-	    (parts = check_document(body)) == NULL) {
+	    (parts = check_document(body, &inv)) == NULL) {
 		syncd_http_refuse(request, 400, "invalid", status_message());
 		json_decref(body);
 		return;
@@ -452,6 +509,7 @@
 	    g_strdup(json_string_value(json_object_get(body, "change")));
 	p->deadline = syncd_now(s) + PUBLISH_USEC;
 	p->parts = parts;
+	p->inv = inv;
 	p->stored = g_hash_table_new(g_str_hash, g_str_equal);
 	json_decref(body);
 	g_ptr_array_add(s->publishes, p);
--- a/tests/test_syncd.c
+++ b/tests/test_syncd.c
@@ -157,6 +157,23 @@
 		"inventory", inventory, "rules", sample_rules(&size)));
 }
 
+/*
+ * Posts the sample configuration with the claim window of its first service
+ * changed.
+ */
+static long
+publish_window(struct cluster *c, int base, const char *change, int window_msec)
+{
+	json_t *inventory = sample_inventory(&size);
+
+	json_object_set_new(
+	    json_array_get(json_object_get(inventory, "services"), 0),
+	    "window_ms", json_integer(window_msec));
+	return cluster_call(c, "POST", c->operators[0], "/v1/config",
+	    json_pack("{s:i, s:s, s:o, s:o}", "base", base, "change", change,
+		"inventory", inventory, "rules", sample_rules(&size)));
+}
+
 /*
  * Waits until all nodes have a revision in force and returns how long the
  * last one took, in microseconds.
@@ -243,6 +260,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a key that becomes valid again, because its service's claim
+ * window grew after its claim was forgotten.
+ */
+START_TEST(claim_window_cannot_grow)
+{
+	struct cluster c;
+
+	cluster_start(&c, 1);
+	cluster_wait_members(&c, 1);
+	ck_assert_int_eq(publish_window(&c, 0, "one", 120000), 200);
+	ck_assert_int_eq(publish_window(&c, 1, "two", 120001), 400);
+	ck_assert_int_eq(publish_window(&c, 1, "three", 60000), 200);
+	ck_assert_int_eq(publish_window(&c, 2, "four", 120000), 400);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against two routers that run the same order, also when the owner of
  * the bucket dies in between. */
 START_TEST(claims_are_exclusive_across_nodes)
@@ -595,8 +630,8 @@
 
 HARNESS_MAIN("syncd", configuration_reaches_all,
     change_with_lost_answers_is_accepted_once, superseded_change_is_recognised,
-    claims_are_exclusive_across_nodes, outage_refuses_claims_and_changes,
-    new_node_reads_from_a_peer, dead_node_is_suspected_and_removed,
-    leaving_instances_reach_all_routers, list_reaches_all_routers,
-    stopped_node_leaves_at_once, record_survives_its_router,
-    copies_are_sent_again)
+    claim_window_cannot_grow, claims_are_exclusive_across_nodes,
+    outage_refuses_claims_and_changes, new_node_reads_from_a_peer,
+    dead_node_is_suspected_and_removed, leaving_instances_reach_all_routers,
+    list_reaches_all_routers, stopped_node_leaves_at_once,
+    record_survives_its_router, copies_are_sent_again)
