Let a request wait for the report that frees its key

Cause: an order that was refused as not run stayed in doubt for up to 2 s: its NOT_RUN report waits that long for a batch, and a retry of the key meanwhile was told "in progress", which callers see as unknown. Change: a request whose identity has a waiting report that gives up the claim starts a batch with the report and is decided after it. Requests for a held identity never enter a batch. Ruled out: writing each report at once, which doubles the commits. Conclusion: a retry waits two commit intervals instead of 2 s.

--- a/src/claim_bucket.c
+++ b/src/claim_bucket.c
@@ -148,6 +148,38 @@
 	return CH__CLAIM_RESULT__CLAIM_RESULT_UNSPECIFIED;
 }
 
+/*
+ * Tells whether one of the reports gives up the claim that the log knows.
+ */
+static bool
+is_given_up(const GQueue *reports, const struct claim_known *known)
+{
+	for (const GList *l = reports->head; l != NULL; l = l->next) {
+		const struct claim_report *report =
+		    &((const struct claim_waiting_report *)l->data)->report;
+
+		if (report->state == CH__CLAIM_STATE__CLAIM_STATE_NOT_RUN &&
+		    claim_identity_equal(report->identity, known->identity) &&
+		    memcmp(report->token, known->token, CLAIM_ID_BYTES) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Tells whether a request waits for a report that frees its identity, rather
+ * than being told that the first use is in progress.
+ */
+static bool
+waits_for_report(
+    const struct claim_bucket *bucket, const struct claim_known *known)
+{
+	return known != NULL &&
+	    known->state == CH__CLAIM_STATE__CLAIM_STATE_CLAIMED &&
+	    (is_given_up(&bucket->reports, known) ||
+		is_given_up(&bucket->flight.reports, known));
+}
+
 /*
  * Answers the requests that the log already decides. Returns whether one is
  * left that needs a claim.
@@ -165,6 +197,11 @@
 		    decide(bucket, &waiting->request, known, now);
 		GList *next = l->next;
 
+		if (result == CH__CLAIM_RESULT__CLAIM_RESULT_DUPLICATE &&
+		    waits_for_report(bucket, known)) {
+			l = next;
+			continue;
+		}
 		if (result != CH__CLAIM_RESULT__CLAIM_RESULT_UNSPECIFIED) {
 			claim_bucket_reply(
 			    bucket, &waiting->request, result, known);
--- a/src/claim_flight.c
+++ b/src/claim_flight.c
@@ -23,20 +23,37 @@
 	batch->entries[batch->n_entries++] = entry;
 }
 
+/*
+ * Tells whether the log holds a claim of an identity that was not given up. A
+ * request for it waits for a report and must not enter a batch.
+ */
+static bool
+is_held(const struct claim_log *log, const uint8_t *identity)
+{
+	const struct claim_known *known =
+	    log ? claim_log_find(log, identity) : NULL;
+
+	return known != NULL &&
+	    known->state != CH__CLAIM_STATE__CLAIM_STATE_NOT_RUN;
+}
+
 /*
  * Moves links of a queue into the flight. An identity enters a batch once;
- * what else waits for it is decided after the batch.
+ * what else waits for it is decided after the batch. With a log, identities
+ * that it holds stay behind.
  */
 static void
-take_links(GQueue *from, GQueue *to, size_t identity_offset, GHashTable *seen)
+take_links(GQueue *from, GQueue *to, size_t identity_offset, GHashTable *seen,
+    const struct claim_log *log)
 {
 	GList *l = from->head;
 
 	while (l != NULL && g_hash_table_size(seen) < CLAIM_BATCH_MAX) {
 		GList *next = l->next;
+		uint8_t *identity = (uint8_t *)l->data + identity_offset;
 
-		if (g_hash_table_add(
-			seen, (uint8_t *)l->data + identity_offset)) {
+		if (!is_held(log, identity) &&
+		    g_hash_table_add(seen, identity)) {
 			g_queue_unlink(from, l);
 			g_queue_push_tail_link(to, l);
 		}
@@ -93,9 +110,10 @@
 	batch->horizon = MAX(
 	    claim_log_horizon(log), claim_log_slot_expiry(log, flight->slot));
 	take_links(reports, &flight->reports,
-	    offsetof(struct claim_waiting_report, report.identity), seen);
+	    offsetof(struct claim_waiting_report, report.identity), seen, NULL);
 	take_links(requests, &flight->requests,
-	    offsetof(struct claim_waiting_request, request.identity), seen);
+	    offsetof(struct claim_waiting_request, request.identity), seen,
+	    log);
 	write_entries(flight);
 	flight->packed_len = ch__claim_batch__get_packed_size(batch);
 	flight->packed = g_malloc(flight->packed_len);
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -268,6 +268,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a caller that is told "in progress" although the first use of
+ * its key was given up: the report waits for a batch, and the request with it.
+ */
+START_TEST(request_behind_a_report_waits_for_it)
+{
+	struct world w;
+
+	world_start(&w, 1);
+	ask(&w, 'a', '1', NOW + 120 * SEC, NOW + 2 * SEC);
+	load_empty(&w);
+	expect(&w, CLAIM_SWAP_SLOT);
+	swapped(&w, STATUS_OK, 1);
+	expect_reply(&w, '1', GRANTED);
+	report(&w, 'a', '1', NOT_RUN);
+	ask(&w, 'a', '2', NOW + 120 * SEC, NOW + 2 * SEC);
+	expect_nothing(&w);
+	w.now += INTERVAL;
+	claim_tick(w.claim, w.now);
+	expect(&w, CLAIM_SWAP_SLOT);
+	ask(&w, 'a', '3', NOW + 120 * SEC, NOW + 2 * SEC);
+	expect_nothing(&w);
+	swapped(&w, STATUS_OK, 2);
+	w.now += INTERVAL;
+	claim_tick(w.claim, w.now);
+	expect(&w, CLAIM_SWAP_SLOT);
+	swapped(&w, STATUS_OK, 3);
+	expect_reply(&w, '2', GRANTED);
+	expect_reply(&w, '3', DUPLICATE);
+	expect_nothing(&w);
+	world_stop(&w);
+}
+END_TEST
+
 /* Guards against a grant to a token that its router has given up. */
 START_TEST(not_run_before_the_claim_is_kept)
 {
@@ -424,8 +458,9 @@
 }
 END_TEST
 
-HARNESS_MAIN("claim", grant_follows_the_write, claims_share_a_commit,
-    lost_answer_is_read_back, conflict_absorbs_the_other_batch,
-    not_run_frees_the_key, not_run_before_the_claim_is_kept,
+HARNESS_MAIN("claim", request_behind_a_report_waits_for_it,
+    grant_follows_the_write, claims_share_a_commit, lost_answer_is_read_back,
+    conflict_absorbs_the_other_batch, not_run_frees_the_key,
+    not_run_before_the_claim_is_kept,
     ring_waits_for_expiry_and_keeps_the_horizon, late_request_is_not_granted,
     outage_refuses_at_once, full_queue_refuses, gap_in_the_ring_is_read_again)
