--- a/tests/test_proc.c
+++ b/tests/test_proc.c
@@ -34,11 +34,11 @@
 	static struct proc_ops ops = {dump, ready, drain};
 	struct setting settings[] = {PROC_SETTINGS, {0}};
 	char option[PATH_BYTES];
-	char *words[] = {"test", "--node=n1", "--place=heredia",
-	    "--region=valle-central", option,
+	char key[] =
 	    "--cluster-key="
-	    "0123456789012345678901234567890123456789012345678901234567890123",
-	    NULL};
+	    "0123456789012345678901234567890123456789012345678901234567890123";
+	char *words[] = {"test", "--node=n1", "--place=heredia",
+	    "--region=valle-central", option, key, NULL};
 	char **argv = words;
 	int argc = 6;
 	char line[LINE_BYTES] = "";
