Test orders under failure with real processes

Cause: at most once and true refusals were shown by models and module tests only. Change: make faults runs bench/faults. The scenario "orders" sends orders through eight nodes while routers, entries and syncds are killed and restarted or frozen past their lease and the key-value stand-in fails, and compares the answers with the ledgers. The load tool writes one line a request, retries at another entry, and can hide tokens from its own check. The check finds an order sent again to the backend, false refusals and answers without an execution.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # make: build. make check: set up, build and run every test. make demo: set up,
-# build and run the demonstration. make lint: formatter and linter.
+# build and run the demonstration. make faults: the same for the tests under
+# failure. make lint: formatter and linter.
 CC = gcc
 BUILD ?= build
 SANITIZE ?=
@@ -35,7 +36,7 @@
 LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c tests/fuzz/*.c \
 	bench/*.c)
 
-.PHONY: all setup proto check test demo model fuzz lint format tidy clean
+.PHONY: all setup proto check test demo faults model fuzz lint format tidy clean
 
 all: $(BINS) $(FAKES) $(TOOLS)
 
@@ -99,6 +100,11 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bench/demo
 
+# Process tests under failure; SCENARIOS names some of them.
+faults: setup
+	@$(MAKE) --no-print-directory all
+	@BUILD=$(BUILD) bench/faults $(SCENARIOS)
+
 model: setup
 	@spec/run
 
--- a/bench/cluster.sh
+++ b/bench/cluster.sh
@@ -9,6 +9,13 @@
 POLL_SECONDS=0.02
 
 declare -A CLUSTER_PID=()
+# Program and arguments of each process, one a line, to start it again.
+declare -A CLUSTER_COMMAND=()
+# Further arguments of the syncds, routers and entries and of the list.
+SYNCD_ARGS=()
+ROUTER_ARGS=()
+ENTRY_ARGS=()
+LIST_ARGS=()
 CLUSTER_NODES=()
 
 # Prints a message and fails.
@@ -41,6 +48,7 @@
 	local name=$1 program=$2
 	shift 2
 	rm -f "$WORK/$name.port"
+	CLUSTER_COMMAND[$name]=$(printf '%s\n' "$program" "$@")
 	"$BUILD/$program" "$@" --port-file "$WORK/$name.port" \
 	    >>"$WORK/$name.out" 2>>"$WORK/$name.log" &
 	CLUSTER_PID[$name]=$!
@@ -94,7 +102,7 @@
 	    "\(.name):\(.first):\(.last):\((.last - .first + 1)
 	    * $t[.accelerator])"] | join(",")' "$inventory")
 	launch kv fakes/fake_kv || return 1
-	launch list fakes/fake_list || return 1
+	launch list fakes/fake_list "${LIST_ARGS[@]}" || return 1
 	launch engine fakes/fake_engine --instances "$instances" \
 	    --batch "${ENGINE_BATCH:-8}" || return 1
 	jq --arg a "$(port_of engine http)" '.instances |= map(
@@ -125,15 +133,18 @@
 		[ "$peer" = "$node" ] || seeds+=("$(port_of "syncd-$peer" frames)")
 	done
 	launch "syncd-$node" chestnuthoist-syncd "${common[@]}" \
+	    "${SYNCD_ARGS[@]}" \
 	    --listen 127.0.0.1:0 --operator-address 127.0.0.1:0 \
 	    --kv-address "$(port_of kv http)" \
 	    --list-address "$(port_of list http)" \
 	    ${seeds:+--seed-peers "$(IFS=,; echo "${seeds[*]}")"} || return 1
 	# A router writes its port file when it has a configuration.
 	spawn "router-$node" chestnuthoist-router "${common[@]}" \
+	    "${ROUTER_ARGS[@]}" \
 	    --listen 127.0.0.1:0 \
 	    --syncd-address "$(port_of "syncd-$node" frames)"
 	launch "entry-$node" chestnuthoist-entry "${common[@]}" \
+	    "${ENTRY_ARGS[@]}" \
 	    --http-address 127.0.0.1:0 \
 	    --address-validity-ms "${ADDRESS_VALIDITY_MS:-1000}" \
 	    --drain-extra-ms "${DRAIN_EXTRA_MS:-1000}" \
--- a/bench/load.c
+++ b/bench/load.c
@@ -4,15 +4,15 @@
 #include "../tests/fakes/fake_token.h"
 #include "fetch.h"
 #include "load_report.h"
+#include "load_settings.h"
 #include "ndjson.h"
-#include "settings.h"
 
 #define PROMPT_MAX 64
 #define ADDRESS_MAX 64
 #define KEY_MAX 96
+#define KEY_HEADER "Idempotency-Key: "
 #define CODE_MAX 64
 #define ADDRESSES_MAX 16
-#define COUNT_MAX 10000000
 #define TICK_USEC (2 * LOOP_USEC_PER_MSEC)
 #define RETRY_WAIT_USEC (100 * LOOP_USEC_PER_MSEC)
 #define RETRY_WAIT_MAX_USEC (2 * LOOP_USEC_PER_SEC)
@@ -36,6 +36,9 @@
 	guint bootstrap_at;
 	int64_t todo[LOAD_KINDS];
 	int64_t number;
+	int64_t token_lines;
+	/* Where the result of each request goes, or NULL. */
+	FILE *results;
 	/* struct call that are not over. */
 	GPtrArray *calls;
 	int64_t stop_at;
@@ -51,7 +54,11 @@
 	const char *organisation;
 	struct fetch_call *fetch_call;
 	int64_t tries;
+	/* Outcome and code of each try that is over, in order. */
+	json_t *history;
 	int64_t retry_at;
+	/* Index of the address of the last try plus 1; 0: none. */
+	guint address_at;
 	/* Of the present try. */
 	struct lstr_buf input;
 	int64_t deadline;
@@ -111,24 +118,6 @@
 	report->tokens++;
 }
 
-/*
- * Checks the answer of the plain service to an order.
- */
-static void
-check_order(struct call *call, const json_t *line)
-{
-	const char *body = json_string_value(json_object_get(line, "body"));
-	json_t *answer = json_loads(body ? body : "", 0, NULL);
-	const char *operation =
-	    json_string_value(json_object_get(answer, "operation"));
-
-	if (json_integer_value(json_object_get(line, "status")) != 200 ||
-	    operation == NULL ||
-	    strcmp(operation, text_of(call->load, "order-operation")) != 0)
-		call->wrong = true;
-	json_decref(answer);
-}
-
 /*
  * Takes the line that holds the outcome.
  */
@@ -151,13 +140,26 @@
 	if (strcmp(outcome, "run") != 0)
 		return;
 	if (call->kind == LOAD_ORDER)
-		check_order(call, line);
+		call->wrong |= !load_order_is_answered(
+		    line, text_of(call->load, "order-operation"));
 	else if (json_integer_value(json_object_get(line, "tokens")) !=
 		call->position ||
 	    call->position != number_of(call->load, "max-tokens"))
 		call->wrong = true;
 }
 
+/*
+ * Tells whether the next token is to be hidden from the check, which has to
+ * find that it is missing.
+ */
+static bool
+is_spoiled(struct load *load)
+{
+	int64_t every = number_of(load, "spoil");
+
+	return every != 0 && ++load->token_lines % every == 0;
+}
+
 /*
  * Takes one line of an answer. Lines after the outcome are wrong.
  */
@@ -170,7 +172,7 @@
 		call->wrong = true;
 	else if (json_object_get(line, "outcome") != NULL)
 		take_outcome(call, line);
-	else
+	else if (!is_spoiled(call->load))
 		check_token(call, line, now);
 	json_decref(line);
 }
@@ -194,6 +196,18 @@
 	lstr_buf_consume(&call->input, offset);
 }
 
+/*
+ * Writes the result of a request to the file, if there is one.
+ */
+static void
+write_result(const struct call *call)
+{
+	load_result_write(call->load->results,
+	    call->kind == LOAD_ORDER ? call->key + strlen(KEY_HEADER)
+				     : call->prompt,
+	    call->kind, call->wrong, call->history);
+}
+
 /*
  * Ends a request and counts its final outcome.
  */
@@ -215,7 +229,9 @@
 		counts->incomplete++;
 	load_report_code(report,
 	    call->outcome[0] ? call->outcome : "incomplete", call->code);
+	write_result(call);
 	g_ptr_array_remove_fast(call->load->calls, call);
+	json_decref(call->history);
 	lstr_buf_free(&call->input);
 	free(call);
 }
@@ -228,11 +244,16 @@
 static bool
 may_retry(const struct call *call, long http_status)
 {
+	int64_t most = number_of(call->load, "retries");
+
 	if (call->wrong || strcmp(call->outcome, "run") == 0)
 		return false;
 	if (http_status >= 400 && http_status < 500)
 		return false;
-	return call->tries <= number_of(call->load, "retries") &&
+	/* Without an answer the caller does not know the outcome. */
+	if (call->outcome[0] == '\0')
+		most += number_of(call->load, "lost-retries");
+	return call->tries <= most &&
 	    loop_now(call->load->loop) < call->load->stop_at;
 }
 
@@ -258,16 +279,14 @@
 	}
 	if (call->kind == LOAD_ORDER && strcmp(call->outcome, "run") == 0)
 		g_array_append_val(call->load->report.order, wait);
+	load_history_add(call->history, call->outcome, call->code);
 	if (!may_retry(call, result->http_status)) {
 		finish(call);
 		return;
 	}
 	call->load->report.counts[call->kind].retries++;
-	call->retry_at = now + RETRY_WAIT_USEC;
-	if (call->answer_retry_at > call->retry_at)
-		call->retry_at = call->answer_retry_at;
-	if (call->retry_at > now + RETRY_WAIT_MAX_USEC)
-		call->retry_at = now + RETRY_WAIT_MAX_USEC;
+	call->retry_at = CLAMP(call->answer_retry_at, now + RETRY_WAIT_USEC,
+	    now + RETRY_WAIT_MAX_USEC);
 }
 
 /*
@@ -295,6 +314,23 @@
 	return text;
 }
 
+/*
+ * Chooses one of the known addresses; for another try of the same request
+ * another one than before, if there is one.
+ */
+static guint
+choose_address(struct call *call)
+{
+	const struct load *load = call->load;
+	guint count = (guint)load->address_count;
+	guint at = (guint)g_rand_int_range(load->random, 0, (gint)count);
+
+	if (at + 1 == call->address_at)
+		at = (at + 1) % count;
+	call->address_at = at + 1;
+	return at;
+}
+
 /*
  * Sends a request to one of the known addresses.
  */
@@ -303,8 +339,7 @@
 {
 	static const struct fetch_ops ops = {on_data, on_done};
 	struct load *load = call->load;
-	guint at =
-	    (guint)g_rand_int_range(load->random, 0, (gint)load->address_count);
+	guint at = choose_address(call);
 	const char *headers[] = {call->key[0] ? call->key : NULL, NULL};
 	char url[ADDRESS_MAX + 32];
 	char *body;
@@ -350,12 +385,13 @@
 	load->report.counts[kind].sent++;
 	call->load = load;
 	call->kind = kind;
+	call->history = json_array();
 	call->organisation = load->organisations[g_rand_int_range(
 	    load->random, 0, (gint)organisations)];
 	snprintf(call->prompt, PROMPT_MAX, "prompt %lld of seed %lld",
 	    (long long)load->number, (long long)number_of(load, "seed"));
 	if (kind == LOAD_ORDER)
-		snprintf(call->key, KEY_MAX, "Idempotency-Key: %lld-%08x-%lld",
+		snprintf(call->key, KEY_MAX, KEY_HEADER "%lld-%08x-%lld",
 		    (long long)(loop_now(load->loop) / LOOP_USEC_PER_SEC),
 		    g_rand_int(load->random), (long long)load->number);
 	g_ptr_array_add(load->calls, call);
@@ -508,10 +544,14 @@
 		struct call *call = load->calls->pdata[i];
 
 		counts[call->kind].unfinished++;
+		load_history_add(call->history, "unfinished", "");
+		write_result(call);
 		fetch_cancel(call->fetch_call);
 	}
 	for (int i = 0; i < LOAD_KINDS; i++)
 		bad += counts[i].wrong + counts[i].unfinished + load->todo[i];
+	if (load->results != NULL)
+		fclose(load->results);
 	load_report_print(
 	    &load->report, settings_get(load->settings, "json")->number != 0);
 	load_report_free(&load->report);
@@ -524,45 +564,9 @@
 int
 main(int argc, char **argv)
 {
-	struct setting *settings = (struct setting[]){
-	    {"entry", SETTING_TEXT, NULL, 1, 0,
-		"Entries to ask for addresses: ip:port,...", true, NULL, 0},
-	    {"place", SETTING_TEXT, NULL, 1, 63, "Place of the caller", false,
-		NULL, 0},
-	    {"lookups", SETTING_INT, "10", 0, COUNT_MAX, "Number of lookups",
-		false, NULL, 0},
-	    {"orders", SETTING_INT, "0", 0, COUNT_MAX, "Number of orders",
-		false, NULL, 0},
-	    {"concurrency", SETTING_INT, "8", 1, 4096,
-		"Most requests open at once", false, NULL, 0},
-	    {"rate", SETTING_INT, "0", 0, 100000,
-		"Requests a second; 0: as fast as answers come", false, NULL,
-		0},
-	    {"seed", SETTING_INT, "1", 0, UINT32_MAX, "Seed", false, NULL, 0},
-	    {"organisations", SETTING_TEXT, NULL, 1, 0,
-		"Organisations to send as: name,...", true, NULL, 0},
-	    {"lookup-service", SETTING_TEXT, "redactor", 1, 63,
-		"Pipeline for lookups", false, NULL, 0},
-	    {"lookup-operation", SETTING_TEXT, "draft", 1, 63,
-		"Operation of lookups", false, NULL, 0},
-	    {"order-service", SETTING_TEXT, "libro-cambios", 1, 63,
-		"Plain service for orders", false, NULL, 0},
-	    {"order-operation", SETTING_TEXT, "swap", 1, 63,
-		"Operation of orders", false, NULL, 0},
-	    {"max-tokens", SETTING_INT, "16", 1, 8192, "Tokens of a lookup",
-		false, NULL, 0},
-	    {"deadline-ms", SETTING_INT, "10000", 1, 600000,
-		"Deadline of each try", false, NULL, 0},
-	    {"retries", SETTING_INT, "3", 0, 100, "Most retries of a request",
-		false, NULL, 0},
-	    {"max-seconds", SETTING_INT, "60", 1, 3600,
-		"Time after which the tool stops", false, NULL, 0},
-	    {"json", SETTING_BOOL, "false", 0, 0, "Print the report as JSON",
-		false, NULL, 0},
-	    {0}};
-	struct load load = {.settings = settings};
-
-	if (settings_parse(settings, "Sends load and checks every answer.",
+	struct load load = {.settings = load_settings};
+
+	if (settings_parse(load_settings, "Sends load and checks every answer.",
 		NULL, &argc, &argv) != STATUS_OK) {
 		fprintf(stderr, "%s\n", status_message());
 		return EXIT_FAILURE;
@@ -575,6 +579,8 @@
 	load.todo[LOAD_ORDER] = number_of(&load, "orders");
 	load.random = g_rand_new_with_seed((guint32)number_of(&load, "seed"));
 	load.calls = g_ptr_array_new();
+	if (!load_results_open(text_of(&load, "results"), &load.results))
+		return EXIT_FAILURE;
 	load_report_init(&load.report);
 	if (loop_create(&load.loop) != STATUS_OK ||
 	    fetch_create(load.loop, &load.fetch) != STATUS_OK ||
--- a/bench/load_report.h
+++ b/bench/load_report.h
@@ -3,6 +3,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -125,6 +126,75 @@
 	    load_percentile(values, 100));
 }
 
+/*
+ * Tells whether an answer to an order is that of the plain service to the
+ * operation.
+ */
+static inline bool
+load_order_is_answered(const json_t *line, const char *expected)
+{
+	const char *body = json_string_value(json_object_get(line, "body"));
+	json_t *answer = json_loads(body ? body : "", 0, NULL);
+	const char *operation =
+	    json_string_value(json_object_get(answer, "operation"));
+	bool answered =
+	    json_integer_value(json_object_get(line, "status")) == 200 &&
+	    operation != NULL && strcmp(operation, expected) == 0;
+
+	json_decref(answer);
+	return answered;
+}
+
+/*
+ * Notes the end of a try; a try without an outcome is "incomplete".
+ */
+static inline void
+load_history_add(json_t *history, const char *outcome, const char *code)
+{
+	json_array_append_new(history,
+	    json_pack("{s:s,s:s}", "outcome",
+		outcome[0] ? outcome : "incomplete", "code", code));
+}
+
+/*
+ * Opens the file of results; *file is NULL without a path. Returns false and
+ * prints the error when the file cannot be opened.
+ */
+static inline bool
+load_results_open(const char *path, FILE **file)
+{
+	*file = path ? fopen(path, "we") : NULL;
+	if (*file != NULL)
+		setvbuf(*file, NULL, _IOLBF, 0);
+	else if (path != NULL)
+		perror(path);
+	return path == NULL || *file != NULL;
+}
+
+/*
+ * Writes one line about a request that is over: its key, its kind, whether an
+ * answer was wrong, when it ended (unix ms), and the outcome of each try.
+ * Nothing without a file.
+ */
+static inline void
+load_result_write(FILE *file, const char *key, enum load_kind kind, bool wrong,
+    json_t *history)
+{
+	json_t *json;
+	char *text;
+
+	if (file == NULL)
+		return;
+	json = json_pack("{s:s,s:I,s:s,s:b,s:O}", "key", key, "ended_ms",
+	    (json_int_t)(g_get_real_time() / LOOP_USEC_PER_MSEC), "kind",
+	    kind == LOAD_ORDER ? "order" : "lookup", "wrong", (int)wrong,
+	    "tries", history);
+	text = json_dumps(json, JSON_COMPACT);
+	fprintf(file, "%s\n", text);
+	free(text);
+	json_decref(json);
+}
+
 /*
  * Returns the counts of one kind as an object.
  */
