Verify recovered segments with the key of the peer that signed them

Cause: A peer signs the segments it stores in place of a dead router with its own key. Nothing published that key and chestnuthoistctl accepted no recovered segment, so record verify failed after a router crash. Change: The peer stores its public key under record/<node>/<boot>/signer/<peer>/<hex key> before the first recovered segment of that boot. GET /v1/records returns these keys as "signers", and record verify and record explain accept recovered segments signed with one of them. record verify also prints unreplicated entries and whether the boot has its end marker, and says "the record holds" only if all have.

--- a/src/ctl_record.c
+++ b/src/ctl_record.c
@@ -33,6 +33,10 @@
 /* A walk over all entries of a node. */
 struct walk {
 	size_t boot;
+	/* Keys of the peers that recovered segments, as in the answer. */
+	const json_t *signers;
+	/* Boots whose record has no end marker. */
+	size_t open;
 	struct found *wanted;
 	size_t wanted_count;
 };
@@ -102,6 +106,30 @@
 	    len == REC_PUBLIC_KEY_BYTES;
 }
 
+/*
+ * Tells whether a key is listed for the node that signed with it.
+ */
+static bool
+is_signer(struct lstr node, const uint8_t *public_key, void *arg)
+{
+	const struct walk *walk = arg;
+	uint8_t key[REC_PUBLIC_KEY_BYTES];
+	size_t index;
+	const json_t *signer;
+
+	json_array_foreach(walk->signers, index, signer)
+	{
+		const char *name =
+		    json_string_value(json_object_get(signer, "node"));
+
+		if (name != NULL && lstr_equal_c(node, name) &&
+		    decode_key(json_object_get(signer, "public_key"), key) &&
+		    memcmp(key, public_key, sizeof(key)) == 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Verifies the segments of one boot.
  */
@@ -127,8 +155,8 @@
 			    "segment %zu is not base64", decoded);
 	}
 	if (status == STATUS_OK)
-		status =
-		    rec_verify(segments, count, key, on_entry, walk, report);
+		status = rec_verify_recovered(
+		    segments, count, key, is_signer, on_entry, walk, report);
 	g_ptr_array_free(memory, TRUE);
 	g_free(segments);
 	return status;
@@ -150,6 +178,23 @@
 		    json_is_string(boot) ? json_string_value(boot) : "?");
 }
 
+/*
+ * Prints what the record of a boot holds and how it ends.
+ */
+static void
+print_report(const char *boot, const struct rec_report *report)
+{
+	printf("boot %s: %u segments, %" PRIu64 " entries, %" PRIu64
+	       " missing, %u segments recovered, %" PRIu64 " unreplicated, ",
+	    boot, report->segments, report->entries, report->missing,
+	    report->recovered, report->unreplicated);
+	if (report->closed)
+		printf("ended by the router\n");
+	else
+		printf("no end marker after entry %" PRIu64 "\n",
+		    report->last_sequence);
+}
+
 /*
  * Verifies one boot and prints the result; true when its record holds.
  */
@@ -163,11 +208,9 @@
 	    status == STATUS_OK ? report.problem : status_message();
 
 	boot_text(record, boot, sizeof(boot));
+	walk->open += report.closed ? 0 : 1;
 	if (print)
-		printf("boot %s: %u segments, %" PRIu64 " entries, %" PRIu64
-		       " missing, %u segments recovered\n",
-		    boot, report.segments, report.entries, report.missing,
-		    report.recovered);
+		print_report(boot, &report);
 	if (problem[0] != '\0') {
 		ctl_error("boot %s: %s", boot, problem);
 		return false;
@@ -203,6 +246,7 @@
 	if (result != CTL_EXIT_OK)
 		return result;
 	records = json_object_get(json, "records");
+	walk->signers = json_object_get(json, "signers");
 	if (json_array_size(records) == 0) {
 		ctl_error("node %s has no record", node);
 		result = CTL_EXIT_FAILED;
@@ -212,6 +256,7 @@
 		if (!check_boot(json_array_get(records, i), walk, print))
 			result = CTL_EXIT_RECORD;
 	}
+	walk->signers = NULL;
 	json_decref(json);
 	return result;
 }
@@ -226,8 +271,13 @@
 	enum ctl_exit result = check_node(ctl, &walk, true);
 
 	(void)arguments;
-	if (result == CTL_EXIT_OK)
+	if (result == CTL_EXIT_OK && walk.open == 0)
 		printf("the record holds\n");
+	else if (result == CTL_EXIT_OK)
+		printf("the entries shown hold; %zu boots have no end marker: "
+		       "their router runs, or ended without closing its "
+		       "record\n",
+		    walk.open);
 	return result;
 }
 
@@ -342,7 +392,7 @@
 {
 	struct found wanted[2] = {
 	    {.request = arguments[0]}, {.request = arguments[1]}};
-	struct walk walk = {0, wanted, 2};
+	struct walk walk = {.wanted = wanted, .wanted_count = 2};
 	enum ctl_exit result = check_node(ctl, &walk, false);
 
 	if (result == CTL_EXIT_OK)
--- a/src/syncd_http.c
+++ b/src/syncd_http.c
@@ -16,6 +16,8 @@
 #define RECORD_REQUESTS_MAX 8
 /* Largest answer with records; more is refused. */
 #define RECORDS_MAX_BYTES ((size_t)64 * 1024 * 1024)
+/* Keys of peers that recovered segments, below the boot. */
+#define SIGNER_PREFIX "signer/"
 
 struct status_request {
 	struct httpd_request *request;
@@ -30,6 +32,7 @@
 	char *node;
 	char *prefix;
 	json_t *records;
+	json_t *signers;
 	size_t bytes;
 };
 
@@ -196,6 +199,7 @@
 record_request_release(struct record_request *r)
 {
 	json_decref(r->records);
+	json_decref(r->signers);
 	g_free(r->node);
 	g_free(r->prefix);
 	g_free(r);
@@ -233,7 +237,35 @@
 }
 
 /*
- * Adds one key of a record: "<boot>/key" or "<boot>/<segment>".
+ * Adds the key of a peer that recovered segments, named "<node>/<hex key>";
+ * a peer that recovered segments of several boots is added once.
+ */
+static void
+add_signer(struct record_request *r, char *name)
+{
+	char *slash = strchr(name, '/');
+	size_t index;
+	json_t *signer;
+	json_t *added;
+
+	if (slash == NULL)
+		return;
+	*slash = '\0';
+	added = json_pack("{s:s, s:s}", "node", name, "public_key", slash + 1);
+	json_array_foreach(r->signers, index, signer)
+	{
+		if (json_equal(signer, added)) {
+			json_decref(added);
+			return;
+		}
+	}
+	json_array_append_new(r->signers, added);
+	r->bytes += strlen(name) + strlen(slash + 1);
+}
+
+/*
+ * Adds one key of a record: "<boot>/key", "<boot>/signer/<node>/<hex key>" or
+ * "<boot>/<segment>".
  */
 static void
 add_record_item(struct record_request *r, const struct kv_item *item)
@@ -250,6 +282,11 @@
 		return;
 	}
 	*slash = '\0';
+	if (g_str_has_prefix(slash + 1, SIGNER_PREFIX)) {
+		add_signer(r, slash + 1 + strlen(SIGNER_PREFIX));
+		g_free(name);
+		return;
+	}
 	record = record_of_boot(r, name);
 	if (strcmp(slash + 1, "key") == 0) {
 		size = 2 * item->value.len + 1;
@@ -300,8 +337,8 @@
 		    syncd_now(s) + SYNCD_KV_CALL_USEC, on_records, r);
 	} else {
 		syncd_http_respond(r->request, 200,
-		    json_pack(
-			"{s:s, s:O}", "node", r->node, "records", r->records));
+		    json_pack("{s:s, s:O, s:O}", "node", r->node, "records",
+			r->records, "signers", r->signers));
 		record_request_free(r);
 	}
 }
@@ -331,6 +368,7 @@
 	r->node = g_strdup(node);
 	r->prefix = g_strdup_printf("record/%s/", node);
 	r->records = json_array();
+	r->signers = json_array();
 	g_ptr_array_add(s->record_requests, r);
 	s->kv->vtable->list(s->kv, lstr_from(r->prefix), lstr_from(""),
 	    syncd_now(s) + SYNCD_KV_CALL_USEC, on_records, r);
--- a/src/syncd_records.c
+++ b/src/syncd_records.c
@@ -2,6 +2,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <sodium.h>
+
 #include "log.h"
 #include "syncd_priv.h"
 
@@ -48,6 +50,8 @@
 	char *node;
 	uint64_t boot;
 	bool recovering;
+	/* The key that signs the recovered segments was queued to be stored. */
+	bool signer_queued;
 };
 
 static struct metric stored = {"chestnuthoist_record_segments_stored_total", "",
@@ -210,6 +214,18 @@
 	}
 }
 
+/*
+ * Tells whether a value waits to be stored.
+ */
+static bool
+is_waiting(const struct syncd *s, const char *key)
+{
+	for (const GList *l = s->stores.head; l != NULL; l = l->next)
+		if (strcmp(((const struct store *)l->data)->key, key) == 0)
+			return true;
+	return false;
+}
+
 /*
  * Queues a segment.
  */
@@ -221,10 +237,8 @@
 		message->boot, message->segment, recovered ? ".recovered" : "");
 	struct store *store;
 
-	for (GList *l = s->stores.head; l != NULL; l = l->next) {
-		if (strcmp(((struct store *)l->data)->key, key) != 0)
-			continue;
-		/* The router sends again what it waits for. */
+	/* The router sends again what it waits for. */
+	if (is_waiting(s, key)) {
 		g_free(key);
 		return;
 	}
@@ -415,6 +429,34 @@
 	return m->state != VIEW_SUSPECTED && m->router_address[0] == '\0';
 }
 
+/*
+ * Stores the public key that signs the recovered segments of a boot, and
+ * tells whether it is stored. A segment is stored only after its key, because
+ * nobody could verify it if this process ended between the two writes. The
+ * key is part of the name, so one that exists already is the same.
+ */
+static bool
+signer_is_stored(struct syncd *s, struct copied *copied)
+{
+	const uint8_t *public_key = rec_copies_public_key(s->copies);
+	char hex[2 * REC_PUBLIC_KEY_BYTES + 1];
+	char *key;
+	bool waiting;
+
+	sodium_bin2hex(hex, sizeof(hex), public_key, REC_PUBLIC_KEY_BYTES);
+	key = g_strdup_printf("record/%s/%016" PRIx64 "/signer/%s/%s",
+	    copied->node, copied->boot, s->proc->hello.node, hex);
+	waiting = is_waiting(s, key);
+	if (waiting || copied->signer_queued) {
+		g_free(key);
+		return !waiting;
+	}
+	copied->signer_queued =
+	    add_store(s, key, public_key, REC_PUBLIC_KEY_BYTES) != NULL;
+	run_stores(s);
+	return false;
+}
+
 /*
  * Stores the tail of a router that is gone; the stored segments release their
  * copies. Returns whether all is stored.
@@ -435,6 +477,8 @@
 		rec_copies_restart_recover(s->copies, node, copied->boot);
 	}
 	copied->recovering = true;
+	if (!signer_is_stored(s, copied))
+		return false;
 	while (s->stores.length < STORES_MAX / 2 &&
 	    rec_copies_recover(s->copies, node, copied->boot, &message) ==
 		STATUS_OK) {
