Hold copied entries after a recovery

Cause: a peer that recovered the open segment of a router which was only disconnected took the segment for stored. It acknowledged further entries of it without holding them, and the key .recovered could be written only once, so these entries were lost when the router crashed before it stored the segment. Change: the peer holds the entries until the router stores the segment or room is needed, and recovers a segment again when it has grown. The key of a recovered segment names its last entry and the peer. Verification takes the router's own segment or the longest copy and checks that the others are a beginning of it. Ruled out: refusing entries after a recovery, which would hold each answer for 250 ms until the segment is closed.

--- a/src/record.h
+++ b/src/record.h
@@ -79,6 +79,8 @@
 size_t rec_copies_bytes(const struct rec_copies *);
 enum status rec_copies_append(
     struct rec_copies *, const Ch__RecordAppend *, Ch__RecordAck *);
+void rec_copies_recovered(struct rec_copies *, struct lstr node, uint64_t boot,
+    uint32_t segment, uint64_t last_sequence);
 void rec_copies_stored(
     struct rec_copies *, struct lstr node, uint64_t boot, uint32_t segment);
 enum status rec_copies_recover(
--- a/src/record_copy.c
+++ b/src/record_copy.c
@@ -9,6 +9,9 @@
 struct copied_segment {
 	uint32_t number;
 	struct rec_chain chain;
+	/* Entries that were handed out for recovery, and that are stored. */
+	size_t taken;
+	size_t stored;
 	struct copied_segment *next;
 };
 
@@ -17,10 +20,8 @@
 	char *node;
 	uint64_t boot;
 	struct copied_segment *segments;
-	/* Segments up to this number are stored. */
+	/* Segments up to this number are stored by the router itself. */
 	uint32_t stored;
-	/* Segments up to this number were handed out for recovery. */
-	uint32_t recovered;
 };
 
 struct rec_copies {
@@ -129,15 +130,41 @@
 	return NULL;
 }
 
+/*
+ * Tells whether all that is held of a source is stored as recovered segments.
+ * It is held on, because the router may be alive and go on with a segment.
+ */
+static bool
+is_recovered(const struct source *source)
+{
+	for (const struct copied_segment *s = source->segments; s; s = s->next)
+		if (s->stored < s->chain.count)
+			return false;
+	return true;
+}
+
+/*
+ * Frees what is held of sources that are recovered, to make room.
+ */
+static void
+drop_recovered(struct rec_copies *copies)
+{
+	for (size_t i = 0; i < copies->source_count; i++)
+		if (is_recovered(&copies->sources[i]))
+			while (copies->sources[i].segments != NULL)
+				drop_first(copies, &copies->sources[i]);
+}
+
 /*
  * Finds a place in the table: a new one, or that of a source of which nothing
- * is held any more. NULL when the table is full.
+ * has to be held any more. NULL when the table is full.
  */
 static struct source *
 free_source(struct rec_copies *copies)
 {
 	if (copies->source_count < REC_COPIES_MAX_SOURCES)
 		return &copies->sources[copies->source_count++];
+	drop_recovered(copies);
 	for (size_t i = 0; i < copies->source_count; i++)
 		if (copies->sources[i].segments == NULL)
 			return &copies->sources[i];
@@ -328,6 +355,8 @@
 	struct source *source = NULL;
 	enum status status = check_append(append);
 
+	if (copies->bytes >= REC_COPIES_MAX_BYTES)
+		drop_recovered(copies);
 	if (status == STATUS_OK && copies->bytes >= REC_COPIES_MAX_BYTES)
 		status = status_set(STATUS_FULL, "record copies are full");
 	if (status != STATUS_OK)
@@ -395,8 +424,9 @@
 
 /*
  * Takes the next segment of a dead router to store. The caller frees the
- * message with ch__record_store__free_unpacked(); the copy is held until
- * rec_copies_stored(). Returns STATUS_NOT_FOUND when all were taken.
+ * message with ch__record_store__free_unpacked(); a segment that grew since
+ * it was taken is taken again, whole. Returns STATUS_NOT_FOUND when all were
+ * taken.
  */
 enum status
 rec_copies_recover(struct rec_copies *copies, struct lstr node, uint64_t boot,
@@ -407,8 +437,7 @@
 	struct lstr_buf content = {0};
 	enum status status;
 
-	while (s != NULL &&
-	    (s->number <= source->recovered || s->chain.count == 0))
+	while (s != NULL && s->taken == s->chain.count)
 		s = s->next;
 	if (s == NULL)
 		return status_set(STATUS_NOT_FOUND, "no copy to recover");
@@ -418,7 +447,7 @@
 		    s->chain.items[s->chain.count - 1].sequence,
 		    lstr_buf_view(&content), out);
 	if (status == STATUS_OK)
-		source->recovered = s->number;
+		s->taken = s->chain.count;
 	lstr_buf_free(&content);
 	return status;
 }
@@ -433,6 +462,30 @@
 {
 	struct source *source = find_source(copies, node, boot);
 
-	if (source != NULL)
-		source->recovered = 0;
+	if (source == NULL)
+		return;
+	for (struct copied_segment *s = source->segments; s; s = s->next)
+		s->taken = 0;
+}
+
+/*
+ * Notes that a recovered segment with the entries up to a sequence number is
+ * stored. The entries are held on until the router stores the segment itself
+ * or room is needed: a router that was only disconnected goes on with the same
+ * segment, and its later entries need those before them.
+ */
+void
+rec_copies_recovered(struct rec_copies *copies, struct lstr node, uint64_t boot,
+    uint32_t segment, uint64_t last_sequence)
+{
+	struct source *source = find_source(copies, node, boot);
+	struct copied_segment *s = source ? source->segments : NULL;
+
+	while (s != NULL && s->number != segment)
+		s = s->next;
+	if (s == NULL)
+		return;
+	while (s->stored < s->chain.count &&
+	    s->chain.items[s->stored].sequence <= last_sequence)
+		s->stored++;
 }
--- a/src/record_verify.c
+++ b/src/record_verify.c
@@ -6,6 +6,11 @@
 
 /* Longest node name; see the settings. */
 #define NODE_MAX_BYTES 63
+/*
+ * Copies of one segment. A segment is open for 30 s, and a router is taken for
+ * dead at most every few seconds.
+ */
+#define COPIES_MAX 32
 
 /* The state of a verification. */
 struct check {
@@ -32,6 +37,12 @@
 	enum status status;
 };
 
+/* The stored segments of one number. */
+struct group {
+	struct opened items[COPIES_MAX];
+	size_t count;
+};
+
 /*
  * Records the problem that ends the verification and returns STATUS_INVALID.
  */
@@ -306,79 +317,108 @@
 }
 
 /*
- * Tells whether two opened segments are one of the router and the recovered
- * copy of the same.
+ * Returns the router's own segment of a group, or NULL.
+ */
+static const struct opened *
+own_segment(const struct group *group)
+{
+	for (size_t i = 0; i < group->count; i++)
+		if (group->items[i].body != NULL &&
+		    !group->items[i].body->recovered)
+			return &group->items[i];
+	return NULL;
+}
+
+/*
+ * Tells whether a segment belongs to a group of the same number: the router's
+ * own one, if it stored it, and the copies that peers recovered.
  */
 static bool
-is_pair(const struct opened *a, const struct opened *b)
+belongs(const struct group *group, const struct opened *next)
+{
+	const struct opened *first = &group->items[0];
+
+	return group->count < COPIES_MAX && first->body != NULL &&
+	    next->body != NULL && first->body->segment == next->body->segment &&
+	    (next->body->recovered || own_segment(group) == NULL);
+}
+
+/*
+ * Chooses the segment that stands for its group: the router's own, else the
+ * copy with the most entries.
+ */
+static const struct opened *
+choose_segment(const struct group *group)
 {
-	return a->body != NULL && b->body != NULL &&
-	    a->body->segment == b->body->segment &&
-	    a->body->recovered != b->body->recovered;
+	const struct opened *best = own_segment(group);
+
+	if (best != NULL)
+		return best;
+	best = &group->items[0];
+	for (size_t i = 1; i < group->count; i++)
+		if (group->items[i].body->n_entries > best->body->n_entries)
+			best = &group->items[i];
+	return best;
 }
 
 /*
- * Checks one segment, with its recovered copy if there is one.
+ * Checks the segments of one number: one of them in full, and that each other
+ * is a beginning of it.
  */
 static enum status
-check_segment(
-    struct check *c, const struct opened *own, const struct opened *copy)
+check_group(struct check *c, const struct group *group)
 {
-	enum status status = check_key(c, own->body, own->key);
+	const struct opened *chosen = choose_segment(group);
+	enum status status;
 
+	if (chosen->status != STATUS_OK)
+		return report_unreadable(c, chosen->status);
+	status = check_key(c, chosen->body, chosen->key);
 	if (status == STATUS_OK)
-		status = check_origin(c, own->body);
+		status = check_origin(c, chosen->body);
 	if (status == STATUS_OK)
-		status = check_place(c, own->body);
-	if (status == STATUS_OK && copy != NULL)
-		status = check_copy(c, copy, own->body);
+		status = check_place(c, chosen->body);
+	for (size_t i = 0; i < group->count && status == STATUS_OK; i++)
+		if (&group->items[i] != chosen)
+			status = check_copy(c, &group->items[i], chosen->body);
 	if (status == STATUS_OK)
-		status = check_entries(c, own->body);
+		status = check_entries(c, chosen->body);
 	return status;
 }
 
 /*
- * Checks a segment and, when the next one belongs to the same number, both.
- * Tells how many were checked.
+ * Frees the segments of a group.
  */
-static enum status
-check_one_or_pair(struct check *c, const struct opened *first,
-    const struct opened *second, size_t *checked)
+static void
+group_clear(struct group *group)
 {
-	*checked = 1;
-	if (first->status != STATUS_OK)
-		return report_unreadable(c, first->status);
-	if (!is_pair(first, second))
-		return check_segment(c, first, NULL);
-	*checked = 2;
-	if (first->body->recovered)
-		return check_segment(c, second, first);
-	return check_segment(c, first, second);
+	for (size_t i = 0; i < group->count; i++)
+		ch__record_body__free_unpacked(group->items[i].body, NULL);
+	group->count = 0;
 }
 
 /*
- * Checks all segments in order. Two are open at a time.
+ * Checks all segments in order, a group of one number at a time.
  */
 static enum status
 check_all(struct check *c, const struct lstr *segments, size_t count)
 {
-	struct opened window[2] = {{NULL, {0}, STATUS_OK}};
+	struct group group = {.count = 0};
 	enum status status = STATUS_OK;
-	size_t checked = 2;
-	size_t open = 0;
-
-	for (size_t i = 0; i < count && status == STATUS_OK; i += checked) {
-		for (size_t n = 0; n < checked; n++) {
-			ch__record_body__free_unpacked(window[0].body, NULL);
-			window[0] = window[1];
-			window[1].body = NULL;
-			if (open < count)
-				open_segment(segments[open++], &window[1]);
+
+	for (size_t i = 0; i < count && status == STATUS_OK; i++) {
+		struct opened next;
+
+		open_segment(segments[i], &next);
+		if (group.count > 0 && !belongs(&group, &next)) {
+			status = check_group(c, &group);
+			group_clear(&group);
 		}
-		status = check_one_or_pair(c, &window[0], &window[1], &checked);
+		group.items[group.count++] = next;
 	}
-	ch__record_body__free_unpacked(window[0].body, NULL);
-	ch__record_body__free_unpacked(window[1].body, NULL);
+	if (group.count > 0 && status == STATUS_OK)
+		status = check_group(c, &group);
+	group_clear(&group);
 	return status;
 }
 
--- a/src/syncd_records.c
+++ b/src/syncd_records.c
@@ -155,8 +155,8 @@
 	frame.record_stored = &message;
 	if (store->recovered) {
 		recovered_stored.value++;
-		rec_copies_stored(s->copies, lstr_from(store->node),
-		    store->boot, store->segment);
+		rec_copies_recovered(s->copies, lstr_from(store->node),
+		    store->boot, store->segment, store->last_sequence);
 		return;
 	}
 	syncd_send_local(s, CH__ROLE__ROLE_ROUTER, &frame);
@@ -226,15 +226,34 @@
 	return false;
 }
 
+/*
+ * Returns the key of a segment, which the caller frees with g_free(). That of a
+ * recovered one names its last entry and the node that signed it, because the
+ * same segment may be recovered again with more entries, or by another node.
+ */
+static char *
+segment_key(
+    const struct syncd *s, const Ch__RecordStore *message, bool recovered)
+{
+	char *key = g_strdup_printf("record/%s/%016" PRIx64 "/%08u",
+	    message->node, message->boot, message->segment);
+	char *longer;
+
+	if (!recovered)
+		return key;
+	longer = g_strdup_printf("%s.recovered.%016" PRIx64 ".%s", key,
+	    message->last_sequence, s->proc->hello.node);
+	g_free(key);
+	return longer;
+}
+
 /*
  * Queues a segment.
  */
 static void
 add_segment(struct syncd *s, const Ch__RecordStore *message, bool recovered)
 {
-	char *key =
-	    g_strdup_printf("record/%s/%016" PRIx64 "/%08u%s", message->node,
-		message->boot, message->segment, recovered ? ".recovered" : "");
+	char *key = segment_key(s, message, recovered);
 	struct store *store;
 
 	/* The router sends again what it waits for. */
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -956,6 +956,36 @@
 }
 END_TEST
 
+/* Guards against recovered copies that keep out those of other routers. */
+START_TEST(recovered_copies_make_room)
+{
+	struct rec *rec;
+	struct rec_copies *copies;
+	Ch__RecordAppend *message;
+	Ch__RecordAck ack;
+
+	ck_assert_int_eq(rec_create(NODE, BOOT, &rec), STATUS_OK);
+	ck_assert_int_eq(rec_copies_create(PEER, &copies), STATUS_OK);
+	append(rec, 1);
+	ck_assert_int_eq(rec_next_copy(rec, &message), STATUS_OK);
+	for (uint64_t boot = 1; boot <= REC_COPIES_MAX_SOURCES; boot++) {
+		message->boot = boot;
+		ck_assert_int_eq(
+		    rec_copies_append(copies, message, &ack), STATUS_OK);
+	}
+	message->boot = REC_COPIES_MAX_SOURCES + 1;
+	ck_assert_int_eq(rec_copies_append(copies, message, &ack), STATUS_FULL);
+	rec_copies_recovered(copies, lstr_from(NODE), 3, 1, 0);
+	ck_assert_int_eq(rec_copies_append(copies, message, &ack), STATUS_FULL);
+	rec_copies_recovered(
+	    copies, lstr_from(NODE), 3, 1, message->entries[0]->sequence);
+	ck_assert_int_eq(rec_copies_append(copies, message, &ack), STATUS_OK);
+	ch__record_append__free_unpacked(message, NULL);
+	rec_copies_destroy(copies);
+	rec_destroy(rec);
+}
+END_TEST
+
 /* Guards against texts that overflow the fixed buffers of an entry. */
 START_TEST(long_texts_are_refused)
 {
@@ -984,6 +1014,6 @@
     router_crash_without_copy_loses_the_tail, peer_crash_is_made_up_for,
     reconnection_keeps_the_copy, recovered_copy_beside_the_segment_holds,
     false_recovered_copy_is_found, stored_copies_are_freed,
-    unreplicated_entries_are_counted, segments_are_due_by_time_and_size,
-    full_store_drops_the_oldest, full_copies_are_refused,
-    long_texts_are_refused)
+    recovered_copies_make_room, unreplicated_entries_are_counted,
+    segments_are_due_by_time_and_size, full_store_drops_the_oldest,
+    full_copies_are_refused, long_texts_are_refused)
