--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c tests/fuzz/*.c \
 	bench/*.c)
 
-.PHONY: all setup proto check test demo faults model fuzz lint format tidy clean
+.PHONY: all setup proto check test sanitize demo faults model fuzz lint format tidy clean
 
 all: $(BINS) $(FAKES) $(TOOLS)
 
@@ -96,6 +96,13 @@
 test: all $(TESTS)
 	@BUILD=$(BUILD) tests/run
 
+# The tests under the address and undefined-behaviour sanitizers. Leaks are not
+# searched for: test programs leave memory to their exit.
+sanitize: setup
+	@ASAN_OPTIONS=detect_leaks=0 $(MAKE) --no-print-directory -j8 \
+	    BUILD=$(BUILD)/sanitize SANITIZE="-fsanitize=address,undefined \
+	    -fno-sanitize-recover=undefined -fno-omit-frame-pointer" test
+
 demo: setup
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bench/demo
