Add a benchmark that states its bound

Cause: no run compared throughput, shares and cost with what the stated service times allow. The load tool knows shares, bursts and a measured time; the engine stand-in delays steps that cross a link.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # make: build. make check: set up, build and run every test. make demo: set up,
-# build and run the demonstration. make lint: formatter and linter.
+# build and run the demonstration. make bench: measure. make lint: formatter and linter.
 CC = gcc
 BUILD ?= build
 SANITIZE ?=
@@ -35,7 +35,7 @@
 LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c tests/fuzz/*.c \
 	bench/*.c)
 
-.PHONY: all setup proto check test demo model fuzz lint format tidy clean
+.PHONY: all setup proto check test demo bench model fuzz lint format tidy clean
 
 all: $(BINS) $(FAKES) $(TOOLS)
 
@@ -99,6 +99,11 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bench/demo
 
+# Throughput, shares and cost against the computed bound; under 3 minutes.
+bench: setup
+	@$(MAKE) --no-print-directory all
+	@BUILD=$(BUILD) bench/bench
+
 model: setup
 	@spec/run
 
--- a/bench/cluster.sh
+++ b/bench/cluster.sh
@@ -141,12 +141,13 @@
 	CLUSTER_NODES+=("$node")
 }
 
-# Starts the stand-ins and COUNT nodes.
+# Starts the stand-ins, with the function CLUSTER_BACKENDS when it is set, and
+# COUNT nodes.
 # cluster_start COUNT
 cluster_start() {
 	local n
 	CLUSTER_KEY=$(od -An -N32 -tx1 /dev/urandom | tr -d ' \n')
-	cluster_start_backends || return 1
+	"${CLUSTER_BACKENDS:-cluster_start_backends}" || return 1
 	for n in $(seq "$1"); do
 		cluster_start_node "$n" || return 1
 	done
--- a/bench/load.c
+++ b/bench/load.c
@@ -3,6 +3,7 @@
 
 #include "../tests/fakes/fake_token.h"
 #include "fetch.h"
+#include "load_mix.h"
 #include "load_report.h"
 #include "ndjson.h"
 #include "settings.h"
@@ -27,7 +28,7 @@
 	GRand *random;
 	const struct setting *settings;
 	char **bootstrap;
-	char **organisations;
+	struct load_mix mix;
 	char addresses[ADDRESSES_MAX][ADDRESS_MAX];
 	size_t address_count;
 	int64_t valid_until;
@@ -48,7 +49,8 @@
 	enum load_kind kind;
 	char prompt[PROMPT_MAX];
 	char key[KEY_MAX];
-	const char *organisation;
+	struct load_organisation *organisation;
+	bool delayed;
 	struct fetch_call *fetch_call;
 	int64_t tries;
 	int64_t retry_at;
@@ -106,6 +108,8 @@
 		g_array_append_val(report->first_token, wait);
 	else
 		g_array_append_val(report->gap, wait);
+	call->delayed = call->delayed || wait > LOAD_DELAYED_USEC;
+	load_mix_token(&call->load->mix, call->organisation, now);
 	call->last_token_at = now;
 	call->position++;
 	report->tokens++;
@@ -195,7 +199,7 @@
 }
 
 /*
- * Ends a request and counts its final outcome.
+ * Counts the final outcome of a request and frees it.
  */
 static void
 finish(struct call *call)
@@ -205,6 +209,8 @@
 
 	if (call->wrong)
 		counts->wrong++;
+	load_mix_end(&call->load->mix, call->organisation, call->delayed,
+	    strcmp(call->outcome, "run") == 0, call->position);
 	if (strcmp(call->outcome, "run") == 0)
 		counts->run++;
 	else if (strcmp(call->outcome, "not-run") == 0)
@@ -279,7 +285,7 @@
 	const struct load *load = call->load;
 	bool order = call->kind == LOAD_ORDER;
 	json_t *json = json_pack("{s:s,s:s,s:s,s:s,s:I}", "organisation",
-	    call->organisation, "service",
+	    call->organisation->name, "service",
 	    text_of(load, order ? "order-service" : "lookup-service"),
 	    "operation",
 	    text_of(load, order ? "order-operation" : "lookup-operation"),
@@ -341,7 +347,6 @@
 start_call(struct load *load, enum load_kind kind)
 {
 	struct call *call = calloc(1, sizeof(*call));
-	guint organisations = g_strv_length(load->organisations);
 
 	if (call == NULL)
 		return;
@@ -350,8 +355,11 @@
 	load->report.counts[kind].sent++;
 	call->load = load;
 	call->kind = kind;
-	call->organisation = load->organisations[g_rand_int_range(
-	    load->random, 0, (gint)organisations)];
+	call->organisation = load_mix_draw(&load->mix, load->random);
+	call->organisation->sent++;
+	if (kind == LOAD_LOOKUP &&
+	    load_mix_measures(&load->mix, loop_now(load->loop)))
+		call->organisation->measured_lookups++;
 	snprintf(call->prompt, PROMPT_MAX, "prompt %lld of seed %lld",
 	    (long long)load->number, (long long)number_of(load, "seed"));
 	if (kind == LOAD_ORDER)
@@ -423,26 +431,14 @@
 	    fetch_start(load->fetch, &request, &ops, load, NULL) == STATUS_OK;
 }
 
-/*
- * Tells how many requests may have been started by now.
- */
-static int64_t
-allowed_by_rate(const struct load *load, int64_t now)
-{
-	int64_t rate = number_of(load, "rate");
-
-	if (rate == 0)
-		return INT64_MAX;
-	return (now - load->report.started_at) * rate / LOOP_USEC_PER_SEC + 1;
-}
-
 /*
  * Starts as many requests as the limits allow, with kinds in random order.
  */
 static void
 start_calls(struct load *load, int64_t now)
 {
-	int64_t allowed = allowed_by_rate(load, now);
+	int64_t allowed = load_mix_allowed(
+	    &load->mix, now, number_of(load, "rate"), number_of(load, "burst"));
 
 	while (load->calls->len < (guint)number_of(load, "concurrency") &&
 	    load->number < allowed) {
@@ -499,6 +495,9 @@
 	int64_t bad = 0;
 
 	load->report.started_at = loop_now(load->loop);
+	load_mix_start(&load->mix, load->report.started_at,
+	    number_of(load, "measure-from-ms") * LOOP_USEC_PER_MSEC,
+	    number_of(load, "measure-until-ms") * LOOP_USEC_PER_MSEC);
 	load->stop_at = load->report.started_at +
 	    number_of(load, "max-seconds") * LOOP_USEC_PER_SEC;
 	loop_timer_set(load->tick, 0);
@@ -513,7 +512,7 @@
 	for (int i = 0; i < LOAD_KINDS; i++)
 		bad += counts[i].wrong + counts[i].unfinished + load->todo[i];
 	load_report_print(
-	    &load->report, settings_get(load->settings, "json")->number != 0);
+	    &load->report, &load->mix, number_of(load, "json") != 0);
 	load_report_free(&load->report);
 	return bad == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
@@ -538,9 +537,17 @@
 	    {"rate", SETTING_INT, "0", 0, 100000,
 		"Requests a second; 0: as fast as answers come", false, NULL,
 		0},
+	    {"burst", SETTING_INT, "1", 1, 4096,
+		"Requests started at once, at the same rate", false, NULL, 0},
+	    {"measure-from-ms", SETTING_INT, "0", 0, 3600000,
+		"Start of the measured time", false, NULL, 0},
+	    {"measure-until-ms", SETTING_INT, "3600000", 0, 3600000,
+		"End of the measured time", false, NULL, 0},
 	    {"seed", SETTING_INT, "1", 0, UINT32_MAX, "Seed", false, NULL, 0},
 	    {"organisations", SETTING_TEXT, NULL, 1, 0,
 		"Organisations to send as: name,...", true, NULL, 0},
+	    {"shares", SETTING_TEXT, NULL, 1, 0,
+		"Shares of the organisations: number,...", false, NULL, 0},
 	    {"lookup-service", SETTING_TEXT, "redactor", 1, 63,
 		"Pipeline for lookups", false, NULL, 0},
 	    {"lookup-operation", SETTING_TEXT, "draft", 1, 63,
@@ -569,8 +576,12 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	load.bootstrap = g_strsplit(text_of(&load, "entry"), ",", 0);
-	load.organisations =
-	    g_strsplit(text_of(&load, "organisations"), ",", 0);
+	if (!load_mix_init(&load.mix,
+		g_strsplit(text_of(&load, "organisations"), ",", 0),
+		text_of(&load, "shares"))) {
+		fprintf(stderr, "--shares: one number above 0 for each name\n");
+		return EXIT_FAILURE;
+	}
 	load.todo[LOAD_LOOKUP] = number_of(&load, "lookups");
 	load.todo[LOAD_ORDER] = number_of(&load, "orders");
 	load.random = g_rand_new_with_seed((guint32)number_of(&load, "seed"));
--- a/bench/load_report.h
+++ b/bench/load_report.h
@@ -3,10 +3,12 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 #include <jansson.h>
 
+#include "load_mix.h"
 #include "loop.h"
 
 /* Kinds of requests. */
@@ -191,13 +193,15 @@
  * Prints the report as text or as JSON.
  */
 static inline void
-load_report_print(struct load_report *report, bool as_json)
+load_report_print(
+    struct load_report *report, const struct load_mix *mix, bool as_json)
 {
 	json_t *json = load_report_json(report);
 	char *text;
 	const char *key;
 	json_t *value;
 
+	load_mix_json(mix, json);
 	if (as_json) {
 		text = json_dumps(json, JSON_COMPACT);
 		printf("%s\n", text);
@@ -205,6 +209,9 @@
 	} else {
 		json_object_foreach(json, key, value)
 		{
+			if (json_is_array(value) ||
+			    strcmp(key, "organisations") == 0)
+				continue;
 			if (json_is_object(value))
 				load_print_line(key, value);
 			else if (json_is_real(value))
--- a/tests/fakes/engine_model.h
+++ b/tests/fakes/engine_model.h
@@ -50,6 +50,8 @@
 	uint32_t first;
 	uint32_t last;
 	int64_t token_usec;
+	/* Time that a step needs to get here over the link. */
+	int64_t link_usec;
 	enum fault_mode fault;
 	int64_t fault_after;
 	int64_t fault_delay_usec;
@@ -87,6 +89,8 @@
 	uint32_t position;
 	bool generation;
 	bool in_service;
+	/* On the link to the instance. */
+	bool travelling;
 	/* Only for generations. */
 	uint32_t end;
 	size_t next_stage;
@@ -167,18 +171,20 @@
 }
 
 /*
- * Reads one instance "name:first:last:token_us".
+ * Reads one instance "name:first:last:token_us" or, with the time of the link
+ * to it, "name:first:last:token_us:link_us".
  */
 static inline bool
 add_instance(struct server *server, const char *text)
 {
 	struct instance *instance = calloc(1, sizeof(*instance));
 	char **words = g_strsplit(text, ":", 0);
-	int64_t numbers[3] = {-1, -1, -1};
-	bool valid = instance != NULL && g_strv_length(words) == 4 &&
+	int64_t numbers[4] = {-1, -1, -1, 0};
+	int count = (int)g_strv_length(words);
+	bool valid = instance != NULL && (count == 4 || count == 5) &&
 	    server->instances->len < INSTANCES_MAX;
 
-	for (int i = 0; valid && i < 3; i++)
+	for (int i = 0; valid && i < count - 1; i++)
 		valid = lstr_to_int64(lstr_from(words[i + 1]), &numbers[i]) ==
 			STATUS_OK &&
 		    numbers[i] >= 0;
@@ -188,6 +194,7 @@
 		instance->first = (uint32_t)numbers[0];
 		instance->last = (uint32_t)numbers[1];
 		instance->token_usec = numbers[2];
+		instance->link_usec = numbers[3];
 		instance->waiting = g_queue_new();
 		instance->seen = g_hash_table_new(NULL, NULL);
 		instance->attempts = g_hash_table_new(NULL, NULL);
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -85,6 +85,23 @@
 	serve_waiting(work->instance);
 }
 
+/*
+ * Queues a step of another engine when it has crossed the link.
+ */
+static void
+receive_step(struct work *work)
+{
+	struct instance *instance = work->instance;
+
+	if (instance->link_usec == 0) {
+		queue_step(work);
+		return;
+	}
+	work->travelling = true;
+	loop_timer_set(work->timer,
+	    loop_now(instance->server->loop) + instance->link_usec);
+}
+
 /*
  * Counts one execution and finds repeated ones.
  */
@@ -139,7 +156,7 @@
 }
 
 /*
- * Ends the service of one step.
+ * Ends the way of a step over the link, or its service.
  */
 static void
 on_service_end(void *arg)
@@ -147,6 +164,11 @@
 	struct work *work = arg;
 	struct instance *instance = work->instance;
 
+	if (work->travelling) {
+		work->travelling = false;
+		queue_step(work);
+		return;
+	}
 	end_service(work);
 	if (fault_is(instance, FAULT_DIE)) {
 		kill_instance(instance);
@@ -358,8 +380,10 @@
 	}
 	if (generation && work->position >= work->end)
 		httpd_stream_end(request);
-	else
+	else if (generation)
 		queue_step(work);
+	else
+		receive_step(work);
 }
 
 /*
@@ -528,7 +552,8 @@
 	static const struct httpd_ops ops = {on_request, on_closed};
 	struct setting *settings = (struct setting[]){FAKE_SETTINGS,
 	    {"instances", SETTING_TEXT, NULL, 1, 0,
-		"Instances: name:first:last:token_us,...", true, NULL, 0},
+		"Instances: name:first:last:token_us[:link_us],...", true, NULL,
+		0},
 	    {"batch", SETTING_INT, "8", 1, 4096,
 		"Steps that an instance serves at once", false, NULL, 0},
 	    {0}};
