Weigh open requests by the slowest stage

Cause: the entry compared two random replicas by their open requests alone, so that replicas of 133 tokens/s had 14 to 18 requests queued at 0.9 of the bound while those of 400 had none. Change: the cost of a replica is its open requests times the service time of its slowest stage, with alternatives of a stage counted together.

--- a/src/choose.c
+++ b/src/choose.c
@@ -8,6 +8,7 @@
 /* Cost of a replica in units of one open request. */
 #define COST_OTHER_PLACE 1
 #define COST_OTHER_REGION 16
+#define USEC_PER_SEC 1e6
 
 /*
  * Tells whether the instances of a replica that are not leaving form a chain
@@ -49,21 +50,80 @@
 }
 
 /*
- * Returns the cost of sending one more request to a replica.
+ * Returns how many tokens per second the instances of a replica that hold a
+ * layer and are not leaving make at one slot each.
  */
-static uint32_t
+static double
+layer_rate(const struct choose_world *world, uint32_t index, uint32_t layer)
+{
+	const struct inv *inv = world->inv;
+	const struct inv_replica *replica = &inv->replicas[index];
+	double rate = 0;
+
+	for (uint32_t i = 0; i < replica->instance_count; i++) {
+		const struct inv_instance *instance =
+		    &inv->instances[replica->instances[i]];
+		int64_t usec;
+
+		if (layer < instance->first || layer > instance->last ||
+		    instance->accelerator == INV_NONE || instance->leaving ||
+		    world->leaving(lstr_from(instance->name), world->arg))
+			continue;
+		usec = inv->accelerators[instance->accelerator].layer_usec *
+		    (instance->last - instance->first + 1);
+		if (usec > 0)
+			rate += USEC_PER_SEC * instance->count / (double)usec;
+	}
+	return rate;
+}
+
+/*
+ * Returns the time in microseconds that the slowest stage of a replica takes
+ * for one token, with alternatives of a stage counted together. It is 1 for
+ * plain services and where no service times are known.
+ */
+static double
+pace_of(const struct choose_world *world, uint32_t index)
+{
+	const struct inv *inv = world->inv;
+	const struct inv_replica *replica = &inv->replicas[index];
+	double slowest = 0;
+
+	/* The instances that hold a layer change only at first and last ones.
+	 */
+	for (uint32_t i = 0; i < replica->instance_count; i++) {
+		const struct inv_instance *instance =
+		    &inv->instances[replica->instances[i]];
+		double rates[] = {layer_rate(world, index, instance->first),
+		    layer_rate(world, index, instance->last)};
+
+		for (int k = 0; k < 2; k++) {
+			if (rates[k] > 0 &&
+			    (slowest == 0 || rates[k] < slowest))
+				slowest = rates[k];
+		}
+	}
+	return slowest > 0 ? USEC_PER_SEC / slowest : 1;
+}
+
+/*
+ * Returns the cost of sending one more request to a replica: the time of its
+ * slowest stage for each request that would then be open. Counts alone would
+ * give slow replicas as long a queue as fast ones.
+ */
+static double
 cost_of(const struct choose_world *world, uint32_t index)
 {
 	const struct inv *inv = world->inv;
 	uint32_t place = inv->replicas[index].place;
-	uint32_t cost = world->outstanding(index, world->arg);
-
-	if (world->place == INV_NONE || world->place == place)
-		return cost;
-	if (g_strcmp0(inv->places[world->place].region,
-		inv->places[place].region) != 0)
-		return cost + COST_OTHER_REGION;
-	return cost + COST_OTHER_PLACE;
+	uint32_t cost = 1 + world->outstanding(index, world->arg);
+
+	if (world->place != INV_NONE && world->place != place)
+		cost += g_strcmp0(inv->places[world->place].region,
+			    inv->places[place].region) != 0
+		    ? COST_OTHER_REGION
+		    : COST_OTHER_PLACE;
+	return cost * pace_of(world, index);
 }
 
 /*
