--- a/src/choose.c
+++ b/src/choose.c
@@ -4,7 +4,7 @@
 
 #include "choose.h"
 
-#define CANDIDATES 4
+#define CANDIDATES 2
 /* Cost of a replica in units of one open request. */
 #define COST_OTHER_PLACE 1
 #define COST_OTHER_REGION 16
@@ -147,30 +147,23 @@
 }
 
 /*
- * Chooses the cheapest one of some random candidates.
+ * Chooses the cheaper one of two random candidates.
  */
 static uint32_t
 choose_by_load(const struct choose_world *world, GArray *list, GRand *random,
     const char **router)
 {
-	uint32_t best = INV_NONE;
-	double best_cost = 0;
-
-	for (int i = 0; i < CANDIDATES; i++) {
-		const char *owner = NULL;
-		uint32_t index = draw(world, list, random, &owner);
-		double cost;
-
-		if (index == INV_NONE)
-			break;
-		cost = cost_of(world, index);
-		if (best != INV_NONE && cost >= best_cost)
-			continue;
-		best = index;
-		best_cost = cost;
-		*router = owner;
+	const char *routers[CANDIDATES] = {NULL, NULL};
+	uint32_t first = draw(world, list, random, &routers[0]);
+	uint32_t second = draw(world, list, random, &routers[1]);
+
+	if (second != INV_NONE &&
+	    cost_of(world, second) < cost_of(world, first)) {
+		*router = routers[1];
+		return second;
 	}
-	return best;
+	*router = routers[0];
+	return first;
 }
 
 /*
