Start no request that cannot end before its deadline

Cause: at twice the bound for 16 s, 455 requests were started too late and ended as unknown; 3,446 tokens were made for them. Change: a request leaves the queue as not run at the last time at which it is expected to end in time, without a charge to its organisation.

--- a/src/replica.c
+++ b/src/replica.c
@@ -28,7 +28,7 @@
 }
 
 /*
- * Ends the queued requests whose deadline has passed.
+ * Ends the queued requests that can no longer end before their deadline.
  */
 static void
 on_expiry_timer(void *arg)
@@ -43,7 +43,8 @@
 		job->queued = NULL;
 		job_end_simple(job, CH__OUTCOME__OUTCOME_NOT_RUN,
 		    "deadline-passed",
-		    "the deadline passed while the request was queued");
+		    "the last time to start the request before its deadline "
+		    "passed while it was queued");
 	}
 	if (sched_count(replica->sched) > 0)
 		loop_timer_set(
@@ -171,8 +172,10 @@
 }
 
 /*
- * Puts a request into the queue of its replica. Returns STATUS_FULL when it
- * is full.
+ * Puts a request into the queue of its replica, until the last time at which
+ * it can start and is expected to end before its deadline. Started later, it
+ * would use the replica for tokens that end as "unknown": a tenth of all at
+ * twice the capacity. Returns STATUS_FULL when the queue is full.
  */
 enum status
 replica_queue(struct job *job)
@@ -180,7 +183,7 @@
 	struct replica *replica = job->replica;
 	struct sched_request request = {lstr_from(job->submit->organisation),
 	    job->priority, job->weight, job->cost, job->submit->arrival,
-	    job->submit->deadline, job};
+	    job->submit->deadline - replica_run_usec(replica, job->cost), job};
 	enum status status = sched_push(replica->sched, &request, &job->queued);
 
 	if (status != STATUS_OK)
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -178,10 +178,12 @@
 	} while (0)
 
 /*
- * Submits a request of the pipeline.
+ * Submits a request of the pipeline with a number of tokens and a deadline
+ * after limit_usec.
  */
 static inline void
-world_submit(struct world *w, uint64_t stream)
+world_submit_with(
+    struct world *w, uint64_t stream, uint32_t max_tokens, int64_t limit_usec)
 {
 	Ch__Frame frame = CH__FRAME__INIT;
 	Ch__Submit submit = CH__SUBMIT__INIT;
@@ -195,15 +197,24 @@
 	submit.service = "m";
 	submit.operation = "write";
 	submit.replica = "r";
-	submit.max_tokens = 8;
+	submit.max_tokens = max_tokens;
 	submit.idempotent = true;
 	submit.attempt = 1;
-	submit.deadline = loop_now(w->loop) + 20 * LOOP_USEC_PER_SEC;
+	submit.deadline = loop_now(w->loop) + limit_usec;
 	frame.kind_case = CH__FRAME__KIND_SUBMIT;
 	frame.submit = &submit;
 	router_entry_frame(w->router, &w->entry.base, &frame);
 }
 
+/*
+ * Submits a request of the pipeline.
+ */
+static inline void
+world_submit(struct world *w, uint64_t stream)
+{
+	world_submit_with(w, stream, 8, 20 * LOOP_USEC_PER_SEC);
+}
+
 /*
  * Submits a call of the plain service; key is NULL for look-ups.
  */
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -375,6 +375,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a queued request that is started when it cannot end before
+ * its deadline: its tokens would be made for an answer that is cut off.
+ */
+START_TEST(late_request_is_not_started)
+{
+	struct world w;
+	int64_t deadline;
+
+	world_ready_with(&w, 1, HARNESS_DEADLINE_USEC);
+	world_submit(&w, 1);
+	/* 100 tokens of 8 layers of 500 us take 400 ms. */
+	deadline = loop_now(w.loop) + 1000 * LOOP_USEC_PER_MSEC;
+	world_submit_with(&w, 2, 100, 1000 * LOOP_USEC_PER_MSEC);
+	ck_assert(!world_stream(&w, 2)->done);
+	WORLD_WAIT(&w, loop_now(w.loop) > deadline - 350 * LOOP_USEC_PER_MSEC);
+	world_token(last_call(&w), 0, "a", true);
+	world_call_end(last_call(&w), STATUS_OK, true, false);
+	ck_assert_uint_eq(w.call_count, 1);
+	ck_assert(world_stream(&w, 2)->done);
+	ck_assert_int_eq(
+	    world_stream(&w, 2)->outcome, CH__OUTCOME__OUTCOME_NOT_RUN);
+	world_end(&w);
+}
+END_TEST
+
 /* Guards against organisations without a limit or without a rule. */
 START_TEST(organisation_is_checked)
 {
@@ -473,6 +499,6 @@
     dead_stage_is_avoided, silent_stage_is_found_early, slow_chain_is_left,
     wrong_trail_blames_its_stage, stream_without_last_token_is_resumed,
     request_moves_without_a_chain, leaving_engine_is_excluded_and_reported,
-    cancelled_work_stops, queue_is_bounded, organisation_is_checked,
-    drain_finishes_running_work, failed_lookup_is_repeated_elsewhere,
-    dump_lists_the_tables)
+    cancelled_work_stops, queue_is_bounded, late_request_is_not_started,
+    organisation_is_checked, drain_finishes_running_work,
+    failed_lookup_is_repeated_elsewhere, dump_lists_the_tables)
