--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make: build. make check: set up, build and run every test. make demo: set up,
 # build and run the demonstration. make faults: the same for the tests under
-# failure. make lint: formatter and linter.
+# failure. make bench: measure. make lint: formatter and linter.
 CC = gcc
 BUILD ?= build
 SANITIZE ?=
@@ -36,7 +36,7 @@
 LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c tests/fuzz/*.c \
 	bench/*.c)
 
-.PHONY: all setup proto check test sanitize demo faults model fuzz lint format tidy clean
+.PHONY: all setup proto check test sanitize demo faults bench model fuzz lint format tidy clean
 
 all: $(BINS) $(FAKES) $(TOOLS)
 
@@ -112,6 +112,11 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) bench/faults $(SCENARIOS)
 
+# Throughput, shares and cost against the computed bound; under 3 minutes.
+bench: setup
+	@$(MAKE) --no-print-directory all
+	@BUILD=$(BUILD) bench/bench
+
 model: setup
 	@spec/run
 
--- a/bench/load.c
+++ b/bench/load.c
@@ -3,6 +3,7 @@
 
 #include "../tests/fakes/fake_token.h"
 #include "fetch.h"
+#include "load_mix.h"
 #include "load_report.h"
 #include "load_settings.h"
 #include "ndjson.h"
@@ -27,7 +28,7 @@
 	GRand *random;
 	const struct setting *settings;
 	char **bootstrap;
-	char **organisations;
+	struct load_mix mix;
 	char addresses[ADDRESSES_MAX][ADDRESS_MAX];
 	size_t address_count;
 	int64_t valid_until;
@@ -51,7 +52,8 @@
 	enum load_kind kind;
 	char prompt[PROMPT_MAX];
 	char key[KEY_MAX];
-	const char *organisation;
+	struct load_organisation *organisation;
+	bool delayed;
 	struct fetch_call *fetch_call;
 	int64_t tries;
 	/* Outcome and code of each try that is over, in order. */
@@ -113,6 +115,8 @@
 		g_array_append_val(report->first_token, wait);
 	else
 		g_array_append_val(report->gap, wait);
+	call->delayed = call->delayed || wait > LOAD_DELAYED_USEC;
+	load_mix_token(&call->load->mix, call->organisation, now);
 	call->last_token_at = now;
 	call->position++;
 	report->tokens++;
@@ -209,7 +213,7 @@
 }
 
 /*
- * Ends a request and counts its final outcome.
+ * Counts the final outcome of a request and frees it.
  */
 static void
 finish(struct call *call)
@@ -219,6 +223,8 @@
 
 	if (call->wrong)
 		counts->wrong++;
+	load_mix_end(&call->load->mix, call->organisation, call->delayed,
+	    strcmp(call->outcome, "run") == 0, call->position);
 	if (strcmp(call->outcome, "run") == 0)
 		counts->run++;
 	else if (strcmp(call->outcome, "not-run") == 0)
@@ -298,7 +304,7 @@
 	const struct load *load = call->load;
 	bool order = call->kind == LOAD_ORDER;
 	json_t *json = json_pack("{s:s,s:s,s:s,s:s,s:I}", "organisation",
-	    call->organisation, "service",
+	    call->organisation->name, "service",
 	    text_of(load, order ? "order-service" : "lookup-service"),
 	    "operation",
 	    text_of(load, order ? "order-operation" : "lookup-operation"),
@@ -376,7 +382,6 @@
 start_call(struct load *load, enum load_kind kind)
 {
 	struct call *call = calloc(1, sizeof(*call));
-	guint organisations = g_strv_length(load->organisations);
 
 	if (call == NULL)
 		return;
@@ -386,8 +391,11 @@
 	call->load = load;
 	call->kind = kind;
 	call->history = json_array();
-	call->organisation = load->organisations[g_rand_int_range(
-	    load->random, 0, (gint)organisations)];
+	call->organisation = load_mix_draw(&load->mix, load->random);
+	call->organisation->sent++;
+	if (kind == LOAD_LOOKUP &&
+	    load_mix_measures(&load->mix, loop_now(load->loop)))
+		call->organisation->measured_lookups++;
 	snprintf(call->prompt, PROMPT_MAX, "prompt %lld of seed %lld",
 	    (long long)load->number, (long long)number_of(load, "seed"));
 	if (kind == LOAD_ORDER)
@@ -459,26 +467,14 @@
 	    fetch_start(load->fetch, &request, &ops, load, NULL) == STATUS_OK;
 }
 
-/*
- * Tells how many requests may have been started by now.
- */
-static int64_t
-allowed_by_rate(const struct load *load, int64_t now)
-{
-	int64_t rate = number_of(load, "rate");
-
-	if (rate == 0)
-		return INT64_MAX;
-	return (now - load->report.started_at) * rate / LOOP_USEC_PER_SEC + 1;
-}
-
 /*
  * Starts as many requests as the limits allow, with kinds in random order.
  */
 static void
 start_calls(struct load *load, int64_t now)
 {
-	int64_t allowed = allowed_by_rate(load, now);
+	int64_t allowed = load_mix_allowed(
+	    &load->mix, now, number_of(load, "rate"), number_of(load, "burst"));
 
 	while (load->calls->len < (guint)number_of(load, "concurrency") &&
 	    load->number < allowed) {
@@ -535,6 +531,9 @@
 	int64_t bad = 0;
 
 	load->report.started_at = loop_now(load->loop);
+	load_mix_start(&load->mix, load->report.started_at,
+	    number_of(load, "measure-from-ms") * LOOP_USEC_PER_MSEC,
+	    number_of(load, "measure-until-ms") * LOOP_USEC_PER_MSEC);
 	load->stop_at = load->report.started_at +
 	    number_of(load, "max-seconds") * LOOP_USEC_PER_SEC;
 	loop_timer_set(load->tick, 0);
@@ -553,7 +552,7 @@
 	if (load->results != NULL)
 		fclose(load->results);
 	load_report_print(
-	    &load->report, settings_get(load->settings, "json")->number != 0);
+	    &load->report, &load->mix, number_of(load, "json") != 0);
 	load_report_free(&load->report);
 	return bad == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
@@ -573,8 +572,12 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	load.bootstrap = g_strsplit(text_of(&load, "entry"), ",", 0);
-	load.organisations =
-	    g_strsplit(text_of(&load, "organisations"), ",", 0);
+	if (!load_mix_init(&load.mix,
+		g_strsplit(text_of(&load, "organisations"), ",", 0),
+		text_of(&load, "shares"))) {
+		fprintf(stderr, "--shares: one number above 0 for each name\n");
+		return EXIT_FAILURE;
+	}
 	load.todo[LOAD_LOOKUP] = number_of(&load, "lookups");
 	load.todo[LOAD_ORDER] = number_of(&load, "orders");
 	load.random = g_rand_new_with_seed((guint32)number_of(&load, "seed"));
