Close links that are not up when their listener is destroyed

Cause: a syncd told to stop died once with SIGFPE after E110 link-up. An accepted link that had not introduced itself belonged to nobody, so it came up in the last round of the loop and reached claims that were freed. Change: a listener keeps its accepted links until they are up, and closes them when it is destroyed. Ruled out: a different order in syncd_destroy(), which leaves the same hole to the router and to tests. Measured: test link_does_not_come_up_after_its_listener in tests/test_link.c failed before; test_link, test_syncd, test_router and test_entry_process pass.

--- a/src/link.c
+++ b/src/link.c
@@ -11,6 +11,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <glib.h>
+
 #include "link.h"
 #include "log.h"
 #include "metric.h"
@@ -42,6 +44,9 @@
 	bool hello_sent;
 	bool closing;
 	enum status close_status;
+	/* The listener that accepted it, until the peer has introduced itself.
+	 */
+	struct link_listener *listener;
 };
 
 struct link_listener {
@@ -51,6 +56,8 @@
 	int fd;
 	uint16_t port;
 	struct loop_watch *watch;
+	/* Accepted links that no owner knows yet. */
+	GHashTable *pending;
 };
 
 static struct metric frames_sent = {"chestnuthoist_link_frames_total",
@@ -87,12 +94,24 @@
 	metric_register(&links_silent);
 }
 
+/*
+ * Takes an accepted link out of the keeping of its listener.
+ */
+static void
+leave_listener(struct link *link)
+{
+	if (link->listener != NULL)
+		g_hash_table_remove(link->listener->pending, link);
+	link->listener = NULL;
+}
+
 /*
  * Frees a link whose owner has been told, or was never given it.
  */
 static void
 link_free(struct link *link)
 {
+	leave_listener(link);
 	loop_watch_destroy(link->watch);
 	loop_timer_destroy(link->timer);
 	if (link->fd >= 0) {
@@ -275,6 +294,7 @@
 		link_close(link, STATUS_NO_MEMORY);
 		return;
 	}
+	leave_listener(link);
 	log_event(EV_LINK_UP, "peer=%s role=%d address=%s", link->peer->node,
 	    (int)link->peer->role, link->address);
 	link->ops->up(link, link->arg);
@@ -548,8 +568,11 @@
 			continue;
 		}
 		if (link_create(listener->context, fd, false, listener->ops,
-			listener->arg, &link) == STATUS_OK)
-			snprintf(link->address, ADDRESS_TEXT_MAX, "accepted");
+			listener->arg, &link) != STATUS_OK)
+			continue;
+		snprintf(link->address, ADDRESS_TEXT_MAX, "accepted");
+		link->listener = listener;
+		g_hash_table_add(listener->pending, link);
 	}
 }
 
@@ -600,6 +623,7 @@
 	listener->ops = ops;
 	listener->arg = arg;
 	listener->fd = -1;
+	listener->pending = g_hash_table_new(NULL, NULL);
 	status = bind_listener(listener, address);
 	if (status == STATUS_OK)
 		status = loop_watch_create(context->loop, listener->fd,
@@ -622,13 +646,24 @@
 }
 
 /*
- * Stops listening. Links that were accepted stay.
+ * Stops listening. Accepted links that are up stay their owner's; those that
+ * are not are closed, since their owner would learn of them too late.
  */
 void
 link_listener_destroy(struct link_listener *listener)
 {
+	GHashTableIter iter;
+	gpointer link;
+
 	if (listener == NULL)
 		return;
+	g_hash_table_iter_init(&iter, listener->pending);
+	while (g_hash_table_iter_next(&iter, &link, NULL)) {
+		((struct link *)link)->listener = NULL;
+		link_orphan(link);
+		link_close(link, STATUS_CLOSED);
+	}
+	g_hash_table_destroy(listener->pending);
 	loop_watch_destroy(listener->watch);
 	if (listener->fd >= 0)
 		close(listener->fd);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -1,5 +1,12 @@
 #include "harness.h"
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include "link.h"
 #include "peer.h"
 
@@ -18,6 +25,8 @@
 	int downs;
 	int failures;
 	uint64_t last_stream;
+	/* Socket of a caller that sends nothing. */
+	int raw;
 };
 
 static void
@@ -109,6 +118,37 @@
 	    STATUS_OK);
 }
 
+/*
+ * Connects to a port and sends nothing.
+ */
+static int
+connect_raw(uint16_t port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+/*
+ * Reads what is left and tells whether the other end closed the connection.
+ */
+static bool
+is_closed(int fd)
+{
+	char bytes[256];
+	ssize_t n;
+
+	do
+		n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+	while (n > 0);
+	return n == 0;
+}
+
 static bool
 both_up(void *arg)
 {
@@ -192,5 +232,39 @@
 }
 END_TEST
 
-HARNESS_MAIN("link", message_goes_through, lost_connection_is_replaced,
+static bool
+connection_waits(void *arg)
+{
+	struct world *w = arg;
+	struct pollfd descriptor = {w->raw, POLLIN, 0};
+
+	return poll(&descriptor, 1, 0) == 1;
+}
+
+/*
+ * Guards against an accepted link that comes up after its listener is gone
+ * and calls an owner that is being destroyed.
+ */
+START_TEST(link_does_not_come_up_after_its_listener)
+{
+	struct world w;
+
+	world_start(&w);
+	w.raw = connect_raw(link_listener_port(w.listener));
+	/* The preface of the listener's end shows that it has accepted. */
+	ck_assert(harness_wait(w.loop, connection_waits, &w));
+	peer_destroy(w.peer);
+	link_listener_destroy(w.listener);
+	w.accepted = NULL;
+	w.ups = 0;
+	for (int i = 0; i < 20; i++)
+		loop_run_once(w.loop, loop_now(w.loop) + LOOP_USEC_PER_MSEC);
+	ck_assert_ptr_null(w.accepted);
+	ck_assert(is_closed(w.raw));
+	close(w.raw);
+}
+END_TEST
+
+HARNESS_MAIN("link", link_does_not_come_up_after_its_listener,
+    message_goes_through, lost_connection_is_replaced,
     silent_connection_is_replaced, failed_attempt_is_reported)
