Choose the route of an attempt in one place

Cause: router_pipeline.c and router_plain.c held the same choice of a route and the same check of the deadline. Change: job_choose_route() in job.c serves both; codes and outcomes are as before.

--- a/src/job.c
+++ b/src/job.c
@@ -403,13 +403,44 @@
  * its claim was granted, before its deadline; the deadline is not after the
  * expiry of the claim.
  */
-bool
-job_may_send(struct job *job)
+static bool
+may_send(const struct job *job)
 {
 	assert(!job->once || (job->claim_granted && !job->sent_once));
 	return router_now(job->router) < job->submit->deadline;
 }
 
+/*
+ * Chooses the route of the next attempt. Returns false after the request was
+ * ended: without a route the rest is handed over to another replica with the
+ * given code, and an order, of which nothing was sent, is refused; after the
+ * deadline nothing is sent any more.
+ */
+bool
+job_choose_route(struct job *job, const char *code, const char *message)
+{
+	struct router *router = job->router;
+
+	if (job->replica->index == INV_NONE ||
+	    route_choose(router->routes, job->replica->index,
+		router_now(router), router->rand, &job->route) != STATUS_OK) {
+		job_end_simple(job,
+		    job->once ? CH__OUTCOME__OUTCOME_NOT_RUN
+			      : CH__OUTCOME__OUTCOME_MOVED,
+		    code, message);
+		return false;
+	}
+	if (!may_send(job)) {
+		job_end_simple(job,
+		    job->maybe_ran ? CH__OUTCOME__OUTCOME_UNKNOWN
+				   : CH__OUTCOME__OUTCOME_NOT_RUN,
+		    "deadline-passed",
+		    "the deadline passed before the request was sent");
+		return false;
+	}
+	return true;
+}
+
 /*
  * Handles the timer of a request, by its state.
  */
--- a/src/router_pipeline.c
+++ b/src/router_pipeline.c
@@ -116,23 +116,9 @@
 	    ? CH__RECORD_REASON__RECORD_REASON_RESUMED
 	    : job->reason;
 
-	if (job->replica->index == INV_NONE ||
-	    route_choose(router->routes, job->replica->index, now, router->rand,
-		&job->route) != STATUS_OK) {
-		job_end_simple(job,
-		    job->once ? CH__OUTCOME__OUTCOME_NOT_RUN
-			      : CH__OUTCOME__OUTCOME_MOVED,
-		    "no-chain", "no chain of instances covers all layers");
+	if (!job_choose_route(
+		job, "no-chain", "no chain of instances covers all layers"))
 		return;
-	}
-	if (!job_may_send(job)) {
-		job_end_simple(job,
-		    job->maybe_ran ? CH__OUTCOME__OUTCOME_UNKNOWN
-				   : CH__OUTCOME__OUTCOME_NOT_RUN,
-		    "deadline-passed",
-		    "the deadline passed before the request was sent");
-		return;
-	}
 	job->state = JOB_RUNNING;
 	job->attempt++;
 	job->last_token_at = 0;
--- a/src/router_plain.c
+++ b/src/router_plain.c
@@ -104,23 +104,9 @@
 	struct router *router = job->router;
 	int64_t now = router_now(router);
 
-	if (job->replica->index == INV_NONE ||
-	    route_choose(router->routes, job->replica->index, now, router->rand,
-		&job->route) != STATUS_OK) {
-		job_end_simple(job,
-		    job->once ? CH__OUTCOME__OUTCOME_NOT_RUN
-			      : CH__OUTCOME__OUTCOME_MOVED,
-		    "no-instance", "no instance of the replica is usable");
+	if (!job_choose_route(
+		job, "no-instance", "no instance of the replica is usable"))
 		return;
-	}
-	if (!job_may_send(job)) {
-		job_end_simple(job,
-		    job->maybe_ran ? CH__OUTCOME__OUTCOME_UNKNOWN
-				   : CH__OUTCOME__OUTCOME_NOT_RUN,
-		    "deadline-passed",
-		    "the deadline passed before the request was sent");
-		return;
-	}
 	job->state = JOB_RUNNING;
 	job->attempt++;
 	job->sent_once = true;
--- a/src/router_priv.h
+++ b/src/router_priv.h
@@ -238,7 +238,7 @@
 void job_retry(struct job *, bool nothing_ran);
 bool job_may_move(struct job *, int64_t *at);
 void job_leave(struct job *);
-bool job_may_send(struct job *);
+bool job_choose_route(struct job *, const char *code, const char *message);
 
 /* replica.c */
 struct replica *replica_for(struct router *, uint32_t index);
