Bound the wait for stores when a syncd stops

Cause: a syncd that is told to stop while the key-value service is down waited until all its values were stored, so it never ended; seen once with eight syncds 60 s after SIGTERM. Ruled out: no wait at all, which would lose what a short outage delays. Conclusion: what is lost is logged; the copies of the node's own record are held by its peer.

--- a/src/syncd.c
+++ b/src/syncd.c
@@ -5,6 +5,12 @@
 #include "log.h"
 #include "syncd_priv.h"
 
+/*
+ * Wait for the key-value service at a stop, as long as a router waits for the
+ * syncd. Without a bound, an outage would keep a stopped node for its length.
+ */
+#define DRAIN_STORE_USEC (10 * LOOP_USEC_PER_SEC)
+
 /*
  * Returns the present time in microseconds since the epoch.
  */
@@ -28,8 +34,28 @@
 }
 
 /*
- * Ends a draining process: the processes of this node are gone and nothing
- * waits to be stored. The own key is deleted first.
+ * Tells whether a draining process may end: nothing waits to be stored, or
+ * the time for it is over. What then waits is lost here; the copies of this
+ * node's record are held by its peer.
+ */
+static bool
+drain_is_over(struct syncd *s)
+{
+	size_t waiting = s->stores.length + s->outcomes.length;
+
+	if (waiting == 0)
+		return true;
+	if (s->drain_deadline == 0)
+		s->drain_deadline = syncd_now(s) + DRAIN_STORE_USEC;
+	if (syncd_now(s) < s->drain_deadline)
+		return false;
+	log_event(EV_STOPPED_UNSTORED, "values=%zu", waiting);
+	return true;
+}
+
+/*
+ * Ends a draining process once the processes of this node are gone and its
+ * values are stored. The own key is deleted first.
  */
 static void
 drain_tick(struct syncd *s)
@@ -37,7 +63,7 @@
 	char key[SYNCD_KEY_MAX_BYTES];
 
 	if (!s->draining || s->removed_self || syncd_has_local(s) ||
-	    s->stores.length > 0 || s->outcomes.length > 0)
+	    !drain_is_over(s))
 		return;
 	s->removed_self = true;
 	g_snprintf(key, sizeof(key), "member/%s", s->proc->hello.node);
--- a/src/syncd_priv.h
+++ b/src/syncd_priv.h
@@ -85,6 +85,8 @@
 	struct loop_timer *claim_timer;
 	char frames_address[64];
 	bool draining;
+	/* End of the wait for stores; 0 until the local processes are gone. */
+	int64_t drain_deadline;
 	bool removed_self;
 	bool ready_logged;
 
--- a/tests/test_syncd.c
+++ b/tests/test_syncd.c
@@ -486,6 +486,57 @@
 }
 END_TEST
 
+/*
+ * Announces the record key of a router, which its syncd then stores.
+ */
+static void
+announce_key(struct router *r)
+{
+	uint8_t key[REC_PUBLIC_KEY_BYTES] = {1};
+	Ch__Frame frame = CH__FRAME__INIT;
+	Ch__RoleState state = CH__ROLE_STATE__INIT;
+
+	state.role = CH__ROLE__ROLE_ROUTER;
+	state.address = "10.0.0.1:1";
+	state.boot = r->hello.boot;
+	state.record_key.data = key;
+	state.record_key.len = sizeof(key);
+	frame.kind_case = CH__FRAME__KIND_ROLE_STATE;
+	frame.role_state = &state;
+	ck_assert_int_eq(peer_send(r->peer, &frame), STATUS_OK);
+}
+
+/* Guards against a syncd that never ends, because what waits to be stored
+ * cannot be stored. */
+START_TEST(outage_does_not_hold_up_a_stop)
+{
+	struct cluster c;
+	struct router r;
+	int64_t deadline;
+	int status = -1;
+
+	cluster_start(&c, 1);
+	cluster_wait_members(&c, 1);
+	cluster_fault(&c, "outage");
+	router_start(&r, &c, 0);
+	announce_key(&r);
+	/* Frames are handled in order, so the key waits after this answer. */
+	ck_assert_int_eq(
+	    claim(&r, 'a', '1'), CH__CLAIM_RESULT__CLAIM_RESULT_UNAVAILABLE);
+	peer_destroy(r.peer);
+	ck_assert_int_eq(kill(c.syncds[0].pid, SIGTERM), 0);
+	deadline = loop_now(c.loop) + HARNESS_DEADLINE_USEC;
+	while (waitpid(c.syncds[0].pid, &status, WNOHANG) == 0) {
+		loop_run_once(c.loop, loop_now(c.loop) + LOOP_USEC_PER_MSEC);
+		ck_assert_int_lt(loop_now(c.loop), deadline);
+	}
+	c.syncds[0].pid = 0;
+	ck_assert(WIFEXITED(status));
+	ck_assert_int_eq(WEXITSTATUS(status), 0);
+	cluster_stop(&c);
+}
+END_TEST
+
 static bool
 is_acked(void *arg)
 {
@@ -634,4 +685,5 @@
     outage_refuses_claims_and_changes, new_node_reads_from_a_peer,
     dead_node_is_suspected_and_removed, leaving_instances_reach_all_routers,
     list_reaches_all_routers, stopped_node_leaves_at_once,
-    record_survives_its_router, copies_are_sent_again)
+    outage_does_not_hold_up_a_stop, record_survives_its_router,
+    copies_are_sent_again)
