Use the field's terms for the record peer and a faulty stage

Cause: names and comments called the record peer a keeper and a faulty stage a culprit or blamed. Change: names and comments only. Measured: test_router and test_syncd pass.

--- a/src/router.c
+++ b/src/router.c
@@ -259,7 +259,7 @@
 
 /*
  * Takes a change of the membership view. Who owns a replica is advisory for a
- * router; only the keeper of the record's copies is looked up.
+ * router; only the record peer is looked up.
  */
 void
 router_on_view(struct router *router, const struct view *view)
--- a/src/router_load.c
+++ b/src/router_load.c
@@ -58,7 +58,7 @@
 		return;
 	job->probes--;
 	if (failed) {
-		job->culprit_found = true;
+		job->faulty_stage_found = true;
 		if (slot != ROUTE_NONE)
 			route_avoid(router->routes, slot, until);
 	}
@@ -68,7 +68,8 @@
 	}
 	if (job->probes > 0 || job->state != JOB_PROBING)
 		return;
-	for (uint32_t i = 0; !job->culprit_found && i < job->route.count; i++) {
+	for (uint32_t i = 0; !job->faulty_stage_found && i < job->route.count;
+	     i++) {
 		uint32_t suspect = job->route.stages[i].slot;
 
 		route_penalise(router->routes, suspect, until);
--- a/src/router_pipeline.c
+++ b/src/router_pipeline.c
@@ -122,7 +122,7 @@
 	job->state = JOB_RUNNING;
 	job->attempt++;
 	job->last_token_at = 0;
-	job->culprit_found = false;
+	job->faulty_stage_found = false;
 	job->slow_tokens = 0;
 	job->probes = 0;
 	job->sent_once = true;
@@ -328,7 +328,7 @@
  * last one, which sent a step too many.
  */
 static size_t
-blamed_stage(const struct job *job, const struct engine_token *token, size_t at)
+faulty_stage(const struct job *job, const struct engine_token *token, size_t at)
 {
 	struct engine_stage stages[ROUTE_STAGES_MAX];
 
@@ -342,8 +342,9 @@
 }
 
 /*
- * Fails an attempt whose token may not be delivered. The blame may be wrong,
- * so an instance without which no chain is left is only suspected.
+ * Fails an attempt whose token may not be delivered. The stage that was found
+ * may be the wrong one, so an instance without which no chain is left is only
+ * suspected.
  */
 static void
 reject_token(struct job *job, const struct engine_token *token,
@@ -351,8 +352,8 @@
 {
 	struct router *router = job->router;
 	int64_t now = router_now(router);
-	size_t blamed = verdict >= TRAIL_GAP ? blamed_stage(job, token, at) : 0;
-	uint32_t slot = job->route.stages[blamed].slot;
+	size_t faulty = verdict >= TRAIL_GAP ? faulty_stage(job, token, at) : 0;
+	uint32_t slot = job->route.stages[faulty].slot;
 	struct route other;
 
 	log_failure(job, trail_verdict_name(verdict));
--- a/src/router_priv.h
+++ b/src/router_priv.h
@@ -124,7 +124,7 @@
 	int64_t suspect_at;
 	bool suspected;
 	uint32_t probes;
-	bool culprit_found;
+	bool faulty_stage_found;
 	/* Tokens in a row that came much later than expected. */
 	uint32_t slow_tokens;
 
--- a/src/syncd_peers.c
+++ b/src/syncd_peers.c
@@ -462,7 +462,7 @@
 
 /*
  * Adapts the connections to the view: heartbeat peers, the watchers of the
- * place and the keeper of the record copy.
+ * place and its record peer.
  */
 void
 syncd_peers_update(struct syncd *s)
@@ -471,7 +471,7 @@
 	const struct view_member *peers[OWNER_HEARTBEAT_PEERS];
 	struct lstr self = lstr_from(s->proc->hello.node);
 	size_t count = owner_heartbeat_peers(view, self, peers);
-	const struct view_member *keeper =
+	const struct view_member *record_peer =
 	    owner_record_peer(view, self, lstr_from(s->proc->hello.place));
 	GHashTableIter iter;
 	gpointer value;
@@ -494,8 +494,8 @@
 		    owner_is_watcher(view, lstr_from(m->node)))
 			want(s, m, false);
 	}
-	if (keeper != NULL)
-		want(s, keeper, false);
+	if (record_peer != NULL)
+		want(s, record_peer, false);
 	s->is_watcher = owner_is_watcher(view, self);
 }
 
--- a/src/syncd_records.c
+++ b/src/syncd_records.c
@@ -36,7 +36,7 @@
 	bool recovered;
 };
 
-/* A copy that the keeper has not acknowledged. */
+/* A copy that the record peer has not acknowledged. */
 struct sent_copy {
 	uint64_t boot;
 	uint32_t segment;
@@ -135,7 +135,7 @@
 }
 
 /*
- * Tells the router and the keeper of the copy that a segment is stored.
+ * Tells the router and the record peer that a segment is stored.
  */
 static void
 tell_stored(const struct store *store)
@@ -143,7 +143,7 @@
 	struct syncd *s = store->syncd;
 	Ch__Frame frame = CH__FRAME__INIT;
 	Ch__RecordStored message = CH__RECORD_STORED__INIT;
-	const struct view_member *keeper;
+	const struct view_member *record_peer;
 	struct syncd_outgoing *out;
 
 	stored.value++;
@@ -161,9 +161,10 @@
 	}
 	syncd_send_local(s, CH__ROLE__ROLE_ROUTER, &frame);
 	forget_copies(s, store->boot, 0, store->segment);
-	keeper = owner_record_peer(member_view(s->member),
+	record_peer = owner_record_peer(member_view(s->member),
 	    lstr_from(s->proc->hello.node), lstr_from(s->proc->hello.place));
-	out = keeper ? g_hash_table_lookup(s->outgoing, keeper->node) : NULL;
+	out = record_peer ? g_hash_table_lookup(s->outgoing, record_peer->node)
+			  : NULL;
 	if (out != NULL)
 		peer_send(out->peer, &frame);
 }
@@ -307,7 +308,7 @@
 }
 
 /*
- * Keeps a copy until the keeper acknowledges it.
+ * Keeps a copy until the record peer acknowledges it.
  */
 static void
 keep_copy(struct syncd *s, const Ch__RecordAppend *message)
@@ -335,16 +336,16 @@
 
 /*
  * Sends the copies again that may have been lost with a broken connection;
- * the keeper recognises those that it has.
+ * the record peer recognises those that it has.
  */
 void
 syncd_records_peer_up(struct syncd *s, struct syncd_outgoing *out)
 {
-	const struct view_member *keeper = owner_record_peer(
+	const struct view_member *record_peer = owner_record_peer(
 	    member_view(s->member), lstr_from(s->proc->hello.node),
 	    lstr_from(s->proc->hello.place));
 
-	if (keeper == NULL || strcmp(keeper->node, out->node) != 0)
+	if (record_peer == NULL || strcmp(record_peer->node, out->node) != 0)
 		return;
 	for (GList *l = s->sent_copies.head; l != NULL; l = l->next) {
 		const struct sent_copy *copy = l->data;
@@ -361,7 +362,7 @@
 }
 
 /*
- * Copies entries: those of the local router go to the keeper, those of
+ * Copies entries: those of the local router go to the record peer, those of
  * another node are kept here and acknowledged.
  */
 void
@@ -370,7 +371,7 @@
 {
 	Ch__Frame frame = CH__FRAME__INIT;
 	Ch__RecordAck ack = CH__RECORD_ACK__INIT;
-	const struct view_member *keeper;
+	const struct view_member *record_peer;
 	struct syncd_outgoing *out;
 	struct copied *copied;
 	char *name;
@@ -378,11 +379,12 @@
 	if (from->session == NULL)
 		return;
 	if (from->session->local) {
-		keeper = owner_record_peer(member_view(s->member),
+		record_peer = owner_record_peer(member_view(s->member),
 		    lstr_from(s->proc->hello.node),
 		    lstr_from(s->proc->hello.place));
-		out = keeper ? g_hash_table_lookup(s->outgoing, keeper->node)
-			     : NULL;
+		out = record_peer
+		    ? g_hash_table_lookup(s->outgoing, record_peer->node)
+		    : NULL;
 		frame.kind_case = CH__FRAME__KIND_RECORD_APPEND;
 		frame.record_append = (Ch__RecordAppend *)message;
 		keep_copy(s, message);
--- a/tests/test_syncd.c
+++ b/tests/test_syncd.c
@@ -648,8 +648,8 @@
 }
 END_TEST
 
-/* Guards against copies that are lost with the connection to their keeper and
- * never acknowledged. */
+/* Guards against copies that are lost with the connection to their record peer
+ * and never acknowledged. */
 START_TEST(copies_are_sent_again)
 {
 	struct cluster c;
