--- a/src/router_load.c
+++ b/src/router_load.c
@@ -7,7 +7,6 @@
 #define QUERY_LIMIT_USEC (1 * LOOP_USEC_PER_SEC)
 /* Replicas that had no request for this long are not asked. */
 #define UNUSED_USEC (60 * LOOP_USEC_PER_SEC)
-#define AVOID_USEC (10 * LOOP_USEC_PER_SEC)
 #define QUERIES_MAX 4096
 
 /* A question to one instance; job is 0 for the regular ones. */
@@ -52,7 +51,7 @@
 probe_answered(struct job *job, uint32_t slot, bool failed)
 {
 	struct router *router = job->router;
-	int64_t until = router_now(router) + AVOID_USEC;
+	int64_t until = router_now(router) + ROUTER_AVOID_USEC;
 
 	if (job->probes == 0)
 		return;
--- a/src/router_pipeline.c
+++ b/src/router_pipeline.c
@@ -4,7 +4,6 @@
 #include "router_priv.h"
 
 /* A failed instance is not used for this long. */
-#define AVOID_USEC (10 * LOOP_USEC_PER_SEC)
 /*
  * A chain may need this many times its expected time for a token before it
  * counts as silent, when that is more than the configured time-out.
@@ -183,7 +182,7 @@
 	job->maybe_ran = job->maybe_ran || !nothing_ran;
 	if (stage != NO_STAGE)
 		route_avoid(router->routes, job->route.stages[stage].slot,
-		    router_now(router) + AVOID_USEC);
+		    router_now(router) + ROUTER_AVOID_USEC);
 	if (stage == NO_STAGE && !job->once) {
 		load_probe(job);
 		end_attempt(job);
@@ -357,12 +356,12 @@
 	struct route other;
 
 	log_failure(job, trail_verdict_name(verdict));
-	route_avoid(router->routes, slot, now + AVOID_USEC);
+	route_avoid(router->routes, slot, now + ROUTER_AVOID_USEC);
 	if (job->replica->index == INV_NONE ||
 	    route_choose(router->routes, job->replica->index, now, NULL,
 		&other) != STATUS_OK) {
 		route_forgive(router->routes, slot);
-		route_penalise(router->routes, slot, now + AVOID_USEC);
+		route_penalise(router->routes, slot, now + ROUTER_AVOID_USEC);
 	}
 	end_attempt(job);
 	job_retry(job, false);
--- a/src/router_plain.c
+++ b/src/router_plain.c
@@ -4,7 +4,6 @@
 #include "router_priv.h"
 
 /* A failed instance is not used for this long. */
-#define AVOID_USEC (10 * LOOP_USEC_PER_SEC)
 
 /*
  * Marks the instance of a failed call.
@@ -21,7 +20,7 @@
 		    router->routes, slot, ROUTE_SOURCE_ENGINE, true, now);
 		router_report_leaving(router, slot, true);
 	} else {
-		route_avoid(router->routes, slot, now + AVOID_USEC);
+		route_avoid(router->routes, slot, now + ROUTER_AVOID_USEC);
 	}
 	log_event(EV_ATTEMPT_FAILED,
 	    "request=%.*s attempt=%u maybe_run=%d reason=%s",
--- a/src/router_priv.h
+++ b/src/router_priv.h
@@ -12,6 +12,8 @@
 #include "sched.h"
 #include "trail.h"
 
+/* Time for which an instance is avoided after a failure. */
+#define ROUTER_AVOID_USEC (10 * LOOP_USEC_PER_SEC)
 /* Requests that a router holds, in every state; more are refused. */
 #define ROUTER_JOBS_MAX 16384
 #define ROUTER_IDENTITY_BYTES 16
