--- a/src/link.c
+++ b/src/link.c
@@ -570,6 +570,7 @@
 		if (link_create(listener->context, fd, false, listener->ops,
 			listener->arg, &link) != STATUS_OK)
 			continue;
+		assert(link != NULL);
 		snprintf(link->address, ADDRESS_TEXT_MAX, "accepted");
 		link->listener = listener;
 		g_hash_table_add(listener->pending, link);
