Compare keys and sequence numbers in one place in the queue

Cause: three orderings in sched.c repeated the same comparison of a key and then a sequence number. Change: compare_keyed() serves all three; the order is as before.

--- a/src/sched.c
+++ b/src/sched.c
@@ -68,6 +68,19 @@
 	return a < b ? -1 : 1;
 }
 
+/*
+ * Orders by a key, then by a sequence number.
+ */
+static gint
+compare_keyed(int64_t a, uint64_t a_sequence, int64_t b, uint64_t b_sequence)
+{
+	gint order = compare_numbers(a, b);
+
+	return order != 0
+	    ? order
+	    : compare_numbers((int64_t)a_sequence, (int64_t)b_sequence);
+}
+
 /*
  * Orders entries by deadline, then by the order in which they were queued.
  */
@@ -76,11 +89,9 @@
 {
 	const struct sched_entry *x = a;
 	const struct sched_entry *y = b;
-	gint order = compare_numbers(x->deadline, y->deadline);
 
-	return order != 0
-	    ? order
-	    : compare_numbers((int64_t)x->sequence, (int64_t)y->sequence);
+	return compare_keyed(
+	    x->deadline, x->sequence, y->deadline, y->sequence);
 }
 
 /*
@@ -91,26 +102,20 @@
 {
 	const struct account *x = a;
 	const struct account *y = b;
-	gint order = compare_numbers(x->start, y->start);
 
-	return order != 0
-	    ? order
-	    : compare_numbers((int64_t)x->sequence, (int64_t)y->sequence);
+	return compare_keyed(x->start, x->sequence, y->start, y->sequence);
 }
 
 /*
- * Orders accounts by finish tag.
+ * Orders accounts by finish tag, then like compare_starts().
  */
 static gint
 compare_finishes(gconstpointer a, gconstpointer b)
 {
 	const struct account *x = a;
 	const struct account *y = b;
-	gint order = compare_numbers(x->finish, y->finish);
 
-	return order != 0
-	    ? order
-	    : compare_numbers((int64_t)x->sequence, (int64_t)y->sequence);
+	return compare_keyed(x->finish, x->sequence, y->finish, y->sequence);
 }
 
 /*
