--- a/Makefile
+++ b/Makefile
@@ -9,15 +9,17 @@
 CFLAGS_BASE = -std=gnu11 -g -O2 -Wall -Wextra -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wformat=2 -Werror -D_GNU_SOURCE
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+# http-parser has no pkg-config file.
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser
+DIRS = -iquote src -iquote src/node -iquote platform -iquote proto
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
-ALL_CFLAGS = $(CFLAGS_BASE) $(PKG_CFLAGS) $(SANITIZE) $(CFLAGS) -iquote src -iquote proto -MMD -MP
+ALL_CFLAGS = $(CFLAGS_BASE) $(PKG_CFLAGS) $(SANITIZE) $(CFLAGS) $(DIRS) -MMD -MP
 
 MAINS = $(wildcard src/*_main.c)
 BINS = $(patsubst $(BUILD)/chestnuthoist-ctl,$(BUILD)/chestnuthoistctl,\
 	$(MAINS:src/%_main.c=$(BUILD)/chestnuthoist-%))
-LIB_SRC = $(filter-out $(MAINS),$(wildcard src/*.c))
-LIB_OBJ = $(LIB_SRC:src/%.c=$(BUILD)/src/%.o) $(BUILD)/proto/chestnuthoist.pb-c.o
+LIB_SRC = $(filter-out $(MAINS),$(wildcard src/*.c src/node/*.c platform/*.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/proto/chestnuthoist.pb-c.o
 LIB = $(BUILD)/libchestnuthoist.a
 TEST_SRC = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
@@ -31,9 +33,10 @@
 # 200000 inputs of a fixed seed for each target, under 60 s together.
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
-STYLE_SRC = $(wildcard src/*.c src/*.h tests/*.c tests/*.h tests/fakes/*.c \
+STYLE_SRC = $(wildcard src/*.c src/*.h src/node/*.c src/node/*.h \
+	platform/*.c platform/*.h tests/*.c tests/*.h tests/fakes/*.c \
 	tests/fakes/*.h tests/fuzz/*.c tests/fuzz/*.h bench/*.c bench/*.h)
-LINT_SRC = $(wildcard src/*.c tests/*.c tests/fakes/*.c tests/fuzz/*.c \
+LINT_SRC = $(wildcard src/*.c src/node/*.c platform/*.c tests/*.c tests/fakes/*.c tests/fuzz/*.c \
 	bench/*.c)
 
 .PHONY: all setup proto check test sanitize demo faults bench model fuzz lint format tidy clean
@@ -60,6 +63,11 @@
 	@echo "  CC $<"
 	@$(CC) $(ALL_CFLAGS) -c -o $@ $<
 
+$(BUILD)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	@echo "  CC $<"
+	@$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
 $(BUILD)/proto/%.o: proto/%.c
 	@mkdir -p $(@D)
 	@echo "  CC $<"
@@ -84,7 +92,7 @@
 	@mkdir -p $(@D)
 	@echo "  FUZZ $@"
 	@clang -std=gnu11 -g -O1 -D_GNU_SOURCE $(FUZZ_FLAGS) $(PKG_CFLAGS) \
-	    -iquote src -iquote proto -o $@ $^ $(PKG_LIBS)
+	    $(DIRS) -o $@ $^ $(PKG_LIBS)
 
 # Generated code is committed; run this after a change of the schema.
 proto:
@@ -141,10 +149,10 @@
 
 tidy: $(TIDY)
 
-$(BUILD)/tidy/%.ok: %.c .clang-tidy $(wildcard src/*.h)
+$(BUILD)/tidy/%.ok: %.c .clang-tidy $(wildcard src/*.h src/node/*.h platform/*.h)
 	@mkdir -p $(@D)
 	@echo "  TIDY $<"
-	@clang-tidy --quiet $< -- -std=gnu11 -D_GNU_SOURCE -iquote src -iquote proto \
+	@clang-tidy --quiet $< -- -std=gnu11 -D_GNU_SOURCE $(DIRS) \
 	    $(PKG_CFLAGS) 2>$@.log || { cat $@.log; exit 1; }
 	@touch $@
 
--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -1357,6 +1357,96 @@
   assert(message->base.descriptor == &ch__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ch__server_use__init
+                     (Ch__ServerUse         *message)
+{
+  static const Ch__ServerUse init_value = CH__SERVER_USE__INIT;
+  *message = init_value;
+}
+size_t ch__server_use__get_packed_size
+                     (const Ch__ServerUse *message)
+{
+  assert(message->base.descriptor == &ch__server_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ch__server_use__pack
+                     (const Ch__ServerUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ch__server_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ch__server_use__pack_to_buffer
+                     (const Ch__ServerUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ch__server_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ch__ServerUse *
+       ch__server_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ch__ServerUse *)
+     protobuf_c_message_unpack (&ch__server_use__descriptor,
+                                allocator, len, data);
+}
+void   ch__server_use__free_unpacked
+                     (Ch__ServerUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ch__server_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ch__node_report__init
+                     (Ch__NodeReport         *message)
+{
+  static const Ch__NodeReport init_value = CH__NODE_REPORT__INIT;
+  *message = init_value;
+}
+size_t ch__node_report__get_packed_size
+                     (const Ch__NodeReport *message)
+{
+  assert(message->base.descriptor == &ch__node_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ch__node_report__pack
+                     (const Ch__NodeReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ch__node_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ch__node_report__pack_to_buffer
+                     (const Ch__NodeReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ch__node_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ch__NodeReport *
+       ch__node_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ch__NodeReport *)
+     protobuf_c_message_unpack (&ch__node_report__descriptor,
+                                allocator, len, data);
+}
+void   ch__node_report__free_unpacked
+                     (Ch__NodeReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ch__node_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ch__hello__field_descriptors[7] =
 {
   {
@@ -4295,6 +4385,186 @@
   (ProtobufCMessageInit) ch__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ch__server_use__field_descriptors[5] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_active",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, first_active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "avoid_msec",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, avoid_msec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ch__server_use__field_indices_by_name[] = {
+  2,   /* field[2] = active */
+  4,   /* field[4] = avoid_msec */
+  3,   /* field[3] = first_active */
+  1,   /* field[1] = memory */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange ch__server_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ch__server_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ch.ServerUse",
+  "ServerUse",
+  "Ch__ServerUse",
+  "ch",
+  sizeof(Ch__ServerUse),
+  5,
+  ch__server_use__field_descriptors,
+  ch__server_use__field_indices_by_name,
+  1,  ch__server_use__number_ranges,
+  (ProtobufCMessageInit) ch__server_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[5] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ch__NodeReport, n_servers),
+    offsetof(Ch__NodeReport, servers),
+    &ch__server_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ch__node_report__field_indices_by_name[] = {
+  1,   /* field[1] = boot */
+  3,   /* field[3] = leaving */
+  0,   /* field[0] = node */
+  2,   /* field[2] = sequence */
+  4,   /* field[4] = servers */
+};
+static const ProtobufCIntRange ch__node_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ch__node_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ch.NodeReport",
+  "NodeReport",
+  "Ch__NodeReport",
+  "ch",
+  sizeof(Ch__NodeReport),
+  5,
+  ch__node_report__field_descriptors,
+  ch__node_report__field_indices_by_name,
+  1,  ch__node_report__number_ranges,
+  (ProtobufCMessageInit) ch__node_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue ch__role__enum_values_by_number[4] =
 {
   { "ROLE_UNSPECIFIED", "CH__ROLE__ROLE_UNSPECIFIED", 0 },
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -45,6 +45,8 @@
 typedef struct Ch__RecordStored Ch__RecordStored;
 typedef struct Ch__RoleState Ch__RoleState;
 typedef struct Ch__Frame Ch__Frame;
+typedef struct Ch__ServerUse Ch__ServerUse;
+typedef struct Ch__NodeReport Ch__NodeReport;
 
 
 /* --- enums --- */
@@ -663,6 +665,53 @@
     , CH__FRAME__KIND__NOT_SET, {0} }
 
 
+/*
+ * What one node uses of a backend server.
+ */
+struct  Ch__ServerUse
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the server's identifier.
+   */
+  uint32_t server;
+  /*
+   * Tokens times layers that are promised to requests.
+   */
+  uint64_t memory;
+  uint32_t active;
+  uint32_t first_active;
+  /*
+   * The sender saw it fail and sends it nothing for this long.
+   */
+  uint32_t avoid_msec;
+};
+#define CH__SERVER_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ch__server_use__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * Sent by each node to the others in a datagram, several times a second.
+ */
+struct  Ch__NodeReport
+{
+  ProtobufCMessage base;
+  char *node;
+  uint64_t boot;
+  uint64_t sequence;
+  /*
+   * The node takes no new connections.
+   */
+  protobuf_c_boolean leaving;
+  size_t n_servers;
+  Ch__ServerUse **servers;
+};
+#define CH__NODE_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ch__node_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
 /* Ch__Hello methods */
 void   ch__hello__init
                      (Ch__Hello         *message);
@@ -1233,6 +1282,44 @@
 void   ch__frame__free_unpacked
                      (Ch__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Ch__ServerUse methods */
+void   ch__server_use__init
+                     (Ch__ServerUse         *message);
+size_t ch__server_use__get_packed_size
+                     (const Ch__ServerUse   *message);
+size_t ch__server_use__pack
+                     (const Ch__ServerUse   *message,
+                      uint8_t             *out);
+size_t ch__server_use__pack_to_buffer
+                     (const Ch__ServerUse   *message,
+                      ProtobufCBuffer     *buffer);
+Ch__ServerUse *
+       ch__server_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ch__server_use__free_unpacked
+                     (Ch__ServerUse *message,
+                      ProtobufCAllocator *allocator);
+/* Ch__NodeReport methods */
+void   ch__node_report__init
+                     (Ch__NodeReport         *message);
+size_t ch__node_report__get_packed_size
+                     (const Ch__NodeReport   *message);
+size_t ch__node_report__pack
+                     (const Ch__NodeReport   *message,
+                      uint8_t             *out);
+size_t ch__node_report__pack_to_buffer
+                     (const Ch__NodeReport   *message,
+                      ProtobufCBuffer     *buffer);
+Ch__NodeReport *
+       ch__node_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ch__node_report__free_unpacked
+                     (Ch__NodeReport *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ch__Hello_Closure)
@@ -1325,6 +1412,12 @@
 typedef void (*Ch__Frame_Closure)
                  (const Ch__Frame *message,
                   void *closure_data);
+typedef void (*Ch__ServerUse_Closure)
+                 (const Ch__ServerUse *message,
+                  void *closure_data);
+typedef void (*Ch__NodeReport_Closure)
+                 (const Ch__NodeReport *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1367,6 +1460,8 @@
 extern const ProtobufCMessageDescriptor ch__record_stored__descriptor;
 extern const ProtobufCMessageDescriptor ch__role_state__descriptor;
 extern const ProtobufCMessageDescriptor ch__frame__descriptor;
+extern const ProtobufCMessageDescriptor ch__server_use__descriptor;
+extern const ProtobufCMessageDescriptor ch__node_report__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/kv.h
+++ b/src/kv.h
@@ -97,12 +97,60 @@
 	const struct kv_vtable *vtable;
 };
 
+/* The arguments of one call; which are used depends on its kind. */
+struct kv_args {
+	/* The key, or the prefix of a list or a watch. */
+	struct lstr key;
+	/* List: keys after this one. */
+	struct lstr after_key;
+	/* Put: the value in base64, terminated. */
+	const char *value_base64;
+	uint64_t version;
+	/* Watch: changes after this revision. */
+	uint64_t after;
+	struct lstr lease;
+	int64_t ttl_msec;
+	int64_t wait_msec;
+};
+
+/* One HTTP call as a protocol words it. path is freed with g_free(). */
+struct kv_call_text {
+	const char *method;
+	char *path;
+	/* A new reference, or NULL. */
+	struct json_t *body;
+};
+
+/*
+ * What differs between the HTTP protocols of key-value services: how calls are
+ * worded, and the names of the fields of answers.
+ */
+struct kv_dialect {
+	void (*word)(enum kv_kind, const struct kv_args *, struct kv_call_text *);
+	/* Maps an HTTP status other than 200 for calls that arrived. */
+	enum status (*status)(enum kv_kind, long http_status);
+	/* The stored version in the answer to a conditional write that failed. */
+	uint64_t (*conflict_version)(const struct json_t *answer);
+	/* Version of an item, and of what a write made. */
+	const char *version;
+	/* Revision of the whole service in lists and watches. */
+	const char *revision;
+	const char *more;
+	/* Event field that is true for a deleted key; NULL: its value is null. */
+	const char *deleted;
+};
+
+bool kv_is_write(enum kv_kind);
+char *kv_escape(struct lstr, const char *keep);
+
 /*
  * A client of the service at "ip:port" over HTTP; see docs/design.md. The
  * fetch client must outlive it.
  */
 enum status kv_http_create(
     struct loop *, struct fetch *, const char *, struct kv **);
+enum status kv_http_create_dialect(struct loop *, struct fetch *, const char *,
+    const struct kv_dialect *, struct kv **);
 int64_t kv_http_calls(enum kv_kind);
 
 #endif
--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -22,6 +22,7 @@
 	struct kv base;
 	struct loop *loop;
 	struct fetch *fetch;
+	const struct kv_dialect *dialect;
 	char url[URL_PREFIX_MAX_BYTES];
 	/* Set of struct call. */
 	GHashTable *calls;
@@ -68,8 +69,8 @@
 /*
  * Tells whether a call of this kind changes the service's state.
  */
-static bool
-is_write(enum kv_kind kind)
+bool
+kv_is_write(enum kv_kind kind)
 {
 	return kind == KV_PUT || kind == KV_DELETE || kind == KV_LEASE_GRANT ||
 	    kind == KV_LEASE_RENEW;
@@ -111,14 +112,21 @@
 static enum status
 map_status(const struct call *call, const struct fetch_result *result)
 {
-	bool write = is_write(call->kind);
-
 	if (result->status != STATUS_OK)
-		return write && result->maybe_sent ? STATUS_AMBIGUOUS
+		return kv_is_write(call->kind) && result->maybe_sent ? STATUS_AMBIGUOUS
 						   : STATUS_UNAVAILABLE;
-	switch (result->http_status) {
-	case HTTP_OK:
+	if (result->http_status == HTTP_OK)
 		return STATUS_OK;
+	return call->kv->dialect->status(call->kind, result->http_status);
+}
+
+/*
+ * Maps an HTTP status of the stand-in.
+ */
+static enum status
+standin_status(enum kv_kind kind, long http_status)
+{
+	switch (http_status) {
 	case HTTP_NOT_FOUND:
 		return STATUS_NOT_FOUND;
 	case HTTP_CONFLICT:
@@ -129,7 +137,8 @@
 		/* The protocol says that nothing was done. */
 		return STATUS_UNAVAILABLE;
 	default:
-		return write ? STATUS_AMBIGUOUS : STATUS_UNAVAILABLE;
+		return kv_is_write(kind) ? STATUS_AMBIGUOUS
+					 : STATUS_UNAVAILABLE;
 	}
 }
 
@@ -161,6 +170,7 @@
 static bool
 read_items(struct call *call, const json_t *array, struct kv_result *out)
 {
+	const struct kv_dialect *dialect = call->kv->dialect;
 	size_t index;
 	json_t *entry;
 
@@ -172,12 +182,16 @@
 		const json_t *value = json_object_get(entry, "value");
 		struct kv_item item = {.deleted = json_is_null(value)};
 
+		if (dialect->deleted != NULL)
+			item.deleted =
+			    json_is_true(json_object_get(entry, dialect->deleted));
+
 		if (!json_is_string(key))
 			return false;
 		item.key =
 		    lstr_make(json_string_value(key), json_string_length(key));
 		item.version = (uint64_t)json_integer_value(
-		    json_object_get(entry, "version"));
+		    json_object_get(entry, dialect->version));
 		if (!item.deleted && !decode_value(call, value, &item.value))
 			return false;
 		g_array_append_val(call->items, item);
@@ -195,16 +209,19 @@
 {
 	json_t *answer =
 	    json_loadb(body.data, body.len, JSON_REJECT_DUPLICATES, NULL);
+	const struct kv_dialect *dialect = call->kv->dialect;
 	const json_t *lease;
 
 	call->answer = answer;
 	if (!json_is_object(answer))
 		return false;
-	out->version =
-	    (uint64_t)json_integer_value(json_object_get(answer, "version"));
-	out->revision =
-	    (uint64_t)json_integer_value(json_object_get(answer, "revision"));
-	out->more = json_is_true(json_object_get(answer, "more"));
+	out->version = (uint64_t)json_integer_value(
+	    json_object_get(answer, dialect->version));
+	if (out->status == STATUS_CONFLICT)
+		out->version = dialect->conflict_version(answer);
+	out->revision = (uint64_t)json_integer_value(
+	    json_object_get(answer, dialect->revision));
+	out->more = json_is_true(json_object_get(answer, dialect->more));
 	if (out->status != STATUS_OK)
 		return true;
 	switch (call->kind) {
@@ -217,6 +234,14 @@
 		return read_items(call, json_object_get(answer, "events"), out);
 	case KV_LEASE_GRANT:
 		lease = json_object_get(answer, "lease");
+		if (json_is_integer(lease)) {
+			char *text = g_strdup_printf("%" JSON_INTEGER_FORMAT,
+			    json_integer_value(lease));
+
+			g_ptr_array_add(call->buffers, text);
+			out->lease = lstr_from(text);
+			return true;
+		}
 		out->lease = lstr_from(json_string_value(lease));
 		return json_is_string(lease);
 	default:
@@ -239,7 +264,7 @@
 	if ((result.status == STATUS_OK || result.status == STATUS_CONFLICT) &&
 	    !read_answer(call, from->body, &result)) {
 		memset(&result, 0, sizeof(result));
-		result.status = is_write(call->kind) ? STATUS_AMBIGUOUS
+		result.status = kv_is_write(call->kind) ? STATUS_AMBIGUOUS
 						     : STATUS_UNAVAILABLE;
 	}
 	call_end(call, &result);
@@ -259,23 +284,27 @@
 }
 
 /*
- * Starts an HTTP call. Takes the path and the body, which may be NULL.
+ * Starts a call.
  */
 static void
-start(struct kv *kv, enum kv_kind kind, const char *method, char *path,
-    json_t *body, int64_t deadline, kv_done_fn fn, void *arg)
+start(struct kv *kv, enum kv_kind kind, const struct kv_args *args,
+    int64_t deadline, kv_done_fn fn, void *arg)
 {
 	struct kv_http *http = (struct kv_http *)kv;
 	struct call *call = g_new0(struct call, 1);
-	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
-	char *url = g_strconcat(http->url, path, NULL);
-	struct fetch_request request = {.method = method,
-	    .url = url,
-	    .body = lstr_from(text),
-	    .deadline = deadline,
-	    .answer_max_bytes = ANSWER_MAX_BYTES};
+	struct kv_call_text worded = {0};
+	struct fetch_request request = {
+	    .deadline = deadline, .answer_max_bytes = ANSWER_MAX_BYTES};
+	char *text;
+	char *url;
 
 	assert(deadline != 0);
+	http->dialect->word(kind, args, &worded);
+	text = worded.body ? json_dumps(worded.body, JSON_COMPACT) : NULL;
+	url = g_strconcat(http->url, worded.path, NULL);
+	request.method = worded.method;
+	request.url = url;
+	request.body = lstr_from(text);
 	call->kv = http;
 	call->kind = kind;
 	call->fn = fn;
@@ -289,17 +318,18 @@
 	    loop_timer_create(http->loop, on_not_started, call, &call->timer) ==
 		STATUS_OK)
 		loop_timer_set(call->timer, 0);
-	json_decref(body);
+	json_decref(worded.body);
 	free(text);
 	g_free(url);
-	g_free(path);
+	g_free(worded.path);
 }
 
 /*
- * Escapes a string for a URL; '/' stays only when keep says so.
+ * Escapes a string for a URL; '/' stays only when keep says so. The caller
+ * frees the result with g_free().
  */
-static char *
-escape(struct lstr s, const char *keep)
+char *
+kv_escape(struct lstr s, const char *keep)
 {
 	char *text = g_strndup(s.data, s.len);
 	char *escaped = g_uri_escape_string(text, keep, FALSE);
@@ -309,18 +339,89 @@
 }
 
 /*
- * Returns the path of a key, with a suffix. The caller frees it with g_free().
+ * Words a put for the stand-in.
  */
-static char *
-key_path(struct lstr key, const char *suffix)
+static json_t *
+standin_put_body(const struct kv_args *args)
 {
-	char *escaped = escape(key, "/");
-	char *path = g_strconcat("/v1/kv/", escaped, suffix, NULL);
+	json_t *body = json_pack("{s:s, s:I}", "value", args->value_base64,
+	    "version", (json_int_t)args->version);
 
-	g_free(escaped);
-	return path;
+	if (args->lease.len > 0)
+		json_object_set_new(body, "lease",
+		    json_stringn(args->lease.data, args->lease.len));
+	return body;
 }
 
+/*
+ * Words a call for the stand-in; docs/design.md has its protocol.
+ */
+static void
+standin_word(enum kv_kind kind, const struct kv_args *args,
+    struct kv_call_text *out)
+{
+	char *key = kv_escape(args->key, "/");
+	char *prefix = kv_escape(args->key, NULL);
+	char *after = kv_escape(args->after_key, NULL);
+	char *lease = kv_escape(args->lease, NULL);
+
+	out->method = "GET";
+	switch (kind) {
+	case KV_GET:
+		out->path = g_strconcat("/v1/kv/", key, NULL);
+		break;
+	case KV_PUT:
+		out->method = "PUT";
+		out->path = g_strconcat("/v1/kv/", key, NULL);
+		out->body = standin_put_body(args);
+		break;
+	case KV_DELETE:
+		out->method = "DELETE";
+		out->path = g_strdup_printf("/v1/kv/%s?version=%"
+					    G_GUINT64_FORMAT,
+		    key, args->version);
+		break;
+	case KV_LIST:
+		out->path = g_strdup_printf(
+		    "/v1/list?prefix=%s&after=%s", prefix, after);
+		break;
+	case KV_LEASE_GRANT:
+		out->method = "POST";
+		out->path = g_strdup("/v1/lease");
+		out->body =
+		    json_pack("{s:I}", "ttl_ms", (json_int_t)args->ttl_msec);
+		break;
+	case KV_LEASE_RENEW:
+		out->method = "POST";
+		out->path = g_strconcat("/v1/lease/", lease, NULL);
+		break;
+	case KV_WATCH:
+		out->path = g_strdup_printf(
+		    "/v1/watch?prefix=%s&after=%" G_GUINT64_FORMAT
+		    "&wait_ms=%" G_GINT64_FORMAT,
+		    prefix, args->after, args->wait_msec);
+		break;
+	case KV_KIND_COUNT:
+		break;
+	}
+	g_free(key);
+	g_free(prefix);
+	g_free(after);
+	g_free(lease);
+}
+
+/*
+ * Reads the stored version from a conflict of the stand-in.
+ */
+static uint64_t
+standin_conflict_version(const json_t *answer)
+{
+	return (uint64_t)json_integer_value(json_object_get(answer, "version"));
+}
+
+static const struct kv_dialect standin_dialect = {standin_word, standin_status,
+    standin_conflict_version, "version", "revision", "more", NULL};
+
 /*
  * Reads one key.
  */
@@ -328,7 +429,9 @@
 http_get(
     struct kv *kv, struct lstr key, int64_t deadline, kv_done_fn fn, void *arg)
 {
-	start(kv, KV_GET, "GET", key_path(key, ""), NULL, deadline, fn, arg);
+	struct kv_args args = {.key = key};
+
+	start(kv, KV_GET, &args, deadline, fn, arg);
 }
 
 /*
@@ -341,17 +444,15 @@
 	size_t size = sodium_base64_ENCODED_LEN(
 	    value.len, sodium_base64_VARIANT_ORIGINAL);
 	char *text = g_malloc(size);
-	json_t *body;
+	struct kv_args args = {.key = key,
+	    .value_base64 = text,
+	    .version = version,
+	    .lease = lease};
 
 	sodium_bin2base64(text, size, (const unsigned char *)value.data,
 	    value.len, sodium_base64_VARIANT_ORIGINAL);
-	body = json_pack(
-	    "{s:s, s:I}", "value", text, "version", (json_int_t)version);
-	if (lease.len > 0)
-		json_object_set_new(
-		    body, "lease", json_stringn(lease.data, lease.len));
+	start(kv, KV_PUT, &args, deadline, fn, arg);
 	g_free(text);
-	start(kv, KV_PUT, "PUT", key_path(key, ""), body, deadline, fn, arg);
 }
 
 /*
@@ -361,11 +462,9 @@
 http_remove(struct kv *kv, struct lstr key, uint64_t version, int64_t deadline,
     kv_done_fn fn, void *arg)
 {
-	char *suffix = g_strdup_printf("?version=%" G_GUINT64_FORMAT, version);
+	struct kv_args args = {.key = key, .version = version};
 
-	start(kv, KV_DELETE, "DELETE", key_path(key, suffix), NULL, deadline,
-	    fn, arg);
-	g_free(suffix);
+	start(kv, KV_DELETE, &args, deadline, fn, arg);
 }
 
 /*
@@ -375,14 +474,9 @@
 http_list(struct kv *kv, struct lstr prefix, struct lstr after,
     int64_t deadline, kv_done_fn fn, void *arg)
 {
-	char *escaped_prefix = escape(prefix, NULL);
-	char *escaped_after = escape(after, NULL);
-	char *path = g_strdup_printf(
-	    "/v1/list?prefix=%s&after=%s", escaped_prefix, escaped_after);
-
-	g_free(escaped_prefix);
-	g_free(escaped_after);
-	start(kv, KV_LIST, "GET", path, NULL, deadline, fn, arg);
+	struct kv_args args = {.key = prefix, .after_key = after};
+
+	start(kv, KV_LIST, &args, deadline, fn, arg);
 }
 
 /*
@@ -392,11 +486,9 @@
 http_lease_grant(
     struct kv *kv, int64_t ttl_usec, int64_t deadline, kv_done_fn fn, void *arg)
 {
-	json_t *body = json_pack(
-	    "{s:I}", "ttl_ms", (json_int_t)(ttl_usec / LOOP_USEC_PER_MSEC));
+	struct kv_args args = {.ttl_msec = ttl_usec / LOOP_USEC_PER_MSEC};
 
-	start(kv, KV_LEASE_GRANT, "POST", g_strdup("/v1/lease"), body, deadline,
-	    fn, arg);
+	start(kv, KV_LEASE_GRANT, &args, deadline, fn, arg);
 }
 
 /*
@@ -406,11 +498,9 @@
 http_lease_renew(struct kv *kv, struct lstr lease, int64_t deadline,
     kv_done_fn fn, void *arg)
 {
-	char *escaped = escape(lease, NULL);
-	char *path = g_strconcat("/v1/lease/", escaped, NULL);
+	struct kv_args args = {.lease = lease};
 
-	g_free(escaped);
-	start(kv, KV_LEASE_RENEW, "POST", path, NULL, deadline, fn, arg);
+	start(kv, KV_LEASE_RENEW, &args, deadline, fn, arg);
 }
 
 /*
@@ -422,14 +512,11 @@
 {
 	struct kv_http *http = (struct kv_http *)kv;
 	int64_t wait = wait_until - loop_now(http->loop);
-	char *escaped = escape(prefix, NULL);
-	char *path =
-	    g_strdup_printf("/v1/watch?prefix=%s&after=%" G_GUINT64_FORMAT
-			    "&wait_ms=%" G_GINT64_FORMAT,
-		escaped, after, wait > 0 ? wait / LOOP_USEC_PER_MSEC : 0);
-
-	g_free(escaped);
-	start(kv, KV_WATCH, "GET", path, NULL, deadline, fn, arg);
+	struct kv_args args = {.key = prefix,
+	    .after = after,
+	    .wait_msec = wait > 0 ? wait / LOOP_USEC_PER_MSEC : 0};
+
+	start(kv, KV_WATCH, &args, deadline, fn, arg);
 }
 
 /*
@@ -457,16 +544,28 @@
     http_list, http_lease_grant, http_lease_renew, http_watch, http_destroy};
 
 /*
- * Creates a client of the service at "ip:port". It is destroyed through its
- * table, before the fetch client.
+ * Creates a client of the stand-in at "ip:port".
  */
 enum status
 kv_http_create(struct loop *loop, struct fetch *fetch, const char *address,
     struct kv **out)
+{
+	return kv_http_create_dialect(
+	    loop, fetch, address, &standin_dialect, out);
+}
+
+/*
+ * Creates a client of the service at "ip:port" that speaks the given protocol.
+ * It is destroyed through its table, before the fetch client.
+ */
+enum status
+kv_http_create_dialect(struct loop *loop, struct fetch *fetch,
+    const char *address, const struct kv_dialect *dialect, struct kv **out)
 {
 	struct kv_http *http = g_new0(struct kv_http, 1);
 
 	http->base.vtable = &http_vtable;
+	http->dialect = dialect;
 	http->loop = loop;
 	http->fetch = fetch;
 	g_snprintf(http->url, sizeof(http->url), "http://%s", address);
--- a/src/log.c
+++ b/src/log.c
@@ -23,6 +23,16 @@
 static char program_name[NAME_MAX_BYTES] = "chestnuthoist";
 static char node_name[NAME_MAX_BYTES] = "-";
 static enum log_severity threshold = LOG_SEV_INFO;
+static log_sink_fn sink;
+
+/*
+ * Sends the lines elsewhere; NULL: to standard error.
+ */
+void
+log_set_sink(log_sink_fn fn)
+{
+	sink = fn;
+}
 
 /*
  * Sets the program and node names printed on each line and the least severe
@@ -77,6 +87,10 @@
 	vsnprintf(message, sizeof(message), format, args);
 	va_end(args);
 	replace_control(message);
+	if (sink != NULL) {
+		sink(event, message);
+		return;
+	}
 	apr_time_exp_gmt(&t, apr_time_now());
 	fprintf(stderr,
 	    "<%d>%04d-%02d-%02dT%02d:%02d:%02d.%03dZ %s %s[%ld]: E%u %s: "
--- a/src/log.h
+++ b/src/log.h
@@ -25,6 +25,10 @@
 	const char *description;
 };
 
+/* Takes the lines of log_event() instead of standard error. */
+typedef void (*log_sink_fn)(enum log_event, const char *message);
+
+void log_set_sink(log_sink_fn);
 void log_init(const char *, const char *, enum log_severity);
 void log_event(enum log_event, const char *, ...)
     __attribute__((format(printf, 2, 3)));
--- a/src/loop.c
+++ b/src/loop.c
@@ -70,14 +70,15 @@
 static int signal_write_fd = -1;
 
 /*
- * Reads the monotonic clock in microseconds.
+ * Reads the boot-time clock in microseconds: unlike the monotonic clock, it
+ * counts the time for which the machine was suspended.
  */
 static int64_t
 monotonic_now(void)
 {
 	struct timespec t;
 
-	clock_gettime(CLOCK_MONOTONIC, &t);
+	clock_gettime(CLOCK_BOOTTIME, &t);
 	return (int64_t)t.tv_sec * LOOP_USEC_PER_SEC + t.tv_nsec / 1000;
 }
 
--- /dev/null
+++ b/src/node/admit.c
@@ -0,0 +1,61 @@
+#include <glib.h>
+
+#include "admit.h"
+
+/* Times to come back lie between these multiples of the expected wait. */
+#define SPREAD_MIN 0.8
+#define SPREAD_MAX 1.6
+
+/*
+ * Returns when a refused caller is to come back: about when room is expected,
+ * and early enough that it still does. The times of several callers differ.
+ */
+int64_t
+admit_retry_after(int64_t expected_usec, int64_t patience_usec, double spread)
+{
+	int64_t latest = (int64_t)((double)patience_usec * ADMIT_RETRY_SHARE);
+	int64_t at = MAX(expected_usec, ADMIT_RETRY_MIN_USEC);
+
+	at = (int64_t)((double)at *
+	    (SPREAD_MIN + (SPREAD_MAX - SPREAD_MIN) * spread));
+	return MIN(at, latest);
+}
+
+/*
+ * Decides whether a request waits for room.
+ */
+struct admit_verdict
+admit_decide(const struct admit_case *request)
+{
+	struct admit_verdict verdict = {ADMIT_REFUSE, 0};
+	int64_t longest =
+	    (int64_t)((double)request->patience_usec * ADMIT_WAIT_SHARE);
+
+	longest = MIN(longest, ADMIT_WAIT_MAX_USEC);
+	if (request->expected_wait_usec <= longest &&
+	    request->expected_wait_usec + request->work_usec <
+		request->patience_usec) {
+		verdict.choice = ADMIT_WAIT;
+		return verdict;
+	}
+	verdict.retry_usec = admit_retry_after(request->expected_wait_usec,
+	    request->patience_usec, request->spread);
+	return verdict;
+}
+
+/*
+ * Decides what follows a failed attempt.
+ */
+enum admit_next
+admit_after_failure(const struct admit_failure *failure)
+{
+	bool again = failure->attempts_left && failure->place_left &&
+	    failure->time_left_usec > failure->work_usec;
+	bool clean = failure->not_run && !failure->earlier_may_have_run;
+
+	if (again && (failure->repeatable || clean))
+		return ADMIT_AGAIN;
+	if (failure->answer_begun)
+		return ADMIT_BREAK_OFF;
+	return clean ? ADMIT_NOT_RUN : ADMIT_UNKNOWN;
+}
--- /dev/null
+++ b/src/node/gate.c
@@ -0,0 +1,651 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <http_parser.h>
+
+#include "gate_priv.h"
+
+#define HEAD_DEFAULT_BYTES ((size_t)16 * 1024)
+#define BODY_DEFAULT_BYTES ((size_t)1024 * 1024)
+#define HEAD_DEFAULT_USEC (3 * LOOP_USEC_PER_SEC)
+#define IDLE_DEFAULT_USEC (15 * LOOP_USEC_PER_SEC)
+/* Asked of callers while this node cannot prove its keys: about the time in
+ * which a lookup names nodes that can. */
+#define NO_PROOF_RETRY_USEC (1 * LOOP_USEC_PER_SEC)
+/* Nodes keep this share of the common retry budget, so that their counts,
+ * which start at different moments, stay within every window together. */
+#define BUDGET_SHARE 0.6
+
+/*
+ * Returns the present time.
+ */
+int64_t
+gate_now(const struct gate *gate)
+{
+	return loop_now(gate->config.loop);
+}
+
+/*
+ * Frees a service's queue; used by the table that holds it.
+ */
+static void
+service_free(void *data)
+{
+	struct gate_service *service = data;
+
+	sched_destroy(service->queue);
+	g_free(service->name);
+	g_free(service);
+}
+
+/*
+ * Frees a request that is over.
+ */
+static void
+request_free(void *data)
+{
+	struct gate_request *request = data;
+
+	request->gate->body_bytes -= request->body.len;
+	lstr_buf_free(&request->body);
+	lstr_buf_free(&request->answer);
+	sse_free(&request->attempt.sse);
+	fleet_config_unref(request->config);
+	g_free(request);
+}
+
+/*
+ * Creates a gate without a configuration: it refuses until it has one.
+ */
+enum status
+gate_create(const struct gate_config *config, struct gate **out)
+{
+	struct gate *gate = g_new0(struct gate, 1);
+
+	gate->config = *config;
+	gate->limits = (struct h1_limits){
+	    HEAD_DEFAULT_BYTES, HEAD_DEFAULT_USEC, IDLE_DEFAULT_USEC};
+	gate->requests = g_ptr_array_new();
+	gate->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	gate->rand = g_rand_new_with_seed(config->seed);
+	*out = gate;
+	return STATUS_OK;
+}
+
+/*
+ * Frees the gate. Its listener must have been destroyed.
+ */
+void
+gate_destroy(struct gate *gate)
+{
+	if (gate == NULL)
+		return;
+	for (guint i = 0; i < gate->requests->len; i++) {
+		struct gate_request *request =
+		    g_ptr_array_index(gate->requests, i);
+
+		h1_close(request->attempt.conn);
+		request_free(request);
+	}
+	g_ptr_array_free(gate->requests, TRUE);
+	g_hash_table_destroy(gate->services);
+	g_rand_free(gate->rand);
+	fleet_config_unref(gate->fleet);
+	g_free(gate);
+}
+
+/*
+ * Returns the limits of callers' connections.
+ */
+const struct h1_limits *
+gate_limits(const struct gate *gate)
+{
+	return &gate->limits;
+}
+
+/*
+ * Returns the counters.
+ */
+const struct gate_counts *
+gate_counts(const struct gate *gate)
+{
+	return &gate->counts;
+}
+
+/*
+ * Puts a configuration in force; the gate takes the reference.
+ */
+void
+gate_set_config(struct gate *gate, struct fleet_config *config)
+{
+	fleet_config_unref(gate->fleet);
+	gate->fleet = config;
+	gate->limits.head_max_bytes = config->limits.head_max_bytes;
+	gate->limits.head_timeout_usec = config->limits.head_timeout_usec;
+	gate->limits.idle_timeout_usec = config->limits.idle_timeout_usec;
+}
+
+/*
+ * Answers from now on tell callers to close.
+ */
+void
+gate_drain(struct gate *gate)
+{
+	gate->draining = true;
+}
+
+/*
+ * Returns how many requests are not over.
+ */
+size_t
+gate_active(const struct gate *gate)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < gate->requests->len; i++) {
+		const struct gate_request *request =
+		    g_ptr_array_index(gate->requests, i);
+
+		count += request->state != GATE_OVER;
+	}
+	return count;
+}
+
+/*
+ * Returns how many requests wait for a path.
+ */
+size_t
+gate_waiting(const struct gate *gate)
+{
+	size_t count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gate_service *service = value;
+
+		count += sched_count(service->queue);
+	}
+	return count;
+}
+
+/*
+ * Finds the queue and the retry budget of a service.
+ */
+struct gate_service *
+gate_service(struct gate *gate, const char *name)
+{
+	struct gate_service *service =
+	    g_hash_table_lookup(gate->services, name);
+	uint32_t nodes = mesh_live_count(gate->config.mesh);
+
+	if (service == NULL) {
+		service = g_new0(struct gate_service, 1);
+		service->name = g_strdup(name);
+		if (sched_create(GATE_QUEUE_MAX, &service->queue) !=
+		    STATUS_OK) {
+			g_free(service->name);
+			g_free(service);
+			return NULL;
+		}
+		g_hash_table_insert(gate->services, service->name, service);
+	}
+	if (service->budget_nodes == 0) {
+		service->budget_nodes = nodes;
+		retry_budget_init_share(&service->budget,
+		    (int64_t)((double)gate->config.retry_slack * BUDGET_SHARE /
+			nodes));
+	}
+	return service;
+}
+
+/*
+ * Logs how a request ended.
+ */
+void
+gate_log_done(const struct gate_request *request, const char *outcome)
+{
+	int64_t now = gate_now(request->gate);
+
+	slog_event(EV_REQUEST_DONE,
+	    "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:i, s:i, s:I}", "id",
+	    request->id, "route", request->route ? request->route->name : "",
+	    "organisation",
+	    request->organisation ? request->organisation->name : "", "outcome",
+	    outcome, "total_ms",
+	    (json_int_t)((now - request->arrived_at) / LOOP_USEC_PER_MSEC),
+	    "first_ms",
+	    request->first_event_at
+		? (json_int_t)((request->first_event_at - request->arrived_at) /
+		      LOOP_USEC_PER_MSEC)
+		: (json_int_t)-1,
+	    "longest_gap_ms",
+	    (json_int_t)(request->longest_gap / LOOP_USEC_PER_MSEC), "events",
+	    (int)request->events, "sends", (int)request->sends,
+	    "config_version",
+	    request->config ? (json_int_t)request->config->version : 0);
+}
+
+/*
+ * Ends a request: its answer is written, or its caller is gone.
+ */
+void
+gate_end(struct gate_request *request, const char *outcome)
+{
+	struct gate *gate = request->gate;
+	struct h1_conn *caller = request->caller;
+
+	if (request->state == GATE_OVER)
+		return;
+	gate_attempt_end(request, false);
+	if (request->queued != NULL) {
+		sched_cancel(
+		    gate_service(gate, request->service->name)->queue,
+		    request->queued);
+		request->queued = NULL;
+	}
+	if (outcome != NULL)
+		gate_log_done(request, outcome);
+	request->state = GATE_OVER;
+	request->caller = NULL;
+	if (caller == NULL)
+		return;
+	h1_set_data(caller, NULL);
+	if (gate->draining || !h1_keep_alive(caller) ||
+	    h1_fault(caller) != H1_FAULT_NONE)
+		h1_finish(caller);
+	else
+		h1_next(caller);
+}
+
+/*
+ * Writes an answer of the node's own and ends the request.
+ */
+static void
+answer_own(struct gate_request *request, unsigned int status,
+    int64_t retry_usec, const char *reason, bool close)
+{
+	struct lstr_buf text = {0};
+	struct h1_conn *caller = request->caller;
+
+	close = close || request->gate->draining || !h1_keep_alive(caller);
+	request->gate->config.adapter->word_refusal(
+	    status, lstr_from(request->id), retry_usec, close, reason, &text);
+	h1_write(caller, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	if (close && request->state == GATE_READING) {
+		/* What is still to come of the request is not read. */
+		h1_set_data(caller, NULL);
+		request->caller = NULL;
+		gate_end(request, NULL);
+		h1_finish(caller);
+		return;
+	}
+	gate_end(request, NULL);
+}
+
+/*
+ * Refuses a request that has not run and will not.
+ */
+void
+gate_refuse(struct gate_request *request, unsigned int status,
+    int64_t retry_usec, const char *reason)
+{
+	struct gate *gate = request->gate;
+	int64_t now = gate_now(gate);
+
+	gate->counts.refused++;
+	slog_event(EV_REQUEST_REFUSED,
+	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:i}", "id",
+	    request->id, "status", (int)status, "reason", reason, "route",
+	    request->route ? request->route->name : "", "organisation",
+	    request->organisation ? request->organisation->name : "",
+	    "retry_after_ms", (json_int_t)(retry_usec / LOOP_USEC_PER_MSEC),
+	    "held_ms",
+	    (json_int_t)((now - request->arrived_at) / LOOP_USEC_PER_MSEC),
+	    "config_version",
+	    request->config ? (json_int_t)request->config->version : 0,
+	    "proof_age_ms",
+	    (json_int_t)((now - mirror_proved_at(gate->config.mirror)) /
+		LOOP_USEC_PER_MSEC),
+	    "waiting", (int)gate_waiting(gate));
+	if (request->caller == NULL) {
+		gate_end(request, NULL);
+		return;
+	}
+	answer_own(request, status, retry_usec, reason,
+	    request->state == GATE_READING);
+}
+
+/*
+ * Fails a request that may have run.
+ */
+void
+gate_fail(
+    struct gate_request *request, unsigned int status, const char *reason)
+{
+	request->gate->counts.failed++;
+	slog_event(EV_REQUEST_FAILED,
+	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:i, s:i, s:s}", "id", request->id,
+	    "status", (int)status, "reason", reason, "route",
+	    request->route->name, "organisation",
+	    request->organisation ? request->organisation->name : "",
+	    "total_ms",
+	    (json_int_t)((gate_now(request->gate) - request->arrived_at) /
+		LOOP_USEC_PER_MSEC),
+	    "sends", (int)request->sends, "events", (int)request->events,
+	    "server",
+	    request->attempt.server ? request->attempt.server->info.id : "");
+	if (request->caller == NULL) {
+		gate_end(request, NULL);
+		return;
+	}
+	if (request->answer_begun) {
+		/* Closing without the end of the answer shows that it is cut. */
+		h1_close(request->caller);
+		request->caller = NULL;
+		gate_end(request, NULL);
+		return;
+	}
+	answer_own(request, status, 0, reason, false);
+}
+
+/*
+ * Breaks off an answer that has begun and cannot be finished.
+ */
+void
+gate_break_off(struct gate_request *request, const char *reason)
+{
+	gate_fail(request, HTTP_STATUS_BAD_GATEWAY, reason);
+}
+
+/*
+ * The caller has left: stops the work at the server.
+ */
+void
+gate_cancel(struct gate_request *request)
+{
+	request->gate->counts.cancelled++;
+	slog_event(EV_REQUEST_CANCELLED, "{s:s, s:I, s:i}", "id", request->id,
+	    "after_ms",
+	    (json_int_t)((gate_now(request->gate) - request->arrived_at) /
+		LOOP_USEC_PER_MSEC),
+	    "events", (int)request->events);
+	request->caller = NULL;
+	gate_end(request, NULL);
+}
+
+/*
+ * A request's head has arrived.
+ */
+static void
+on_head(struct h1_conn *conn, void *arg)
+{
+	struct gate *gate = arg;
+	struct gate_request *request = g_new0(struct gate_request, 1);
+	size_t len;
+
+	request->gate = gate;
+	request->caller = conn;
+	request->state = GATE_READING;
+	request->arrived_at = gate_now(gate);
+	gate->config.adapter->read_request(conn, &request->info);
+	len = MIN(request->info.id.len, (size_t)ADAPTER_ID_MAX_BYTES);
+	memcpy(request->id, request->info.id.data, len);
+	request->last_event = request->info.last_event;
+	g_ptr_array_add(gate->requests, request);
+	h1_set_data(conn, request);
+	gate->counts.taken++;
+	if (h1_content_length(conn) >
+	    (gate->fleet ? (int64_t)gate->fleet->limits.body_max_bytes
+			 : (int64_t)BODY_DEFAULT_BYTES))
+		gate_refuse(request, HTTP_STATUS_PAYLOAD_TOO_LARGE, 0,
+		    "body exceeds the limit");
+	else if (request->info.expects_continue)
+		h1_write(conn, lstr_from("HTTP/1.1 100 Continue\r\n\r\n"));
+}
+
+/*
+ * Bytes of a request's body have arrived.
+ */
+static void
+on_body(struct h1_conn *conn, struct lstr bytes, void *arg)
+{
+	struct gate *gate = arg;
+	struct gate_request *request = h1_data(conn);
+	size_t max = gate->fleet ? gate->fleet->limits.body_max_bytes
+				 : BODY_DEFAULT_BYTES;
+
+	if (request == NULL)
+		return;
+	if (request->body.len + bytes.len > max) {
+		gate_refuse(request, HTTP_STATUS_PAYLOAD_TOO_LARGE, 0,
+		    "body exceeds the limit");
+		return;
+	}
+	if (gate->body_bytes + bytes.len > gate->config.bodies_max_bytes ||
+	    lstr_buf_append(&request->body, bytes) != STATUS_OK) {
+		gate_refuse(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    ADMIT_RETRY_MIN_USEC, "no memory for the body");
+		return;
+	}
+	gate->body_bytes += bytes.len;
+}
+
+/*
+ * Answers a request that cannot be read.
+ */
+static void
+answer_fault(struct gate *gate, struct h1_conn *conn)
+{
+	struct lstr_buf text = {0};
+	struct gate_request *request = h1_data(conn);
+	unsigned int status = HTTP_STATUS_BAD_REQUEST;
+	const char *reason = "not valid HTTP/1.1";
+
+	if (h1_fault(conn) == H1_FAULT_HEAD_TOO_LARGE) {
+		status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+		reason = "header exceeds the limit";
+	} else if (h1_fault(conn) == H1_FAULT_HEAD_TIMEOUT) {
+		status = HTTP_STATUS_REQUEST_TIMEOUT;
+		reason = "header took too long";
+	}
+	gate->counts.refused++;
+	slog_event(EV_REQUEST_REFUSED, "{s:s, s:i, s:s}", "id", "", "status",
+	    (int)status, "reason", reason);
+	if (request != NULL) {
+		request->caller = NULL;
+		gate_end(request, NULL);
+		h1_set_data(conn, NULL);
+	}
+	gate->config.adapter->word_refusal(
+	    status, lstr_make("", 0), 0, true, reason, &text);
+	h1_write(conn, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	h1_finish(conn);
+}
+
+/*
+ * Finds the organisation of a request. Returns false when it was refused.
+ */
+static bool
+authenticate(struct gate_request *request)
+{
+	struct gate *gate = request->gate;
+	int64_t proof_age =
+	    gate_now(gate) - mirror_proved_at(gate->config.mirror);
+
+	if (!request->config->keyed || request->route->anonymous)
+		return true;
+	if (gate->config.revoke_usec > 0 &&
+	    proof_age > gate->config.revoke_usec - GATE_PROOF_MARGIN_USEC) {
+		gate->counts.no_proof++;
+		gate_refuse(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    admit_retry_after(NO_PROOF_RETRY_USEC,
+			request->deadline - request->arrived_at,
+			g_rand_double(gate->rand)),
+		    "keys cannot be proved current");
+		return false;
+	}
+	request->organisation = fleet_config_organisation(
+	    request->config, request->info.key);
+	if (request->organisation != NULL)
+		return true;
+	gate_refuse(
+	    request, HTTP_STATUS_UNAUTHORIZED, 0, "key is not known");
+	return false;
+}
+
+/*
+ * Works out the priority class of a request: that of its organisation, else
+ * that of its route.
+ */
+static uint32_t
+priority_of(const struct gate_request *request)
+{
+	uint32_t priority = request->route->priority;
+
+	if (request->organisation != NULL &&
+	    request->organisation->has_priority)
+		priority = request->organisation->priority;
+	return MIN(priority, SCHED_CLASSES - 1);
+}
+
+/*
+ * Sets the times at which a request must be over.
+ */
+static void
+set_deadlines(struct gate_request *request)
+{
+	int64_t patience = request->info.patience_usec;
+
+	if (patience <= 0)
+		patience = GATE_PATIENCE_USEC;
+	request->deadline = request->arrived_at + patience;
+	request->timeout_at = request->deadline;
+	if (request->route != NULL && request->route->timeout_usec > 0)
+		request->timeout_at = MIN(request->deadline,
+		    request->arrived_at + request->route->timeout_usec);
+}
+
+/*
+ * Takes a whole request: finds its route, its organisation and its service.
+ */
+static void
+on_complete(struct h1_conn *conn, void *arg)
+{
+	struct gate *gate = arg;
+	struct gate_request *request = h1_data(conn);
+	const char *service;
+
+	if (h1_fault(conn) != H1_FAULT_NONE) {
+		answer_fault(gate, conn);
+		return;
+	}
+	if (request == NULL)
+		return;
+	request->state = GATE_WAITING;
+	set_deadlines(request);
+	if (gate->fleet == NULL) {
+		gate_refuse(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    admit_retry_after(NO_PROOF_RETRY_USEC,
+			request->deadline - request->arrived_at,
+			g_rand_double(gate->rand)),
+		    "no configuration yet");
+		return;
+	}
+	request->config = fleet_config_ref(gate->fleet);
+	request->route = fleet_config_route(
+	    request->config, request->info.host, h1_target(conn));
+	if (request->route == NULL) {
+		gate_refuse(
+		    request, HTTP_STATUS_NOT_FOUND, 0, "no route matches");
+		return;
+	}
+	set_deadlines(request);
+	if (!authenticate(request))
+		return;
+	request->priority = priority_of(request);
+	service = fleet_route_pick(request->route, g_rand_int(gate->rand));
+	request->service = fleet_config_service(request->config, service);
+	if (request->service == NULL) {
+		gate_refuse(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    ADMIT_RETRY_MIN_USEC, "service is not known");
+		return;
+	}
+	retry_request(&gate_service(gate, request->service->name)->budget);
+	if (request->service->engine != NULL)
+		gate_stream_start(request);
+	else
+		gate_plain_start(request);
+}
+
+/*
+ * A caller's connection ended.
+ */
+static void
+on_ended(struct h1_conn *conn, enum status status, void *arg)
+{
+	struct gate_request *request = h1_data(conn);
+
+	(void)status;
+	(void)arg;
+	if (request != NULL)
+		gate_cancel(request);
+}
+
+/*
+ * Returns what the listener for callers calls; its argument is the gate.
+ */
+const struct h1_ops *
+gate_ops(void)
+{
+	static const struct h1_ops ops = {
+	    NULL, NULL, on_head, on_body, on_complete, on_ended};
+
+	return &ops;
+}
+
+/*
+ * Runs what is due: time limits, stalls, waiting requests; frees requests
+ * that are over.
+ */
+void
+gate_tick(struct gate *gate)
+{
+	int64_t now = gate_now(gate);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		gate_stream_expire(gate, value, now);
+	gate_stream_pump(gate);
+	for (guint i = 0; i < gate->requests->len; i++) {
+		struct gate_request *request =
+		    g_ptr_array_index(gate->requests, i);
+
+		if (request->state != GATE_SENT)
+			continue;
+		if (now >= request->timeout_at - GATE_ANSWER_MARGIN_USEC)
+			gate_fail(request, HTTP_STATUS_GATEWAY_TIMEOUT,
+			    "time limit reached");
+		else if (request->service->engine != NULL)
+			gate_stream_tick(request, now);
+		else
+			gate_plain_tick(request, now);
+	}
+	for (guint i = 0; i < gate->requests->len;) {
+		struct gate_request *request =
+		    g_ptr_array_index(gate->requests, i);
+
+		if (request->state == GATE_OVER) {
+			g_ptr_array_remove_index_fast(gate->requests, i);
+			request_free(request);
+		} else {
+			i++;
+		}
+	}
+}
--- /dev/null
+++ b/src/node/gate.h
@@ -0,0 +1,58 @@
+#ifndef CH_GATE_H
+#define CH_GATE_H
+
+#include "adapter.h"
+#include "mesh.h"
+#include "mirror.h"
+#include "pool.h"
+
+/*
+ * Takes callers' requests, sends each to a backend server or along a path of
+ * engines, and passes the answer back.
+ */
+struct gate;
+
+struct gate_config {
+	struct loop *loop;
+	struct h1 *h1;
+	const struct adapter *adapter;
+	struct pool *pool;
+	struct mesh *mesh;
+	const struct mirror *mirror;
+	const char *place;
+	uint32_t seed;
+	/* A key that was taken away must be dead this long after it. */
+	int64_t revoke_usec;
+	/* Retries of all nodes in one window beyond a share of the requests. */
+	int64_t retry_slack;
+	/* Memory that request bodies may take. */
+	size_t bodies_max_bytes;
+};
+
+struct gate_counts {
+	uint64_t taken;
+	uint64_t done;
+	uint64_t refused;
+	uint64_t failed;
+	uint64_t cancelled;
+	uint64_t queued;
+	uint64_t retried;
+	uint64_t resumed;
+	uint64_t events;
+	uint64_t no_proof;
+	uint64_t stray_answers;
+};
+
+enum status gate_create(const struct gate_config *, struct gate **);
+void gate_destroy(struct gate *);
+const struct h1_ops *gate_ops(void);
+const struct h1_limits *gate_limits(const struct gate *);
+void gate_set_config(struct gate *, struct fleet_config *);
+void gate_drain(struct gate *);
+size_t gate_active(const struct gate *);
+size_t gate_waiting(const struct gate *);
+void gate_tick(struct gate *);
+void gate_forget_server(struct gate *, struct pool_server *);
+const struct gate_counts *gate_counts(const struct gate *);
+
+#endif
--- /dev/null
+++ b/src/node/gate_priv.h
@@ -0,0 +1,175 @@
+#ifndef CH_GATE_PRIV_H
+#define CH_GATE_PRIV_H
+
+#include "admit.h"
+#include "ask.h"
+#include "gate.h"
+#include "retry.h"
+#include "sched.h"
+#include "slog.h"
+#include "sse.h"
+
+/* A connection to a server must be established within this time: a live one
+ * answers in milliseconds. */
+#define GATE_CONNECT_USEC (400 * LOOP_USEC_PER_MSEC)
+/* Requests that wait for a path; more could not be served in time. */
+#define GATE_QUEUE_MAX 256
+/* Sends of one request, whatever the route allows; ends loops of failures. */
+#define GATE_SENDS_MAX 5
+/* The configuration must be proved this much younger than the time in which
+ * a revoked key is dead: watches may hear nothing for a second while the
+ * store drops its history. */
+#define GATE_PROOF_MARGIN_USEC (1250 * LOOP_USEC_PER_MSEC)
+/* Used for requests that state no patience. */
+#define GATE_PATIENCE_USEC (20 * LOOP_USEC_PER_SEC)
+/* Answers are given this long before the route's time limit ends. */
+#define GATE_ANSWER_MARGIN_USEC (10 * LOOP_USEC_PER_MSEC)
+/* A connection is reused until this long before its server closes it. */
+#define GATE_IDLE_MARGIN_USEC (500 * LOOP_USEC_PER_MSEC)
+/* For servers that state no idle time. */
+#define GATE_IDLE_UNKNOWN_USEC (300 * LOOP_USEC_PER_MSEC)
+/* A whole answer of a plain service is kept up to this size. */
+#define GATE_ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
+
+enum gate_state {
+	/* The body is arriving. */
+	GATE_READING,
+	/* It waits for a path. */
+	GATE_WAITING,
+	/* It is at a server. */
+	GATE_SENT,
+	GATE_OVER
+};
+
+struct gate_stage {
+	struct pool_server *server;
+	uint32_t layer_from;
+	uint32_t layer_to;
+};
+
+/* One attempt at a server or along a path. */
+struct gate_attempt {
+	struct h1_conn *conn;
+	/* The server that the request is sent to; NULL: none. */
+	struct pool_server *server;
+	struct gate_stage stages[FLEET_STAGES_MAX];
+	uint32_t stage_count;
+	/* Memory that the request is expected to need, in tokens. */
+	int64_t tokens;
+	int64_t event_usec;
+	int64_t first_usec;
+	int64_t sent_at;
+	/* When something last arrived; sent_at before. */
+	int64_t progress_at;
+	/* The connection is new and not established yet. */
+	bool connecting;
+	bool reused;
+	/* The head of its answer has arrived and is its own. */
+	bool answered;
+	/* An answer that belongs to another request is being skipped. */
+	bool skipping;
+	bool stalled;
+	struct adapter_answer answer;
+	struct sse sse;
+};
+
+struct gate_request {
+	struct gate *gate;
+	/* NULL once the caller is gone. */
+	struct h1_conn *caller;
+	struct fleet_config *config;
+	const struct fleet_route *route;
+	const struct fleet_organisation *organisation;
+	const struct fleet_service *service;
+	struct adapter_request info;
+	char id[ADAPTER_ID_MAX_BYTES + 1];
+	struct lstr_buf body;
+	enum gate_state state;
+	int64_t arrived_at;
+	/* End of the caller's patience and of the route's time limit. */
+	int64_t deadline;
+	int64_t timeout_at;
+	uint32_t priority;
+	struct sched_entry *queued;
+	int64_t queued_at;
+	/* A wait longer than this ends in a refusal. */
+	int64_t wait_until;
+	struct gate_attempt attempt;
+	/* Servers that the request was sent to and that live. */
+	struct pool_server *tried[GATE_SENDS_MAX];
+	uint32_t sends;
+	bool may_have_run;
+	/* The head of the answer has been passed on. */
+	bool answer_begun;
+	bool chunked;
+	uint64_t last_event;
+	uint32_t events;
+	int64_t first_event_at;
+	int64_t last_event_at;
+	int64_t longest_gap;
+	struct lstr_buf answer;
+	/* Position in the order of service of this process. */
+	uint64_t order;
+};
+
+struct gate_service {
+	char *name;
+	struct sched *queue;
+	struct retry_budget budget;
+	uint32_t budget_nodes;
+	/* Tokens of requests that were started lately, for expected waits. */
+	double started_tokens_per_sec;
+	int64_t started_at;
+};
+
+struct gate {
+	struct gate_config config;
+	struct h1_limits limits;
+	struct fleet_config *fleet;
+	/* struct gate_request; those that are over are freed by the tick. */
+	GPtrArray *requests;
+	/* By name: struct gate_service. */
+	GHashTable *services;
+	GRand *rand;
+	size_t body_bytes;
+	uint64_t order;
+	bool draining;
+	bool pumping;
+	struct gate_counts counts;
+};
+
+int64_t gate_now(const struct gate *);
+struct gate_service *gate_service(struct gate *, const char *);
+/* Answers. Each ends the request; the request stays valid until the tick. */
+void gate_refuse(struct gate_request *, unsigned int status, int64_t retry_usec,
+    const char *reason);
+void gate_fail(struct gate_request *, unsigned int status, const char *reason);
+void gate_break_off(struct gate_request *, const char *reason);
+void gate_end(struct gate_request *, const char *outcome);
+void gate_cancel(struct gate_request *);
+void gate_log_done(const struct gate_request *, const char *outcome);
+
+/* Attempts. */
+bool gate_send(struct gate_request *, struct pool_server *);
+void gate_attempt_end(struct gate_request *, bool reusable);
+void gate_failed(struct gate_request *, bool not_run, const char *reason);
+bool gate_spend_retry(struct gate_request *);
+
+/* Plain services. */
+void gate_plain_start(struct gate_request *);
+void gate_plain_head(struct gate_request *);
+void gate_plain_body(struct gate_request *, struct lstr);
+void gate_plain_complete(struct gate_request *);
+void gate_plain_tick(struct gate_request *, int64_t now);
+
+/* Generations. */
+void gate_stream_start(struct gate_request *);
+bool gate_stream_try(struct gate_request *);
+void gate_stream_head(struct gate_request *);
+void gate_stream_body(struct gate_request *, struct lstr);
+void gate_stream_complete(struct gate_request *);
+void gate_stream_tick(struct gate_request *, int64_t now);
+void gate_stream_expire(struct gate *, struct gate_service *, int64_t now);
+void gate_stream_pump(struct gate *);
+
+#endif
--- /dev/null
+++ b/src/node/gate_send.c
@@ -0,0 +1,449 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <http_parser.h>
+
+#include "gate_priv.h"
+
+/* A connection that waits for its next request. */
+struct idle {
+	struct h1_conn *conn;
+	struct pool_server *server;
+	int64_t until;
+};
+
+/*
+ * Drops an idle connection: its server closed it, or sent bytes that belong to
+ * no request.
+ */
+static void
+idle_drop(struct idle *idle)
+{
+	g_queue_remove(&idle->server->idle, idle);
+	h1_close(idle->conn);
+	free(idle);
+}
+
+/*
+ * An idle connection ended or got bytes.
+ */
+static void
+on_idle_ended(struct h1_conn *conn, enum status status, void *arg)
+{
+	(void)conn;
+	(void)status;
+	idle_drop(arg);
+}
+
+/*
+ * Bytes on an idle connection belong to no request; h1 ends it, so neither
+ * this nor a body is expected.
+ */
+static void
+on_idle_message(struct h1_conn *conn, void *arg)
+{
+	(void)arg;
+	h1_close(conn);
+}
+
+/*
+ * See on_idle_message().
+ */
+static void
+on_idle_body(struct h1_conn *conn, struct lstr bytes, void *arg)
+{
+	(void)bytes;
+	on_idle_message(conn, arg);
+}
+
+static const struct h1_ops idle_ops = {NULL, NULL, on_idle_message,
+    on_idle_body, on_idle_message, on_idle_ended};
+
+/*
+ * Keeps a connection for the next request to its server.
+ */
+static void
+idle_keep(struct gate *gate, struct gate_attempt *attempt)
+{
+	int64_t keep = attempt->answer.keep_usec > GATE_IDLE_MARGIN_USEC
+	    ? attempt->answer.keep_usec - GATE_IDLE_MARGIN_USEC
+	    : GATE_IDLE_UNKNOWN_USEC;
+	struct idle *idle = calloc(1, sizeof(*idle));
+
+	if (idle == NULL) {
+		h1_close(attempt->conn);
+		return;
+	}
+	idle->conn = attempt->conn;
+	idle->server = attempt->server;
+	idle->until = gate_now(gate) + keep;
+	h1_set_owner(attempt->conn, &idle_ops, idle);
+	g_queue_push_tail(&attempt->server->idle, idle);
+}
+
+/*
+ * Takes the idle connection that was used last; NULL: there is none. Those
+ * that the server is about to close are dropped.
+ */
+static struct h1_conn *
+idle_take(struct gate *gate, struct pool_server *server)
+{
+	int64_t now = gate_now(gate);
+	struct idle *idle;
+	struct h1_conn *conn;
+
+	while ((idle = g_queue_peek_head(&server->idle)) != NULL &&
+	    idle->until <= now)
+		idle_drop(idle);
+	idle = g_queue_pop_tail(&server->idle);
+	if (idle == NULL)
+		return NULL;
+	conn = idle->conn;
+	free(idle);
+	return conn;
+}
+
+/*
+ * Closes the idle connections of a server that is gone.
+ */
+void
+gate_forget_server(struct gate *gate, struct pool_server *server)
+{
+	struct idle *idle;
+
+	(void)gate;
+	while ((idle = g_queue_peek_head(&server->idle)) != NULL)
+		idle_drop(idle);
+}
+
+/*
+ * Charges what an attempt uses of its servers, or gives it back.
+ */
+static void
+charge(const struct gate_attempt *attempt, int sign)
+{
+	struct pool_server *server = attempt->server;
+
+	if (attempt->stage_count == 0) {
+		server->own.active += (uint32_t)sign;
+		return;
+	}
+	server->own.first_active += (uint32_t)sign;
+	for (uint32_t i = 0; i < attempt->stage_count; i++) {
+		const struct gate_stage *stage = &attempt->stages[i];
+
+		stage->server->own.active += (uint32_t)sign;
+		stage->server->own.memory += sign * attempt->tokens *
+		    (stage->layer_to - stage->layer_from);
+	}
+}
+
+/*
+ * Ends an attempt: gives back what it uses and keeps or closes its connection.
+ * Closing makes the server stop working on it.
+ */
+void
+gate_attempt_end(struct gate_request *request, bool reusable)
+{
+	struct gate_attempt *attempt = &request->attempt;
+	struct sse sse = attempt->sse;
+
+	if (attempt->server != NULL) {
+		charge(attempt, -1);
+		if (attempt->conn != NULL && reusable &&
+		    h1_clean(attempt->conn) &&
+		    attempt->server->avoid_until != INT64_MAX)
+			idle_keep(request->gate, attempt);
+		else
+			h1_close(attempt->conn);
+	}
+	sse_reset(&sse);
+	memset(attempt, 0, sizeof(*attempt));
+	attempt->sse = sse;
+}
+
+/*
+ * A connection to a server is established.
+ */
+static void
+on_connected(struct h1_conn *conn, void *arg)
+{
+	struct gate_request *request = arg;
+
+	(void)conn;
+	request->attempt.connecting = false;
+}
+
+/*
+ * The head of an answer has arrived. One with another identifier is late and
+ * belongs to an earlier request.
+ */
+static void
+on_head(struct h1_conn *conn, void *arg)
+{
+	struct gate_request *request = arg;
+	struct gate_attempt *attempt = &request->attempt;
+
+	request->gate->config.adapter->read_answer(conn, &attempt->answer);
+	if (attempt->answer.id.len > 0 &&
+	    !lstr_equal_c(attempt->answer.id, request->id)) {
+		attempt->skipping = true;
+		request->gate->counts.stray_answers++;
+		return;
+	}
+	attempt->answered = true;
+	attempt->progress_at = gate_now(request->gate);
+	if (request->service->engine != NULL)
+		gate_stream_head(request);
+	else
+		gate_plain_head(request);
+}
+
+/*
+ * Bytes of an answer have arrived.
+ */
+static void
+on_body(struct h1_conn *conn, struct lstr bytes, void *arg)
+{
+	struct gate_request *request = arg;
+
+	(void)conn;
+	if (request->attempt.skipping)
+		return;
+	request->attempt.progress_at = gate_now(request->gate);
+	if (request->service->engine != NULL)
+		gate_stream_body(request, bytes);
+	else
+		gate_plain_body(request, bytes);
+}
+
+/*
+ * An answer is complete.
+ */
+static void
+on_complete(struct h1_conn *conn, void *arg)
+{
+	struct gate_request *request = arg;
+
+	if (request->attempt.skipping) {
+		request->attempt.skipping = false;
+		h1_skip(conn);
+		return;
+	}
+	if (request->service->engine != NULL)
+		gate_stream_complete(request);
+	else
+		gate_plain_complete(request);
+}
+
+/*
+ * A connection to a server ended before the answer was complete.
+ */
+static void
+on_ended(struct h1_conn *conn, enum status status, void *arg)
+{
+	struct gate_request *request = arg;
+	struct gate_attempt *attempt = &request->attempt;
+	bool not_sent = attempt->connecting;
+	bool quiet_reuse = attempt->reused && !attempt->answered;
+	int64_t now = gate_now(request->gate);
+
+	(void)conn;
+	if (not_sent && pool_avoid(attempt->server, now))
+		slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:s}", "server",
+		    attempt->server->info.id, "evidence", "connect", "status",
+		    status_name(status));
+	if (!not_sent && !quiet_reuse)
+		pool_note_answer(attempt->server, false);
+	gate_failed(request, not_sent,
+	    not_sent ? "server cannot be reached"
+		     : "connection ended before the answer");
+}
+
+static const struct h1_ops server_ops = {
+    NULL, on_connected, on_head, on_body, on_complete, on_ended};
+
+/*
+ * Opens or reuses the connection of an attempt. An order gets a new one, since
+ * a reused one may end before anybody can say whether the order has run.
+ */
+static bool
+open_connection(struct gate_request *request, struct pool_server *server)
+{
+	struct gate *gate = request->gate;
+	struct gate_attempt *attempt = &request->attempt;
+
+	if (request->route->kind != FLEET_ORDER) {
+		attempt->conn = idle_take(gate, server);
+		if (attempt->conn != NULL) {
+			attempt->reused = true;
+			h1_set_owner(attempt->conn, &server_ops, request);
+			return true;
+		}
+	}
+	attempt->connecting = true;
+	return h1_connect(gate->config.h1, &server->info.address,
+		   gate_now(gate) + GATE_CONNECT_USEC, &server_ops, request,
+		   &attempt->conn) == STATUS_OK;
+}
+
+/*
+ * Words the request for the attempt's server.
+ */
+static void
+word_request(const struct gate_request *request, struct lstr_buf *out)
+{
+	const struct gate_attempt *attempt = &request->attempt;
+	struct adapter_stage stages[FLEET_STAGES_MAX];
+	struct adapter_forward forward = {
+	    .server_id = attempt->server->info.id,
+	    .organisation =
+		request->organisation ? request->organisation->name : NULL,
+	    .patience_usec = request->deadline - gate_now(request->gate),
+	    .priority = -1,
+	    .stages = stages,
+	    .stage_count = attempt->stage_count,
+	    .body = lstr_buf_view(&request->body)};
+
+	if (request->service->engine != NULL)
+		forward.priority = (int)request->priority;
+	if (request->last_event > request->info.last_event)
+		forward.last_event = request->last_event;
+	for (uint32_t i = 0; i < attempt->stage_count; i++)
+		stages[i] = (struct adapter_stage){
+		    attempt->stages[i].server->info.address_text,
+		    attempt->stages[i].layer_from,
+		    attempt->stages[i].layer_to};
+	request->gate->config.adapter->word_forward(
+	    request->caller, &forward, out);
+}
+
+/*
+ * Sends a request to a server. The stages of a path are in the attempt
+ * already. Returns false when nothing was sent.
+ */
+bool
+gate_send(struct gate_request *request, struct pool_server *server)
+{
+	struct gate_attempt *attempt = &request->attempt;
+	struct lstr_buf text = {0};
+
+	attempt->server = server;
+	attempt->sent_at = gate_now(request->gate);
+	attempt->progress_at = attempt->sent_at;
+	charge(attempt, 1);
+	if (!open_connection(request, server)) {
+		slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:s}", "server",
+		    server->info.id, "evidence", "connect", "status",
+		    status_message());
+		pool_avoid(server, attempt->sent_at);
+		gate_attempt_end(request, false);
+		return false;
+	}
+	request->state = GATE_SENT;
+	request->tried[request->sends++] = server;
+	word_request(request, &text);
+	h1_expect_answer(attempt->conn,
+	    lstr_equal_c(h1_method(request->caller), "HEAD"));
+	h1_write(attempt->conn, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	return true;
+}
+
+/*
+ * Counts the servers that the request was sent to and that still live: those
+ * that ended meanwhile do not use up the route's limit.
+ */
+static uint32_t
+live_attempts(const struct gate_request *request, int64_t now)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < request->sends; i++) {
+		bool repeated = false;
+
+		for (uint32_t k = 0; k < i; k++)
+			repeated = repeated ||
+			    request->tried[k] == request->tried[i];
+		count += !repeated && request->tried[i]->avoid_until <= now;
+	}
+	return count;
+}
+
+/*
+ * Takes one retry from this node's share of the budget.
+ */
+bool
+gate_spend_retry(struct gate_request *request)
+{
+	struct gate *gate = request->gate;
+	struct retry_case failed = {.idempotent = true,
+	    .nothing_ran = true,
+	    .failures = 1,
+	    .deadline = INT64_MAX};
+	int64_t at;
+
+	return retry_decide(
+		   &gate_service(gate, request->service->name)->budget, &failed,
+		   gate_now(gate), gate->rand, &at) == RETRY_OK;
+}
+
+/*
+ * Decides what follows a failed attempt and does it.
+ */
+void
+gate_failed(struct gate_request *request, bool not_run, const char *reason)
+{
+	struct gate *gate = request->gate;
+	int64_t now = gate_now(gate);
+	struct pool_server *server = request->attempt.server;
+	struct admit_failure failure = {
+	    .repeatable = request->route->kind == FLEET_IDEMPOTENT ||
+		(request->route->kind == FLEET_STREAM &&
+		    request->route->resumable),
+	    .not_run = not_run,
+	    .earlier_may_have_run = request->may_have_run,
+	    .answer_begun = request->answer_begun,
+	    .attempts_left = request->sends < GATE_SENDS_MAX &&
+		live_attempts(request, now) < request->route->attempts_max,
+	    .place_left = true,
+	    .time_left_usec = request->timeout_at - now,
+	    .work_usec = request->attempt.first_usec};
+	enum admit_next next = admit_after_failure(&failure);
+
+	if (request->state == GATE_OVER)
+		return;
+	request->may_have_run = request->may_have_run || !not_run;
+	gate_attempt_end(request, not_run);
+	if (next == ADMIT_AGAIN && !gate_spend_retry(request)) {
+		failure.attempts_left = false;
+		next = admit_after_failure(&failure);
+		reason = "retry budget is used up";
+	}
+	switch (next) {
+	case ADMIT_AGAIN:
+		gate->counts.retried++;
+		slog_event(EV_REQUEST_RETRIED, "{s:s, s:s, s:s, s:b, s:I, s:i}",
+		    "id", request->id, "reason", reason, "server",
+		    server ? server->info.id : "", "not_run", not_run,
+		    "last_event", (json_int_t)request->last_event, "sends",
+		    (int)request->sends);
+		if (request->service->engine != NULL)
+			gate_stream_start(request);
+		else
+			gate_plain_start(request);
+		return;
+	case ADMIT_NOT_RUN:
+		gate_refuse(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    admit_retry_after(ADMIT_RETRY_MIN_USEC,
+			request->deadline - now, g_rand_double(gate->rand)),
+		    reason);
+		return;
+	case ADMIT_UNKNOWN:
+		gate_fail(request, HTTP_STATUS_BAD_GATEWAY, reason);
+		return;
+	case ADMIT_BREAK_OFF:
+		gate_break_off(request, reason);
+		return;
+	}
+}
--- /dev/null
+++ b/src/node/h1.c
@@ -0,0 +1,1125 @@
+#include <arpa/inet.h>
+#include <assert.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <http_parser.h>
+
+#include "h1.h"
+
+#define READ_BYTES ((size_t)32 * 1024)
+/* Input kept while an answer is in progress; more stays in the kernel. */
+#define HELD_INPUT_MAX_BYTES ((size_t)64 * 1024)
+#define LISTEN_BACKLOG 512
+#define HEADERS_MAX 128
+/* Connections accepted in one round, so that open ones are served between. */
+#define ACCEPT_BATCH 32
+/* Unacknowledged bytes end a connection after this time. */
+#define USER_TIMEOUT_MS 3000
+#define KEEPALIVE_IDLE_S 2
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+/* Largest answer head; larger ones are not of a sane server. */
+#define ANSWER_HEAD_MAX_BYTES ((size_t)64 * 1024)
+
+struct h1 {
+	struct loop *loop;
+	struct h1_counts counts;
+	/* Closed connections that wait to be freed outside of callbacks. */
+	struct h1_conn *closed;
+	struct loop_timer *reaper;
+};
+
+struct h1_listener {
+	struct h1 *h1;
+	int fd;
+	struct loop_watch *watch;
+	const struct h1_limits *limits;
+	const struct h1_ops *ops;
+	void *arg;
+	struct h1_conn *conns;
+	size_t count;
+};
+
+/* Offsets into the text of the head. */
+struct span {
+	uint32_t at;
+	uint32_t len;
+};
+
+struct header {
+	struct span name;
+	struct span value;
+};
+
+struct h1_conn {
+	struct h1 *h1;
+	/* NULL for a client connection. */
+	struct h1_listener *listener;
+	struct h1_conn *next;
+	struct h1_conn *prev;
+	int fd;
+	struct loop_watch *watch;
+	struct loop_timer *timer;
+	const struct h1_ops *ops;
+	void *arg;
+	void *data;
+	http_parser parser;
+	struct lstr_buf text;
+	struct header *headers;
+	uint32_t header_count;
+	uint32_t header_room;
+	struct span target;
+	bool in_value;
+	bool connecting;
+	/* Server: an answer is due. Client: an answer is awaited. */
+	bool busy;
+	bool head_only;
+	bool head_done;
+	bool complete;
+	bool stray;
+	/* Only the output is still to be written; input is discarded. */
+	bool finishing;
+	bool is_closed;
+	bool in_parser;
+	enum h1_fault fault;
+	int64_t head_begun_at;
+	int64_t idle_since;
+	struct lstr_buf held;
+	struct lstr_buf out;
+};
+
+static const http_parser_settings parser_settings;
+
+/*
+ * Frees connections that were closed, outside of their callbacks.
+ */
+static void
+on_reap(void *arg)
+{
+	struct h1 *h1 = arg;
+
+	while (h1->closed != NULL) {
+		struct h1_conn *conn = h1->closed;
+
+		h1->closed = conn->next;
+		lstr_buf_free(&conn->text);
+		lstr_buf_free(&conn->held);
+		lstr_buf_free(&conn->out);
+		free(conn->headers);
+		free(conn);
+	}
+}
+
+/*
+ * Creates the state that connections share. It is destroyed after them.
+ */
+enum status
+h1_create(struct loop *loop, struct h1 **out)
+{
+	struct h1 *h1 = calloc(1, sizeof(*h1));
+	enum status status;
+
+	if (h1 == NULL)
+		return status_set(STATUS_NO_MEMORY, "HTTP connections");
+	h1->loop = loop;
+	status = loop_timer_create(loop, on_reap, h1, &h1->reaper);
+	if (status != STATUS_OK) {
+		free(h1);
+		return status;
+	}
+	*out = h1;
+	return STATUS_OK;
+}
+
+/*
+ * Frees the shared state. All connections must have been closed.
+ */
+void
+h1_destroy(struct h1 *h1)
+{
+	if (h1 == NULL)
+		return;
+	on_reap(h1);
+	loop_timer_destroy(h1->reaper);
+	free(h1);
+}
+
+/*
+ * Returns the counters of all connections.
+ */
+const struct h1_counts *
+h1_counts(const struct h1 *h1)
+{
+	return &h1->counts;
+}
+
+/*
+ * Closes a connection at once. Unsent output is lost and no callback follows.
+ */
+void
+h1_close(struct h1_conn *conn)
+{
+	struct h1 *h1;
+
+	if (conn == NULL || conn->is_closed)
+		return;
+	h1 = conn->h1;
+	conn->is_closed = true;
+	loop_watch_destroy(conn->watch);
+	conn->watch = NULL;
+	loop_timer_destroy(conn->timer);
+	conn->timer = NULL;
+	close(conn->fd);
+	if (conn->listener != NULL) {
+		if (conn->prev != NULL)
+			conn->prev->next = conn->next;
+		else
+			conn->listener->conns = conn->next;
+		if (conn->next != NULL)
+			conn->next->prev = conn->prev;
+		conn->listener->count--;
+	}
+	conn->next = h1->closed;
+	h1->closed = conn;
+	loop_timer_set(h1->reaper, 0);
+}
+
+/*
+ * Closes a connection that failed and tells its owner.
+ */
+static void
+end(struct h1_conn *conn, enum status status)
+{
+	if (conn->is_closed)
+		return;
+	h1_close(conn);
+	if (!conn->finishing)
+		conn->ops->ended(conn, status, conn->arg);
+}
+
+/*
+ * Sends as much of the output as the socket takes.
+ */
+static void
+flush(struct h1_conn *conn)
+{
+	unsigned int wanted = LOOP_READ;
+
+	while (conn->out.len > 0 && !conn->connecting) {
+		ssize_t n = send(
+		    conn->fd, conn->out.data, conn->out.len, MSG_NOSIGNAL);
+
+		if (n > 0) {
+			lstr_buf_consume(&conn->out, (size_t)n);
+			continue;
+		}
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			break;
+		end(conn, status_set(STATUS_IO, "send: %s", strerror(errno)));
+		return;
+	}
+	if (conn->out.len > 0 || conn->connecting)
+		wanted |= LOOP_WRITE;
+	else if (conn->finishing)
+		shutdown(conn->fd, SHUT_WR);
+	loop_watch_set(conn->watch, wanted);
+}
+
+/*
+ * Queues bytes and sends what the socket takes. STATUS_FULL: the peer does
+ * not read and the connection should be closed.
+ */
+enum status
+h1_write(struct h1_conn *conn, struct lstr bytes)
+{
+	enum status status;
+
+	if (conn->is_closed)
+		return status_set(STATUS_CLOSED, "connection is closed");
+	if (conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
+		return status_set(STATUS_FULL, "peer does not read");
+	status = lstr_buf_append(&conn->out, bytes);
+	if (status == STATUS_OK)
+		flush(conn);
+	return status;
+}
+
+/*
+ * Returns how many queued bytes the socket has not taken yet.
+ */
+size_t
+h1_unsent(const struct h1_conn *conn)
+{
+	return conn->out.len;
+}
+
+/*
+ * Forgets the last message.
+ */
+static void
+message_reset(struct h1_conn *conn)
+{
+	lstr_buf_clear(&conn->text);
+	conn->header_count = 0;
+	conn->target = (struct span){0, 0};
+	conn->in_value = false;
+	conn->head_done = false;
+	conn->complete = false;
+}
+
+/*
+ * Appends bytes of the head and grows a span by them. Returns non-zero to
+ * stop the parser.
+ */
+static int
+head_append(struct h1_conn *conn, struct span *span, const char *at, size_t len)
+{
+	size_t max = conn->listener != NULL
+	    ? conn->listener->limits->head_max_bytes
+	    : ANSWER_HEAD_MAX_BYTES;
+
+	if (conn->text.len + len > max) {
+		conn->fault = H1_FAULT_HEAD_TOO_LARGE;
+		return 1;
+	}
+	if (span->len == 0)
+		span->at = (uint32_t)conn->text.len;
+	if (lstr_buf_append(&conn->text, lstr_make(at, len)) != STATUS_OK)
+		return 1;
+	span->len += (uint32_t)len;
+	return 0;
+}
+
+/*
+ * Parser: a message begins.
+ */
+static int
+on_begin(http_parser *parser)
+{
+	struct h1_conn *conn = parser->data;
+
+	message_reset(conn);
+	return 0;
+}
+
+/*
+ * Parser: bytes of the request target.
+ */
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+	struct h1_conn *conn = parser->data;
+
+	return head_append(conn, &conn->target, at, len);
+}
+
+/*
+ * Parser: bytes of a header name.
+ */
+static int
+on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct h1_conn *conn = parser->data;
+
+	if (conn->head_done)
+		return 0;
+	if (conn->in_value || conn->header_count == 0) {
+		if (conn->header_count == HEADERS_MAX) {
+			conn->fault = H1_FAULT_HEAD_TOO_LARGE;
+			return 1;
+		}
+		if (conn->header_count == conn->header_room) {
+			uint32_t room = conn->header_room * 2 + 16;
+			struct header *grown =
+			    realloc(conn->headers, room * sizeof(*grown));
+
+			if (grown == NULL)
+				return 1;
+			conn->headers = grown;
+			conn->header_room = room;
+		}
+		conn->headers[conn->header_count] = (struct header){0};
+		conn->header_count++;
+		conn->in_value = false;
+	}
+	return head_append(
+	    conn, &conn->headers[conn->header_count - 1].name, at, len);
+}
+
+/*
+ * Parser: bytes of a header value.
+ */
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct h1_conn *conn = parser->data;
+
+	if (conn->head_done)
+		return 0;
+	conn->in_value = true;
+	return head_append(
+	    conn, &conn->headers[conn->header_count - 1].value, at, len);
+}
+
+/*
+ * Tells whether an answer is an interim one, which announces another.
+ */
+static bool
+is_interim(const struct h1_conn *conn)
+{
+	return conn->listener == NULL && conn->parser.status_code / 100 == 1;
+}
+
+/*
+ * Parser: the head is complete. Returns 1 when no body follows.
+ */
+static int
+on_headers(http_parser *parser)
+{
+	struct h1_conn *conn = parser->data;
+
+	conn->head_done = true;
+	if (is_interim(conn))
+		return 0;
+	conn->ops->head(conn, conn->arg);
+	if (conn->is_closed)
+		return -1;
+	return conn->head_only ? 1 : 0;
+}
+
+/*
+ * Parser: bytes of the body.
+ */
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct h1_conn *conn = parser->data;
+
+	if (is_interim(conn))
+		return 0;
+	conn->ops->body(conn, lstr_make(at, len), conn->arg);
+	return conn->is_closed ? -1 : 0;
+}
+
+/*
+ * Parser: the message is complete. The parser stops here, so that what
+ * follows is not read as part of it.
+ */
+static int
+on_complete(http_parser *parser)
+{
+	struct h1_conn *conn = parser->data;
+
+	if (is_interim(conn))
+		return 0;
+	conn->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+/*
+ * Reports a request that cannot be read, or ends a client connection.
+ */
+static void
+protocol_error(struct h1_conn *conn)
+{
+	conn->h1->counts.protocol_errors++;
+	if (conn->listener == NULL || conn->busy) {
+		end(conn, status_set(STATUS_INVALID, "not valid HTTP"));
+		return;
+	}
+	if (conn->fault == H1_FAULT_NONE)
+		conn->fault = H1_FAULT_MALFORMED;
+	conn->busy = true;
+	conn->ops->complete(conn, conn->arg);
+}
+
+/*
+ * Passes bytes to the parser until a message is complete; keeps the rest.
+ */
+static void
+parse(struct h1_conn *conn, struct lstr bytes)
+{
+	size_t used;
+
+	conn->in_parser = true;
+	used = http_parser_execute(
+	    &conn->parser, &parser_settings, bytes.data, bytes.len);
+	conn->in_parser = false;
+	if (conn->is_closed || conn->finishing)
+		return;
+	if (conn->complete) {
+		http_parser_pause(&conn->parser, 0);
+		if (used < bytes.len)
+			lstr_buf_append(&conn->held,
+			    lstr_make(bytes.data + used, bytes.len - used));
+		conn->busy = conn->listener != NULL;
+		conn->idle_since = loop_now(conn->h1->loop);
+		conn->stray =
+		    conn->listener == NULL && conn->held.len > 0;
+		conn->ops->complete(conn, conn->arg);
+		return;
+	}
+	if (conn->parser.upgrade || used != bytes.len ||
+	    HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+		protocol_error(conn);
+}
+
+/*
+ * Takes bytes from the socket.
+ */
+static void
+take_input(struct h1_conn *conn, struct lstr bytes)
+{
+	if (conn->finishing)
+		return;
+	if (conn->listener != NULL && conn->busy) {
+		if (lstr_buf_append(&conn->held, bytes) != STATUS_OK)
+			end(conn, STATUS_NO_MEMORY);
+		return;
+	}
+	if (conn->listener == NULL && !conn->busy) {
+		/* Nothing was asked: bytes that belong to no request. */
+		end(conn, status_set(STATUS_INVALID, "unexpected bytes"));
+		return;
+	}
+	if (conn->listener != NULL && conn->head_begun_at == 0)
+		conn->head_begun_at = loop_now(conn->h1->loop);
+	parse(conn, bytes);
+}
+
+/*
+ * Handles the end of the peer's bytes: an answer without a length may end
+ * here.
+ */
+static void
+take_end(struct h1_conn *conn)
+{
+	if (conn->listener == NULL && conn->busy && conn->head_done &&
+	    !conn->complete) {
+		conn->in_parser = true;
+		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
+		conn->in_parser = false;
+		if (conn->is_closed)
+			return;
+		if (conn->complete) {
+			conn->stray = true;
+			conn->ops->complete(conn, conn->arg);
+			if (conn->is_closed)
+				return;
+		}
+	}
+	end(conn, status_set(STATUS_CLOSED, "closed by the peer"));
+}
+
+/*
+ * Reads from the socket.
+ */
+static void
+do_read(struct h1_conn *conn)
+{
+	static char bytes[READ_BYTES];
+	ssize_t n;
+
+	if (conn->busy && conn->listener != NULL &&
+	    conn->held.len >= HELD_INPUT_MAX_BYTES) {
+		loop_watch_set(conn->watch, conn->out.len > 0 ? LOOP_WRITE : 0);
+		return;
+	}
+	n = recv(conn->fd, bytes, sizeof(bytes), 0);
+	if (n > 0)
+		take_input(conn, lstr_make(bytes, (size_t)n));
+	else if (n == 0)
+		take_end(conn);
+	else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+		end(conn, status_set(STATUS_IO, "recv: %s", strerror(errno)));
+}
+
+/*
+ * Finishes the opening of a client connection.
+ */
+static void
+finish_connect(struct h1_conn *conn)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	getsockopt(conn->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+	if (error != 0) {
+		conn->h1->counts.connect_failures++;
+		end(conn,
+		    status_set(
+			STATUS_UNAVAILABLE, "connect: %s", strerror(error)));
+		return;
+	}
+	conn->connecting = false;
+	conn->h1->counts.connected++;
+	loop_timer_clear(conn->timer);
+	if (conn->ops->connected != NULL)
+		conn->ops->connected(conn, conn->arg);
+	if (!conn->is_closed)
+		flush(conn);
+}
+
+/*
+ * Handles readiness of the socket of a connection.
+ */
+static void
+on_ready(void *arg, unsigned int events)
+{
+	struct h1_conn *conn = arg;
+
+	if (conn->connecting) {
+		finish_connect(conn);
+		return;
+	}
+	if (events & LOOP_WRITE)
+		flush(conn);
+	if (!conn->is_closed && (events & LOOP_READ))
+		do_read(conn);
+}
+
+/*
+ * Ends a connection whose opening or lingering took too long.
+ */
+static void
+on_timer(void *arg)
+{
+	struct h1_conn *conn = arg;
+
+	if (conn->connecting) {
+		conn->h1->counts.connect_failures++;
+		end(conn, status_set(STATUS_UNAVAILABLE, "connect timed out"));
+		return;
+	}
+	h1_close(conn);
+}
+
+/*
+ * Sets the options of a TCP socket.
+ */
+static void
+set_options(int fd)
+{
+	int on = 1;
+	int timeout = USER_TIMEOUT_MS;
+	int idle = KEEPALIVE_IDLE_S;
+	int interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+/*
+ * Creates a connection over a socket, which it owns also when it fails.
+ */
+static enum status
+conn_create(struct h1 *h1, int fd, unsigned int events, enum http_parser_type
+    type, struct h1_conn **out)
+{
+	struct h1_conn *conn = calloc(1, sizeof(*conn));
+	enum status status;
+
+	if (conn == NULL) {
+		close(fd);
+		return status_set(STATUS_NO_MEMORY, "connection");
+	}
+	conn->h1 = h1;
+	conn->fd = fd;
+	http_parser_init(&conn->parser, type);
+	conn->parser.data = conn;
+	status = loop_timer_create(h1->loop, on_timer, conn, &conn->timer);
+	if (status == STATUS_OK)
+		status = loop_watch_create(
+		    h1->loop, fd, events, on_ready, conn, &conn->watch);
+	if (status != STATUS_OK) {
+		loop_timer_destroy(conn->timer);
+		close(fd);
+		free(conn);
+		return status;
+	}
+	set_options(fd);
+	conn->idle_since = loop_now(h1->loop);
+	*out = conn;
+	return STATUS_OK;
+}
+
+/*
+ * Accepts connections.
+ */
+static void
+on_accept(void *arg, unsigned int events)
+{
+	struct h1_listener *listener = arg;
+
+	(void)events;
+	for (int i = 0; i < ACCEPT_BATCH; i++) {
+		struct h1_conn *conn;
+		int fd = accept4(listener->fd, NULL, NULL,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		if (conn_create(listener->h1, fd, LOOP_READ, HTTP_REQUEST,
+			&conn) != STATUS_OK)
+			return;
+		conn->listener = listener;
+		conn->ops = listener->ops;
+		conn->arg = listener->arg;
+		conn->next = listener->conns;
+		if (listener->conns != NULL)
+			listener->conns->prev = conn;
+		listener->conns = conn;
+		listener->count++;
+		listener->h1->counts.accepted++;
+		if (conn->ops->accepted != NULL)
+			conn->ops->accepted(conn, conn->arg);
+	}
+}
+
+/*
+ * Listens on an address; port 0 lets the kernel choose. limits is borrowed.
+ */
+enum status
+h1_listen(struct h1 *h1, const char *ip, uint16_t port,
+    const struct h1_limits *limits, const struct h1_ops *ops, void *arg,
+    struct h1_listener **out)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
+	struct h1_listener *listener = calloc(1, sizeof(*listener));
+	enum status status;
+	int on = 1;
+
+	if (listener == NULL)
+		return status_set(STATUS_NO_MEMORY, "listener");
+	listener->h1 = h1;
+	listener->limits = limits;
+	listener->ops = ops;
+	listener->arg = arg;
+	listener->fd =
+	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (listener->fd < 0 ||
+	    inet_pton(AF_INET, ip, &address.sin_addr) != 1) {
+		status = status_set(STATUS_INVALID, "address %s", ip);
+		goto fail;
+	}
+	setsockopt(
+	    listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(listener->fd, (struct sockaddr *)&address, sizeof(address)) !=
+		0 ||
+	    listen(listener->fd, LISTEN_BACKLOG) != 0) {
+		status = status_set(STATUS_IO, "listen on %s:%u: %s", ip,
+		    (unsigned int)port, strerror(errno));
+		goto fail;
+	}
+	status = loop_watch_create(h1->loop, listener->fd, LOOP_READ, on_accept,
+	    listener, &listener->watch);
+	if (status != STATUS_OK)
+		goto fail;
+	*out = listener;
+	return STATUS_OK;
+fail:
+	if (listener->fd >= 0)
+		close(listener->fd);
+	free(listener);
+	return status;
+}
+
+/*
+ * Returns the port of a listener.
+ */
+uint16_t
+h1_listener_port(const struct h1_listener *listener)
+{
+	struct sockaddr_in address;
+	socklen_t len = sizeof(address);
+
+	if (getsockname(listener->fd, (struct sockaddr *)&address, &len) != 0)
+		return 0;
+	return ntohs(address.sin_port);
+}
+
+/*
+ * Returns how many accepted connections are open.
+ */
+size_t
+h1_listener_count(const struct h1_listener *listener)
+{
+	return listener->count;
+}
+
+/*
+ * Closes the listener and its connections without callbacks.
+ */
+void
+h1_listener_destroy(struct h1_listener *listener)
+{
+	if (listener == NULL)
+		return;
+	while (listener->conns != NULL)
+		h1_close(listener->conns);
+	loop_watch_destroy(listener->watch);
+	close(listener->fd);
+	free(listener);
+}
+
+/*
+ * Closes idle connections and reports heads that take too long; the owner
+ * calls it several times a second.
+ */
+void
+h1_listener_sweep(struct h1_listener *listener)
+{
+	int64_t now = loop_now(listener->h1->loop);
+	struct h1_conn *next;
+
+	for (struct h1_conn *conn = listener->conns; conn != NULL;
+	     conn = next) {
+		next = conn->next;
+		if (conn->busy || conn->finishing)
+			continue;
+		if (conn->head_begun_at != 0) {
+			if (!conn->head_done &&
+			    now - conn->head_begun_at >=
+				listener->limits->head_timeout_usec) {
+				conn->fault = H1_FAULT_HEAD_TIMEOUT;
+				protocol_error(conn);
+				/* The owner may have closed any of them. */
+				return;
+			}
+		} else if (now - conn->idle_since >=
+		    listener->limits->idle_timeout_usec) {
+			h1_close(conn);
+		}
+	}
+}
+
+/*
+ * Opens a client connection. It fails with ended and STATUS_UNAVAILABLE when
+ * it is not established by the deadline. Output may be queued at once.
+ */
+enum status
+h1_connect(struct h1 *h1, const struct sockaddr_in *address, int64_t deadline,
+    const struct h1_ops *ops, void *arg, struct h1_conn **out)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct h1_conn *conn;
+	enum status status;
+
+	if (fd < 0)
+		return status_set(STATUS_FULL, "socket: %s", strerror(errno));
+	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
+		0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return status_set(
+		    STATUS_UNAVAILABLE, "connect: %s", strerror(errno));
+	}
+	status = conn_create(
+	    h1, fd, LOOP_READ | LOOP_WRITE, HTTP_RESPONSE, &conn);
+	if (status != STATUS_OK)
+		return status;
+	conn->connecting = true;
+	conn->ops = ops;
+	conn->arg = arg;
+	loop_timer_set(conn->timer, deadline);
+	*out = conn;
+	return STATUS_OK;
+}
+
+/*
+ * Hands a connection to another owner.
+ */
+void
+h1_set_owner(struct h1_conn *conn, const struct h1_ops *ops, void *arg)
+{
+	conn->ops = ops;
+	conn->arg = arg;
+}
+
+/*
+ * Keeps a pointer for the owner.
+ */
+void
+h1_set_data(struct h1_conn *conn, void *data)
+{
+	conn->data = data;
+}
+
+/*
+ * Returns the owner's pointer.
+ */
+void *
+h1_data(const struct h1_conn *conn)
+{
+	return conn->data;
+}
+
+/*
+ * Server: the answer has been written; reads the next request.
+ */
+void
+h1_next(struct h1_conn *conn)
+{
+	struct lstr_buf held = conn->held;
+
+	if (conn->is_closed)
+		return;
+	conn->busy = false;
+	conn->complete = false;
+	conn->head_begun_at = 0;
+	conn->idle_since = loop_now(conn->h1->loop);
+	loop_watch_set(
+	    conn->watch, LOOP_READ | (conn->out.len > 0 ? LOOP_WRITE : 0));
+	if (held.len == 0)
+		return;
+	memset(&conn->held, 0, sizeof(conn->held));
+	take_input(conn, lstr_buf_view(&held));
+	lstr_buf_free(&held);
+}
+
+/*
+ * Client: a request has been written; the next bytes are its answer. The
+ * answer to HEAD has no body.
+ */
+void
+h1_expect_answer(struct h1_conn *conn, bool head_only)
+{
+	message_reset(conn);
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	conn->busy = true;
+	conn->head_only = head_only;
+}
+
+/*
+ * Client: the answer that is complete belongs to no request; what follows is
+ * read as the awaited one. Called from complete.
+ */
+void
+h1_skip(struct h1_conn *conn)
+{
+	struct lstr_buf held = conn->held;
+
+	if (conn->is_closed)
+		return;
+	memset(&conn->held, 0, sizeof(conn->held));
+	conn->stray = false;
+	h1_expect_answer(conn, conn->head_only);
+	if (held.len > 0)
+		parse(conn, lstr_buf_view(&held));
+	lstr_buf_free(&held);
+}
+
+/*
+ * Server: closes the connection once the output has been read by the peer,
+ * so that a reset does not destroy the answer.
+ */
+void
+h1_finish(struct h1_conn *conn)
+{
+	if (conn->is_closed || conn->finishing)
+		return;
+	conn->finishing = true;
+	loop_timer_set(
+	    conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
+	flush(conn);
+}
+
+/*
+ * Returns the method of a request.
+ */
+struct lstr
+h1_method(const struct h1_conn *conn)
+{
+	return lstr_from(
+	    http_method_str((enum http_method)conn->parser.method));
+}
+
+/*
+ * Borrows the bytes of a span of the head.
+ */
+static struct lstr
+span_text(const struct h1_conn *conn, struct span span)
+{
+	return lstr_make(conn->text.data + span.at, span.len);
+}
+
+/*
+ * Returns the target of a request as it was sent.
+ */
+struct lstr
+h1_target(const struct h1_conn *conn)
+{
+	return span_text(conn, conn->target);
+}
+
+/*
+ * Returns the status of an answer.
+ */
+unsigned int
+h1_status(const struct h1_conn *conn)
+{
+	return conn->parser.status_code;
+}
+
+/*
+ * Tells whether the peer keeps the connection open after this message.
+ */
+bool
+h1_keep_alive(const struct h1_conn *conn)
+{
+	return http_should_keep_alive(&conn->parser) != 0;
+}
+
+/*
+ * Tells whether the message is of HTTP/1.0, which has no chunks.
+ */
+bool
+h1_is_http10(const struct h1_conn *conn)
+{
+	return conn->parser.http_major < 1 ||
+	    (conn->parser.http_major == 1 && conn->parser.http_minor == 0);
+}
+
+/*
+ * Returns the announced length of the body, -1 if there is none.
+ */
+int64_t
+h1_content_length(const struct h1_conn *conn)
+{
+	struct lstr value;
+	int64_t length;
+
+	if (!h1_header(conn, "Content-Length", &value) ||
+	    lstr_to_int64(value, &length) != STATUS_OK)
+		return -1;
+	return length;
+}
+
+/*
+ * Client: tells whether the connection can carry another request: the answer
+ * is complete and nothing came behind it.
+ */
+bool
+h1_clean(const struct h1_conn *conn)
+{
+	return !conn->is_closed && conn->complete && !conn->stray &&
+	    !conn->connecting && conn->out.len == 0 && h1_keep_alive(conn);
+}
+
+/*
+ * Returns why the request could not be read.
+ */
+enum h1_fault
+h1_fault(const struct h1_conn *conn)
+{
+	return conn->fault;
+}
+
+/*
+ * Returns when the first byte of the request arrived, in microseconds since
+ * the epoch.
+ */
+int64_t
+h1_head_begun_at(const struct h1_conn *conn)
+{
+	return conn->head_begun_at;
+}
+
+/*
+ * Returns how many headers the message has.
+ */
+size_t
+h1_header_count(const struct h1_conn *conn)
+{
+	return conn->header_count;
+}
+
+/*
+ * Borrows a header of the message.
+ */
+void
+h1_header_at(const struct h1_conn *conn, size_t index, struct lstr *name,
+    struct lstr *value)
+{
+	assert(index < conn->header_count);
+	*name = span_text(conn, conn->headers[index].name);
+	*value = span_text(conn, conn->headers[index].value);
+}
+
+/*
+ * Finds the first header of a name.
+ */
+bool
+h1_header(const struct h1_conn *conn, const char *name, struct lstr *value)
+{
+	size_t len = strlen(name);
+
+	for (size_t i = 0; i < conn->header_count; i++) {
+		struct lstr n;
+
+		h1_header_at(conn, i, &n, value);
+		if (n.len == len && strncasecmp(n.data, name, len) == 0)
+			return true;
+	}
+	*value = lstr_make(NULL, 0);
+	return false;
+}
+
+/*
+ * Tells whether a comma-separated list, such as Connection, has a token.
+ */
+bool
+h1_token_listed(struct lstr list, struct lstr token)
+{
+	size_t at = 0;
+
+	while (at < list.len) {
+		size_t end = at;
+		size_t last;
+
+		while (end < list.len && list.data[end] != ',')
+			end++;
+		last = end;
+		while (at < last &&
+		    (list.data[at] == ' ' || list.data[at] == '\t'))
+			at++;
+		while (last > at &&
+		    (list.data[last - 1] == ' ' ||
+			list.data[last - 1] == '\t'))
+			last--;
+		if (last - at == token.len &&
+		    strncasecmp(list.data + at, token.data, token.len) == 0)
+			return true;
+		at = end + 1;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/node/h1.h
@@ -0,0 +1,109 @@
+#ifndef CH_H1_H
+#define CH_H1_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <netinet/in.h>
+
+#include "loop.h"
+#include "lstr.h"
+
+/*
+ * HTTP/1.1 connections, as server and as client, on the loop of the process.
+ * Messages are parsed by http-parser; bytes of heads and bodies are passed on
+ * unchanged. docs/decisions.md says why neither libmicrohttpd nor libcurl is
+ * used for forwarded requests.
+ */
+struct h1;
+struct h1_conn;
+struct h1_listener;
+
+/* Longest time that a connection may linger after its last answer. */
+#define H1_LINGER_USEC (1 * LOOP_USEC_PER_SEC)
+/* Output that a peer may leave unread before it is cut off. */
+#define H1_OUTPUT_MAX_BYTES ((size_t)8 * 1024 * 1024)
+
+/*
+ * What the owner of connections is told. A callback may call h1_close() on
+ * any connection. ended is called once when the peer closes, the connection
+ * fails or the peer breaks the protocol; afterwards the connection is gone.
+ * It is not called after h1_close().
+ */
+struct h1_ops {
+	/* Server only, may be NULL: a connection was accepted. */
+	void (*accepted)(struct h1_conn *, void *arg);
+	/* Client only, may be NULL: the connection is established. */
+	void (*connected)(struct h1_conn *, void *arg);
+	/* The head of a message has arrived. */
+	void (*head)(struct h1_conn *, void *arg);
+	void (*body)(struct h1_conn *, struct lstr, void *arg);
+	/* The whole message has arrived. */
+	void (*complete)(struct h1_conn *, void *arg);
+	void (*ended)(struct h1_conn *, enum status, void *arg);
+};
+
+/* Why a request could not be read; the owner answers it and closes. */
+enum h1_fault {
+	H1_FAULT_NONE = 0,
+	H1_FAULT_MALFORMED,
+	H1_FAULT_HEAD_TOO_LARGE,
+	H1_FAULT_HEAD_TIMEOUT
+};
+
+/* Limits of a listener; read again for each use, so they may change. */
+struct h1_limits {
+	size_t head_max_bytes;
+	int64_t head_timeout_usec;
+	int64_t idle_timeout_usec;
+};
+
+struct h1_counts {
+	uint64_t accepted;
+	uint64_t connected;
+	uint64_t connect_failures;
+	uint64_t protocol_errors;
+};
+
+enum status h1_create(struct loop *, struct h1 **);
+void h1_destroy(struct h1 *);
+const struct h1_counts *h1_counts(const struct h1 *);
+
+enum status h1_listen(struct h1 *, const char *, uint16_t,
+    const struct h1_limits *, const struct h1_ops *, void *,
+    struct h1_listener **);
+void h1_listener_destroy(struct h1_listener *);
+uint16_t h1_listener_port(const struct h1_listener *);
+size_t h1_listener_count(const struct h1_listener *);
+void h1_listener_sweep(struct h1_listener *);
+
+enum status h1_connect(struct h1 *, const struct sockaddr_in *,
+    int64_t deadline, const struct h1_ops *, void *, struct h1_conn **);
+
+void h1_set_owner(struct h1_conn *, const struct h1_ops *, void *);
+void h1_set_data(struct h1_conn *, void *);
+void *h1_data(const struct h1_conn *);
+enum status h1_write(struct h1_conn *, struct lstr);
+void h1_next(struct h1_conn *);
+void h1_expect_answer(struct h1_conn *, bool head_only);
+void h1_skip(struct h1_conn *);
+void h1_finish(struct h1_conn *);
+void h1_close(struct h1_conn *);
+size_t h1_unsent(const struct h1_conn *);
+
+/* The message that is arriving or has arrived last. */
+struct lstr h1_method(const struct h1_conn *);
+struct lstr h1_target(const struct h1_conn *);
+unsigned int h1_status(const struct h1_conn *);
+bool h1_keep_alive(const struct h1_conn *);
+bool h1_is_http10(const struct h1_conn *);
+int64_t h1_content_length(const struct h1_conn *);
+bool h1_clean(const struct h1_conn *);
+enum h1_fault h1_fault(const struct h1_conn *);
+int64_t h1_head_begun_at(const struct h1_conn *);
+size_t h1_header_count(const struct h1_conn *);
+void h1_header_at(
+    const struct h1_conn *, size_t, struct lstr *name, struct lstr *value);
+bool h1_header(const struct h1_conn *, const char *, struct lstr *value);
+bool h1_token_listed(struct lstr list, struct lstr token);
+
+#endif
--- /dev/null
+++ b/src/node/mesh.c
@@ -0,0 +1,552 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <jansson.h>
+
+#include "chestnuthoist.pb-c.h"
+#include "mesh.h"
+#include "settings.h"
+#include "slog.h"
+
+#define DATAGRAM_MAX_BYTES 60000
+/* Datagrams read in one round of the loop. */
+#define READ_BATCH 64
+/* A data centre with fewer live nodes than this gets addresses of others. */
+#define PLACE_NODES_MIN 2
+
+struct peer_use {
+	uint32_t hash;
+	struct pool_use use;
+};
+
+struct peer {
+	char *name;
+	char *front;
+	char *place;
+	uint64_t boot;
+	struct sockaddr_in address;
+	uint64_t sequence;
+	/* 0: never. */
+	int64_t heard_at;
+	int64_t listed_at;
+	/* Its entry in the store is gone. */
+	bool unlisted;
+	bool leaving;
+	bool silent;
+	GArray *uses;
+};
+
+struct mesh {
+	struct loop *loop;
+	struct pool *pool;
+	struct mesh_config config;
+	int fd;
+	struct loop_watch *watch;
+	/* By name: struct peer. */
+	GHashTable *peers;
+	struct lstr_buf entry;
+	uint64_t sequence;
+	int64_t sent_at;
+	int64_t started_at;
+	bool leaving;
+	bool stale;
+};
+
+/*
+ * Frees a peer; used by the table that holds it.
+ */
+static void
+peer_free(void *data)
+{
+	struct peer *peer = data;
+
+	g_free(peer->name);
+	g_free(peer->front);
+	g_free(peer->place);
+	g_array_free(peer->uses, TRUE);
+	g_free(peer);
+}
+
+/*
+ * Notes what a peer says of one server.
+ */
+static void
+take_use(struct mesh *mesh, struct peer *peer, const Ch__ServerUse *from,
+    int64_t now)
+{
+	struct peer_use use = {from->server,
+	    {(int64_t)from->memory, from->active, from->first_active}};
+	struct pool_server *server =
+	    pool_find_hash(mesh->pool, from->server);
+
+	g_array_append_val(peer->uses, use);
+	if (server != NULL && from->avoid_msec > 0)
+		pool_peer_avoids(server,
+		    now +
+			MIN((int64_t)from->avoid_msec * LOOP_USEC_PER_MSEC,
+			    POOL_AVOID_USEC),
+		    now);
+}
+
+/*
+ * Takes a report of a peer.
+ */
+static void
+take_report(struct mesh *mesh, const Ch__NodeReport *report)
+{
+	struct peer *peer = g_hash_table_lookup(mesh->peers, report->node);
+	int64_t now = loop_now(mesh->loop);
+
+	if (peer == NULL)
+		return;
+	if (report->boot == peer->boot && report->sequence <= peer->sequence)
+		return;
+	if (report->boot < peer->boot)
+		return;
+	if (peer->heard_at == 0 || peer->silent)
+		slog_event(EV_PEER_SEEN, "{s:s, s:I}", "peer", peer->name,
+		    "silent_ms",
+		    peer->heard_at == 0
+			? (json_int_t)-1
+			: (json_int_t)((now - peer->heard_at) /
+			      LOOP_USEC_PER_MSEC));
+	peer->boot = report->boot;
+	peer->sequence = report->sequence;
+	peer->heard_at = now;
+	peer->silent = false;
+	peer->leaving = report->leaving;
+	g_array_set_size(peer->uses, 0);
+	for (size_t i = 0; i < report->n_servers; i++)
+		take_use(mesh, peer, report->servers[i], now);
+	mesh->stale = true;
+}
+
+/*
+ * Reads datagrams of peers.
+ */
+static void
+on_ready(void *arg, unsigned int events)
+{
+	static uint8_t bytes[DATAGRAM_MAX_BYTES];
+	struct mesh *mesh = arg;
+
+	(void)events;
+	for (int i = 0; i < READ_BATCH; i++) {
+		ssize_t n = recv(mesh->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		Ch__NodeReport *report;
+
+		if (n <= 0)
+			return;
+		report = ch__node_report__unpack(NULL, (size_t)n, bytes);
+		if (report == NULL)
+			continue;
+		take_report(mesh, report);
+		ch__node_report__free_unpacked(report, NULL);
+	}
+}
+
+/*
+ * Writes the node's own entry for the store.
+ */
+static void
+write_entry(struct mesh *mesh)
+{
+	json_t *root = json_pack("{s:s, s:s, s:I, s:s, s:i}", "front",
+	    mesh->config.front, "place", mesh->config.place, "boot",
+	    (json_int_t)mesh->config.boot, "ip", mesh->config.ip, "port",
+	    (int)mesh->config.port);
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	lstr_buf_append(&mesh->entry, lstr_from(text));
+	free(text);
+	json_decref(root);
+}
+
+/*
+ * Opens the socket of the node. The texts of the configuration are borrowed.
+ */
+enum status
+mesh_create(struct loop *loop, const struct mesh_config *config,
+    struct pool *pool, struct mesh **out)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(config->port)};
+	struct mesh *mesh = g_new0(struct mesh, 1);
+	enum status status;
+
+	mesh->loop = loop;
+	mesh->pool = pool;
+	mesh->config = *config;
+	mesh->started_at = loop_now(loop);
+	mesh->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	inet_pton(AF_INET, config->ip, &address.sin_addr);
+	mesh->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (mesh->fd < 0 ||
+	    bind(mesh->fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+		status = status_set(STATUS_IO, "datagrams on %s:%u: %s",
+		    config->ip, (unsigned int)config->port, strerror(errno));
+		mesh_destroy(mesh);
+		return status;
+	}
+	status = loop_watch_create(
+	    loop, mesh->fd, LOOP_READ, on_ready, mesh, &mesh->watch);
+	if (status != STATUS_OK) {
+		mesh_destroy(mesh);
+		return status;
+	}
+	write_entry(mesh);
+	*out = mesh;
+	return STATUS_OK;
+}
+
+/*
+ * Closes the socket and frees the state.
+ */
+void
+mesh_destroy(struct mesh *mesh)
+{
+	if (mesh == NULL)
+		return;
+	loop_watch_destroy(mesh->watch);
+	if (mesh->fd >= 0)
+		close(mesh->fd);
+	g_hash_table_destroy(mesh->peers);
+	lstr_buf_free(&mesh->entry);
+	g_free(mesh);
+}
+
+/*
+ * Returns the value of the node's own entry in the store.
+ */
+struct lstr
+mesh_entry(const struct mesh *mesh)
+{
+	return lstr_buf_view(&mesh->entry);
+}
+
+/*
+ * Takes another node's entry in the store. One that cannot be read names no
+ * node.
+ */
+void
+mesh_put(struct mesh *mesh, struct lstr name, struct lstr value)
+{
+	json_t *root =
+	    json_loadb(value.data, value.len, JSON_REJECT_DUPLICATES, NULL);
+	const char *front;
+	const char *place;
+	const char *ip;
+	json_int_t boot;
+	int port;
+	struct peer *peer;
+
+	if (json_unpack(root, "{s:s, s:s, s:I, s:s, s:i}", "front", &front,
+		"place", &place, "boot", &boot, "ip", &ip, "port", &port) !=
+		0 ||
+	    lstr_equal_c(name, mesh->config.name)) {
+		json_decref(root);
+		return;
+	}
+	peer = g_new0(struct peer, 1);
+	peer->name = g_strndup(name.data, name.len);
+	peer->front = g_strdup(front);
+	peer->place = g_strdup(place);
+	peer->boot = (uint64_t)boot;
+	peer->address.sin_family = AF_INET;
+	peer->address.sin_port = htons((uint16_t)port);
+	peer->listed_at = loop_now(mesh->loop);
+	inet_pton(AF_INET, ip, &peer->address.sin_addr);
+	peer->uses = g_array_new(FALSE, TRUE, sizeof(struct peer_use));
+	g_hash_table_replace(mesh->peers, peer->name, peer);
+	mesh->stale = true;
+	json_decref(root);
+}
+
+/*
+ * Notes that a node's entry is gone. The node stays while it is heard: its
+ * lease may have ended only because the store was away.
+ */
+void
+mesh_remove(struct mesh *mesh, struct lstr name)
+{
+	char *text = g_strndup(name.data, name.len);
+	struct peer *peer = g_hash_table_lookup(mesh->peers, text);
+
+	g_free(text);
+	if (peer != NULL)
+		peer->unlisted = true;
+}
+
+/*
+ * Tells the peers that this node takes no new connections.
+ */
+void
+mesh_leave(struct mesh *mesh)
+{
+	mesh->leaving = true;
+	mesh->sent_at = 0;
+	mesh_tick(mesh);
+}
+
+/*
+ * Tells whether a peer is heard, or too new to have been heard. In a fleet in
+ * which not all nodes hear each other, the store's entry vouches for a node
+ * that was never heard.
+ */
+static bool
+peer_lives(const struct mesh *mesh, const struct peer *peer, int64_t now)
+{
+	int64_t since = MAX(peer->heard_at, peer->listed_at);
+
+	if (peer->heard_at == 0 &&
+	    g_hash_table_size(mesh->peers) > MESH_FANOUT)
+		return !peer->unlisted;
+	return now - since < MESH_SILENT_USEC;
+}
+
+/*
+ * Sums up what the peers use of each server.
+ */
+static void
+sum_uses(struct mesh *mesh, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	mesh->stale = false;
+	g_hash_table_iter_init(&iter, mesh->pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_server *server = value;
+
+		memset(&server->peers, 0, sizeof(server->peers));
+	}
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (now - peer->heard_at > POOL_PEER_USE_USEC)
+			continue;
+		for (guint i = 0; i < peer->uses->len; i++) {
+			const struct peer_use *use =
+			    &g_array_index(peer->uses, struct peer_use, i);
+			struct pool_server *server =
+			    pool_find_hash(mesh->pool, use->hash);
+
+			if (server == NULL)
+				continue;
+			server->peers.memory += use->use.memory;
+			server->peers.active += use->use.active;
+			server->peers.first_active += use->use.first_active;
+		}
+	}
+}
+
+/*
+ * Notes peers that have fallen silent and drops those that are gone.
+ */
+static void
+check_peers(struct mesh *mesh, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		if (peer_lives(mesh, peer, now))
+			continue;
+		if (!peer->silent) {
+			peer->silent = true;
+			mesh->stale = true;
+			slog_event(EV_PEER_SILENT, "{s:s, s:b}", "peer",
+			    peer->name, "unlisted", peer->unlisted);
+		}
+		if (peer->unlisted)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/*
+ * Fills the report with what this node uses of each server.
+ */
+static void
+fill_report(struct mesh *mesh, Ch__NodeReport *report, Ch__ServerUse *rows,
+    Ch__ServerUse **pointers, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, mesh->pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_server *server = value;
+		Ch__ServerUse *row = &rows[n];
+
+		if (server->own.active == 0 && server->avoid_until <= now)
+			continue;
+		ch__server_use__init(row);
+		row->server = server->hash;
+		row->memory = (uint64_t)MAX(server->own.memory, 0);
+		row->active = server->own.active;
+		row->first_active = server->own.first_active;
+		if (server->avoid_until > now)
+			row->avoid_msec =
+			    (uint32_t)((server->avoid_until - now) /
+				LOOP_USEC_PER_MSEC);
+		pointers[n++] = row;
+	}
+	report->n_servers = n;
+	report->servers = pointers;
+}
+
+/*
+ * Sends bytes to the peers: to all in a small fleet, else to the next ones in
+ * the order of names.
+ */
+static void
+send_to_peers(struct mesh *mesh, const uint8_t *bytes, size_t len)
+{
+	GList *names = g_hash_table_get_keys(mesh->peers);
+	GList *start;
+	guint count = g_list_length(names);
+
+	names = g_list_sort(names, (GCompareFunc)strcmp);
+	start = names;
+	while (count > MESH_FANOUT && start != NULL &&
+	    strcmp(start->data, mesh->config.name) < 0)
+		start = start->next;
+	for (guint i = 0; i < MIN(count, MESH_FANOUT); i++) {
+		const struct peer *peer;
+
+		if (start == NULL)
+			start = names;
+		peer = g_hash_table_lookup(mesh->peers, start->data);
+		start = start->next;
+		if (sendto(mesh->fd, bytes, len, MSG_DONTWAIT,
+			(const struct sockaddr *)&peer->address,
+			sizeof(peer->address)) < 0) {
+			/* The next report makes good for a lost one. */
+		}
+	}
+	g_list_free(names);
+}
+
+/*
+ * Sends a report when one is due and keeps the sums of the peers' use.
+ */
+void
+mesh_tick(struct mesh *mesh)
+{
+	int64_t now = loop_now(mesh->loop);
+	guint count = g_hash_table_size(mesh->pool->by_id);
+	Ch__NodeReport report = CH__NODE_REPORT__INIT;
+	Ch__ServerUse *rows;
+	Ch__ServerUse **pointers;
+	uint8_t *bytes;
+
+	check_peers(mesh, now);
+	if (mesh->stale)
+		sum_uses(mesh, now);
+	if (now - mesh->sent_at < MESH_SEND_USEC)
+		return;
+	mesh->sent_at = now;
+	rows = g_new(Ch__ServerUse, count + 1);
+	pointers = g_new(Ch__ServerUse *, count + 1);
+	report.node = (char *)mesh->config.name;
+	report.boot = mesh->config.boot;
+	report.sequence = ++mesh->sequence;
+	report.leaving = mesh->leaving;
+	fill_report(mesh, &report, rows, pointers, now);
+	bytes = g_malloc(ch__node_report__get_packed_size(&report));
+	send_to_peers(mesh, bytes, ch__node_report__pack(&report, bytes));
+	g_free(bytes);
+	g_free(rows);
+	g_free(pointers);
+}
+
+/*
+ * Returns how many nodes live, this one included.
+ */
+uint32_t
+mesh_live_count(const struct mesh *mesh)
+{
+	int64_t now = loop_now(mesh->loop);
+	uint32_t count = 1;
+	GHashTableIter iter;
+	gpointer peer;
+
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &peer))
+		count += peer_lives(mesh, peer, now);
+	return count;
+}
+
+/*
+ * Returns the position of this node among the live ones by name.
+ */
+uint32_t
+mesh_rank(const struct mesh *mesh)
+{
+	int64_t now = loop_now(mesh->loop);
+	uint32_t rank = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		rank += peer_lives(mesh, peer, now) &&
+		    strcmp(peer->name, mesh->config.name) < 0;
+	}
+	return rank;
+}
+
+/*
+ * Adds the addresses of nodes that take connections, in one data centre or,
+ * with NULL, in all.
+ */
+static void
+add_addresses(const struct mesh *mesh, const char *place, GPtrArray *out)
+{
+	int64_t now = loop_now(mesh->loop);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!mesh->leaving &&
+	    (place == NULL || strcmp(place, mesh->config.place) == 0))
+		g_ptr_array_add(out, (char *)mesh->config.front);
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (out->len >= MESH_ADDRESSES_MAX)
+			return;
+		if (!peer->leaving && peer_lives(mesh, peer, now) &&
+		    (place == NULL || strcmp(place, peer->place) == 0))
+			g_ptr_array_add(out, peer->front);
+	}
+}
+
+/*
+ * Collects addresses for a caller: in its own data centre if enough nodes
+ * live there, since traffic between data centres is dear; else all.
+ */
+void
+mesh_addresses(const struct mesh *mesh, const char *place, GPtrArray *out)
+{
+	if (place != NULL)
+		add_addresses(mesh, place, out);
+	if (out->len >= PLACE_NODES_MIN)
+		return;
+	g_ptr_array_set_size(out, 0);
+	add_addresses(mesh, NULL, out);
+	if (out->len == 0)
+		g_ptr_array_add(out, (char *)mesh->config.front);
+}
--- /dev/null
+++ b/src/node/mirror.c
@@ -0,0 +1,350 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "mirror.h"
+#include "slog.h"
+
+struct mirror {
+	struct loop *loop;
+	struct kv *kv;
+	char *prefix;
+	const struct mirror_ops *ops;
+	void *arg;
+	/* Version by key. */
+	GHashTable *versions;
+	/* Keys seen by the list that runs; NULL: none runs. */
+	GHashTable *seen;
+	struct loop_timer *timer;
+	uint64_t revision;
+	uint64_t list_revision;
+	int64_t call_sent_at;
+	int64_t list_sent_at;
+	int64_t proved_at;
+	int64_t answered_at;
+	int64_t returned_at;
+	int64_t pause;
+	char *page_after;
+	bool synced;
+	bool away;
+	bool calling;
+};
+
+static void next_call(struct mirror *mirror);
+
+/*
+ * Runs the call that was put off.
+ */
+static void
+on_timer(void *arg)
+{
+	next_call(arg);
+}
+
+/*
+ * Creates a copy that starts to fill at once. The client of the store must
+ * outlive the copy.
+ */
+enum status
+mirror_create(struct loop *loop, struct kv *kv, const char *prefix,
+    const struct mirror_ops *ops, void *arg, struct mirror **out)
+{
+	struct mirror *mirror = g_new0(struct mirror, 1);
+	enum status status;
+
+	mirror->loop = loop;
+	mirror->kv = kv;
+	mirror->prefix = g_strdup(prefix);
+	mirror->ops = ops;
+	mirror->arg = arg;
+	mirror->pause = MIRROR_PAUSE_USEC;
+	mirror->answered_at = loop_now(loop);
+	mirror->versions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	status = loop_timer_create(loop, on_timer, mirror, &mirror->timer);
+	if (status != STATUS_OK) {
+		mirror_destroy(mirror);
+		return status;
+	}
+	loop_timer_set(mirror->timer, 0);
+	*out = mirror;
+	return STATUS_OK;
+}
+
+/*
+ * Frees the copy. Its client of the store must have been destroyed, so that
+ * no call is under way.
+ */
+void
+mirror_destroy(struct mirror *mirror)
+{
+	if (mirror == NULL)
+		return;
+	loop_timer_destroy(mirror->timer);
+	g_hash_table_destroy(mirror->versions);
+	if (mirror->seen != NULL)
+		g_hash_table_destroy(mirror->seen);
+	g_free(mirror->prefix);
+	g_free(mirror->page_after);
+	g_free(mirror);
+}
+
+/*
+ * Notes an answer of the store.
+ */
+static void
+note_answer(struct mirror *mirror)
+{
+	int64_t now = loop_now(mirror->loop);
+
+	if (mirror->away || now - mirror->answered_at > MIRROR_AWAY_USEC) {
+		slog_event(EV_STORE_REGAINED, "{s:I, s:I}", "away_ms",
+		    (json_int_t)((now - mirror->answered_at) /
+			LOOP_USEC_PER_MSEC),
+		    "revision", (json_int_t)mirror->revision);
+		mirror->returned_at = now;
+	}
+	mirror->away = false;
+	mirror->answered_at = now;
+	mirror->pause = MIRROR_PAUSE_USEC;
+}
+
+/*
+ * Notes a failed call and puts the next one off.
+ */
+static void
+note_failure(struct mirror *mirror, const char *call, enum status status)
+{
+	int64_t now = loop_now(mirror->loop);
+
+	if (!mirror->away && now - mirror->answered_at > MIRROR_AWAY_USEC) {
+		mirror->away = true;
+		slog_event(EV_STORE_LOST, "{s:s, s:s, s:I}", "call", call,
+		    "status", status_name(status), "proved_age_ms",
+		    (json_int_t)((now - mirror->proved_at) /
+			LOOP_USEC_PER_MSEC));
+	}
+	loop_timer_set(mirror->timer, now + mirror->pause);
+	mirror->pause = MIN(mirror->pause * 2, MIRROR_PAUSE_MAX_USEC);
+}
+
+/*
+ * Takes one key as it is in the store, unless a newer one is known.
+ */
+static void
+apply(struct mirror *mirror, const struct kv_item *item)
+{
+	char *key = g_strndup(item->key.data, item->key.len);
+	uint64_t *known = g_hash_table_lookup(mirror->versions, key);
+	uint64_t *version;
+
+	if (known != NULL && *known >= item->version) {
+		g_free(key);
+		return;
+	}
+	if (item->deleted) {
+		if (known != NULL) {
+			g_hash_table_remove(mirror->versions, key);
+			mirror->ops->removed(item->key, mirror->arg);
+		}
+		g_free(key);
+		return;
+	}
+	version = g_new(uint64_t, 1);
+	*version = item->version;
+	g_hash_table_replace(mirror->versions, key, version);
+	mirror->ops->changed(
+	    item->key, item->value, item->version, mirror->arg);
+}
+
+/*
+ * Removes the keys that a whole list no longer has.
+ */
+static void
+remove_unseen(struct mirror *mirror)
+{
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer key;
+	gpointer version;
+
+	g_hash_table_iter_init(&iter, mirror->versions);
+	while (g_hash_table_iter_next(&iter, &key, &version)) {
+		if (!g_hash_table_contains(mirror->seen, key) &&
+		    *(uint64_t *)version <= mirror->list_revision)
+			g_ptr_array_add(gone, g_strdup(key));
+	}
+	for (guint i = 0; i < gone->len; i++) {
+		const char *name = g_ptr_array_index(gone, i);
+
+		g_hash_table_remove(mirror->versions, name);
+		mirror->ops->removed(lstr_from(name), mirror->arg);
+	}
+	g_ptr_array_free(gone, TRUE);
+}
+
+/*
+ * Ends a list: the watch goes on behind its first page, because pages are
+ * not read at one moment.
+ */
+static void
+finish_list(struct mirror *mirror)
+{
+	bool first = !mirror->synced;
+
+	remove_unseen(mirror);
+	g_hash_table_destroy(mirror->seen);
+	mirror->seen = NULL;
+	mirror->revision = mirror->list_revision;
+	mirror->proved_at = mirror->list_sent_at;
+	mirror->synced = true;
+	slog_event(EV_STORE_SYNCED, "{s:I, s:i}", "revision",
+	    (json_int_t)mirror->revision, "keys",
+	    (int)g_hash_table_size(mirror->versions));
+	if (first)
+		mirror->ops->synced(mirror->arg);
+}
+
+/*
+ * Takes a page of the list.
+ */
+static void
+on_list(const struct kv_result *result, void *arg)
+{
+	struct mirror *mirror = arg;
+
+	mirror->calling = false;
+	if (result->status != STATUS_OK) {
+		g_hash_table_destroy(mirror->seen);
+		mirror->seen = NULL;
+		note_failure(mirror, "list", result->status);
+		return;
+	}
+	note_answer(mirror);
+	if (g_hash_table_size(mirror->seen) == 0)
+		mirror->list_revision = result->revision;
+	for (size_t i = 0; i < result->count; i++) {
+		const struct kv_item *item = &result->items[i];
+
+		g_hash_table_add(mirror->seen,
+		    g_strndup(item->key.data, item->key.len));
+		apply(mirror, item);
+	}
+	g_clear_pointer(&mirror->page_after, g_free);
+	if (result->more && result->count > 0) {
+		struct lstr last = result->items[result->count - 1].key;
+
+		mirror->page_after = g_strndup(last.data, last.len);
+	} else {
+		finish_list(mirror);
+	}
+	next_call(mirror);
+}
+
+/*
+ * Takes the changes that a watch saw.
+ */
+static void
+on_watch(const struct kv_result *result, void *arg)
+{
+	struct mirror *mirror = arg;
+
+	mirror->calling = false;
+	if (result->status == STATUS_EXPIRED) {
+		/* The history is gone: read everything again. */
+		note_answer(mirror);
+		mirror->revision = 0;
+		next_call(mirror);
+		return;
+	}
+	if (result->status != STATUS_OK) {
+		note_failure(mirror, "watch", result->status);
+		return;
+	}
+	note_answer(mirror);
+	for (size_t i = 0; i < result->count; i++)
+		apply(mirror, &result->items[i]);
+	if (result->revision > mirror->revision)
+		mirror->revision = result->revision;
+	mirror->proved_at = mirror->call_sent_at;
+	next_call(mirror);
+}
+
+/*
+ * Starts the next page or the next watch.
+ */
+static void
+next_call(struct mirror *mirror)
+{
+	int64_t now = loop_now(mirror->loop);
+	struct lstr prefix = lstr_from(mirror->prefix);
+
+	if (mirror->calling)
+		return;
+	mirror->calling = true;
+	mirror->call_sent_at = now;
+	if (mirror->revision != 0 && mirror->seen == NULL) {
+		mirror->kv->vtable->watch(mirror->kv, prefix, mirror->revision,
+		    now + MIRROR_WATCH_USEC,
+		    now + MIRROR_WATCH_USEC + MIRROR_ANSWER_USEC, on_watch,
+		    mirror);
+		return;
+	}
+	if (mirror->seen == NULL) {
+		mirror->seen = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
+		mirror->list_sent_at = now;
+		g_clear_pointer(&mirror->page_after, g_free);
+	}
+	mirror->kv->vtable->list(mirror->kv, prefix,
+	    mirror->page_after ? lstr_from(mirror->page_after)
+			       : lstr_make("", 0),
+	    now + MIRROR_LIST_USEC, on_list, mirror);
+}
+
+/*
+ * Returns when the copy was certainly current, 0: never.
+ */
+int64_t
+mirror_proved_at(const struct mirror *mirror)
+{
+	return mirror->proved_at;
+}
+
+/*
+ * Returns when the last time without the store ended, 0: there was none.
+ */
+int64_t
+mirror_returned_at(const struct mirror *mirror)
+{
+	return mirror->returned_at;
+}
+
+/*
+ * Returns the revision of the store up to which changes are known.
+ */
+uint64_t
+mirror_revision(const struct mirror *mirror)
+{
+	return mirror->revision;
+}
+
+/*
+ * Tells whether all keys have been read once.
+ */
+bool
+mirror_is_synced(const struct mirror *mirror)
+{
+	return mirror->synced;
+}
+
+/*
+ * Tells whether the store has not answered for a while.
+ */
+bool
+mirror_is_away(const struct mirror *mirror)
+{
+	return mirror->away ||
+	    loop_now(mirror->loop) - mirror->answered_at > MIRROR_AWAY_USEC;
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,755 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <http_parser.h>
+
+#include "gate.h"
+#include "node.h"
+#include "planner.h"
+#include "settings.h"
+#include "slog.h"
+
+/* Short against the pauses that streams may make. */
+#define TICK_USEC (20 * LOOP_USEC_PER_MSEC)
+#define SWEEP_USEC (250 * LOOP_USEC_PER_MSEC)
+/* Time for which callers keep an address answer: short, so that they leave a
+ * dead node soon; an answer costs little. */
+#define VALIDITY_USEC (1 * LOOP_USEC_PER_SEC)
+/* Some callers keep it three times as long, so a node that stops is still
+ * asked for connections for this long. */
+#define LINGER_USEC (3 * VALIDITY_USEC + 500 * LOOP_USEC_PER_MSEC)
+/* A node that stops ends this long before it would be killed. */
+#define GRACE_MARGIN_USEC (400 * LOOP_USEC_PER_MSEC)
+/* The node's own entry in the store; peers notice its death by silence. */
+#define ENTRY_TTL_USEC (10 * LOOP_USEC_PER_SEC)
+/* Part of the memory that request bodies may take. */
+#define BODIES_MEMORY_SHARE 0.25
+#define BYTES_PER_MB ((size_t)1000 * 1000)
+
+struct node {
+	struct node_options options;
+	struct node_settings settings;
+	const struct adapter *adapter;
+	struct loop *loop;
+	struct h1 *h1;
+	struct fetch *fetch;
+	struct kv *kv;
+	struct mirror *mirror;
+	struct pool *pool;
+	struct mesh *mesh;
+	struct enroll *entry;
+	struct planner *planner;
+	struct gate *gate;
+	struct h1_listener *front;
+	struct h1_listener *ready;
+	struct h1_listener *lookup;
+	struct h1_listener *metrics;
+	struct h1_limits service_limits;
+	struct loop_timer *tick;
+	struct fleet_config *fleet;
+	char *identity;
+	int64_t swept_at;
+	/* When SIGTERM came; 0: it has not. */
+	int64_t draining_since;
+	uint64_t boot;
+};
+
+/*
+ * Puts a configuration from the store in force, unless it is older than the
+ * present one.
+ */
+static void
+take_config(struct node *node, struct lstr value, uint64_t revision)
+{
+	struct fleet_config *config = NULL;
+
+	if (node->adapter->decode_config(value, &config) != STATUS_OK) {
+		slog_event(EV_CONFIG_REFUSED, "{s:s, s:I, s:I}", "reason",
+		    status_message(), "revision", (json_int_t)revision,
+		    "version_in_force",
+		    node->fleet ? (json_int_t)node->fleet->version : 0);
+		return;
+	}
+	if (node->fleet != NULL && config->version < node->fleet->version) {
+		slog_event(EV_CONFIG_REFUSED, "{s:s, s:I, s:I}", "reason",
+		    "older than the one in force", "version",
+		    (json_int_t)config->version, "version_in_force",
+		    (json_int_t)node->fleet->version);
+		fleet_config_unref(config);
+		return;
+	}
+	slog_event(EV_CONFIG_APPLIED, "{s:I, s:I, s:i, s:i}", "version",
+	    (json_int_t)config->version, "revision", (json_int_t)revision,
+	    "hosts", (int)g_hash_table_size(config->routes), "keys",
+	    (int)g_hash_table_size(config->keys));
+	node->fleet = config;
+	gate_set_config(node->gate, config);
+}
+
+/*
+ * Takes a server out of use.
+ */
+static void
+drop_server(struct node *node, const char *id, const char *why)
+{
+	struct pool_server *server = pool_find(node->pool, id);
+
+	if (server == NULL)
+		return;
+	slog_event(
+	    EV_SERVER_REMOVED, "{s:s, s:s}", "server", id, "reason", why);
+	gate_forget_server(node->gate, server);
+	pool_remove(node->pool, id);
+}
+
+/*
+ * Takes the entry of a backend server.
+ */
+static void
+take_server(struct node *node, struct lstr id, struct lstr value)
+{
+	struct fleet_server info;
+	struct pool_server *server;
+	bool is_new;
+
+	if (node->adapter->decode_server(id, value, &info) != STATUS_OK) {
+		char *name = g_strndup(id.data, id.len);
+
+		slog_event(EV_ENTRY_UNREADABLE, "{s:s}", "server", name);
+		drop_server(node, name, "its entry cannot be read");
+		g_free(name);
+		return;
+	}
+	server = pool_find(node->pool, info.id);
+	if (server != NULL && server->info.born != info.born)
+		drop_server(node, info.id, "it started again");
+	server = pool_put(node->pool, &info, loop_now(node->loop), &is_new);
+	slog_event(EV_SERVER_ADDED, "{s:s, s:b, s:s, s:s, s:s, s:s, s:i, s:i}",
+	    "server", server->info.id, "new", is_new, "service",
+	    server->info.service, "kind",
+	    server->info.kind ? server->info.kind : "", "place",
+	    server->info.zone, "state",
+	    server->info.state == FLEET_READY ? "ready" : "draining", "from",
+	    (int)server->info.layer_from, "to", (int)server->info.layer_to);
+}
+
+/*
+ * Returns the part of a key behind a prefix.
+ */
+static struct lstr
+behind(struct lstr key, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return lstr_make(key.data + len, key.len - len);
+}
+
+/*
+ * Takes a key of the store.
+ */
+static void
+on_changed(struct lstr key, struct lstr value, uint64_t version, void *arg)
+{
+	struct node *node = arg;
+	const struct adapter *adapter = node->adapter;
+
+	if (lstr_equal_c(key, adapter->config_key))
+		take_config(node, value, version);
+	else if (lstr_starts_with(key, adapter->servers_prefix))
+		take_server(
+		    node, behind(key, adapter->servers_prefix), value);
+	else if (lstr_starts_with(key, MESH_PREFIX))
+		mesh_put(node->mesh, behind(key, MESH_PREFIX), value);
+	else if (lstr_equal_c(key, PLANNER_KEY))
+		planner_mark(node->planner, value, version);
+}
+
+/*
+ * Takes the entry of a server out. One that lapsed while the store was away
+ * stays for the time in which a live server registers again.
+ */
+static void
+remove_server(struct node *node, struct lstr id)
+{
+	char *name = g_strndup(id.data, id.len);
+	int64_t returned = mirror_returned_at(node->mirror);
+	int64_t until = returned + POOL_LAPSE_USEC;
+
+	if (returned != 0 && loop_now(node->loop) < until)
+		pool_lapse(node->pool, name, until);
+	else
+		drop_server(node, name, "its entry was removed");
+	g_free(name);
+}
+
+/*
+ * A key of the store is gone.
+ */
+static void
+on_removed(struct lstr key, void *arg)
+{
+	struct node *node = arg;
+
+	if (lstr_starts_with(key, node->adapter->servers_prefix))
+		remove_server(
+		    node, behind(key, node->adapter->servers_prefix));
+	else if (lstr_starts_with(key, MESH_PREFIX))
+		mesh_remove(node->mesh, behind(key, MESH_PREFIX));
+	else if (lstr_equal_c(key, PLANNER_KEY))
+		planner_mark(node->planner, lstr_make("", 0), 0);
+}
+
+/*
+ * The store has been read whole.
+ */
+static void
+on_synced(void *arg)
+{
+	(void)arg;
+}
+
+static const struct mirror_ops mirror_ops = {on_changed, on_removed, on_synced};
+
+/*
+ * Drops servers whose lapsed entries did not come back.
+ */
+static void
+drop_lapsed(struct node *node)
+{
+	int64_t now = loop_now(node->loop);
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_server *server = value;
+
+		if (server->lapse_at != 0 && server->lapse_at <= now)
+			g_ptr_array_add(gone, g_strdup(server->info.id));
+	}
+	for (guint i = 0; i < gone->len; i++)
+		drop_server(node, g_ptr_array_index(gone, i),
+		    "its entry lapsed and did not come back");
+	g_ptr_array_free(gone, TRUE);
+}
+
+/*
+ * Tells whether the node can serve callers.
+ */
+static bool
+is_ready(const struct node *node)
+{
+	return node->draining_since == 0 && node->fleet != NULL &&
+	    mirror_is_synced(node->mirror);
+}
+
+/*
+ * Ends a node that stops once its requests are over and callers no longer
+ * come, or when its time is up.
+ */
+static void
+check_drained(struct node *node)
+{
+	int64_t now = loop_now(node->loop);
+	int64_t since = now - node->draining_since;
+	int64_t grace = (int64_t)(node->settings.grace_s *
+	    (double)LOOP_USEC_PER_SEC);
+
+	if ((since >= LINGER_USEC && gate_active(node->gate) == 0) ||
+	    since >= grace - GRACE_MARGIN_USEC)
+		loop_stop(node->loop);
+}
+
+/*
+ * Runs the systems over their tables.
+ */
+static void
+on_tick(void *arg)
+{
+	struct node *node = arg;
+	int64_t now = loop_now(node->loop);
+
+	loop_timer_set(node->tick, now + TICK_USEC);
+	mesh_tick(node->mesh);
+	gate_tick(node->gate);
+	planner_tick(node->planner, node->fleet);
+	if (now - node->swept_at >= SWEEP_USEC) {
+		node->swept_at = now;
+		drop_lapsed(node);
+		h1_listener_sweep(node->front);
+		h1_listener_sweep(node->ready);
+		h1_listener_sweep(node->lookup);
+	}
+	slog_flush();
+	if (node->draining_since != 0)
+		check_drained(node);
+}
+
+/*
+ * Writes a short answer and reads the next request.
+ */
+static void
+answer(struct h1_conn *conn, unsigned int status, const char *type,
+    struct lstr body)
+{
+	struct lstr_buf text = {0};
+	bool keep = h1_keep_alive(conn) && h1_fault(conn) == H1_FAULT_NONE;
+
+	lstr_buf_printf(&text,
+	    "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+	    "%s\r\n",
+	    status, http_status_str((enum http_status)status), type, body.len,
+	    keep ? "" : "Connection: close\r\n");
+	lstr_buf_append(&text, body);
+	h1_write(conn, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	if (keep)
+		h1_next(conn);
+	else
+		h1_finish(conn);
+}
+
+/*
+ * Answers a caller that asks which addresses to use.
+ */
+static void
+answer_lookup(struct node *node, struct h1_conn *conn)
+{
+	struct adapter_lookup lookup = {NULL, NULL};
+	struct adapter_addresses from = {.validity_usec = MIN(VALIDITY_USEC,
+		(int64_t)(node->settings.address_validity_max_s *
+		    (double)LOOP_USEC_PER_SEC))};
+	char *text;
+
+	if (!node->adapter->is_lookup(h1_target(conn), &lookup)) {
+		answer(conn, HTTP_STATUS_NOT_FOUND, "text/plain",
+		    lstr_from("unknown path\n"));
+		return;
+	}
+	from.addresses = g_ptr_array_new();
+	mesh_addresses(node->mesh, lookup.place, from.addresses);
+	text = node->adapter->word_addresses(&from);
+	answer(conn, HTTP_STATUS_OK, "application/json", lstr_from(text));
+	free(text);
+	g_ptr_array_free(from.addresses, TRUE);
+	g_free(lookup.place);
+	g_free(lookup.region);
+}
+
+/*
+ * Answers a check whether the node is ready.
+ */
+static void
+answer_ready(struct node *node, struct h1_conn *conn)
+{
+	if (!node->adapter->is_ready_check(h1_target(conn)))
+		answer(conn, HTTP_STATUS_NOT_FOUND, "text/plain",
+		    lstr_from("unknown path\n"));
+	else if (is_ready(node))
+		answer(conn, HTTP_STATUS_OK, "text/plain",
+		    lstr_from("ready\n"));
+	else
+		answer(conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "text/plain",
+		    lstr_from("not ready\n"));
+}
+
+/*
+ * Writes the metrics from the tables themselves.
+ */
+static void
+answer_metrics(struct node *node, struct h1_conn *conn)
+{
+	const struct gate_counts *gate = gate_counts(node->gate);
+	const struct h1_counts *h1 = h1_counts(node->h1);
+	const struct planner_counts *plan = planner_counts(node->planner);
+	struct lstr_buf text = {0};
+	const struct {
+		const char *name;
+		int64_t value;
+	} rows[] = {
+	    {"requests_taken_total", (int64_t)gate->taken},
+	    {"requests_done_total", (int64_t)gate->done},
+	    {"requests_refused_total", (int64_t)gate->refused},
+	    {"requests_failed_total", (int64_t)gate->failed},
+	    {"requests_cancelled_total", (int64_t)gate->cancelled},
+	    {"requests_queued_total", (int64_t)gate->queued},
+	    {"requests_retried_total", (int64_t)gate->retried},
+	    {"requests_without_proof_total", (int64_t)gate->no_proof},
+	    {"streams_moved_total", (int64_t)gate->resumed},
+	    {"stream_events_total", (int64_t)gate->events},
+	    {"stray_answers_total", (int64_t)gate->stray_answers},
+	    {"requests_active", (int64_t)gate_active(node->gate)},
+	    {"requests_waiting", (int64_t)gate_waiting(node->gate)},
+	    {"connections_accepted_total", (int64_t)h1->accepted},
+	    {"connections_opened_total", (int64_t)h1->connected},
+	    {"connection_failures_total", (int64_t)h1->connect_failures},
+	    {"orders_total", (int64_t)plan->orders},
+	    {"orders_fenced_total", (int64_t)plan->fenced},
+	    {"log_lines_dropped_total", slog_dropped()},
+	    {"config_version", node->fleet ? node->fleet->version : 0},
+	    {"store_proof_age_ms",
+		(loop_now(node->loop) - mirror_proved_at(node->mirror)) /
+		    LOOP_USEC_PER_MSEC},
+	    {"servers", (int64_t)g_hash_table_size(node->pool->by_id)},
+	    {"nodes_live", (int64_t)mesh_live_count(node->mesh)},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		lstr_buf_printf(&text,
+		    "chestnuthoist_%s %" G_GINT64_FORMAT "\n", rows[i].name,
+		    rows[i].value);
+	for (int i = 0; i < KV_KIND_COUNT; i++)
+		lstr_buf_printf(&text,
+		    "chestnuthoist_store_calls_total{kind=\"%d\"} "
+		    "%" G_GINT64_FORMAT "\n",
+		    i, kv_http_calls((enum kv_kind)i));
+	answer(conn, HTTP_STATUS_OK, "text/plain", lstr_buf_view(&text));
+	lstr_buf_free(&text);
+}
+
+/*
+ * Requests of the node's own services have no body that matters.
+ */
+static void
+on_service_head(struct h1_conn *conn, void *arg)
+{
+	(void)conn;
+	(void)arg;
+}
+
+/*
+ * See on_service_head().
+ */
+static void
+on_service_body(struct h1_conn *conn, struct lstr bytes, void *arg)
+{
+	(void)conn;
+	(void)bytes;
+	(void)arg;
+}
+
+/*
+ * Nothing is kept for a connection of the node's own services.
+ */
+static void
+on_service_ended(struct h1_conn *conn, enum status status, void *arg)
+{
+	(void)conn;
+	(void)status;
+	(void)arg;
+}
+
+/*
+ * Answers a request for addresses.
+ */
+static void
+on_lookup(struct h1_conn *conn, void *arg)
+{
+	answer_lookup(arg, conn);
+}
+
+/*
+ * Answers a readiness check.
+ */
+static void
+on_ready(struct h1_conn *conn, void *arg)
+{
+	answer_ready(arg, conn);
+}
+
+/*
+ * Answers a request for metrics.
+ */
+static void
+on_metrics(struct h1_conn *conn, void *arg)
+{
+	answer_metrics(arg, conn);
+}
+
+static const struct h1_ops lookup_ops = {NULL, NULL, on_service_head,
+    on_service_body, on_lookup, on_service_ended};
+static const struct h1_ops ready_ops = {NULL, NULL, on_service_head,
+    on_service_body, on_ready, on_service_ended};
+static const struct h1_ops metrics_ops = {NULL, NULL, on_service_head,
+    on_service_body, on_metrics, on_service_ended};
+
+/*
+ * SIGTERM: takes no more callers and finishes the requests.
+ */
+static void
+on_sigterm(void *arg)
+{
+	struct node *node = arg;
+
+	if (node->draining_since != 0)
+		return;
+	node->draining_since = loop_now(node->loop);
+	slog_event(EV_NODE_DRAINING, "{s:i, s:i}", "active",
+	    (int)gate_active(node->gate), "connections",
+	    (int)h1_listener_count(node->front));
+	gate_drain(node->gate);
+	mesh_leave(node->mesh);
+	planner_leave(node->planner);
+	enroll_leave(node->entry);
+}
+
+/*
+ * SIGHUP: reads the settings again and applies what can change.
+ */
+static void
+on_sighup(void *arg)
+{
+	struct node *node = arg;
+	struct node_settings settings;
+	const char *field;
+
+	if (node_settings_read(node->options.settings_path, &settings) !=
+	    STATUS_OK) {
+		slog_event(EV_SETTINGS_INVALID, "{s:s, s:b}", "reason",
+		    status_message(), "kept", true);
+		return;
+	}
+	field = node_settings_restart_field(&node->settings, &settings);
+	node->settings.grace_s = settings.grace_s;
+	node->settings.address_validity_max_s =
+	    settings.address_validity_max_s;
+	slog_event(EV_NODE_RELOADED, "{s:f, s:f, s:s}", "grace_s",
+	    settings.grace_s, "address_validity_max_s",
+	    settings.address_validity_max_s, "needs_restart",
+	    field ? field : "");
+	node_settings_clear(&settings);
+}
+
+/*
+ * Listens on "ip:port".
+ */
+static enum status
+listen_on(struct node *node, const char *address,
+    const struct h1_limits *limits, const struct h1_ops *ops, void *arg,
+    struct h1_listener **out)
+{
+	char *ip = NULL;
+	uint16_t port;
+	enum status status = settings_split_address(address, &ip, &port);
+
+	if (status == STATUS_OK)
+		status = h1_listen(node->h1, ip, port, limits, ops, arg, out);
+	free(ip);
+	return status;
+}
+
+/*
+ * Opens all listeners.
+ */
+static enum status
+open_listeners(struct node *node)
+{
+	const struct h1_limits *limits = &node->service_limits;
+	enum status status;
+
+	node->service_limits = (struct h1_limits){16384,
+	    3 * LOOP_USEC_PER_SEC, 30 * LOOP_USEC_PER_SEC};
+	status = listen_on(node, node->settings.front,
+	    gate_limits(node->gate), gate_ops(), node->gate, &node->front);
+	if (status == STATUS_OK)
+		status = listen_on(node, node->settings.ready, limits,
+		    &ready_ops, node, &node->ready);
+	if (status == STATUS_OK)
+		status = listen_on(node, node->settings.lookup, limits,
+		    &lookup_ops, node, &node->lookup);
+	if (status == STATUS_OK && node->options.metrics_port != 0)
+		status = h1_listen(node->h1, node->settings.ip,
+		    node->options.metrics_port, limits, &metrics_ops, node,
+		    &node->metrics);
+	return status;
+}
+
+/*
+ * Creates what talks to the store and to other nodes.
+ */
+static enum status
+create_state(struct node *node)
+{
+	struct node_settings *settings = &node->settings;
+	struct mesh_config mesh = {.name = settings->node,
+	    .ip = settings->ip,
+	    .port = (uint16_t)settings->mesh_port,
+	    .front = settings->front,
+	    .place = settings->place,
+	    .boot = node->boot};
+	struct planner_config planner = {.loop = node->loop,
+	    .h1 = node->h1,
+	    .adapter = node->adapter,
+	    .identity = node->identity};
+	enum status status;
+
+	node->pool = pool_new();
+	status = kv_http_create_dialect(node->loop, node->fetch,
+	    settings->store, node->adapter->store, &node->kv);
+	if (status == STATUS_OK)
+		status =
+		    mesh_create(node->loop, &mesh, node->pool, &node->mesh);
+	planner.kv = node->kv;
+	planner.mesh = node->mesh;
+	planner.pool = node->pool;
+	if (status == STATUS_OK)
+		status = planner_create(&planner, &node->planner);
+	if (status == STATUS_OK)
+		status = mirror_create(node->loop, node->kv, "", &mirror_ops,
+		    node, &node->mirror);
+	return status;
+}
+
+/*
+ * The node's entry is in the store.
+ */
+static void
+on_enrolled(uint64_t version, void *arg)
+{
+	(void)arg;
+	slog_event(EV_ENROLLED, "{s:I}", "version", (json_int_t)version);
+}
+
+/*
+ * The node's entry is lost; it is written again.
+ */
+static void
+on_entry_lost(const char *why, void *arg)
+{
+	(void)why;
+	(void)arg;
+}
+
+static const struct enroll_ops entry_ops = {on_enrolled, on_entry_lost};
+
+/*
+ * Creates the gate and the node's entry.
+ */
+static enum status
+create_service(struct node *node)
+{
+	struct node_settings *settings = &node->settings;
+	struct gate_config gate = {.loop = node->loop,
+	    .h1 = node->h1,
+	    .adapter = node->adapter,
+	    .pool = node->pool,
+	    .mesh = node->mesh,
+	    .mirror = node->mirror,
+	    .place = settings->place,
+	    .seed = (uint32_t)node->boot ^ pool_hash(lstr_from(settings->node)),
+	    .revoke_usec = settings->revoke_ms * LOOP_USEC_PER_MSEC,
+	    .retry_slack = settings->retry_slack,
+	    .bodies_max_bytes = (size_t)((double)settings->memory_mb *
+		BODIES_MEMORY_SHARE * (double)BYTES_PER_MB)};
+	char *key = g_strconcat(MESH_PREFIX, settings->node, NULL);
+	struct enroll_config entry = {.key = key,
+	    .value = mesh_entry(node->mesh),
+	    .ttl_usec = ENTRY_TTL_USEC,
+	    .own = true};
+	enum status status = gate_create(&gate, &node->gate);
+
+	if (status == STATUS_OK)
+		status = enroll_create(node->loop, node->kv, &entry, &entry_ops,
+		    node, &node->entry);
+	g_free(key);
+	return status;
+}
+
+/*
+ * Creates a node; takes over the settings. On failure status_message() says
+ * why.
+ */
+enum status
+node_create(const struct node_options *options, const struct adapter *adapter,
+    struct node_settings *settings, struct node **out)
+{
+	struct node *node = g_new0(struct node, 1);
+	enum status status;
+
+	node->options = *options;
+	node->settings = *settings;
+	memset(settings, 0, sizeof(*settings));
+	node->adapter = adapter;
+	slog_init(node->settings.node);
+	signal(SIGPIPE, SIG_IGN);
+	status = loop_create(&node->loop);
+	if (status == STATUS_OK) {
+		node->boot = (uint64_t)loop_now(node->loop);
+		node->identity = g_strdup_printf("%s#%" G_GUINT64_FORMAT,
+		    node->settings.node, node->boot);
+		status = h1_create(node->loop, &node->h1);
+	}
+	if (status == STATUS_OK)
+		status = fetch_create(node->loop, &node->fetch);
+	if (status == STATUS_OK)
+		status = create_state(node);
+	if (status == STATUS_OK)
+		status = create_service(node);
+	if (status == STATUS_OK)
+		status = open_listeners(node);
+	if (status == STATUS_OK)
+		status =
+		    loop_timer_create(node->loop, on_tick, node, &node->tick);
+	if (status == STATUS_OK)
+		status = loop_on_signal(node->loop, SIGTERM, on_sigterm, node);
+	if (status == STATUS_OK)
+		status = loop_on_signal(node->loop, SIGHUP, on_sighup, node);
+	if (status != STATUS_OK) {
+		node_destroy(node);
+		return status;
+	}
+	*out = node;
+	return STATUS_OK;
+}
+
+/*
+ * Serves until the node is told to stop.
+ */
+void
+node_run(struct node *node)
+{
+	slog_event(EV_NODE_STARTED, "{s:s, s:s, s:s, s:s, s:I, s:f, s:I, s:s}",
+	    "version", CH_VERSION, "front", node->settings.front, "place",
+	    node->settings.place, "store", node->settings.store, "revoke_ms",
+	    (json_int_t)node->settings.revoke_ms, "grace_s",
+	    node->settings.grace_s, "retry_slack",
+	    (json_int_t)node->settings.retry_slack, "identity",
+	    node->identity);
+	loop_timer_set(node->tick, 0);
+	loop_run(node->loop);
+	slog_event(EV_NODE_STOPPED, "{s:i}", "cut",
+	    (int)gate_active(node->gate));
+	slog_flush();
+}
+
+/*
+ * Frees a node; NULL is allowed.
+ */
+void
+node_destroy(struct node *node)
+{
+	if (node == NULL)
+		return;
+	h1_listener_destroy(node->front);
+	h1_listener_destroy(node->ready);
+	h1_listener_destroy(node->lookup);
+	h1_listener_destroy(node->metrics);
+	loop_timer_destroy(node->tick);
+	if (node->kv != NULL)
+		node->kv->vtable->destroy(node->kv);
+	gate_destroy(node->gate);
+	planner_destroy(node->planner);
+	enroll_destroy(node->entry);
+	mirror_destroy(node->mirror);
+	mesh_destroy(node->mesh);
+	pool_free(node->pool);
+	fetch_destroy(node->fetch);
+	h1_destroy(node->h1);
+	loop_destroy(node->loop);
+	node_settings_clear(&node->settings);
+	g_free(node->identity);
+	g_free(node);
+}
--- /dev/null
+++ b/src/node/node_settings.c
@@ -0,0 +1,215 @@
+#include <arpa/inet.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "node_settings.h"
+#include "settings.h"
+
+#define NAME_MAX_BYTES 100
+#define PORT_MAX 65535
+#define REVOKE_MAX_MS 600000
+#define SECONDS_MAX 3600
+#define RETRY_SLACK_MAX 1000000
+#define MEMORY_MAX_MB 1048576
+
+enum field_kind {
+	FIELD_TEXT,
+	FIELD_IP,
+	FIELD_ADDRESS,
+	FIELD_WHOLE,
+	FIELD_NUMBER
+};
+
+struct field {
+	const char *name;
+	enum field_kind kind;
+	size_t offset;
+	double min;
+	double max;
+	bool required;
+	/* A change takes effect only after a restart. */
+	bool restart;
+};
+
+#define AT(member) offsetof(struct node_settings, member)
+
+static const struct field fields[] = {
+    {"node", FIELD_TEXT, AT(node), 1, NAME_MAX_BYTES, true, true},
+    {"place", FIELD_TEXT, AT(place), 1, NAME_MAX_BYTES, true, true},
+    {"region", FIELD_TEXT, AT(region), 1, NAME_MAX_BYTES, true, true},
+    {"ip", FIELD_IP, AT(ip), 0, 0, true, true},
+    {"front", FIELD_ADDRESS, AT(front), 0, 0, true, true},
+    {"ready", FIELD_ADDRESS, AT(ready), 0, 0, true, true},
+    {"lookup", FIELD_ADDRESS, AT(lookup), 0, 0, true, true},
+    {"store", FIELD_ADDRESS, AT(store), 0, 0, true, true},
+    {"mesh_port", FIELD_WHOLE, AT(mesh_port), 0, PORT_MAX, true, true},
+    {"revoke_ms", FIELD_WHOLE, AT(revoke_ms), 0, REVOKE_MAX_MS, false, true},
+    {"grace_s", FIELD_NUMBER, AT(grace_s), 0, SECONDS_MAX, false, false},
+    {"retry_slack", FIELD_WHOLE, AT(retry_slack), 0, RETRY_SLACK_MAX, false,
+	true},
+    {"address_validity_max_s", FIELD_NUMBER, AT(address_validity_max_s), 0.1,
+	SECONDS_MAX, false, false},
+    {"memory_mb", FIELD_WHOLE, AT(memory_mb), 16, MEMORY_MAX_MB, false, true},
+};
+
+/*
+ * Frees the texts of settings.
+ */
+void
+node_settings_clear(struct node_settings *settings)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		char **text = (char **)((char *)settings + fields[i].offset);
+
+		if (fields[i].kind <= FIELD_ADDRESS)
+			g_clear_pointer(text, g_free);
+	}
+}
+
+/*
+ * Checks and copies a text.
+ */
+static enum status
+take_text(const struct field *field, const char *value, char **out)
+{
+	struct in_addr binary;
+	char *host = NULL;
+	uint16_t port;
+
+	if (value == NULL)
+		return status_set(STATUS_INVALID,
+		    "settings field %s: a text is needed", field->name);
+	if (field->kind == FIELD_TEXT &&
+	    (strlen(value) < field->min || strlen(value) > field->max))
+		return status_set(STATUS_INVALID,
+		    "settings field %s: '%s' is not allowed; %g to %g bytes "
+		    "are",
+		    field->name, value, field->min, field->max);
+	if (field->kind == FIELD_IP &&
+	    inet_pton(AF_INET, value, &binary) != 1)
+		return status_set(STATUS_INVALID,
+		    "settings field %s: '%s' is not an IPv4 address",
+		    field->name, value);
+	if (field->kind == FIELD_ADDRESS) {
+		if (settings_split_address(value, &host, &port) != STATUS_OK)
+			return status_set(STATUS_INVALID,
+			    "settings field %s: '%s' is not ip:port",
+			    field->name, value);
+		free(host);
+	}
+	*out = g_strdup(value);
+	return STATUS_OK;
+}
+
+/*
+ * Checks and copies a number.
+ */
+static enum status
+take_number(const struct field *field, const json_t *value, void *out)
+{
+	double number = json_number_value(value);
+	bool whole = field->kind == FIELD_WHOLE;
+
+	if (!json_is_number(value) || (whole && !json_is_integer(value)) ||
+	    number < field->min || number > field->max)
+		return status_set(STATUS_INVALID,
+		    "settings field %s: a %s from %g to %g is needed",
+		    field->name, whole ? "whole number" : "number", field->min,
+		    field->max);
+	if (whole)
+		*(int64_t *)out = json_integer_value(value);
+	else
+		*(double *)out = number;
+	return STATUS_OK;
+}
+
+/*
+ * Takes one field of the file.
+ */
+static enum status
+take_field(const char *name, const json_t *value, struct node_settings *out)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		char *at = (char *)out + fields[i].offset;
+
+		if (strcmp(fields[i].name, name) != 0)
+			continue;
+		if (fields[i].kind <= FIELD_ADDRESS)
+			return take_text(
+			    &fields[i], json_string_value(value), (char **)at);
+		return take_number(&fields[i], value, at);
+	}
+	return status_set(
+	    STATUS_INVALID, "settings field %s is not known", name);
+}
+
+/*
+ * Reads and checks the settings file. STATUS_INVALID: status_message() names
+ * the field, its value and what is allowed.
+ */
+enum status
+node_settings_read(const char *path, struct node_settings *out)
+{
+	json_error_t error;
+	json_t *root = json_load_file(path, JSON_REJECT_DUPLICATES, &error);
+	enum status status = STATUS_OK;
+	const char *name;
+	json_t *value;
+
+	memset(out, 0, sizeof(*out));
+	out->grace_s = 8;
+	out->address_validity_max_s = 5;
+	out->memory_mb = 256;
+	if (!json_is_object(root)) {
+		json_decref(root);
+		return status_set(STATUS_INVALID, "settings file %s, line %d: %s",
+		    path, error.line, root ? "not an object" : error.text);
+	}
+	json_object_foreach(root, name, value)
+	{
+		status = take_field(name, value, out);
+		if (status != STATUS_OK)
+			break;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(fields) && status == STATUS_OK;
+	     i++) {
+		if (fields[i].required &&
+		    json_object_get(root, fields[i].name) == NULL)
+			status = status_set(STATUS_INVALID,
+			    "settings field %s is missing", fields[i].name);
+	}
+	json_decref(root);
+	if (status != STATUS_OK)
+		node_settings_clear(out);
+	return status;
+}
+
+/*
+ * Returns the name of a field that differs and takes effect only after a
+ * restart; NULL: there is none.
+ */
+const char *
+node_settings_restart_field(
+    const struct node_settings *a, const struct node_settings *b)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		const char *x = (const char *)a + fields[i].offset;
+		const char *y = (const char *)b + fields[i].offset;
+		bool differs;
+
+		if (!fields[i].restart)
+			continue;
+		if (fields[i].kind <= FIELD_ADDRESS)
+			differs = g_strcmp0(*(char *const *)x,
+				      *(char *const *)y) != 0;
+		else
+			differs = memcmp(x, y, sizeof(int64_t)) != 0;
+		if (differs)
+			return fields[i].name;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/node/path.c
@@ -0,0 +1,318 @@
+#include <assert.h>
+#include <string.h>
+
+#include "path.h"
+
+/* Beyond this share of its memory a server becomes ever dearer. */
+#define CROWDED_SHARE 0.5
+/* A server that is full costs this many times more than an empty one. */
+#define CROWDED_FACTOR 4.0
+
+/* The cheapest way to run the layers below a boundary. */
+struct reach {
+	double cost;
+	uint32_t server;
+	/* Index of the boundary at which the last stage begins. */
+	uint32_t previous;
+};
+
+struct search {
+	const struct fleet_engine *engine;
+	const struct path_server *servers;
+	size_t count;
+	const struct path_demand *demand;
+	uint32_t boundaries[FLEET_LAYERS_MAX + 1];
+	uint32_t boundary_count;
+	struct reach reach[FLEET_LAYERS_MAX + 1];
+};
+
+/*
+ * Returns the memory for requests of a server that holds a number of layers,
+ * in tokens times layers; 0 when the layers themselves do not fit.
+ */
+int64_t
+path_server_memory(const struct fleet_engine *engine,
+    const struct fleet_kind_info *kind, uint32_t layers)
+{
+	int64_t left =
+	    kind->memory_bytes - engine->layer_bytes * (int64_t)layers;
+	double token_layer =
+	    (double)engine->token_bytes / (double)engine->layers;
+
+	if (left <= 0 || token_layer <= 0)
+		return 0;
+	return (int64_t)((double)left / token_layer);
+}
+
+/*
+ * Returns the time of one token step on a server for all layers, in
+ * microseconds, with one more request of the given context.
+ */
+static double
+step_usec(const struct fleet_engine *engine, const struct path_server *server,
+    double context)
+{
+	double held = server->layer_to - server->layer_from;
+	double tokens = (double)server->used / held + context;
+
+	return server->slowness * server->step_factor *
+	    (engine->step_usec +
+		engine->step_per_request_usec * (server->active + 1) +
+		engine->step_per_context_token_usec * tokens);
+}
+
+/*
+ * Returns how many times dearer a server is because its memory fills up, or a
+ * negative number when the request does not fit.
+ */
+static double
+crowding(const struct path_server *server, int64_t tokens, uint32_t layers)
+{
+	double limit = (double)server->memory * PATH_MEMORY_SHARE;
+	double share =
+	    ((double)server->used + (double)tokens * layers) / limit;
+
+	if (limit <= 0 || share > 1)
+		return -1;
+	if (share <= CROWDED_SHARE)
+		return 1;
+	share = (share - CROWDED_SHARE) / (1 - CROWDED_SHARE);
+	return 1 + (CROWDED_FACTOR - 1) * share * share;
+}
+
+/*
+ * Adds a boundary unless it is there; boundaries stay in order.
+ */
+static void
+add_boundary(struct search *search, uint32_t layer)
+{
+	uint32_t i = search->boundary_count;
+
+	while (i > 0 && search->boundaries[i - 1] > layer)
+		i--;
+	if (i > 0 && search->boundaries[i - 1] == layer)
+		return;
+	memmove(&search->boundaries[i + 1], &search->boundaries[i],
+	    (search->boundary_count - i) * sizeof(search->boundaries[0]));
+	search->boundaries[i] = layer;
+	search->boundary_count++;
+}
+
+/*
+ * Collects the layers at which a path may change servers.
+ */
+static void
+collect_boundaries(struct search *search)
+{
+	add_boundary(search, 0);
+	add_boundary(search, search->engine->layers);
+	for (size_t i = 0; i < search->count; i++) {
+		const struct path_server *server = &search->servers[i];
+
+		if (!server->usable || server->layer_to <= server->layer_from ||
+		    server->layer_to > search->engine->layers)
+			continue;
+		add_boundary(search, server->layer_from);
+		add_boundary(search, server->layer_to);
+	}
+}
+
+/*
+ * Extends the path that ends at a boundary by one server.
+ */
+static void
+extend(struct search *search, uint32_t at, uint32_t index)
+{
+	const struct path_server *server = &search->servers[index];
+	const struct fleet_engine *engine = search->engine;
+	uint32_t start = search->boundaries[at];
+	int64_t tokens = (int64_t)search->demand->prompt_tokens +
+	    search->demand->output_tokens;
+	double step = step_usec(engine, server, (double)tokens);
+	double fixed = PATH_STAGE_USEC;
+
+	if (at == 0) {
+		if (server->first_active >= server->first_max)
+			return;
+		if (strcmp(server->zone, search->demand->zone) != 0)
+			fixed += PATH_AWAY_USEC;
+	} else {
+		const struct path_server *previous =
+		    &search->servers[search->reach[at].server];
+
+		fixed += (double)fleet_engine_delay(
+		    engine, previous->zone, server->zone);
+	}
+	for (uint32_t to = at + 1; to < search->boundary_count &&
+	     search->boundaries[to] <= server->layer_to;
+	     to++) {
+		uint32_t layers = search->boundaries[to] - start;
+		double crowded = crowding(server, tokens, layers);
+		double cost;
+
+		if (crowded < 0)
+			break;
+		cost = search->reach[at].cost + fixed +
+		    step * crowded * layers / engine->layers;
+		if (cost < search->reach[to].cost)
+			search->reach[to] = (struct reach){cost, index, at};
+	}
+}
+
+/*
+ * Joins the uses of a server that appears twice: it holds what lies between
+ * as well, and a path may name a server only once.
+ */
+static void
+join_repeated(struct path *path)
+{
+	for (uint32_t i = 0; i < path->count; i++) {
+		for (uint32_t k = path->count - 1; k > i; k--) {
+			if (path->stages[k].server != path->stages[i].server)
+				continue;
+			path->stages[i].layer_to = path->stages[k].layer_to;
+			memmove(&path->stages[i + 1], &path->stages[k + 1],
+			    (path->count - k - 1) * sizeof(path->stages[0]));
+			path->count -= k - i;
+			break;
+		}
+	}
+}
+
+/*
+ * Works out the expected times of a path.
+ */
+static void
+estimate(const struct search *search, struct path *path)
+{
+	const struct fleet_engine *engine = search->engine;
+	double prompt = search->demand->prompt_tokens;
+	double read = engine->read_per_token_usec * prompt +
+	    engine->read_per_pair_usec * prompt * prompt / 2;
+	double step = 0;
+	double first = 0;
+
+	for (uint32_t i = 0; i < path->count; i++) {
+		const struct path_stage *stage = &path->stages[i];
+		const struct path_server *server =
+		    &search->servers[stage->server];
+		double share = (double)(stage->layer_to - stage->layer_from) /
+		    engine->layers;
+		double own = step_usec(engine, server, prompt) * share;
+
+		step += own;
+		/* It waits for the pass that runs, and reads between others. */
+		first += own * engine->stride +
+		    server->slowness * server->read_factor * read * share;
+		if (i > 0) {
+			double delay = (double)fleet_engine_delay(engine,
+			    search->servers[path->stages[i - 1].server].zone,
+			    server->zone);
+
+			step += delay;
+			first += delay;
+		}
+	}
+	path->event_usec = (int64_t)(step * engine->stride);
+	path->first_usec = (int64_t)(first + step * engine->stride);
+}
+
+/*
+ * Reads the path off the search.
+ */
+static enum status
+collect_path(const struct search *search, struct path *path)
+{
+	uint32_t at = search->boundary_count - 1;
+	uint32_t count = 0;
+
+	for (uint32_t i = at; i > 0; i = search->reach[i].previous)
+		count++;
+	if (count > FLEET_STAGES_MAX)
+		return status_set(STATUS_FULL, "no path of %d stages or fewer",
+		    FLEET_STAGES_MAX);
+	path->count = count;
+	while (at > 0) {
+		const struct reach *reach = &search->reach[at];
+
+		path->stages[--count] = (struct path_stage){reach->server,
+		    search->boundaries[reach->previous],
+		    search->boundaries[at]};
+		at = reach->previous;
+	}
+	join_repeated(path);
+	return STATUS_OK;
+}
+
+/*
+ * Finds the cheapest path with memory for the request. STATUS_NOT_FOUND: some
+ * layer is held by no usable server. STATUS_FULL: all layers are held, but no
+ * path has room.
+ */
+enum status
+path_find(const struct fleet_engine *engine, const struct path_server *servers,
+    size_t count, const struct path_demand *demand, struct path *path)
+{
+	struct search search = {.engine = engine,
+	    .servers = servers,
+	    .count = count,
+	    .demand = demand};
+	uint32_t covered = 0;
+
+	collect_boundaries(&search);
+	for (uint32_t i = 0; i < search.boundary_count; i++)
+		search.reach[i].cost = i == 0 ? 0 : 1e300;
+	for (uint32_t at = 0; at + 1 < search.boundary_count; at++) {
+		uint32_t start = search.boundaries[at];
+		bool held = false;
+
+		for (uint32_t i = 0; i < count; i++) {
+			const struct path_server *server = &servers[i];
+
+			if (!server->usable || server->layer_from > start ||
+			    server->layer_to <= start)
+				continue;
+			held = true;
+			if (search.reach[at].cost < 1e300)
+				extend(&search, at, i);
+		}
+		covered += held;
+	}
+	if (covered + 1 < search.boundary_count)
+		return status_set(
+		    STATUS_NOT_FOUND, "some layers are held by no server");
+	if (search.reach[search.boundary_count - 1].cost >= 1e300)
+		return status_set(STATUS_FULL, "no path has room");
+	if (collect_path(&search, path) != STATUS_OK)
+		return STATUS_FULL;
+	assert(path_is_complete(engine, path, servers, count));
+	estimate(&search, path);
+	return STATUS_OK;
+}
+
+/*
+ * Tells whether a path runs every layer once and in order, on servers that
+ * hold them, none of which it names twice.
+ */
+bool
+path_is_complete(const struct fleet_engine *engine, const struct path *path,
+    const struct path_server *servers, size_t count)
+{
+	uint32_t at = 0;
+
+	for (uint32_t i = 0; i < path->count; i++) {
+		const struct path_stage *stage = &path->stages[i];
+
+		if (stage->server >= count || stage->layer_from != at ||
+		    stage->layer_to <= at ||
+		    servers[stage->server].layer_from > at ||
+		    servers[stage->server].layer_to < stage->layer_to)
+			return false;
+		for (uint32_t k = 0; k < i; k++) {
+			if (path->stages[k].server == stage->server)
+				return false;
+		}
+		at = stage->layer_to;
+	}
+	return at == engine->layers;
+}
--- /dev/null
+++ b/src/node/path.h
@@ -0,0 +1,76 @@
+#ifndef CH_PATH_H
+#define CH_PATH_H
+
+#include "adapter.h"
+#include "fleet.h"
+
+/*
+ * Chooses the path of one generation: servers that together run every layer
+ * once and in order. It answers the load in which some servers are nearly
+ * full or slow while others could take the request: cost grows with what runs
+ * on a server already, and a server without memory for the request is left
+ * out. A dead server costs no new loads as long as other servers hold its
+ * layers, since a path may use any part of what a server holds.
+ */
+
+/* Shares of a path a caller's data centre is not part of cost this much more
+ * for each token: about the delay between data centres plus its traffic. */
+#define PATH_AWAY_USEC 300.0
+/* Cost of one more stage for each token: a hop, and one more server whose
+ * failure stops the stream. */
+#define PATH_STAGE_USEC 150.0
+/* Part of a server's memory that may be promised; the rest covers answers that
+ * grow beyond their estimate and usage that peers have not reported yet. */
+#define PATH_MEMORY_SHARE 0.92
+
+/* One server that holds layers; a row of the table that path_find() reads. */
+struct path_server {
+	const char *address;
+	const char *zone;
+	uint32_t layer_from;
+	uint32_t layer_to;
+	double step_factor;
+	double read_factor;
+	/* At least 1; more for a server that is slower than its kind. */
+	double slowness;
+	/* Memory for requests, and the part in use, in tokens times layers. */
+	int64_t memory;
+	int64_t used;
+	/* Requests that run through the server, and as its first stage. */
+	uint32_t active;
+	uint32_t first_active;
+	uint32_t first_max;
+	/* False: it is to get nothing. */
+	bool usable;
+};
+
+struct path_demand {
+	uint32_t prompt_tokens;
+	uint32_t output_tokens;
+	/* Data centre of the node that sends the request. */
+	const char *zone;
+};
+
+struct path_stage {
+	/* Index into the table. */
+	uint32_t server;
+	uint32_t layer_from;
+	uint32_t layer_to;
+};
+
+struct path {
+	struct path_stage stages[FLEET_STAGES_MAX];
+	uint32_t count;
+	/* Expected time between events and until the first one. */
+	int64_t event_usec;
+	int64_t first_usec;
+};
+
+enum status path_find(const struct fleet_engine *, const struct path_server *,
+    size_t, const struct path_demand *, struct path *);
+bool path_is_complete(const struct fleet_engine *, const struct path *,
+    const struct path_server *, size_t);
+int64_t path_server_memory(
+    const struct fleet_engine *, const struct fleet_kind_info *, uint32_t);
+
+#endif
--- /dev/null
+++ b/src/node/pool.c
@@ -0,0 +1,358 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "pool.h"
+
+/* A server in another data centre counts as if it had this much of a request
+ * more; traffic between data centres is dear. */
+#define AWAY_LOAD 0.3
+/* A server that fails all requests counts as this much more loaded. */
+#define ERROR_LOAD 12.0
+/* A pace that was seen long ago counts less: halved in this time. */
+#define SLOWNESS_HALF_USEC (2 * LOOP_USEC_PER_SEC)
+#define SLOWNESS_MAX 20.0
+
+/*
+ * Frees a server; used by the tables that hold it.
+ */
+static void
+server_free(void *data)
+{
+	struct pool_server *server = data;
+
+	g_queue_clear(&server->idle);
+	fleet_server_clear(&server->info);
+	g_free(server);
+}
+
+/*
+ * Creates an empty pool.
+ */
+struct pool *
+pool_new(void)
+{
+	struct pool *pool = g_new0(struct pool, 1);
+
+	pool->by_id =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+	pool->by_hash = g_hash_table_new(NULL, NULL);
+	pool->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	pool->gone = g_ptr_array_new_with_free_func(server_free);
+	return pool;
+}
+
+/*
+ * Frees the pool. Connections of its servers must have been closed.
+ */
+void
+pool_free(struct pool *pool)
+{
+	GHashTableIter iter;
+	gpointer server;
+
+	if (pool == NULL)
+		return;
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &server))
+		g_ptr_array_add(pool->gone, server);
+	g_ptr_array_free(pool->gone, TRUE);
+	g_hash_table_destroy(pool->by_id);
+	g_hash_table_destroy(pool->by_hash);
+	g_hash_table_destroy(pool->by_address);
+	g_free(pool);
+}
+
+/*
+ * Returns the short name of a server in messages between nodes.
+ */
+uint32_t
+pool_hash(struct lstr id)
+{
+	return (uint32_t)XXH3_64bits(id.data, id.len);
+}
+
+/*
+ * Takes a server's present description, which the pool then owns. A server
+ * that started again is a new one: it holds and knows nothing of before.
+ */
+struct pool_server *
+pool_put(
+    struct pool *pool, struct fleet_server *info, int64_t now, bool *is_new)
+{
+	struct pool_server *server = pool_find(pool, info->id);
+
+	if (server != NULL && server->info.born != info->born) {
+		pool_remove(pool, info->id);
+		server = NULL;
+	}
+	*is_new = server == NULL;
+	pool->version++;
+	if (server == NULL) {
+		server = g_new0(struct pool_server, 1);
+		server->slowness = 1;
+		g_queue_init(&server->idle);
+		pool->last_added_at = now;
+	} else {
+		g_hash_table_remove(pool->by_id, server->info.id);
+		if (pool_find_address(pool,
+			lstr_from(server->info.address_text)) == server)
+			g_hash_table_remove(
+			    pool->by_address, server->info.address_text);
+		fleet_server_clear(&server->info);
+	}
+	server->info = *info;
+	server->lapse_at = 0;
+	server->hash = pool_hash(lstr_from(info->id));
+	g_hash_table_replace(pool->by_id, server->info.id, server);
+	g_hash_table_replace(
+	    pool->by_hash, GUINT_TO_POINTER(server->hash), server);
+	g_hash_table_replace(
+	    pool->by_address, server->info.address_text, server);
+	return server;
+}
+
+/*
+ * Takes a server out. Requests that use it keep it until the end of the pool.
+ */
+void
+pool_remove(struct pool *pool, const char *id)
+{
+	struct pool_server *server = pool_find(pool, id);
+
+	if (server == NULL)
+		return;
+	pool->version++;
+	g_hash_table_remove(pool->by_id, server->info.id);
+	g_hash_table_remove(pool->by_hash, GUINT_TO_POINTER(server->hash));
+	if (pool_find_address(pool, lstr_from(server->info.address_text)) ==
+	    server)
+		g_hash_table_remove(
+		    pool->by_address, server->info.address_text);
+	server->avoid_until = INT64_MAX;
+	g_ptr_array_add(pool->gone, server);
+}
+
+/*
+ * Keeps a server whose entry lapsed with the store's outage for a while.
+ */
+void
+pool_lapse(struct pool *pool, const char *id, int64_t until)
+{
+	struct pool_server *server = pool_find(pool, id);
+
+	if (server != NULL)
+		server->lapse_at = until;
+}
+
+/*
+ * Finds a server by its identifier; NULL: it is not listed.
+ */
+struct pool_server *
+pool_find(const struct pool *pool, const char *id)
+{
+	return g_hash_table_lookup(pool->by_id, id);
+}
+
+/*
+ * Finds a server by its short name; NULL: it is not listed.
+ */
+struct pool_server *
+pool_find_hash(const struct pool *pool, uint32_t hash)
+{
+	return g_hash_table_lookup(pool->by_hash, GUINT_TO_POINTER(hash));
+}
+
+/*
+ * Finds a server by its address "ip:port"; NULL: it is not listed.
+ */
+struct pool_server *
+pool_find_address(const struct pool *pool, struct lstr address)
+{
+	char *text = g_strndup(address.data, address.len);
+	struct pool_server *server =
+	    g_hash_table_lookup(pool->by_address, text);
+
+	g_free(text);
+	return server;
+}
+
+/*
+ * Tells whether a server may get new requests.
+ */
+bool
+pool_usable(const struct pool_server *server, int64_t now)
+{
+	return server->info.state == FLEET_READY && server->avoid_until <= now &&
+	    server->peer_avoid_until <= now;
+}
+
+/*
+ * Notes that a server failed: it gets nothing for a time. Returns false when
+ * it was avoided already.
+ */
+bool
+pool_avoid(struct pool_server *server, int64_t now)
+{
+	int64_t span = POOL_AVOID_USEC;
+
+	if (server->avoid_until > now)
+		return false;
+	for (uint32_t i = 0; i < server->failures && span < POOL_AVOID_MAX_USEC;
+	     i++)
+		span *= 2;
+	server->failures++;
+	server->avoid_until = now + MIN(span, POOL_AVOID_MAX_USEC);
+	return true;
+}
+
+/*
+ * Notes that a peer avoids a server.
+ */
+void
+pool_peer_avoids(struct pool_server *server, int64_t until, int64_t now)
+{
+	if (now - server->good_at > POOL_TRUST_OWN_USEC)
+		server->peer_avoid_until = until;
+}
+
+/*
+ * Notes that a server works.
+ */
+void
+pool_note_good(struct pool_server *server, int64_t now)
+{
+	server->good_at = now;
+	server->peer_avoid_until = 0;
+}
+
+/*
+ * Notes how a request ended at a server.
+ */
+void
+pool_note_answer(struct pool_server *server, bool good)
+{
+	server->error_rate +=
+	    POOL_SAMPLE_WEIGHT * ((good ? 0 : 1) - server->error_rate);
+	if (good)
+		server->failures = 0;
+}
+
+/*
+ * Returns how many times slower than its kind a server is; it returns to 1
+ * without new evidence, so that the server is tried again.
+ */
+double
+pool_slowness(const struct pool_server *server, int64_t now)
+{
+	int64_t age = now - server->slowness_at;
+	double excess = server->slowness - 1;
+
+	while (age > SLOWNESS_HALF_USEC && excess > 0.01) {
+		excess /= 2;
+		age -= SLOWNESS_HALF_USEC;
+	}
+	return 1 + MAX(excess, 0);
+}
+
+/*
+ * Notes the ratio of a measured to an expected time.
+ */
+void
+pool_note_pace(struct pool_server *server, double ratio, int64_t now)
+{
+	double slowness = pool_slowness(server, now);
+
+	ratio = CLAMP(ratio, 1, SLOWNESS_MAX);
+	server->slowness =
+	    slowness + POOL_SAMPLE_WEIGHT * (ratio - slowness);
+	server->slowness_at = now;
+}
+
+/*
+ * Collects the servers of a service. The array is freed by the caller.
+ */
+GPtrArray *
+pool_service(const struct pool *pool, const char *service)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_server *server = value;
+
+		if (strcmp(server->info.service, service) == 0)
+			g_ptr_array_add(list, server);
+	}
+	return list;
+}
+
+/*
+ * Fills the table for the choice of a path; row i is server i of the list.
+ */
+size_t
+pool_path_table(GPtrArray *servers, const struct fleet_engine *engine,
+    int64_t now, struct path_server *out, size_t max)
+{
+	size_t count = MIN(servers->len, max);
+
+	for (size_t i = 0; i < count; i++) {
+		const struct pool_server *server =
+		    g_ptr_array_index(servers, i);
+		const struct fleet_kind_info *kind =
+		    fleet_engine_kind(engine, server->info.kind);
+		struct path_server *row = &out[i];
+
+		memset(row, 0, sizeof(*row));
+		if (kind == NULL)
+			continue;
+		row->address = server->info.address_text;
+		row->zone = server->info.zone;
+		row->layer_from = server->info.layer_from;
+		row->layer_to = server->info.layer_to;
+		row->step_factor = kind->step_factor;
+		row->read_factor = kind->read_factor;
+		row->slowness = pool_slowness(server, now);
+		row->memory = path_server_memory(
+		    engine, kind, row->layer_to - row->layer_from);
+		row->used = server->own.memory + server->peers.memory;
+		row->active = server->own.active + server->peers.active;
+		row->first_active =
+		    server->own.first_active + server->peers.first_active;
+		row->first_max = engine->batch_max;
+		row->usable = pool_usable(server, now);
+	}
+	return count;
+}
+
+/*
+ * Picks the server for a request to a plain service: the least loaded, with
+ * failures and distance counted as load. NULL: there is none to use.
+ */
+struct pool_server *
+pool_pick_plain(GPtrArray *servers, const char *zone,
+    const struct pool_server *except, int64_t now, uint32_t random)
+{
+	struct pool_server *best = NULL;
+	double best_load = 0;
+
+	for (guint i = 0; i < servers->len; i++) {
+		struct pool_server *server =
+		    g_ptr_array_index(servers, (i + random) % servers->len);
+		double load = server->own.active + server->peers.active;
+
+		if (server == except || !pool_usable(server, now))
+			continue;
+		load = (load + 1) / MAX(server->info.slots, 1u) +
+		    ERROR_LOAD * server->error_rate;
+		if (strcmp(server->info.zone, zone) != 0)
+			load += AWAY_LOAD;
+		if (best == NULL || load < best_load) {
+			best = server;
+			best_load = load;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/src/node/pool.h
@@ -0,0 +1,98 @@
+#ifndef CH_POOL_H
+#define CH_POOL_H
+
+#include <glib.h>
+
+#include "adapter.h"
+#include "path.h"
+
+/*
+ * The backend servers as this node sees them: what the platform lists, what
+ * live requests showed, and what this node and its peers use of them.
+ */
+
+/* A server that failed gets nothing for this long, doubled for each failure
+ * in a row up to the largest; the first is about a restart of its process. */
+#define POOL_AVOID_USEC (800 * LOOP_USEC_PER_MSEC)
+#define POOL_AVOID_MAX_USEC (4 * LOOP_USEC_PER_SEC)
+/* An entry that lapsed while the store was away stays this long after the
+ * return, in which a live server registers again. */
+#define POOL_LAPSE_USEC (2 * LOOP_USEC_PER_SEC)
+/* Peers' reports are used for this long; they come every MESH_SEND_USEC. */
+#define POOL_PEER_USE_USEC (1000 * LOOP_USEC_PER_MSEC)
+/* A peer's word that a server fails is not taken within this time of own
+ * evidence that it works: the peer may be the one that is cut off. */
+#define POOL_TRUST_OWN_USEC (500 * LOOP_USEC_PER_MSEC)
+/* Weight of the newest sample in moving averages. */
+#define POOL_SAMPLE_WEIGHT 0.1
+
+/* What requests of one node use of a server. */
+struct pool_use {
+	int64_t memory;
+	uint32_t active;
+	uint32_t first_active;
+};
+
+struct pool_server {
+	struct fleet_server info;
+	uint32_t hash;
+	/* The entry is gone; the server may be used until lapse_at. */
+	int64_t lapse_at;
+	int64_t avoid_until;
+	/* Told by a peer. */
+	int64_t peer_avoid_until;
+	uint32_t failures;
+	/* Share of requests that failed, and of answer time over its kind. */
+	double error_rate;
+	double slowness;
+	int64_t slowness_at;
+	/* When it last answered or a stream through it made progress. */
+	int64_t good_at;
+	struct pool_use own;
+	struct pool_use peers;
+	/* Connections that wait for a request: struct h1_conn. */
+	GQueue idle;
+	uint32_t connections;
+	/* When its last report was asked for, and whether it is awaited. */
+	int64_t probed_at;
+	bool probing;
+};
+
+struct pool {
+	/* By identifier. */
+	GHashTable *by_id;
+	GHashTable *by_hash;
+	GHashTable *by_address;
+	/* struct pool_server that are gone but still used by requests. */
+	GPtrArray *gone;
+	/* Counts changes, for the logs. */
+	uint64_t version;
+	int64_t last_added_at;
+};
+
+struct pool *pool_new(void);
+void pool_free(struct pool *);
+struct pool_server *pool_put(
+    struct pool *, struct fleet_server *, int64_t now, bool *is_new);
+void pool_remove(struct pool *, const char *id);
+void pool_lapse(struct pool *, const char *id, int64_t until);
+struct pool_server *pool_find(const struct pool *, const char *id);
+struct pool_server *pool_find_hash(const struct pool *, uint32_t);
+struct pool_server *pool_find_address(const struct pool *, struct lstr);
+uint32_t pool_hash(struct lstr);
+
+void pool_peer_avoids(struct pool_server *, int64_t until, int64_t now);
+void pool_note_good(struct pool_server *, int64_t now);
+bool pool_usable(const struct pool_server *, int64_t now);
+bool pool_avoid(struct pool_server *, int64_t now);
+void pool_note_answer(struct pool_server *, bool good);
+void pool_note_pace(struct pool_server *, double ratio, int64_t now);
+double pool_slowness(const struct pool_server *, int64_t now);
+
+GPtrArray *pool_service(const struct pool *, const char *service);
+size_t pool_path_table(GPtrArray *servers, const struct fleet_engine *,
+    int64_t now, struct path_server *out, size_t max);
+struct pool_server *pool_pick_plain(GPtrArray *servers, const char *zone,
+    const struct pool_server *except, int64_t now, uint32_t random);
+
+#endif
--- /dev/null
+++ b/src/node/sse.c
@@ -0,0 +1,98 @@
+#include <string.h>
+
+#include "sse.h"
+
+/*
+ * Takes bytes of a stream. STATUS_FULL: an event is larger than allowed.
+ */
+enum status
+sse_feed(struct sse *sse, struct lstr bytes)
+{
+	if (sse->pending.len + bytes.len > SSE_EVENT_MAX_BYTES)
+		return status_set(STATUS_FULL, "event is too large");
+	return lstr_buf_append(&sse->pending, bytes);
+}
+
+/*
+ * Reads the identifier of an event from its "id:" line.
+ */
+static void
+read_id(struct sse_event *event)
+{
+	const char *at = event->bytes.data;
+	const char *end = at + event->bytes.len;
+
+	while (at < end) {
+		const char *line_end = memchr(at, '\n', (size_t)(end - at));
+		size_t len = line_end ? (size_t)(line_end - at)
+				      : (size_t)(end - at);
+		int64_t id;
+
+		if (len > 0 && at[len - 1] == '\r')
+			len--;
+		if (len > 3 && memcmp(at, "id:", 3) == 0) {
+			struct lstr value = lstr_make(at + 3, len - 3);
+
+			if (value.len > 0 && value.data[0] == ' ')
+				value = lstr_make(value.data + 1, value.len - 1);
+			if (lstr_to_int64(value, &id) == STATUS_OK && id >= 0) {
+				event->has_id = true;
+				event->id = (uint64_t)id;
+			}
+		}
+		if (line_end == NULL)
+			return;
+		at = line_end + 1;
+	}
+}
+
+/*
+ * Takes the next whole event; its bytes are valid until the next call.
+ */
+bool
+sse_next(struct sse *sse, struct sse_event *event)
+{
+	const char *data;
+	size_t i;
+
+	data = sse->pending.data;
+	for (i = sse->searched; i < sse->pending.len; i++) {
+		size_t next = i + 1;
+
+		if (data[i] != '\n')
+			continue;
+		if (next < sse->pending.len && data[next] == '\r')
+			next++;
+		if (next >= sse->pending.len)
+			break;
+		if (data[next] != '\n')
+			continue;
+		*event = (struct sse_event){
+		    .bytes = lstr_make(data, next + 1)};
+		read_id(event);
+		sse->searched = 0;
+		lstr_buf_consume(&sse->pending, next + 1);
+		return true;
+	}
+	sse->searched = i;
+	return false;
+}
+
+/*
+ * Forgets a part of an event.
+ */
+void
+sse_reset(struct sse *sse)
+{
+	lstr_buf_clear(&sse->pending);
+	sse->searched = 0;
+}
+
+/*
+ * Frees the splitter's memory.
+ */
+void
+sse_free(struct sse *sse)
+{
+	lstr_buf_free(&sse->pending);
+}
--- a/src/retry.c
+++ b/src/retry.c
@@ -10,17 +10,32 @@
 retry_budget_init(struct retry_budget *budget, int64_t now)
 {
 	memset(budget, 0, sizeof(*budget));
+	budget->saved_max =
+	    (int64_t)RETRY_SAVED_MAX * RETRY_REQUESTS_PER_RETRY;
 	budget->minimum = RETRY_MINIMUM;
+	budget->minimum_max = RETRY_MINIMUM;
 	budget->refilled_at = now;
 }
 
+/*
+ * Gives a service a share of a budget that nodes divide among themselves: a
+ * number of retries at once, and more only as requests earn them.
+ */
+void
+retry_budget_init_share(struct retry_budget *budget, int64_t burst)
+{
+	memset(budget, 0, sizeof(*budget));
+	budget->saved_max = burst * RETRY_REQUESTS_PER_RETRY;
+	budget->saved = budget->saved_max;
+}
+
 /*
  * Counts a request that is not a retry.
  */
 void
 retry_request(struct retry_budget *budget)
 {
-	if (budget->saved < (int64_t)RETRY_SAVED_MAX * RETRY_REQUESTS_PER_RETRY)
+	if (budget->saved < budget->saved_max)
 		budget->saved++;
 }
 
@@ -36,8 +51,8 @@
 		return;
 	budget->refilled_at += count * RETRY_MINIMUM_REFILL_USEC;
 	budget->minimum += count;
-	if (budget->minimum > RETRY_MINIMUM)
-		budget->minimum = RETRY_MINIMUM;
+	if (budget->minimum > budget->minimum_max)
+		budget->minimum = budget->minimum_max;
 }
 
 /*
@@ -96,6 +111,16 @@
 	return RETRY_OK;
 }
 
+/*
+ * Tells whether a retry would be granted now, without charging it.
+ */
+bool
+retry_is_available(const struct retry_budget *budget)
+{
+	return budget->saved >= RETRY_REQUESTS_PER_RETRY ||
+	    budget->minimum > 0;
+}
+
 /*
  * Returns the name of a verdict as a static string, for codes and logs.
  */
--- a/src/retry.h
+++ b/src/retry.h
@@ -21,7 +21,9 @@
 struct retry_budget {
 	/* In units of 1 / RETRY_REQUESTS_PER_RETRY. */
 	int64_t saved;
+	int64_t saved_max;
 	int64_t minimum;
+	int64_t minimum_max;
 	int64_t refilled_at;
 	uint64_t granted;
 	uint64_t refused;
@@ -46,9 +48,11 @@
 };
 
 void retry_budget_init(struct retry_budget *, int64_t now);
+void retry_budget_init_share(struct retry_budget *, int64_t burst);
 void retry_request(struct retry_budget *);
 enum retry_verdict retry_decide(struct retry_budget *,
     const struct retry_case *, int64_t now, GRand *, int64_t *at);
+bool retry_is_available(const struct retry_budget *);
 const char *retry_verdict_name(enum retry_verdict);
 
 #endif
--- a/src/sched.c
+++ b/src/sched.c
@@ -393,6 +393,34 @@
 	g_tree_insert(class->active, account, account);
 }
 
+/*
+ * Returns the entry of the class that is served next, without taking it.
+ */
+static struct sched_entry *
+next_entry(const struct sched *sched, struct account **account)
+{
+	*account = NULL;
+	for (int i = 0; i < SCHED_CLASSES && *account == NULL; i++)
+		*account = tree_first(sched->classes[i].active);
+	return *account != NULL ? tree_first((*account)->entries) : NULL;
+}
+
+/*
+ * Shows the request that sched_take() would take. Returns false when the
+ * queue is empty.
+ */
+bool
+sched_peek(const struct sched *sched, void **data)
+{
+	struct account *account;
+	const struct sched_entry *entry = next_entry(sched, &account);
+
+	if (entry == NULL)
+		return false;
+	*data = entry->data;
+	return true;
+}
+
 /*
  * Takes the entry to serve next: the highest class, in it the organisation
  * with the smallest start tag, of that the earliest deadline. Stores its data
@@ -402,14 +430,11 @@
 bool
 sched_take(struct sched *sched, void **data, Ch__RecordReason *reason)
 {
-	struct account *account = NULL;
-	struct sched_entry *entry;
+	struct account *account;
+	struct sched_entry *entry = next_entry(sched, &account);
 
-	for (int i = 0; i < SCHED_CLASSES && account == NULL; i++)
-		account = tree_first(sched->classes[i].active);
-	if (account == NULL)
+	if (entry == NULL)
 		return false;
-	entry = tree_first(account->entries);
 	*reason = reason_of(sched, entry);
 	*data = entry->data;
 	unlink_entry(sched, entry);
