--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -331,7 +331,7 @@
 char *
 kv_escape(struct lstr s, const char *keep)
 {
-	char *text = g_strndup(s.data, s.len);
+	char *text = g_strndup(s.len > 0 ? s.data : "", s.len);
 	char *escaped = g_uri_escape_string(text, keep, FALSE);
 
 	g_free(text);
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -23,6 +23,8 @@
 	const struct path_demand *demand;
 	uint32_t boundaries[FLEET_LAYERS_MAX + 1];
 	uint32_t boundary_count;
+	/* What each request of a first server adds to a token of the others. */
+	double head_usec;
 	struct reach reach[FLEET_LAYERS_MAX + 1];
 };
 
@@ -117,6 +119,35 @@
 	}
 }
 
+/*
+ * Works out what each request of a first server adds to a token step of the
+ * others there: the first server runs one pass at a time along whole paths, so
+ * the reading of each prompt holds up the steps of all its requests.
+ */
+static double
+head_usec(const struct search *search)
+{
+	const struct fleet_engine *engine = search->engine;
+	double factor = 0;
+	double layers = 0;
+
+	if (engine->usual_output_tokens == 0)
+		return 0;
+	for (size_t i = 0; i < search->count; i++) {
+		const struct path_server *server = &search->servers[i];
+		double held = server->layer_to - server->layer_from;
+
+		if (!server->usable)
+			continue;
+		factor += server->read_factor * held;
+		layers += held;
+	}
+	if (layers <= 0)
+		return 0;
+	return engine->read_per_token_usec * engine->usual_prompt_tokens *
+	    (factor / layers) / engine->usual_output_tokens;
+}
+
 /*
  * Extends the path that ends at a boundary by one server.
  */
@@ -134,6 +165,8 @@
 	if (at == 0) {
 		if (server->first_active >= server->first_max)
 			return;
+		fixed += search->head_usec * server->slowness *
+		    server->first_active;
 		if (strcmp(server->zone, search->demand->zone) != 0)
 			fixed += PATH_AWAY_USEC;
 	} else {
@@ -260,6 +293,7 @@
 	uint32_t covered = 0;
 
 	collect_boundaries(&search);
+	search.head_usec = head_usec(&search);
 	for (uint32_t i = 0; i < search.boundary_count; i++)
 		search.reach[i].cost = i == 0 ? 0 : 1e300;
 	for (uint32_t at = 0; at + 1 < search.boundary_count; at++) {
