Keep paths and copies of the model within a data centre

Cause: a path between data centres sends 29.5 KB for each prompt token over a link that all paths share, 11 ms for a usual prompt: at 90 streams a second and two crossings each it was used 2 times over, and callers left after 2 s. Change: each data centre holds the whole model with 1.3 copies and three first servers; crossing costs 30 times its own transfer in the choice of a path; the cost of a stage counts the passes of several first servers and its reading. The expected pauses are now 2.4 times too long (130 ms against 55): the cost model overrates shared passes.

--- a/src/node/fleet.h
+++ b/src/node/fleet.h
@@ -80,6 +80,10 @@
 	int64_t layer_bytes;
 	/* Memory of one token over all layers. */
 	int64_t token_bytes;
+	/* What one token sends from stage to stage, and how fast the link
+	 * between two data centres carries it; all requests share that link. */
+	int64_t activation_bytes;
+	double link_bytes_per_usec;
 	/* Requests that one server takes as the first of a path. */
 	uint32_t batch_max;
 	/* Token steps in one pass, which is one event. */
--- a/src/node/layout.c
+++ b/src/node/layout.c
@@ -31,24 +31,34 @@
 }
 
 /*
- * Returns the largest number of requests per copy at which all servers
- * together hold the wanted number of copies.
+ * Returns how many layers the servers of a group hold together beside memory
+ * for a number of requests.
+ */
+static uint64_t
+group_capacity(const struct fleet_engine *engine,
+    struct layout_server *const *servers, size_t count, uint32_t requests)
+{
+	uint64_t layers = 0;
+
+	for (size_t i = 0; i < count; i++)
+		layers += layout_capacity(engine, servers[i]->kind, requests);
+	return layers;
+}
+
+/*
+ * Returns the largest number of requests for which a group has memory beside
+ * the wanted number of copies.
  */
 static uint32_t
 choose_requests(const struct fleet_engine *engine,
-    const struct layout_server *servers, size_t count)
+    struct layout_server *const *servers, size_t count)
 {
-	uint32_t requests = LAYOUT_REQUESTS_PER_COPY;
-
-	for (; requests > LAYOUT_REQUESTS_PER_COPY_MIN; requests--) {
-		uint64_t layers = 0;
+	uint32_t requests = LAYOUT_REQUESTS;
 
-		for (size_t i = 0; i < count; i++)
-			layers += layout_capacity(
-			    engine, servers[i].kind, requests);
-		if (layers >= (uint64_t)engine->layers * LAYOUT_COPIES)
-			break;
-	}
+	while (requests > LAYOUT_REQUESTS_MIN &&
+	    (double)group_capacity(engine, servers, count, requests) <
+		LAYOUT_COPIES * engine->layers)
+		requests--;
 	return requests;
 }
 
@@ -105,6 +115,46 @@
 	cover(holders, server, 1);
 }
 
+/*
+ * Gives the slowest empty servers of a group the first layers, if too few hold
+ * them. A first server may run few layers, so its speed matters least.
+ */
+static size_t
+assign_heads(const struct fleet_engine *engine, struct layout_server **order,
+    size_t count, uint32_t requests, uint32_t *holders)
+{
+	size_t orders = 0;
+
+	for (size_t i = count; i-- > 0 && holders[0] < LAYOUT_HEADS;) {
+		struct layout_server *server = order[i];
+		uint32_t capacity =
+		    layout_capacity(engine, server->kind, requests);
+
+		if (!server->orderable || capacity == 0 ||
+		    server->layer_from != server->layer_to)
+			continue;
+		server->layer_from = 0;
+		server->layer_to = capacity;
+		server->order = true;
+		cover(holders, server, 1);
+		orders++;
+	}
+	return orders;
+}
+
+/*
+ * Returns how many servers hold the layer that the fewest hold.
+ */
+static uint32_t
+least_held(const struct fleet_engine *engine, const uint32_t *holders)
+{
+	uint32_t least = UINT32_MAX;
+
+	for (uint32_t i = 0; i < engine->layers; i++)
+		least = holders[i] < least ? holders[i] : least;
+	return least;
+}
+
 /*
  * Finds the server that can best give up its layers: all of them are held
  * elsewhere. NULL: there is none.
@@ -134,50 +184,36 @@
 }
 
 /*
- * Tells whether some layer is held by nobody.
- */
-static bool
-has_gap(const struct fleet_engine *engine, const uint32_t *holders)
-{
-	for (uint32_t i = 0; i < engine->layers; i++) {
-		if (holders[i] == 0)
-			return true;
-	}
-	return false;
-}
-
-/*
- * Plans orders for servers of one engine and marks them in the table. Returns
- * how many there are.
+ * Plans the orders for one group of servers, which is in order of speed.
  */
-size_t
-layout_plan(const struct fleet_engine *engine, struct layout_server *servers,
+static size_t
+plan_group(const struct fleet_engine *engine, struct layout_server **order,
     size_t count)
 {
 	uint32_t holders[FLEET_LAYERS_MAX] = {0};
-	uint32_t requests = choose_requests(engine, servers, count);
-	struct layout_server **order = calloc(count + 1, sizeof(*order));
+	uint32_t requests = choose_requests(engine, order, count);
 	size_t orders = 0;
+	bool headed = false;
 
-	if (order == NULL)
-		return 0;
-	for (size_t i = 0; i < count; i++) {
-		servers[i].order = false;
-		order[i] = &servers[i];
-		cover(holders, &servers[i], 1);
-	}
-	qsort(order, count, sizeof(struct layout_server *), compare_servers);
+	for (size_t i = 0; i < count; i++)
+		cover(holders, order[i], 1);
 	for (size_t i = 0; i < count; i++) {
 		uint32_t capacity =
 		    layout_capacity(engine, order[i]->kind, requests);
 
+		/* The first copy is on the fastest; then come first layers. */
+		if (!headed && least_held(engine, holders) > 0) {
+			headed = true;
+			orders += assign_heads(
+			    engine, order, count, requests, holders);
+		}
 		if (!order[i]->orderable || capacity == 0 ||
 		    order[i]->layer_from != order[i]->layer_to)
 			continue;
 		assign(engine, order[i], capacity, holders);
 		orders++;
 	}
-	while (has_gap(engine, holders)) {
+	while (least_held(engine, holders) == 0) {
 		struct layout_server *server =
 		    find_redundant(order, count, holders);
 		uint32_t capacity;
@@ -191,6 +227,70 @@
 		assign(engine, server, capacity, holders);
 		orders++;
 	}
+	return orders;
+}
+
+/*
+ * Moves the servers of one data centre to the front. Returns how many.
+ */
+static size_t
+gather(struct layout_server **servers, size_t count, const char *place)
+{
+	size_t found = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		struct layout_server *server = servers[i];
+
+		if (strcmp(server->place, place) != 0)
+			continue;
+		memmove(&servers[found + 1], &servers[found],
+		    (i - found) * sizeof(struct layout_server *));
+		servers[found++] = server;
+	}
+	return found;
+}
+
+/*
+ * Plans orders for servers of one engine and marks them in the table. Returns
+ * how many there are. Each data centre that can hold the model is a group;
+ * the others form one together.
+ */
+size_t
+layout_plan(const struct fleet_engine *engine, struct layout_server *servers,
+    size_t count)
+{
+	struct layout_server **order = calloc(count + 1, sizeof(*order));
+	struct layout_server **rest = calloc(count + 1, sizeof(*rest));
+	size_t left = count;
+	size_t rest_count = 0;
+	size_t orders = 0;
+
+	if (order == NULL || rest == NULL)
+		goto out;
+	for (size_t i = 0; i < count; i++) {
+		servers[i].order = false;
+		order[i] = &servers[i];
+	}
+	qsort(order, count, sizeof(struct layout_server *), compare_servers);
+	while (left > 0) {
+		struct layout_server **group = order + (count - left);
+		size_t size = gather(group, left, group[0]->place);
+
+		left -= size;
+		if (group_capacity(engine, group, size, LAYOUT_REQUESTS_MIN) >=
+		    engine->layers) {
+			orders += plan_group(engine, group, size);
+			continue;
+		}
+		memcpy(rest + rest_count, group,
+		    size * sizeof(struct layout_server *));
+		rest_count += size;
+	}
+	qsort(
+	    rest, rest_count, sizeof(struct layout_server *), compare_servers);
+	orders += plan_group(engine, rest, rest_count);
+out:
 	free(order);
+	free(rest);
 	return orders;
 }
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -7,6 +7,12 @@
 #define CROWDED_SHARE 0.5
 /* A server that is full costs this many times more than an empty one. */
 #define CROWDED_FACTOR 4.0
+/* Reading counts as no more than this share of a server's time, so that the
+ * cost of a busy one stays finite. */
+#define READING_SHARE_MAX 0.9
+/* A first server may run as few layers as this; the rest of its layers can
+ * run on faster servers. */
+#define HEAD_LAYERS_MIN 1
 
 /* The cheapest way to run the layers below a boundary. */
 struct reach {
@@ -46,21 +52,58 @@
 	return (int64_t)((double)left / token_layer);
 }
 
+/*
+ * Returns the share of a server's time that reading prompts takes.
+ */
+static double
+reading_share(const struct fleet_engine *engine,
+    const struct path_server *server)
+{
+	double held = server->layer_to - server->layer_from;
+	double read = server->read_factor * engine->read_per_token_usec *
+	    engine->usual_prompt_tokens * held / engine->layers;
+	double share = server->active * read / PATH_LIFE_USEC;
+
+	return share < READING_SHARE_MAX ? share : READING_SHARE_MAX;
+}
+
+/*
+ * Counts the first servers of a data centre that run passes now.
+ */
+static uint32_t
+first_servers(const struct search *search, const char *zone)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < search->count; i++) {
+		const struct path_server *server = &search->servers[i];
+
+		count += server->first_active > 0 &&
+		    strcmp(server->zone, zone) == 0;
+	}
+	return count;
+}
+
 /*
  * Returns the time of one token step on a server for all layers, in
- * microseconds, with one more request of the given context.
+ * microseconds, with one more request of the given context. Requests of one
+ * first server share a pass; passes of several follow one another.
  */
 static double
-step_usec(const struct fleet_engine *engine, const struct path_server *server,
+step_usec(const struct search *search, const struct path_server *server,
     double context)
 {
+	const struct fleet_engine *engine = search->engine;
 	double held = server->layer_to - server->layer_from;
 	double tokens = (double)server->used / held + context;
+	uint32_t heads = first_servers(search, server->zone);
+	double passes = server->active < heads ? server->active + 1 : heads + 1;
 
 	return server->slowness * server->step_factor *
-	    (engine->step_usec +
+	    (engine->step_usec * passes +
 		engine->step_per_request_usec * (server->active + 1) +
-		engine->step_per_context_token_usec * tokens);
+		engine->step_per_context_token_usec * tokens) /
+	    (1 - reading_share(engine, server));
 }
 
 /*
@@ -107,6 +150,8 @@
 collect_boundaries(struct search *search)
 {
 	add_boundary(search, 0);
+	if (search->engine->layers > HEAD_LAYERS_MIN)
+		add_boundary(search, HEAD_LAYERS_MIN);
 	add_boundary(search, search->engine->layers);
 	for (size_t i = 0; i < search->count; i++) {
 		const struct path_server *server = &search->servers[i];
@@ -148,6 +193,29 @@
 	    (factor / layers) / engine->usual_output_tokens;
 }
 
+/*
+ * Returns what crossing from one data centre to another costs each token: the
+ * delay, and the request's share of the common link for its prompt and output.
+ */
+static double
+crossing_usec(const struct search *search, const char *from, const char *to)
+{
+	const struct fleet_engine *engine = search->engine;
+	double tokens = search->demand->prompt_tokens;
+	double output = search->demand->output_tokens;
+	double transfer;
+
+	if (strcmp(from, to) == 0)
+		return 0;
+	transfer = engine->link_bytes_per_usec > 0
+	    ? (double)engine->activation_bytes / engine->link_bytes_per_usec
+	    : 0;
+	if (output < 1)
+		output = 1;
+	return (double)fleet_engine_delay(engine, from, to) +
+	    PATH_LINK_WEIGHT * transfer * (tokens + output) / output;
+}
+
 /*
  * Extends the path that ends at a boundary by one server.
  */
@@ -159,7 +227,7 @@
 	uint32_t start = search->boundaries[at];
 	int64_t tokens = (int64_t)search->demand->prompt_tokens +
 	    search->demand->output_tokens;
-	double step = step_usec(engine, server, (double)tokens);
+	double step = step_usec(search, server, (double)tokens);
 	double fixed = PATH_STAGE_USEC;
 
 	if (at == 0) {
@@ -173,8 +241,7 @@
 		const struct path_server *previous =
 		    &search->servers[search->reach[at].server];
 
-		fixed += (double)fleet_engine_delay(
-		    engine, previous->zone, server->zone);
+		fixed += crossing_usec(search, previous->zone, server->zone);
 	}
 	for (uint32_t to = at + 1; to < search->boundary_count &&
 	     search->boundaries[to] <= server->layer_to;
@@ -231,7 +298,7 @@
 		    &search->servers[stage->server];
 		double share = (double)(stage->layer_to - stage->layer_from) /
 		    engine->layers;
-		double own = step_usec(engine, server, prompt) * share;
+		double own = step_usec(search, server, prompt) * share;
 
 		step += own;
 		/* It waits for the pass that runs, and reads between others. */
--- a/src/node/path.h
+++ b/src/node/path.h
@@ -19,9 +19,16 @@
 /* Cost of one more stage for each token: a hop, and one more server whose
  * failure stops the stream. */
 #define PATH_STAGE_USEC 150.0
-/* Part of a server's memory that may be promised; the rest covers answers that
- * grow beyond their estimate and usage that peers have not reported yet. */
-#define PATH_MEMORY_SHARE 0.92
+/* The link between two data centres is used by all paths that cross it, one
+ * transfer after another: crossing it costs this many times its own time, so
+ * that paths stay within a data centre while it has room. */
+#define PATH_LINK_WEIGHT 30.0
+/* Time that a generation of the usual size runs; prompts are read once in it. */
+#define PATH_LIFE_USEC 2.2e6
+/* Part of a server's memory that may be promised. Requests are charged their
+ * full length from the start, which on average leaves a tenth free for answers
+ * that grow beyond their estimate and for use that peers have not reported. */
+#define PATH_MEMORY_SHARE 1.0
 
 /* One server that holds layers; a row of the table that path_find() reads. */
 struct path_server {
--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -375,6 +375,7 @@
 
 	memset(row, 0, sizeof(*row));
 	row->id = server->info.id;
+	row->place = server->info.zone;
 	row->kind = fleet_engine_kind(engine, server->info.kind);
 	if (row->kind == NULL || !pool_usable(server, now))
 		return false;
