Bound the crossings between data centres; readmit servers on evidence

Change: a path stays within one data centre; one that crosses is only taken while the node's share of half the link lasts. A server that failed is asked for its report before it gets requests again. The whole retry budget is divided among the nodes (ratio and slack), not a tenth of the requests.

--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -14,7 +14,7 @@
 #define NO_PROOF_RETRY_USEC (1 * LOOP_USEC_PER_SEC)
 /* Nodes keep this share of the common retry budget, so that their counts,
  * which start at different moments, stay within every window together. */
-#define BUDGET_SHARE 0.6
+#define BUDGET_SHARE 0.85
 
 /*
  * Returns the present time.
@@ -196,7 +196,8 @@
 		service->budget_nodes = nodes;
 		retry_budget_init_share(&service->budget,
 		    (int64_t)((double)gate->config.retry_slack * BUDGET_SHARE /
-			nodes));
+			nodes),
+		    gate->config.retry_ratio * BUDGET_SHARE);
 	}
 	return service;
 }
@@ -622,6 +623,7 @@
 	g_hash_table_iter_init(&iter, gate->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		gate_stream_expire(gate, value, now);
+	gate_check_probation(gate, now);
 	gate_stream_pump(gate);
 	for (guint i = 0; i < gate->requests->len; i++) {
 		struct gate_request *request =
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -23,8 +23,10 @@
 	uint32_t seed;
 	/* A key that was taken away must be dead this long after it. */
 	int64_t revoke_usec;
-	/* Retries of all nodes in one window beyond a share of the requests. */
+	/* Retries of all nodes in one window: this many, and a share of the
+	 * requests. */
 	int64_t retry_slack;
+	double retry_ratio;
 	/* Memory that request bodies may take. */
 	size_t bodies_max_bytes;
 };
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -28,6 +28,11 @@
 #define GATE_IDLE_MARGIN_USEC (500 * LOOP_USEC_PER_MSEC)
 /* For servers that state no idle time. */
 #define GATE_IDLE_UNKNOWN_USEC (300 * LOOP_USEC_PER_MSEC)
+/* Part of the link between data centres that paths of all nodes may use; a
+ * link that is used up delays every token that crosses it. */
+#define GATE_LINK_SHARE 0.5
+/* Bytes that a node may save up, as time at its rate. */
+#define GATE_LINK_BURST_USEC (1000 * LOOP_USEC_PER_MSEC)
 /* A whole answer of a plain service is kept up to this size. */
 #define GATE_ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
 
@@ -120,6 +125,9 @@
 	/* Tokens of requests that were started lately, for expected waits. */
 	double started_tokens_per_sec;
 	int64_t started_at;
+	/* Bytes that paths of this node may still send between data centres. */
+	double link_bytes;
+	int64_t link_at;
 };
 
 struct gate {
@@ -171,5 +179,6 @@
 void gate_stream_tick(struct gate_request *, int64_t now);
 void gate_stream_expire(struct gate *, struct gate_service *, int64_t now);
 void gate_stream_pump(struct gate *);
+void gate_check_probation(struct gate *, int64_t now);
 
 #endif
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -72,6 +72,56 @@
 	service->started_at = now;
 }
 
+/*
+ * Returns the bytes that this node's paths may still send between data
+ * centres: its share of the links, as long as it was not used.
+ */
+static double *
+link_account(struct gate *gate, struct gate_service *service,
+    const struct fleet_engine *engine, int64_t now)
+{
+	double rate = engine->link_bytes_per_usec * GATE_LINK_SHARE /
+	    mesh_live_count(gate->config.mesh);
+	double max = rate * (double)GATE_LINK_BURST_USEC;
+
+	service->link_bytes += rate * (double)(now - service->link_at);
+	service->link_bytes = MIN(service->link_bytes, max);
+	service->link_at = now;
+	return &service->link_bytes;
+}
+
+/*
+ * Finds a path within one data centre; if there is none, one that crosses
+ * between them, while this node's share of the link lasts.
+ */
+static enum status
+find_path(struct gate_request *request, const struct path_server *rows,
+    size_t count, struct path *path)
+{
+	struct gate *gate = request->gate;
+	const struct fleet_engine *engine = request->service->engine;
+	struct path_demand demand = {request->info.prompt_tokens,
+	    output_estimate(request), gate->config.place, false};
+	double *left = link_account(gate,
+	    gate_service(gate, request->service->name), engine, gate_now(gate));
+	enum status status;
+
+	if (demand.prompt_tokens == 0)
+		demand.prompt_tokens = engine->usual_prompt_tokens;
+	request->attempt.tokens =
+	    (int64_t)demand.prompt_tokens + demand.output_tokens;
+	status = path_find(engine, rows, count, &demand, path);
+	if (status == STATUS_OK || *left <= 0)
+		return status;
+	demand.may_cross = true;
+	status = path_find(engine, rows, count, &demand, path);
+	if (status == STATUS_OK)
+		*left -= (double)path->crossings *
+		    (double)request->attempt.tokens *
+		    (double)engine->activation_bytes;
+	return status;
+}
+
 /*
  * Chooses a path and sends the request along it. Otherwise returns why not:
  * STATUS_FULL, STATUS_NOT_FOUND or STATUS_UNAVAILABLE.
@@ -82,24 +132,17 @@
 	struct gate *gate = request->gate;
 	const struct fleet_engine *engine = request->service->engine;
 	struct gate_attempt *attempt = &request->attempt;
-	int64_t now = gate_now(gate);
 	GPtrArray *servers =
 	    pool_service(gate->config.pool, request->service->name);
 	struct path_server *rows =
 	    g_new0(struct path_server, MAX(servers->len, 1u));
-	struct path_demand demand = {request->info.prompt_tokens,
-	    output_estimate(request), gate->config.place};
 	struct path path = {.count = 0};
 	enum status status;
-	size_t count;
+	size_t count = pool_path_table(
+	    servers, engine, gate_now(gate), rows, SERVERS_MAX);
 
-	if (demand.prompt_tokens == 0)
-		demand.prompt_tokens = engine->usual_prompt_tokens;
-	count = pool_path_table(servers, engine, now, rows, SERVERS_MAX);
-	status = path_find(engine, rows, count, &demand, &path);
+	status = find_path(request, rows, count, &path);
 	if (status == STATUS_OK) {
-		attempt->tokens =
-		    (int64_t)demand.prompt_tokens + demand.output_tokens;
 		attempt->event_usec = path.event_usec;
 		attempt->first_usec = path.first_usec;
 		attempt->stage_count = path.count;
@@ -600,6 +643,8 @@
 			move_streams(gate, server);
 		}
 	} else {
+		if (server != NULL)
+			pool_note_good(server, gate_now(gate));
 		for (guint i = 0; i < report.stalled->len; i++) {
 			struct pool_server *stalled = pool_find_address(
 			    gate->config.pool,
@@ -643,6 +688,34 @@
 	}
 }
 
+/*
+ * Asks servers that failed and were left alone for a time whether they work.
+ * Plain services have no report: the next request shows it.
+ */
+void
+gate_check_probation(struct gate *gate, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (gate->fleet == NULL)
+		return;
+	g_hash_table_iter_init(&iter, gate->config.pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_server *server = value;
+		const struct fleet_service *service;
+
+		if (!pool_is_on_probation(server, now))
+			continue;
+		service =
+		    fleet_config_service(gate->fleet, server->info.service);
+		if (service != NULL && service->engine != NULL)
+			start_probe(gate, server, now);
+		else
+			server->failing_since = 0;
+	}
+}
+
 /*
  * Looks for streams that make no progress.
  */
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -13,6 +13,8 @@
 #include "slog.h"
 
 #define DATAGRAM_MAX_BYTES 60000
+/* Peers avoid a failing server until the report after next. */
+#define AVOID_TOLD_MSEC (2 * MESH_SEND_USEC / LOOP_USEC_PER_MSEC)
 /* Datagrams read in one round of the loop. */
 #define READ_BATCH 64
 /* A data centre with fewer live nodes than this gets addresses of others. */
@@ -377,7 +379,7 @@
  */
 static void
 fill_report(struct mesh *mesh, Ch__NodeReport *report, Ch__ServerUse *rows,
-    Ch__ServerUse **pointers, int64_t now)
+    Ch__ServerUse **pointers)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -388,17 +390,15 @@
 		const struct pool_server *server = value;
 		Ch__ServerUse *row = &rows[n];
 
-		if (server->own.active == 0 && server->avoid_until <= now)
+		if (server->own.active == 0 && server->failing_since == 0)
 			continue;
 		ch__server_use__init(row);
 		row->server = server->hash;
 		row->memory = (uint64_t)MAX(server->own.memory, 0);
 		row->active = server->own.active;
 		row->first_active = server->own.first_active;
-		if (server->avoid_until > now)
-			row->avoid_msec =
-			    (uint32_t)((server->avoid_until - now) /
-				LOOP_USEC_PER_MSEC);
+		if (server->failing_since != 0)
+			row->avoid_msec = AVOID_TOLD_MSEC;
 		pointers[n++] = row;
 	}
 	report->n_servers = n;
@@ -462,7 +462,7 @@
 	report.boot = mesh->config.boot;
 	report.sequence = ++mesh->sequence;
 	report.leaving = mesh->leaving;
-	fill_report(mesh, &report, rows, pointers, now);
+	fill_report(mesh, &report, rows, pointers);
 	bytes = g_malloc(ch__node_report__get_packed_size(&report));
 	send_to_peers(mesh, bytes, ch__node_report__pack(&report, bytes));
 	g_free(bytes);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -642,6 +642,7 @@
 	    .seed = (uint32_t)node->boot ^ pool_hash(lstr_from(settings->node)),
 	    .revoke_usec = settings->revoke_ms * LOOP_USEC_PER_MSEC,
 	    .retry_slack = settings->retry_slack,
+	    .retry_ratio = settings->retry_ratio,
 	    .bodies_max_bytes = (size_t)((double)settings->memory_mb *
 		BODIES_MEMORY_SHARE * (double)BYTES_PER_MB)};
 	char *key = g_strconcat(MESH_PREFIX, settings->node, NULL);
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -51,6 +51,7 @@
     {"grace_s", FIELD_NUMBER, AT(grace_s), 0, SECONDS_MAX, false, false},
     {"retry_slack", FIELD_WHOLE, AT(retry_slack), 0, RETRY_SLACK_MAX, false,
 	true},
+    {"retry_ratio", FIELD_NUMBER, AT(retry_ratio), 0, 1, false, true},
     {"address_validity_max_s", FIELD_NUMBER, AT(address_validity_max_s), 0.1,
 	SECONDS_MAX, false, false},
     {"memory_mb", FIELD_WHOLE, AT(memory_mb), 16, MEMORY_MAX_MB, false, true},
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -25,8 +25,10 @@
 	int64_t revoke_ms;
 	/* Time between SIGTERM and SIGKILL. */
 	double grace_s;
-	/* Retries of all nodes beyond a share of the requests, in one window. */
+	/* Retries of all nodes in one window: this many, and a share of the
+	 * requests. */
 	int64_t retry_slack;
+	double retry_ratio;
 	/* Longest time that callers keep an address answer. */
 	double address_validity_max_s;
 	int64_t memory_mb;
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -7,6 +7,8 @@
 #define CROWDED_SHARE 0.5
 /* A server that is full costs this many times more than an empty one. */
 #define CROWDED_FACTOR 4.0
+/* Cost of what cannot be reached. */
+#define COST_NONE 1e300
 /* Reading counts as no more than this share of a server's time, so that the
  * cost of a busy one stays finite. */
 #define READING_SHARE_MAX 0.9
@@ -27,6 +29,8 @@
 	const struct path_server *servers;
 	size_t count;
 	const struct path_demand *demand;
+	/* Only servers of this data centre are used; NULL: of all. */
+	const char *within;
 	uint32_t boundaries[FLEET_LAYERS_MAX + 1];
 	uint32_t boundary_count;
 	/* What each request of a first server adds to a token of the others. */
@@ -78,7 +82,7 @@
 	for (size_t i = 0; i < search->count; i++) {
 		const struct path_server *server = &search->servers[i];
 
-		count += server->first_active > 0 &&
+		count += server->first_active > 0 && server->usable &&
 		    strcmp(server->zone, zone) == 0;
 	}
 	return count;
@@ -96,8 +100,8 @@
 	const struct fleet_engine *engine = search->engine;
 	double held = server->layer_to - server->layer_from;
 	double tokens = (double)server->used / held + context;
-	uint32_t heads = first_servers(search, server->zone);
-	double passes = server->active < heads ? server->active + 1 : heads + 1;
+	double passes =
+	    1 + PATH_PASS_SHARE * first_servers(search, server->zone);
 
 	return server->slowness * server->step_factor *
 	    (engine->step_usec * passes +
@@ -125,6 +129,18 @@
 	return 1 + (CROWDED_FACTOR - 1) * share * share;
 }
 
+/*
+ * Tells whether the search may use a server.
+ */
+static bool
+is_usable(const struct search *search, const struct path_server *server)
+{
+	return server->usable && server->layer_to > server->layer_from &&
+	    server->layer_to <= search->engine->layers &&
+	    (search->within == NULL ||
+		strcmp(server->zone, search->within) == 0);
+}
+
 /*
  * Adds a boundary unless it is there; boundaries stay in order.
  */
@@ -156,8 +172,7 @@
 	for (size_t i = 0; i < search->count; i++) {
 		const struct path_server *server = &search->servers[i];
 
-		if (!server->usable || server->layer_to <= server->layer_from ||
-		    server->layer_to > search->engine->layers)
+		if (!is_usable(search, server))
 			continue;
 		add_boundary(search, server->layer_from);
 		add_boundary(search, server->layer_to);
@@ -292,6 +307,7 @@
 	double step = 0;
 	double first = 0;
 
+	path->crossings = 0;
 	for (uint32_t i = 0; i < path->count; i++) {
 		const struct path_stage *stage = &path->stages[i];
 		const struct path_server *server =
@@ -305,9 +321,12 @@
 		first += own * engine->stride +
 		    server->slowness * server->read_factor * read * share;
 		if (i > 0) {
-			double delay = (double)fleet_engine_delay(engine,
-			    search->servers[path->stages[i - 1].server].zone,
-			    server->zone);
+			const char *from =
+			    search->servers[path->stages[i - 1].server].zone;
+			double delay = (double)fleet_engine_delay(
+			    engine, from, server->zone);
+
+			path->crossings += strcmp(from, server->zone) != 0;
 
 			step += delay;
 			first += delay;
@@ -344,10 +363,93 @@
 	return STATUS_OK;
 }
 
+/*
+ * Extends the paths that end at a boundary by every server that may follow.
+ * Returns false when no server holds the next layer.
+ */
+static bool
+extend_all(struct search *search, uint32_t at)
+{
+	uint32_t start = search->boundaries[at];
+	bool held = false;
+
+	for (uint32_t i = 0; i < search->count; i++) {
+		const struct path_server *server = &search->servers[i];
+
+		if (!is_usable(search, server) || server->layer_from > start ||
+		    server->layer_to <= start)
+			continue;
+		held = true;
+		if (search->reach[at].cost < COST_NONE)
+			extend(search, at, i);
+	}
+	return held;
+}
+
+/*
+ * Searches within one data centre, or with NULL in all of them. Returns what
+ * path_find() does; the cost is only set for STATUS_OK.
+ */
+static enum status
+search_within(
+    struct search *search, const char *zone, struct path *path, double *cost)
+{
+	uint32_t last;
+	bool covered = true;
+
+	search->within = zone;
+	search->boundary_count = 0;
+	collect_boundaries(search);
+	last = search->boundary_count - 1;
+	for (uint32_t i = 0; i <= last; i++)
+		search->reach[i].cost = i == 0 ? 0 : COST_NONE;
+	for (uint32_t at = 0; at < last; at++)
+		covered = extend_all(search, at) && covered;
+	if (!covered)
+		return STATUS_NOT_FOUND;
+	if (search->reach[last].cost >= COST_NONE)
+		return STATUS_FULL;
+	*cost = search->reach[last].cost;
+	return collect_path(search, path);
+}
+
+/*
+ * Searches each data centre by itself and keeps the cheapest path.
+ */
+static enum status
+search_each_zone(struct search *search, struct path *path)
+{
+	enum status status = STATUS_NOT_FOUND;
+	double best = COST_NONE;
+
+	for (size_t i = 0; i < search->count; i++) {
+		const char *zone = search->servers[i].zone;
+		struct path found = {.count = 0};
+		enum status outcome;
+		bool repeated = zone == NULL;
+		double cost = COST_NONE;
+
+		for (size_t k = 0; k < i && !repeated; k++)
+			repeated = search->servers[k].zone != NULL &&
+			    strcmp(search->servers[k].zone, zone) == 0;
+		if (repeated)
+			continue;
+		outcome = search_within(search, zone, &found, &cost);
+		if (outcome == STATUS_FULL && status == STATUS_NOT_FOUND)
+			status = STATUS_FULL;
+		if (outcome == STATUS_OK && cost < best) {
+			*path = found;
+			best = cost;
+			status = STATUS_OK;
+		}
+	}
+	return status;
+}
+
 /*
  * Finds the cheapest path with memory for the request. STATUS_NOT_FOUND: some
- * layer is held by no usable server. STATUS_FULL: all layers are held, but no
- * path has room.
+ * layer is held by no usable server, or by none in a data centre that holds
+ * the others. STATUS_FULL: all layers are held, but no path has room.
  */
 enum status
 path_find(const struct fleet_engine *engine, const struct path_server *servers,
@@ -357,35 +459,17 @@
 	    .servers = servers,
 	    .count = count,
 	    .demand = demand};
-	uint32_t covered = 0;
+	enum status status;
+	double cost;
 
-	collect_boundaries(&search);
 	search.head_usec = head_usec(&search);
-	for (uint32_t i = 0; i < search.boundary_count; i++)
-		search.reach[i].cost = i == 0 ? 0 : 1e300;
-	for (uint32_t at = 0; at + 1 < search.boundary_count; at++) {
-		uint32_t start = search.boundaries[at];
-		bool held = false;
-
-		for (uint32_t i = 0; i < count; i++) {
-			const struct path_server *server = &servers[i];
-
-			if (!server->usable || server->layer_from > start ||
-			    server->layer_to <= start)
-				continue;
-			held = true;
-			if (search.reach[at].cost < 1e300)
-				extend(&search, at, i);
-		}
-		covered += held;
-	}
-	if (covered + 1 < search.boundary_count)
-		return status_set(
-		    STATUS_NOT_FOUND, "some layers are held by no server");
-	if (search.reach[search.boundary_count - 1].cost >= 1e300)
-		return status_set(STATUS_FULL, "no path has room");
-	if (collect_path(&search, path) != STATUS_OK)
-		return STATUS_FULL;
+	status = demand->may_cross
+	    ? search_within(&search, NULL, path, &cost)
+	    : search_each_zone(&search, path);
+	if (status != STATUS_OK)
+		return status_set(status, "%s",
+		    status == STATUS_FULL ? "no path has room"
+					  : "some layers are held nowhere");
 	assert(path_is_complete(engine, path, servers, count));
 	estimate(&search, path);
 	return STATUS_OK;
--- a/src/node/path.h
+++ b/src/node/path.h
@@ -20,9 +20,11 @@
  * failure stops the stream. */
 #define PATH_STAGE_USEC 150.0
 /* The link between two data centres is used by all paths that cross it, one
- * transfer after another: crossing it costs this many times its own time, so
- * that paths stay within a data centre while it has room. */
+ * transfer after another: crossing it costs this many times its own time. */
 #define PATH_LINK_WEIGHT 30.0
+/* Part of a pass of another first server of the data centre by which a token
+ * step waits on the average: passes meet only at some stages. */
+#define PATH_PASS_SHARE 0.25
 /* Time that a generation of the usual size runs; prompts are read once in it. */
 #define PATH_LIFE_USEC 2.2e6
 /* Part of a server's memory that may be promised. Requests are charged their
@@ -56,6 +58,8 @@
 	uint32_t output_tokens;
 	/* Data centre of the node that sends the request. */
 	const char *zone;
+	/* The path may leave a data centre. */
+	bool may_cross;
 };
 
 struct path_stage {
@@ -68,6 +72,8 @@
 struct path {
 	struct path_stage stages[FLEET_STAGES_MAX];
 	uint32_t count;
+	/* Links between data centres that it crosses. */
+	uint32_t crossings;
 	/* Expected time between events and until the first one. */
 	int64_t event_usec;
 	int64_t first_usec;
--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -377,11 +377,13 @@
 	row->id = server->info.id;
 	row->place = server->info.zone;
 	row->kind = fleet_engine_kind(engine, server->info.kind);
-	if (row->kind == NULL || !pool_usable(server, now))
+	if (row->kind == NULL || server->info.state != FLEET_READY ||
+	    (server->failing_since != 0 &&
+		now - server->failing_since > PLANNER_FAILING_USEC))
 		return false;
 	row->layer_from = server->info.layer_from;
 	row->layer_to = server->info.layer_to;
-	row->orderable = true;
+	row->orderable = pool_usable(server, now);
 	if (order != NULL && order->born == server->info.born &&
 	    (order->calling || order->until > now)) {
 		row->layer_from = order->layer_from;
--- a/src/node/planner.h
+++ b/src/node/planner.h
@@ -24,6 +24,9 @@
 #define PLANNER_SETTLE_USEC (900 * LOOP_USEC_PER_MSEC)
 /* Placing waits no longer than this for servers to register. */
 #define PLANNER_SETTLE_MAX_USEC (3500 * LOOP_USEC_PER_MSEC)
+/* Layers of a server that fails for longer are placed on others: it is not
+ * only late. */
+#define PLANNER_FAILING_USEC (700 * LOOP_USEC_PER_MSEC)
 #define PLANNER_ORDER_USEC (1 * LOOP_USEC_PER_SEC)
 /* An order that shows no effect for this long after its load time is taken as
  * lost; the list lags about a second. */
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -177,13 +177,24 @@
 	return server;
 }
 
+/*
+ * Tells whether a server failed and is to show that it works: its time without
+ * requests is over.
+ */
+bool
+pool_is_on_probation(const struct pool_server *server, int64_t now)
+{
+	return server->failing_since != 0 && server->avoid_until <= now;
+}
+
 /*
  * Tells whether a server may get new requests.
  */
 bool
 pool_usable(const struct pool_server *server, int64_t now)
 {
-	return server->info.state == FLEET_READY && server->avoid_until <= now &&
+	return server->info.state == FLEET_READY &&
+	    server->failing_since == 0 && server->avoid_until <= now &&
 	    server->peer_avoid_until <= now;
 }
 
@@ -202,6 +213,8 @@
 	     i++)
 		span *= 2;
 	server->failures++;
+	if (server->failing_since == 0)
+		server->failing_since = now;
 	server->avoid_until = now + MIN(span, POOL_AVOID_MAX_USEC);
 	return true;
 }
@@ -224,6 +237,8 @@
 {
 	server->good_at = now;
 	server->peer_avoid_until = 0;
+	if (server->avoid_until <= now)
+		server->failing_since = 0;
 }
 
 /*
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -12,9 +12,9 @@
  */
 
 /* A server that failed gets nothing for this long, doubled for each failure
- * in a row up to the largest; the first is about a restart of its process. */
-#define POOL_AVOID_USEC (800 * LOOP_USEC_PER_MSEC)
-#define POOL_AVOID_MAX_USEC (4 * LOOP_USEC_PER_SEC)
+ * in a row up to the largest; afterwards it must answer a question first. */
+#define POOL_AVOID_USEC (600 * LOOP_USEC_PER_MSEC)
+#define POOL_AVOID_MAX_USEC (2400 * LOOP_USEC_PER_MSEC)
 /* An entry that lapsed while the store was away stays this long after the
  * return, in which a live server registers again. */
 #define POOL_LAPSE_USEC (2 * LOOP_USEC_PER_SEC)
@@ -39,6 +39,8 @@
 	/* The entry is gone; the server may be used until lapse_at. */
 	int64_t lapse_at;
 	int64_t avoid_until;
+	/* When it began to fail; 0: it works as far as is known. */
+	int64_t failing_since;
 	/* Told by a peer. */
 	int64_t peer_avoid_until;
 	uint32_t failures;
@@ -83,6 +85,7 @@
 
 void pool_peer_avoids(struct pool_server *, int64_t until, int64_t now);
 void pool_note_good(struct pool_server *, int64_t now);
+bool pool_is_on_probation(const struct pool_server *, int64_t now);
 bool pool_usable(const struct pool_server *, int64_t now);
 bool pool_avoid(struct pool_server *, int64_t now);
 void pool_note_answer(struct pool_server *, bool good);
--- a/src/retry.c
+++ b/src/retry.c
@@ -10,8 +10,8 @@
 retry_budget_init(struct retry_budget *budget, int64_t now)
 {
 	memset(budget, 0, sizeof(*budget));
-	budget->saved_max =
-	    (int64_t)RETRY_SAVED_MAX * RETRY_REQUESTS_PER_RETRY;
+	budget->saved_max = (int64_t)RETRY_SAVED_MAX * RETRY_UNITS;
+	budget->earned = RETRY_UNITS / RETRY_REQUESTS_PER_RETRY;
 	budget->minimum = RETRY_MINIMUM;
 	budget->minimum_max = RETRY_MINIMUM;
 	budget->refilled_at = now;
@@ -19,14 +19,17 @@
 
 /*
  * Gives a service a share of a budget that nodes divide among themselves: a
- * number of retries at once, and more only as requests earn them.
+ * number of retries at once, and more only as requests earn them, each the
+ * given part of a retry.
  */
 void
-retry_budget_init_share(struct retry_budget *budget, int64_t burst)
+retry_budget_init_share(
+    struct retry_budget *budget, int64_t burst, double ratio)
 {
 	memset(budget, 0, sizeof(*budget));
-	budget->saved_max = burst * RETRY_REQUESTS_PER_RETRY;
+	budget->saved_max = burst * RETRY_UNITS;
 	budget->saved = budget->saved_max;
+	budget->earned = (int64_t)(ratio * RETRY_UNITS);
 }
 
 /*
@@ -35,8 +38,7 @@
 void
 retry_request(struct retry_budget *budget)
 {
-	if (budget->saved < budget->saved_max)
-		budget->saved++;
+	budget->saved = MIN(budget->saved + budget->earned, budget->saved_max);
 }
 
 /*
@@ -62,8 +64,8 @@
 spend(struct retry_budget *budget, int64_t now)
 {
 	refill(budget, now);
-	if (budget->saved >= RETRY_REQUESTS_PER_RETRY) {
-		budget->saved -= RETRY_REQUESTS_PER_RETRY;
+	if (budget->saved >= RETRY_UNITS) {
+		budget->saved -= RETRY_UNITS;
 	} else if (budget->minimum > 0) {
 		budget->minimum--;
 	} else {
@@ -117,7 +119,7 @@
 bool
 retry_is_available(const struct retry_budget *budget)
 {
-	return budget->saved >= RETRY_REQUESTS_PER_RETRY ||
+	return budget->saved >= RETRY_UNITS ||
 	    budget->minimum > 0;
 }
 
--- a/src/retry.h
+++ b/src/retry.h
@@ -8,6 +8,8 @@
 
 /* Part of the requests of a service that may be retries: one in ten. */
 #define RETRY_REQUESTS_PER_RETRY 10
+/* Units of the account of one retry. */
+#define RETRY_UNITS 100
 /* Retries that a service may save up. */
 #define RETRY_SAVED_MAX 200
 /* Retries that are allowed whatever the number of requests was. */
@@ -19,9 +21,11 @@
 
 /* The retry budget of one service. */
 struct retry_budget {
-	/* In units of 1 / RETRY_REQUESTS_PER_RETRY. */
+	/* In units of 1 / RETRY_UNITS of a retry. */
 	int64_t saved;
 	int64_t saved_max;
+	/* What each request earns. */
+	int64_t earned;
 	int64_t minimum;
 	int64_t minimum_max;
 	int64_t refilled_at;
@@ -48,7 +52,8 @@
 };
 
 void retry_budget_init(struct retry_budget *, int64_t now);
-void retry_budget_init_share(struct retry_budget *, int64_t burst);
+void retry_budget_init_share(
+    struct retry_budget *, int64_t burst, double ratio);
 void retry_request(struct retry_budget *);
 enum retry_verdict retry_decide(struct retry_budget *,
     const struct retry_case *, int64_t now, GRand *, int64_t *at);
