Wait only for the objective, close gaps in the layers, confirm orders

Cause: (1) beyond capacity everybody waited up to 3 s and all were late, or left 2 s after they came; (2) a data centre that lost a large card stayed without a whole copy: the copies held 1.1 times the layers instead of 1.3, and a load that ended while the store was away showed nowhere. Change: a request waits as long as its first event can meet the objective, the others are refused at once with a time to return; servers take as many layers as they have room for and redundant ones move to layers held nowhere; the planner asks a server whether it holds its layers and vouches for it to peers.

--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -4385,7 +4385,7 @@
   (ProtobufCMessageInit) ch__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__server_use__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ch__server_use__field_descriptors[8] =
 {
   {
     "server",
@@ -4447,18 +4447,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "layer_from",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, layer_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "layer_to",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, layer_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__server_use__field_indices_by_name[] = {
   2,   /* field[2] = active */
   4,   /* field[4] = avoid_msec */
+  7,   /* field[7] = born */
   3,   /* field[3] = first_active */
+  5,   /* field[5] = layer_from */
+  6,   /* field[6] = layer_to */
   1,   /* field[1] = memory */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange ch__server_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ch__server_use__descriptor =
 {
@@ -4468,7 +4507,7 @@
   "Ch__ServerUse",
   "ch",
   sizeof(Ch__ServerUse),
-  5,
+  8,
   ch__server_use__field_descriptors,
   ch__server_use__field_indices_by_name,
   1,  ch__server_use__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -685,10 +685,17 @@
    * The sender saw it fail and sends it nothing for this long.
    */
   uint32_t avoid_msec;
+  /*
+   * The planner's word: the server, started at that millisecond, holds the
+   * layers, to exclusive. Said until the platform's list shows them.
+   */
+  uint32_t layer_from;
+  uint32_t layer_to;
+  uint64_t born;
 };
 #define CH__SERVER_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__server_use__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -21,24 +21,41 @@
 	return MIN(at, latest);
 }
 
+/*
+ * Returns how long callers wait for the next event of a stream.
+ */
+int64_t
+admit_leave_after(int64_t objective_usec, int64_t gap_usec)
+{
+	int64_t leave = MAX(
+	    ADMIT_LEAVE_OBJECTIVES * objective_usec, ADMIT_LEAVE_GAPS * gap_usec);
+
+	return MAX(leave, ADMIT_LEAVE_USEC);
+}
+
 /*
  * Decides whether a request waits for room.
  */
 struct admit_verdict
 admit_decide(const struct admit_case *request)
 {
-	struct admit_verdict verdict = {ADMIT_REFUSE, 0};
-	int64_t longest =
-	    (int64_t)((double)request->patience_usec * ADMIT_WAIT_SHARE);
-
-	longest = MIN(longest, ADMIT_WAIT_MAX_USEC);
-	if (request->expected_wait_usec <= longest &&
-	    request->expected_wait_usec + request->work_usec <
-		request->patience_usec) {
+	struct admit_verdict verdict = {ADMIT_REFUSE, 0, 0};
+	int64_t needed = request->work_usec + ADMIT_MARGIN_USEC;
+	int64_t alive = request->leave_usec - needed;
+	int64_t longest = request->objective_usec - needed;
+
+	if (request->under_way)
+		longest = alive;
+	else if (longest < ADMIT_LATE_WAIT_USEC)
+		longest = ADMIT_LATE_WAIT_USEC;
+	longest = MIN(longest, MIN(alive, request->patience_usec - needed));
+	if (longest > 0 && request->expected_wait_usec <= longest) {
 		verdict.choice = ADMIT_WAIT;
+		verdict.wait_usec = longest;
 		return verdict;
 	}
-	verdict.retry_usec = admit_retry_after(request->expected_wait_usec,
+	verdict.retry_usec = admit_retry_after(
+	    MAX(2 * request->expected_wait_usec, ADMIT_RETRY_OVERLOAD_USEC),
 	    request->patience_usec, request->spread);
 	return verdict;
 }
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -7,19 +7,27 @@
 /*
  * Decides what happens to a generation for which no path has room, and what
  * follows a failed attempt. It answers the load in which more arrives than
- * the engines finish: a queue serves requests only while it is short against
- * the time that callers have, so beyond that they are refused at once, each
- * with the time at which room is expected, spread so that they do not return
- * together.
+ * the engines finish. If everybody waited, everybody would be late: so a
+ * request waits only as long as its first event can still meet the latency
+ * objective, and the others are refused at once, with a time at which room is
+ * expected, spread so that they do not return together. One that is under way
+ * waits as long as its caller does.
  */
 
-/* A request waits at most this share of the time that its caller has left. */
-#define ADMIT_WAIT_SHARE 0.2
-/* Longest wait: about the time that a stream runs, after which the engines
- * have been emptied once. */
-#define ADMIT_WAIT_MAX_USEC ((int64_t)3000000)
+/* Left for the way to the caller and for estimates that were too short. */
+#define ADMIT_MARGIN_USEC ((int64_t)60000)
+/* A request whose objective cannot be met any more waits this long for room
+ * that comes free; it would not be refused for a moment's shortage. */
+#define ADMIT_LATE_WAIT_USEC ((int64_t)150000)
+/* Callers leave a stream after a pause of this length, of so many objectives
+ * or of so many declared pauses, whichever is longest. */
+#define ADMIT_LEAVE_USEC ((int64_t)2000000)
+#define ADMIT_LEAVE_OBJECTIVES 4
+#define ADMIT_LEAVE_GAPS 8
 /* Bounds of the time that a refused caller is asked to wait. */
 #define ADMIT_RETRY_MIN_USEC ((int64_t)250000)
+/* Under overload: about the time in which the engines finish what runs. */
+#define ADMIT_RETRY_OVERLOAD_USEC ((int64_t)1500000)
 /* Callers honour at most a third of the time that they have left. */
 #define ADMIT_RETRY_SHARE 0.3
 
@@ -31,21 +39,29 @@
 struct admit_case {
 	/* Expected wait behind what is queued already. */
 	int64_t expected_wait_usec;
-	/* Time that the caller has left. */
-	int64_t patience_usec;
-	/* Time that the work itself takes. */
+	/* Expected time from the start to the first event. */
 	int64_t work_usec;
+	/* Time left until the first event is late, and until the caller leaves. */
+	int64_t objective_usec;
+	int64_t leave_usec;
+	/* Time that the caller has left in all. */
+	int64_t patience_usec;
+	/* The answer has begun, or may have. */
+	bool under_way;
 	/* A number from 0 to 1 that spreads returning callers. */
 	double spread;
 };
 
 struct admit_verdict {
 	enum admit_choice choice;
+	/* ADMIT_WAIT: the longest wait. */
+	int64_t wait_usec;
 	/* ADMIT_REFUSE: when to come back; 0: it is no use. */
 	int64_t retry_usec;
 };
 
 struct admit_verdict admit_decide(const struct admit_case *);
+int64_t admit_leave_after(int64_t objective_usec, int64_t gap_usec);
 int64_t admit_retry_after(int64_t expected_usec, int64_t patience_usec,
     double spread);
 
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -97,8 +97,8 @@
 	uint32_t priority;
 	struct sched_entry *queued;
 	int64_t queued_at;
-	/* A wait longer than this ends in a refusal. */
-	int64_t wait_until;
+	/* Expected time from a start to the first event, of the last path. */
+	int64_t first_usec;
 	struct gate_attempt attempt;
 	/* Servers that the request was sent to and that live. */
 	struct pool_server *tried[GATE_SENDS_MAX];
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -145,6 +145,7 @@
 	if (status == STATUS_OK) {
 		attempt->event_usec = path.event_usec;
 		attempt->first_usec = path.first_usec;
+		request->first_usec = path.first_usec;
 		attempt->stage_count = path.count;
 		for (uint32_t i = 0; i < path.count; i++)
 			attempt->stages[i] = (struct gate_stage){
@@ -239,10 +240,19 @@
 	struct gate_service *service =
 	    gate_service(gate, request->service->name);
 	int64_t now = gate_now(gate);
+	int64_t since = request->last_event_at ? request->last_event_at
+					       : request->arrived_at;
 	struct admit_case load = {
 	    .expected_wait_usec = expected_wait(service, request, now),
+	    .work_usec = request->first_usec,
+	    .objective_usec = request->arrived_at +
+		request->route->objective_usec - now,
+	    .leave_usec = since +
+		admit_leave_after(request->route->objective_usec,
+		    request->route->gap_usec) -
+		now,
 	    .patience_usec = request->timeout_at - now,
-	    .work_usec = request->attempt.first_usec,
+	    .under_way = request->sends > 0,
 	    .spread = g_rand_double(gate->rand)};
 	struct admit_verdict verdict = admit_decide(&load);
 	struct sched_request entry = {
@@ -258,10 +268,7 @@
 	if (why == STATUS_NOT_FOUND && verdict.choice == ADMIT_REFUSE)
 		verdict.retry_usec = admit_retry_after(GAP_RETRY_USEC,
 		    load.patience_usec, load.spread);
-	request->wait_until = now +
-	    MIN((int64_t)((double)load.patience_usec * ADMIT_WAIT_SHARE),
-		ADMIT_WAIT_MAX_USEC);
-	entry.deadline = request->wait_until;
+	entry.deadline = now + verdict.wait_usec;
 	if (verdict.choice == ADMIT_REFUSE ||
 	    sched_push(service->queue, &entry, &request->queued) !=
 		STATUS_OK) {
@@ -358,7 +365,7 @@
 
 		request->queued = NULL;
 		give_up(request,
-		    admit_retry_after(now - request->queued_at,
+		    admit_retry_after(ADMIT_RETRY_OVERLOAD_USEC,
 			request->deadline - now, g_rand_double(gate->rand)),
 		    "no path had room in time");
 	}
--- a/src/node/layout.c
+++ b/src/node/layout.c
@@ -88,8 +88,8 @@
 }
 
 /*
- * Gives a server the first layers that the fewest servers hold. The run of
- * such layers is divided evenly among as many servers as it needs.
+ * Gives a server the first layers that the fewest servers hold: as many as it
+ * has room for, up to the end of their run.
  */
 static void
 assign(const struct fleet_engine *engine, struct layout_server *server,
@@ -98,7 +98,6 @@
 	uint32_t least = UINT32_MAX;
 	uint32_t from = 0;
 	uint32_t to;
-	uint32_t parts;
 
 	for (uint32_t i = 0; i < engine->layers; i++) {
 		if (holders[i] < least) {
@@ -106,11 +105,12 @@
 			from = i;
 		}
 	}
-	for (to = from; to < engine->layers && holders[to] == least; to++)
+	for (to = from; to < engine->layers && holders[to] == least &&
+	     to - from < capacity;
+	     to++)
 		;
-	parts = (to - from + capacity - 1) / capacity;
 	server->layer_from = from;
-	server->layer_to = from + (to - from + parts - 1) / parts;
+	server->layer_to = to;
 	server->order = true;
 	cover(holders, server, 1);
 }
@@ -156,33 +156,97 @@
 }
 
 /*
- * Finds the server that can best give up its layers: all of them are held
- * elsewhere. NULL: there is none.
+ * Returns how many hold the layer of a server's range that the fewest hold.
+ */
+static uint32_t
+least_in_range(const struct layout_server *server, const uint32_t *holders)
+{
+	uint32_t least = UINT32_MAX;
+
+	for (uint32_t i = server->layer_from; i < server->layer_to; i++)
+		least = holders[i] < least ? holders[i] : least;
+	return least;
+}
+
+/*
+ * Tells whether a server can give up its layers: others hold all of them.
+ */
+static bool
+is_redundant(const struct layout_server *server, const uint32_t *holders)
+{
+	return server->orderable && !server->order &&
+	    server->layer_from != server->layer_to &&
+	    least_in_range(server, holders) > 1;
+}
+
+/*
+ * Finds the server that can best give up its layers; NULL: there is none.
  */
 static struct layout_server *
 find_redundant(
     struct layout_server **order, size_t count, const uint32_t *holders)
 {
 	struct layout_server *best = NULL;
-	uint32_t best_least = 1;
 
 	for (size_t i = 0; i < count; i++) {
-		struct layout_server *server = order[i];
-		uint32_t least = UINT32_MAX;
-
-		if (!server->orderable || server->order ||
-		    server->layer_from == server->layer_to)
-			continue;
-		for (uint32_t k = server->layer_from; k < server->layer_to; k++)
-			least = holders[k] < least ? holders[k] : least;
-		if (least > best_least) {
-			best_least = least;
-			best = server;
-		}
+		if (is_redundant(order[i], holders) &&
+		    (best == NULL ||
+			least_in_range(order[i], holders) >
+			    least_in_range(best, holders)))
+			best = order[i];
 	}
 	return best;
 }
 
+/*
+ * Returns the number of requests for which servers that take over layers held
+ * nowhere keep memory: fewer where the redundant servers cannot hold them all
+ * otherwise.
+ */
+static uint32_t
+gap_requests(const struct fleet_engine *engine, struct layout_server **order,
+    size_t count, uint32_t requests, const uint32_t *holders)
+{
+	uint64_t capacity = 0;
+	uint32_t missing = 0;
+
+	for (uint32_t i = 0; i < engine->layers; i++)
+		missing += holders[i] == 0;
+	for (size_t i = 0; i < count; i++) {
+		if (is_redundant(order[i], holders))
+			capacity += layout_capacity(
+			    engine, order[i]->kind, requests);
+	}
+	return capacity >= missing ? requests : LAYOUT_REQUESTS_MIN;
+}
+
+/*
+ * Moves redundant servers to layers that nobody holds.
+ */
+static size_t
+close_gaps(const struct fleet_engine *engine, struct layout_server **order,
+    size_t count, uint32_t requests, uint32_t *holders)
+{
+	size_t orders = 0;
+
+	while (least_held(engine, holders) == 0) {
+		struct layout_server *server =
+		    find_redundant(order, count, holders);
+		uint32_t capacity;
+
+		if (server == NULL)
+			break;
+		capacity = layout_capacity(engine, server->kind,
+		    gap_requests(engine, order, count, requests, holders));
+		if (capacity == 0)
+			break;
+		cover(holders, server, -1);
+		assign(engine, server, capacity, holders);
+		orders++;
+	}
+	return orders;
+}
+
 /*
  * Plans the orders for one group of servers, which is in order of speed.
  */
@@ -213,21 +277,8 @@
 		assign(engine, order[i], capacity, holders);
 		orders++;
 	}
-	while (least_held(engine, holders) == 0) {
-		struct layout_server *server =
-		    find_redundant(order, count, holders);
-		uint32_t capacity;
-
-		if (server == NULL)
-			break;
-		capacity = layout_capacity(engine, server->kind, requests);
-		if (capacity == 0)
-			break;
-		cover(holders, server, -1);
-		assign(engine, server, capacity, holders);
-		orders++;
-	}
-	return orders;
+	return orders +
+	    close_gaps(engine, order, count, requests, holders);
 }
 
 /*
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -86,6 +86,10 @@
 	    pool_find_hash(mesh->pool, from->server);
 
 	g_array_append_val(peer->uses, use);
+	if (server != NULL && from->layer_to > from->layer_from &&
+	    from->born == (uint64_t)server->info.born)
+		pool_confirm_layers(
+		    mesh->pool, server, from->layer_from, from->layer_to);
 	if (server != NULL && from->avoid_msec > 0)
 		pool_peer_avoids(server,
 		    now +
@@ -379,7 +383,7 @@
  */
 static void
 fill_report(struct mesh *mesh, Ch__NodeReport *report, Ch__ServerUse *rows,
-    Ch__ServerUse **pointers)
+    Ch__ServerUse **pointers, int64_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -390,7 +394,8 @@
 		const struct pool_server *server = value;
 		Ch__ServerUse *row = &rows[n];
 
-		if (server->own.active == 0 && server->failing_since == 0)
+		if (server->own.active == 0 && server->failing_since == 0 &&
+		    server->vouch_until <= now)
 			continue;
 		ch__server_use__init(row);
 		row->server = server->hash;
@@ -399,6 +404,11 @@
 		row->first_active = server->own.first_active;
 		if (server->failing_since != 0)
 			row->avoid_msec = AVOID_TOLD_MSEC;
+		if (server->vouch_until > now) {
+			row->layer_from = server->info.layer_from;
+			row->layer_to = server->info.layer_to;
+			row->born = (uint64_t)server->info.born;
+		}
 		pointers[n++] = row;
 	}
 	report->n_servers = n;
@@ -462,7 +472,7 @@
 	report.boot = mesh->config.boot;
 	report.sequence = ++mesh->sequence;
 	report.leaving = mesh->leaving;
-	fill_report(mesh, &report, rows, pointers);
+	fill_report(mesh, &report, rows, pointers, now);
 	bytes = g_malloc(ch__node_report__get_packed_size(&report));
 	send_to_peers(mesh, bytes, ch__node_report__pack(&report, bytes));
 	g_free(bytes);
--- a/src/node/path.h
+++ b/src/node/path.h
@@ -15,7 +15,7 @@
 
 /* Shares of a path a caller's data centre is not part of cost this much more
  * for each token: about the delay between data centres plus its traffic. */
-#define PATH_AWAY_USEC 300.0
+#define PATH_AWAY_USEC 1000.0
 /* Cost of one more stage for each token: a hop, and one more server whose
  * failure stops the stream. */
 #define PATH_STAGE_USEC 150.0
--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -19,11 +19,11 @@
 	int64_t sequence;
 	/* Until then the server counts as holding what it was ordered. */
 	int64_t until;
+	/* When the server is asked whether it holds the layers, unless the list
+	 * shows them before; 0: not at all. */
+	int64_t confirm_at;
 	/* A call is under way. */
 	bool calling;
-	/* The server's own state, asked for after a refusal. */
-	bool asking;
-	bool known_sequence;
 };
 
 struct planner {
@@ -189,6 +189,22 @@
 	return server;
 }
 
+/*
+ * Notes that a server holds what it was ordered to, and vouches for it.
+ */
+static void
+confirm(struct order *order, int64_t now)
+{
+	struct pool_server *server = order_server(order);
+
+	order->confirm_at = 0;
+	if (server == NULL)
+		return;
+	pool_confirm_layers(order->planner->config.pool, server,
+	    order->layer_from, order->layer_to);
+	server->vouch_until = now + POOL_VOUCH_USEC;
+}
+
 /*
  * Takes an engine's state after an order that was refused or not answered.
  */
@@ -197,9 +213,9 @@
 {
 	struct order *order = arg;
 	struct adapter_report report;
+	int64_t now = loop_now(order->planner->config.loop);
 
 	order->calling = false;
-	order->asking = false;
 	if (result->status != STATUS_OK ||
 	    order->planner->config.adapter->decode_report(
 		result->body, &report) != STATUS_OK) {
@@ -208,12 +224,15 @@
 	}
 	g_ptr_array_free(report.stalled, TRUE);
 	order->sequence = report.order_sequence;
-	order->known_sequence = true;
-	/* Holding or loading what was ordered: the order arrived. */
-	if (!report.busy &&
-	    !(report.layer_from == order->layer_from &&
-		report.layer_to == order->layer_to))
+	if (report.busy) {
+		order->confirm_at = now + PLANNER_CONFIRM_USEC;
+	} else if (report.layer_from == order->layer_from &&
+	    report.layer_to == order->layer_to) {
+		confirm(order, now);
+	} else {
+		/* The order did not arrive, or the state was another one. */
 		order->until = 0;
+	}
 }
 
 /*
@@ -226,11 +245,10 @@
 	struct lstr_buf text = {0};
 
 	planner->config.adapter->word_report(server->info.address_text, &text);
-	order->asking = ask_start(planner->config.h1, planner->config.loop,
+	order->calling = ask_start(planner->config.h1, planner->config.loop,
 	    &server->info.address, lstr_buf_view(&text),
 	    loop_now(planner->config.loop) + PLANNER_ORDER_USEC, on_report,
 	    order);
-	order->calling = order->asking;
 	lstr_buf_free(&text);
 }
 
@@ -306,6 +324,7 @@
 	    .layer_to = row->layer_to,
 	    .fencing_token = planner->fencing_token};
 	struct lstr_buf text = {0};
+	int64_t load;
 
 	if (order == NULL) {
 		order = g_new0(struct order, 1);
@@ -320,9 +339,10 @@
 	order->layer_from = row->layer_from;
 	order->layer_to = row->layer_to;
 	/* All servers may load at once and slow each other down. */
-	order->until = now + PLANNER_EFFECT_USEC +
-	    engine->load_usec * (row->layer_to - row->layer_from) /
-		engine->layers;
+	load = engine->load_usec * (row->layer_to - row->layer_from) /
+	    engine->layers;
+	order->until = now + PLANNER_EFFECT_USEC + load;
+	order->confirm_at = now + load + PLANNER_LIST_USEC;
 	wanted.order_sequence = order->sequence;
 	planner->config.adapter->word_order(server->info.address_text,
 	    server->info.id, &wanted, &text);
@@ -393,6 +413,33 @@
 	return true;
 }
 
+/*
+ * Asks servers whether they hold what they were ordered to, where the list
+ * does not show it in time: it may lag, and the store may be away.
+ */
+static void
+check_orders(struct planner *planner, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, planner->orders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct order *order = value;
+		const struct pool_server *server;
+
+		if (order->calling || order->confirm_at == 0 ||
+		    order->confirm_at > now)
+			continue;
+		server = order_server(order);
+		order->confirm_at = 0;
+		if (server != NULL &&
+		    (server->info.layer_from != order->layer_from ||
+			server->info.layer_to != order->layer_to))
+			ask_report(order, server);
+	}
+}
+
 /*
  * Plans one service and sends the orders.
  */
@@ -446,6 +493,7 @@
 	stand(planner);
 	if (config == NULL || !planner_is_leader(planner))
 		return;
+	check_orders(planner, now);
 	g_hash_table_iter_init(&iter, config->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct fleet_service *service = value;
--- a/src/node/planner.h
+++ b/src/node/planner.h
@@ -28,6 +28,10 @@
  * only late. */
 #define PLANNER_FAILING_USEC (700 * LOOP_USEC_PER_MSEC)
 #define PLANNER_ORDER_USEC (1 * LOOP_USEC_PER_SEC)
+/* The platform's list shows new layers within this time of their load. */
+#define PLANNER_LIST_USEC (1200 * LOOP_USEC_PER_MSEC)
+/* A server that is still loading is asked again after this. */
+#define PLANNER_CONFIRM_USEC (400 * LOOP_USEC_PER_MSEC)
 /* An order that shows no effect for this long after its load time is taken as
  * lost; the list lags about a second. */
 #define PLANNER_EFFECT_USEC (4 * LOOP_USEC_PER_SEC)
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -229,6 +229,21 @@
 		server->peer_avoid_until = until;
 }
 
+/*
+ * Notes layers that a server was seen to hold before the platform's list shows
+ * them.
+ */
+void
+pool_confirm_layers(
+    struct pool *pool, struct pool_server *server, uint32_t from, uint32_t to)
+{
+	if (server->info.layer_from == from && server->info.layer_to == to)
+		return;
+	server->info.layer_from = from;
+	server->info.layer_to = to;
+	pool->version++;
+}
+
 /*
  * Notes that a server works.
  */
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -23,6 +23,8 @@
 /* A peer's word that a server fails is not taken within this time of own
  * evidence that it works: the peer may be the one that is cut off. */
 #define POOL_TRUST_OWN_USEC (500 * LOOP_USEC_PER_MSEC)
+/* A node vouches this long for layers that it saw a server hold. */
+#define POOL_VOUCH_USEC (3 * LOOP_USEC_PER_SEC)
 /* Weight of the newest sample in moving averages. */
 #define POOL_SAMPLE_WEIGHT 0.1
 
@@ -41,6 +43,8 @@
 	int64_t avoid_until;
 	/* When it began to fail; 0: it works as far as is known. */
 	int64_t failing_since;
+	/* Until then this node vouches to its peers for the layers. */
+	int64_t vouch_until;
 	/* Told by a peer. */
 	int64_t peer_avoid_until;
 	uint32_t failures;
@@ -84,6 +88,8 @@
 uint32_t pool_hash(struct lstr);
 
 void pool_peer_avoids(struct pool_server *, int64_t until, int64_t now);
+void pool_confirm_layers(
+    struct pool *, struct pool_server *, uint32_t from, uint32_t to);
 void pool_note_good(struct pool_server *, int64_t now);
 bool pool_is_on_probation(const struct pool_server *, int64_t now);
 bool pool_usable(const struct pool_server *, int64_t now);
