Refuse requests that would not end before a stopping node does

Change: 2.5 s after SIGTERM only requests that end in time even at 1.6 times their expected work are taken; the front closes while other nodes serve.

--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -60,6 +60,17 @@
 	return verdict;
 }
 
+/*
+ * Decides whether a node that stops takes one more request: since the order to
+ * stop, until its end, and for the expected work.
+ */
+bool
+admit_while_stopping(int64_t since_usec, int64_t left_usec, int64_t work_usec)
+{
+	return since_usec <= ADMIT_STOPPING_USEC ||
+	    (double)work_usec * ADMIT_STOPPING_FACTOR < (double)left_usec;
+}
+
 /*
  * Decides what follows a failed attempt.
  */
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -65,6 +65,16 @@
 int64_t admit_retry_after(int64_t expected_usec, int64_t patience_usec,
     double spread);
 
+/* Time after the order to stop in which every request is still taken: callers
+ * learn only by and by that the node stops. */
+#define ADMIT_STOPPING_USEC ((int64_t)2500000)
+/* Afterwards a request is taken if it ends in time even when it takes this
+ * many times as long as expected. */
+#define ADMIT_STOPPING_FACTOR 1.6
+
+bool admit_while_stopping(
+    int64_t since_usec, int64_t left_usec, int64_t work_usec);
+
 /* What a failed attempt leads to. */
 enum admit_next {
 	/* Send it again, to another server or path. */
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -127,12 +127,42 @@
 }
 
 /*
- * Answers from now on tell callers to close.
+ * Answers from now on tell callers to close; requests that would not end
+ * before the process does are refused.
  */
 void
-gate_drain(struct gate *gate)
+gate_drain(struct gate *gate, int64_t end_at)
 {
 	gate->draining = true;
+	gate->drain_since = gate_now(gate);
+	gate->drain_end = end_at;
+}
+
+/*
+ * Tells whether a request that takes the given time can still be begun.
+ */
+bool
+gate_takes_new(const struct gate_request *request, int64_t work_usec)
+{
+	const struct gate *gate = request->gate;
+	int64_t now = gate_now(gate);
+
+	return !gate->draining || request->sends > 0 ||
+	    admit_while_stopping(
+		now - gate->drain_since, gate->drain_end - now, work_usec);
+}
+
+/*
+ * Refuses a request because the process ends too soon for it.
+ */
+void
+gate_refuse_stopping(struct gate_request *request)
+{
+	gate_refuse(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+	    admit_retry_after(ADMIT_RETRY_MIN_USEC,
+		request->deadline - request->arrived_at,
+		g_rand_double(request->gate->rand)),
+	    "node is stopping");
 }
 
 /*
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -50,7 +50,7 @@
 const struct h1_ops *gate_ops(void);
 const struct h1_limits *gate_limits(const struct gate *);
 void gate_set_config(struct gate *, struct fleet_config *);
-void gate_drain(struct gate *);
+void gate_drain(struct gate *, int64_t end_at);
 size_t gate_active(const struct gate *);
 size_t gate_waiting(const struct gate *);
 void gate_tick(struct gate *);
--- a/src/node/gate_plain.c
+++ b/src/node/gate_plain.c
@@ -18,12 +18,16 @@
 	const struct pool_server *except = request->sends > 0
 	    ? request->tried[request->sends - 1]
 	    : NULL;
-	GPtrArray *servers =
-	    pool_service(gate->config.pool, request->service->name);
-	struct pool_server *server =
-	    pool_pick_plain(servers, gate->config.place, except, now,
-		g_rand_int(gate->rand) & 0xffff);
+	GPtrArray *servers;
+	struct pool_server *server;
 
+	if (!gate_takes_new(request, request->route->timeout_usec)) {
+		gate_refuse_stopping(request);
+		return;
+	}
+	servers = pool_service(gate->config.pool, request->service->name);
+	server = pool_pick_plain(servers, gate->config.place, except, now,
+	    g_rand_int(gate->rand) & 0xffff);
 	if (server == NULL && except != NULL)
 		server = pool_pick_plain(servers, gate->config.place, NULL, now,
 		    g_rand_int(gate->rand) & 0xffff);
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -142,6 +142,9 @@
 	size_t body_bytes;
 	uint64_t order;
 	bool draining;
+	/* When the order to stop came, and when the process ends. */
+	int64_t drain_since;
+	int64_t drain_end;
 	bool pumping;
 	struct gate_counts counts;
 };
@@ -161,6 +164,8 @@
 bool gate_send(struct gate_request *, struct pool_server *);
 void gate_attempt_end(struct gate_request *, bool reusable);
 void gate_failed(struct gate_request *, bool not_run, const char *reason);
+bool gate_takes_new(const struct gate_request *, int64_t work_usec);
+void gate_refuse_stopping(struct gate_request *);
 bool gate_spend_retry(struct gate_request *);
 
 /* Plain services. */
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -124,7 +124,8 @@
 
 /*
  * Chooses a path and sends the request along it. Otherwise returns why not:
- * STATUS_FULL, STATUS_NOT_FOUND or STATUS_UNAVAILABLE.
+ * STATUS_FULL, STATUS_NOT_FOUND, STATUS_UNAVAILABLE, or STATUS_DENIED when the
+ * node stops before the request would end.
  */
 static enum status
 try_path(struct gate_request *request)
@@ -142,6 +143,12 @@
 	    servers, engine, gate_now(gate), rows, SERVERS_MAX);
 
 	status = find_path(request, rows, count, &path);
+	if (status == STATUS_OK &&
+	    !gate_takes_new(request,
+		path.first_usec +
+		    path.event_usec * output_estimate(request) /
+			MAX(engine->stride, 1u)))
+		status = STATUS_DENIED;
 	if (status == STATUS_OK) {
 		attempt->event_usec = path.event_usec;
 		attempt->first_usec = path.first_usec;
@@ -302,6 +309,10 @@
 	/* One that is under way goes before those that have not begun. */
 	if (!first || sched_count(service->queue) == 0)
 		status = try_path(request);
+	if (status == STATUS_DENIED) {
+		gate_refuse_stopping(request);
+		return;
+	}
 	if (status != STATUS_OK) {
 		queue_or_refuse(request, status);
 		return;
@@ -322,8 +333,13 @@
 
 	while (sched_peek(service->queue, &data)) {
 		struct gate_request *request = data;
+		enum status status = try_path(request);
 
-		if (try_path(request) != STATUS_OK)
+		if (status == STATUS_DENIED) {
+			gate_refuse_stopping(request);
+			continue;
+		}
+		if (status != STATUS_OK)
 			return;
 		sched_take(service->queue, &data, &reason);
 		request->queued = NULL;
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -785,11 +785,32 @@
 		return;
 	while (listener->conns != NULL)
 		h1_close(listener->conns);
-	loop_watch_destroy(listener->watch);
-	close(listener->fd);
+	h1_listener_stop(listener);
 	free(listener);
 }
 
+/*
+ * Accepts no more connections and closes those that wait for a request; the
+ * others are served.
+ */
+void
+h1_listener_stop(struct h1_listener *listener)
+{
+	struct h1_conn *next;
+
+	loop_watch_destroy(listener->watch);
+	listener->watch = NULL;
+	if (listener->fd >= 0)
+		close(listener->fd);
+	listener->fd = -1;
+	for (struct h1_conn *conn = listener->conns; conn != NULL;
+	     conn = next) {
+		next = conn->next;
+		if (!conn->busy && !conn->finishing && conn->head_begun_at == 0)
+			h1_close(conn);
+	}
+}
+
 /*
  * Closes idle connections and reports heads that take too long; the owner
  * calls it several times a second.
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -75,6 +75,7 @@
 uint16_t h1_listener_port(const struct h1_listener *);
 size_t h1_listener_count(const struct h1_listener *);
 void h1_listener_sweep(struct h1_listener *);
+void h1_listener_stop(struct h1_listener *);
 
 enum status h1_connect(struct h1 *, const struct sockaddr_in *,
     int64_t deadline, const struct h1_ops *, void *, struct h1_conn **);
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -497,6 +497,26 @@
 	return count;
 }
 
+/*
+ * Returns how many other nodes live and take connections.
+ */
+uint32_t
+mesh_serving_count(const struct mesh *mesh)
+{
+	int64_t now = loop_now(mesh->loop);
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		count += !peer->leaving && peer_lives(mesh, peer, now);
+	}
+	return count;
+}
+
 /*
  * Returns the position of this node among the live ones by name.
  */
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -44,6 +44,8 @@
 void mesh_tick(struct mesh *);
 /* Nodes that live, this one included. */
 uint32_t mesh_live_count(const struct mesh *);
+/* Other nodes that live and take connections. */
+uint32_t mesh_serving_count(const struct mesh *);
 /* Position of this node among the live ones by name. */
 uint32_t mesh_rank(const struct mesh *);
 void mesh_addresses(const struct mesh *, const char *place, GPtrArray *out);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -5,6 +5,7 @@
 
 #include <http_parser.h>
 
+#include "admit.h"
 #include "gate.h"
 #include "node.h"
 #include "planner.h"
@@ -17,9 +18,9 @@
 /* Time for which callers keep an address answer: short, so that they leave a
  * dead node soon; an answer costs little. */
 #define VALIDITY_USEC (1 * LOOP_USEC_PER_SEC)
-/* Some callers keep it three times as long, so a node that stops is still
- * asked for connections for this long. */
-#define LINGER_USEC (3 * VALIDITY_USEC + 500 * LOOP_USEC_PER_MSEC)
+/* A node that stops takes connections for this long: callers have asked again
+ * by then, and those that keep an answer longer try another address. */
+#define LINGER_USEC ADMIT_STOPPING_USEC
 /* A node that stops ends this long before it would be killed. */
 #define GRACE_MARGIN_USEC (400 * LOOP_USEC_PER_MSEC)
 /* The node's own entry in the store; peers notice its death by silence. */
@@ -53,6 +54,8 @@
 	int64_t swept_at;
 	/* When SIGTERM came; 0: it has not. */
 	int64_t draining_since;
+	/* The node takes no more connections of callers. */
+	bool front_stopped;
 	uint64_t boot;
 };
 
@@ -247,19 +250,34 @@
 }
 
 /*
- * Ends a node that stops once its requests are over and callers no longer
- * come, or when its time is up.
+ * Returns when a node that stops ends at the latest.
+ */
+static int64_t
+drain_end(const struct node *node)
+{
+	return node->draining_since +
+	    (int64_t)(node->settings.grace_s * (double)LOOP_USEC_PER_SEC) -
+	    GRACE_MARGIN_USEC;
+}
+
+/*
+ * Ends a node that stops once its requests are over, or when its time is up.
+ * It takes no more connections once callers have had time to learn of other
+ * nodes; if there are none, it serves what still ends in time.
  */
 static void
 check_drained(struct node *node)
 {
 	int64_t now = loop_now(node->loop);
-	int64_t since = now - node->draining_since;
-	int64_t grace = (int64_t)(node->settings.grace_s *
-	    (double)LOOP_USEC_PER_SEC);
+	bool lingered = now - node->draining_since >= LINGER_USEC;
 
-	if ((since >= LINGER_USEC && gate_active(node->gate) == 0) ||
-	    since >= grace - GRACE_MARGIN_USEC)
+	if (lingered && !node->front_stopped &&
+	    mesh_serving_count(node->mesh) > 0) {
+		node->front_stopped = true;
+		h1_listener_stop(node->front);
+	}
+	if ((node->front_stopped && gate_active(node->gate) == 0) ||
+	    now >= drain_end(node))
 		loop_stop(node->loop);
 }
 
@@ -490,7 +508,7 @@
 	slog_event(EV_NODE_DRAINING, "{s:i, s:i}", "active",
 	    (int)gate_active(node->gate), "connections",
 	    (int)h1_listener_count(node->front));
-	gate_drain(node->gate);
+	gate_drain(node->gate, drain_end(node));
 	mesh_leave(node->mesh);
 	planner_leave(node->planner);
 	enroll_leave(node->entry);
