--- /dev/null
+++ b/tests/node_world.h
@@ -0,0 +1,307 @@
+#ifndef CH_TEST_NODE_WORLD_H
+#define CH_TEST_NODE_WORLD_H
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#include <glib.h>
+
+#include "child.h"
+#include "fakes/fake_platform.h"
+#include "h1.h"
+
+#define NODE_KEY "k-first"
+#define NODE_REVOKE_MS 3000
+
+/* A node in a process of its own, and the platform in this one. */
+struct node_world {
+	struct loop *loop;
+	struct h1 *h1;
+	struct fake_platform *platform;
+	char settings_path[128];
+	char log_path[128];
+	pid_t pid;
+	uint16_t front;
+	uint16_t ready;
+	uint16_t lookup;
+	uint16_t metrics;
+};
+
+/* One request of a caller and its answer. */
+struct node_call {
+	struct h1_conn *conn;
+	unsigned int status;
+	struct lstr_buf body;
+	char retry_after[32];
+	bool complete;
+	bool ended;
+};
+
+static inline void
+node_call_head(struct h1_conn *conn, void *arg)
+{
+	struct node_call *call = arg;
+	struct lstr value;
+
+	call->status = h1_status(conn);
+	if (h1_header(conn, "Retry-After", &value))
+		snprintf(call->retry_after, sizeof(call->retry_after), "%.*s",
+		    LSTR_ARG(value));
+}
+
+static inline void
+node_call_body(struct h1_conn *conn, struct lstr bytes, void *arg)
+{
+	struct node_call *call = arg;
+
+	(void)conn;
+	lstr_buf_append(&call->body, bytes);
+}
+
+static inline void
+node_call_complete(struct h1_conn *conn, void *arg)
+{
+	struct node_call *call = arg;
+
+	call->complete = true;
+	call->ended = true;
+	h1_close(conn);
+}
+
+static inline void
+node_call_ended(struct h1_conn *conn, enum status status, void *arg)
+{
+	struct node_call *call = arg;
+
+	(void)conn;
+	(void)status;
+	call->ended = true;
+}
+
+static const struct h1_ops node_call_ops = {NULL, NULL, node_call_head,
+    node_call_body, node_call_complete, node_call_ended};
+
+/*
+ * Sends bytes to a port of the node.
+ */
+static inline void
+node_call_send(
+    struct node_world *w, struct node_call *call, uint16_t port, const char *text)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+
+	memset(call, 0, sizeof(*call));
+	ck_assert_int_eq(h1_connect(w->h1, &address,
+			     loop_now(w->loop) + HARNESS_DEADLINE_USEC,
+			     &node_call_ops, call, &call->conn),
+	    STATUS_OK);
+	h1_expect_answer(call->conn, false);
+	h1_write(call->conn, lstr_from(text));
+}
+
+static inline bool
+node_call_is_over(void *arg)
+{
+	return ((struct node_call *)arg)->ended;
+}
+
+/*
+ * Waits for the end of a call.
+ */
+static inline void
+node_call_wait(struct node_world *w, struct node_call *call)
+{
+	ck_assert(harness_wait(w->loop, node_call_is_over, call));
+	lstr_buf_append(&call->body, lstr_make("", 1));
+}
+
+/*
+ * Words a request of a caller.
+ */
+static inline const char *
+node_request(const char *method, const char *path, const char *id,
+    const char *key, int patience_ms, const char *more)
+{
+	static char text[2048];
+
+	snprintf(text, sizeof(text),
+	    "%s %s HTTP/1.1\r\nHost: models.example\r\nAttempt-Id: %s\r\n"
+	    "Deadline-Ms: %d\r\nAuthorization: Token %s\r\n%s\r\n",
+	    method, path, id, patience_ms, key, more);
+	return text;
+}
+
+/*
+ * Sends a generation of a few events.
+ */
+static inline void
+node_stream(struct node_world *w, struct node_call *call, const char *id)
+{
+	node_call_send(w, call, w->front,
+	    node_request("POST", "/write/draft", id, NODE_KEY, 20000,
+		"Model: m\r\nToken-Usage: 40,80\r\nPrefix-Hash: ab:40\r\n"
+		"Content-Length: 2\r\n\r\nhi"));
+}
+
+/*
+ * Sends an order or a lookup and waits for its answer.
+ */
+static inline void
+node_plain(struct node_world *w, struct node_call *call, const char *method,
+    const char *path, const char *id, const char *key)
+{
+	node_call_send(
+	    w, call, w->front, node_request(method, path, id, key, 2000, ""));
+	node_call_wait(w, call);
+}
+
+/*
+ * Lets the kernel choose a port that nobody uses.
+ */
+static inline uint16_t
+node_free_port(int type)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, type, 0);
+
+	ck_assert_int_eq(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	getsockname(fd, (struct sockaddr *)&address, &len);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+/*
+ * Writes the settings of the node.
+ */
+static inline void
+node_write_settings(struct node_world *w)
+{
+	FILE *file = fopen(w->settings_path, "w");
+
+	ck_assert_ptr_nonnull(file);
+	fprintf(file,
+	    "{\"node\":\"n1\",\"place\":\"here\",\"region\":\"r\","
+	    "\"ip\":\"127.0.0.1\",\"front\":\"127.0.0.1:%u\","
+	    "\"ready\":\"127.0.0.1:%u\",\"lookup\":\"127.0.0.1:%u\","
+	    "\"store\":\"127.0.0.1:%u\",\"mesh_port\":%u,\"revoke_ms\":%d,"
+	    "\"grace_s\":8,\"retry_slack\":100,\"retry_ratio\":0.2}",
+	    w->front, w->ready, w->lookup, fake_platform_port(w->platform),
+	    node_free_port(SOCK_DGRAM), NODE_REVOKE_MS);
+	fclose(file);
+}
+
+/*
+ * Starts the program of the node; its log goes to a file.
+ */
+static inline void
+node_spawn(struct node_world *w)
+{
+	const char *build = getenv("BUILD") ? getenv("BUILD") : "build";
+	char program[256];
+	char metrics[32];
+	posix_spawn_file_actions_t actions;
+	char *argv[] = {program, "--settings", w->settings_path,
+	    "--metrics-port", metrics, NULL};
+
+	snprintf(program, sizeof(program), "%s/chestnuthoist-node", build);
+	snprintf(metrics, sizeof(metrics), "%u", w->metrics);
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, w->log_path,
+	    O_WRONLY | O_CREAT | O_TRUNC, 0600);
+	ck_assert_int_eq(
+	    posix_spawn(&w->pid, program, &actions, NULL, argv, environ), 0);
+	posix_spawn_file_actions_destroy(&actions);
+}
+
+/*
+ * Asks for readiness and for one generation until both succeed.
+ */
+static inline void
+node_wait_until_serving(struct node_world *w)
+{
+	int64_t deadline = loop_now(w->loop) + HARNESS_DEADLINE_USEC;
+	struct node_call call = {0};
+	int attempt = 0;
+
+	do {
+		char id[32];
+
+		ck_assert_int_lt(loop_now(w->loop), deadline);
+		lstr_buf_free(&call.body);
+		snprintf(id, sizeof(id), "warm-%d", attempt++);
+		node_stream(w, &call, id);
+		node_call_wait(w, &call);
+		if (call.status != 200)
+			loop_run_once(
+			    w->loop, loop_now(w->loop) + 20 * LOOP_USEC_PER_MSEC);
+	} while (call.status != 200 || !call.complete);
+	lstr_buf_free(&call.body);
+	fake_platform_forget(w->platform);
+}
+
+/*
+ * Starts the platform with two copies of the model and two plain servers, and
+ * a node that serves.
+ */
+static inline void
+node_world_start(struct node_world *w)
+{
+	static unsigned int count;
+	const char *build = getenv("BUILD") ? getenv("BUILD") : "build";
+
+	memset(w, 0, sizeof(*w));
+	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
+	ck_assert_int_eq(h1_create(w->loop, &w->h1), STATUS_OK);
+	w->platform = fake_platform_new(w->loop, w->h1);
+	w->front = node_free_port(SOCK_STREAM);
+	w->ready = node_free_port(SOCK_STREAM);
+	w->lookup = node_free_port(SOCK_STREAM);
+	w->metrics = node_free_port(SOCK_STREAM);
+	snprintf(w->settings_path, sizeof(w->settings_path),
+	    "%s/tests/node-%ld-%u.json", build, (long)getpid(), ++count);
+	snprintf(w->log_path, sizeof(w->log_path), "%s/tests/node-%ld-%u.log",
+	    build, (long)getpid(), count);
+	fake_platform_configure(w->platform, 1, NODE_KEY);
+	node_write_settings(w);
+	node_spawn(w);
+	node_wait_until_serving(w);
+}
+
+/*
+ * Reads the node's log.
+ */
+static inline char *
+node_log(const struct node_world *w)
+{
+	char *text = NULL;
+
+	ck_assert(g_file_get_contents(w->log_path, &text, NULL, NULL));
+	return text;
+}
+
+/*
+ * Ends the node and the platform.
+ */
+static inline void
+node_world_stop(struct node_world *w)
+{
+	if (w->pid > 0) {
+		kill(w->pid, SIGKILL);
+		waitpid(w->pid, NULL, 0);
+	}
+	fake_platform_free(w->platform);
+	h1_destroy(w->h1);
+	loop_destroy(w->loop);
+	unlink(w->settings_path);
+	unlink(w->log_path);
+}
+
+#endif
--- /dev/null
+++ b/tests/test_node.c
@@ -0,0 +1,370 @@
+#include "node_world.h"
+
+#define EVENTS 12
+
+/*
+ * Checks that a stream has each event once and in order.
+ */
+static void
+check_events(const struct node_call *call)
+{
+	const char *at = call->body.data;
+
+	for (unsigned int i = 1; i <= EVENTS; i++) {
+		char event[64];
+
+		snprintf(event, sizeof(event), "id: %u\ndata: %u\n\n", i, i);
+		ck_assert_msg(strncmp(at, event, strlen(event)) == 0,
+		    "event %u is not next in '%s'", i, call->body.data);
+		at += strlen(event);
+	}
+	ck_assert_str_eq(at, "");
+}
+
+struct stream_count {
+	const struct fake_platform *platform;
+	unsigned int wanted;
+};
+
+static bool
+has_streams(void *arg)
+{
+	const struct stream_count *count = arg;
+
+	return fake_platform_streams(count->platform) == count->wanted;
+}
+
+/*
+ * Waits until so many streams are being written.
+ */
+static void
+wait_streams(struct node_world *w, unsigned int wanted)
+{
+	struct stream_count count = {w->platform, wanted};
+
+	ck_assert(harness_wait(w->loop, has_streams, &count));
+}
+
+/* Guards the whole path of a calm day. */
+START_TEST(serves_streams_orders_and_lookups)
+{
+	struct node_world w;
+	struct node_call call;
+
+	node_world_start(&w);
+	node_stream(&w, &call, "s1");
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 200);
+	ck_assert(call.complete);
+	check_events(&call);
+	ck_assert_uint_eq(fake_platform_runs(w.platform, "s1"), 1);
+	ck_assert_uint_eq(fake_platform_bad_paths(w.platform), 0);
+	node_plain(&w, &call, "POST", "/order/1", "o1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 200);
+	ck_assert_str_eq(call.body.data, "a whole answer");
+	node_plain(&w, &call, "GET", "/look/1", "l1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 200);
+	node_plain(&w, &call, "GET", "/none/1", "n1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 404);
+	node_plain(&w, &call, "GET", "/look/1", "n2", "k-unknown");
+	ck_assert_uint_eq(call.status, 401);
+	ck_assert_uint_eq(fake_platform_runs(w.platform, "n2"), 0);
+	ck_assert_uint_eq(fake_platform_keys_seen(w.platform), 0);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards the addresses, readiness and metrics. */
+START_TEST(answers_lookup_readiness_and_metrics)
+{
+	struct node_world w;
+	struct node_call call;
+	char address[64];
+
+	node_world_start(&w);
+	node_call_send(&w, &call, w.lookup,
+	    "GET /lookup?name=x&region=r&zone=here HTTP/1.1\r\nHost: x\r\n\r\n");
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 200);
+	snprintf(address, sizeof(address), "\"127.0.0.1:%u\"", w.front);
+	ck_assert_ptr_nonnull(strstr(call.body.data, address));
+	node_call_send(&w, &call, w.ready,
+	    "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 200);
+	node_call_send(
+	    &w, &call, w.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+	node_call_wait(&w, &call);
+	ck_assert_ptr_nonnull(strstr(call.body.data, "requests_done_total"));
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards against a stream that is lost with one stage of its path. */
+START_TEST(stream_goes_on_without_a_dark_engine)
+{
+	struct node_world w;
+	struct node_call calls[6];
+
+	node_world_start(&w);
+	fake_platform_set_engine_fault(w.platform, FAKE_DARK, 5);
+	for (int i = 0; i < 6; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "d%d", i);
+		node_stream(&w, &calls[i], id);
+	}
+	for (int i = 0; i < 6; i++) {
+		node_call_wait(&w, &calls[i]);
+		ck_assert(calls[i].complete);
+		check_events(&calls[i]);
+	}
+	ck_assert_uint_eq(fake_platform_bad_paths(w.platform), 0);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards against a half event that is passed on, or events twice. */
+START_TEST(stream_goes_on_after_half_an_event)
+{
+	struct node_world w;
+	struct node_call call;
+
+	node_world_start(&w);
+	fake_platform_set_engine_fault(w.platform, FAKE_TORN, 4);
+	node_stream(&w, &call, "t1");
+	node_call_wait(&w, &call);
+	ck_assert(call.complete);
+	check_events(&call);
+	ck_assert_uint_eq(fake_platform_runs(w.platform, "t1"), 2);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards against an order that runs twice, or a refusal that is not true. */
+START_TEST(order_without_answer_runs_once)
+{
+	struct node_world w;
+	struct node_call call;
+
+	node_world_start(&w);
+	fake_platform_set_plain_fault(w.platform, FAKE_LOST);
+	node_plain(&w, &call, "POST", "/order/1", "o1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 502);
+	ck_assert_uint_eq(fake_platform_runs(w.platform, "o1"), 1);
+	fake_platform_set_plain_fault(w.platform, FAKE_TORN);
+	node_plain(&w, &call, "POST", "/order/1", "o2", NODE_KEY);
+	ck_assert_uint_eq(call.status, 502);
+	ck_assert_uint_eq(fake_platform_runs(w.platform, "o2"), 1);
+	fake_platform_set_plain_fault(w.platform, FAKE_SHED);
+	node_plain(&w, &call, "POST", "/order/1", "o3", NODE_KEY);
+	ck_assert_uint_eq(call.status, 503);
+	ck_assert_str_ne(call.retry_after, "");
+	ck_assert_uint_eq(fake_platform_runs(w.platform, "o3"), 0);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards against the answer of another request. */
+START_TEST(answer_of_another_request_is_skipped)
+{
+	struct node_world w;
+	struct node_call call;
+
+	node_world_start(&w);
+	fake_platform_set_plain_fault(w.platform, FAKE_STRAY);
+	for (int i = 0; i < 4; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "x%d", i);
+		node_plain(&w, &call, "POST", "/order/1", id, NODE_KEY);
+		ck_assert_uint_eq(call.status, 200);
+		ck_assert_str_eq(call.body.data, "a whole answer");
+		ck_assert_uint_eq(fake_platform_runs(w.platform, id), 1);
+	}
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards the retry of a lookup, and that a last failure is passed on. */
+START_TEST(lookup_is_tried_twice)
+{
+	struct node_world w;
+	struct node_call call;
+
+	node_world_start(&w);
+	fake_platform_set_plain_fault(w.platform, FAKE_ERROR);
+	node_plain(&w, &call, "GET", "/look/1", "e1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 500);
+	ck_assert_str_eq(call.body.data, "a whole answer");
+	ck_assert_uint_eq(fake_platform_runs(w.platform, "e1"), 2);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards against a key that works although it was taken away. */
+START_TEST(revoked_key_is_dead)
+{
+	struct node_world w;
+	struct node_call call;
+	int64_t deadline;
+
+	node_world_start(&w);
+	fake_platform_configure(w.platform, 2, "k-second");
+	node_plain(&w, &call, "GET", "/look/1", "r1", "k-second");
+	deadline = loop_now(w.loop) + HARNESS_DEADLINE_USEC;
+	while (call.status != 200) {
+		ck_assert_int_lt(loop_now(w.loop), deadline);
+		node_plain(&w, &call, "GET", "/look/1", "r1", "k-second");
+	}
+	node_plain(&w, &call, "GET", "/look/1", "r2", NODE_KEY);
+	ck_assert_uint_eq(call.status, 401);
+	node_world_stop(&w);
+}
+END_TEST
+
+/*
+ * Guards against keys that work while nobody can say whether they were taken
+ * away, and against work on them that stops too early.
+ */
+START_TEST(keys_need_a_proof)
+{
+	struct node_world w;
+	struct node_call call;
+	int64_t silent_at;
+
+	node_world_start(&w);
+	fake_platform_set_silent(w.platform, true);
+	silent_at = loop_now(w.loop);
+	node_plain(&w, &call, "GET", "/look/1", "p0", NODE_KEY);
+	ck_assert_uint_eq(call.status, 200);
+	do {
+		node_plain(&w, &call, "GET", "/look/1", "p1", NODE_KEY);
+		ck_assert_int_lt(loop_now(w.loop),
+		    silent_at + HARNESS_DEADLINE_USEC);
+	} while (call.status == 200);
+	ck_assert_uint_eq(call.status, 503);
+	ck_assert_int_le(loop_now(w.loop),
+	    silent_at + (NODE_REVOKE_MS + 100) * LOOP_USEC_PER_MSEC);
+	fake_platform_set_silent(w.platform, false);
+	do {
+		node_plain(&w, &call, "GET", "/look/1", "p2", NODE_KEY);
+		ck_assert_int_lt(loop_now(w.loop),
+		    silent_at + HARNESS_DEADLINE_USEC);
+	} while (call.status != 200);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards the work at servers against callers that have left. */
+START_TEST(work_ends_when_the_caller_leaves)
+{
+	struct node_world w;
+	struct node_call call;
+
+	node_world_start(&w);
+	fake_platform_set_pace(w.platform, 200 * LOOP_USEC_PER_MSEC);
+	node_stream(&w, &call, "g1");
+	wait_streams(&w, 1);
+	h1_close(call.conn);
+	wait_streams(&w, 0);
+	node_world_stop(&w);
+}
+END_TEST
+
+struct exit_wait {
+	pid_t pid;
+	int status;
+};
+
+static bool
+has_ended(void *arg)
+{
+	struct exit_wait *wait = arg;
+
+	return waitpid(wait->pid, &wait->status, WNOHANG) == wait->pid;
+}
+
+/* Guards against requests that a shutdown cuts. */
+START_TEST(sigterm_finishes_what_runs)
+{
+	struct node_world w;
+	struct node_call call;
+	struct node_call ready;
+	struct exit_wait wait;
+
+	node_world_start(&w);
+	fake_platform_set_pace(w.platform, 50 * LOOP_USEC_PER_MSEC);
+	node_stream(&w, &call, "z1");
+	wait_streams(&w, 1);
+	kill(w.pid, SIGTERM);
+	node_call_wait(&w, &call);
+	ck_assert(call.complete);
+	check_events(&call);
+	node_call_send(&w, &ready, w.ready,
+	    "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+	node_call_wait(&w, &ready);
+	ck_assert_uint_eq(ready.status, 503);
+	wait.pid = w.pid;
+	ck_assert(harness_wait(w.loop, has_ended, &wait));
+	ck_assert(WIFEXITED(wait.status) && WEXITSTATUS(wait.status) == 0);
+	w.pid = 0;
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards against a request that is too large or not HTTP. */
+START_TEST(limits_hold)
+{
+	struct node_world w;
+	struct node_call call;
+	char *large = g_strnfill(5000, 'h');
+	char *header = g_strdup_printf("X-Large: %s\r\n", large);
+
+	node_world_start(&w);
+	node_call_send(&w, &call, w.front, "NOT HTTP AT ALL\r\n\r\n");
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 400);
+	node_call_send(&w, &call, w.front,
+	    g_strdup_printf("GET /look/1 HTTP/1.1\r\nHost: models.example\r\n"
+			    "%s\r\n",
+		header));
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 431);
+	node_call_send(&w, &call, w.front,
+	    "POST /order/1 HTTP/1.1\r\nHost: models.example\r\n"
+	    "Content-Length: 20000\r\n\r\n");
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 413);
+	g_free(header);
+	g_free(large);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards the lines by which a request is followed afterwards. */
+START_TEST(log_tells_the_story_of_a_request)
+{
+	struct node_world w;
+	struct node_call call;
+	char *log;
+
+	node_world_start(&w);
+	fake_platform_set_plain_fault(w.platform, FAKE_LOST);
+	node_plain(&w, &call, "POST", "/order/1", "story-1", NODE_KEY);
+	log = node_log(&w);
+	ck_assert_ptr_nonnull(strstr(log, "\"name\":\"node-started\""));
+	ck_assert_ptr_nonnull(strstr(log, "\"name\":\"config-applied\""));
+	ck_assert_ptr_nonnull(strstr(log,
+	    "\"name\":\"request-failed\",\"id\":\"story-1\",\"status\":502"));
+	g_free(log);
+	node_world_stop(&w);
+}
+END_TEST
+
+HARNESS_MAIN("node", serves_streams_orders_and_lookups,
+    answers_lookup_readiness_and_metrics, stream_goes_on_without_a_dark_engine,
+    stream_goes_on_after_half_an_event, order_without_answer_runs_once,
+    answer_of_another_request_is_skipped, lookup_is_tried_twice,
+    revoked_key_is_dead, keys_need_a_proof, work_ends_when_the_caller_leaves,
+    sigterm_finishes_what_runs, limits_hold, log_tells_the_story_of_a_request)
--- /dev/null
+++ b/tests/test_pool.c
@@ -0,0 +1,123 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include "pool.h"
+
+#define NOW ((int64_t)1000000000)
+
+/*
+ * Puts a server into the pool.
+ */
+static struct pool_server *
+put(struct pool *pool, const char *id, const char *zone, int64_t born)
+{
+	struct fleet_server info = {.id = g_strdup(id),
+	    .service = g_strdup("s"),
+	    .address_text = g_strdup_printf("10.0.0.%s:80", id),
+	    .zone = g_strdup(zone),
+	    .slots = 4,
+	    .layer_to = 8,
+	    .born = born};
+	bool is_new;
+
+	return pool_put(pool, &info, NOW, &is_new);
+}
+
+/* Guards against a restarted server that is taken for its former self. */
+START_TEST(restarted_server_is_new)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *first = put(pool, "1", "a", 100);
+	struct pool_server *second;
+
+	pool_avoid(first, NOW);
+	second = put(pool, "1", "a", 200);
+	ck_assert_ptr_ne(first, second);
+	ck_assert(pool_usable(second, NOW));
+	ck_assert(!pool_usable(first, NOW + POOL_AVOID_MAX_USEC));
+	ck_assert_ptr_eq(
+	    pool_find_address(pool, lstr_from("10.0.0.1:80")), second);
+	pool_free(pool);
+}
+END_TEST
+
+/* Guards against a failed server that gets requests before it shows life. */
+START_TEST(failed_server_returns_on_evidence)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *server = put(pool, "1", "a", 100);
+	int64_t later = NOW + POOL_AVOID_USEC;
+
+	ck_assert(pool_avoid(server, NOW));
+	ck_assert(!pool_avoid(server, NOW + 1));
+	ck_assert(!pool_usable(server, later));
+	ck_assert(pool_is_on_probation(server, later));
+	/* Word from before its failure is no evidence. */
+	pool_note_good(server, NOW + 1);
+	ck_assert(!pool_usable(server, later));
+	pool_note_good(server, later);
+	ck_assert(pool_usable(server, later));
+	pool_free(pool);
+}
+END_TEST
+
+/* Guards against one cut-off peer that takes a working server from all. */
+START_TEST(own_evidence_goes_before_a_peers_word)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *server = put(pool, "1", "a", 100);
+
+	pool_note_good(server, NOW);
+	pool_peer_avoids(server, NOW + 400000, NOW + 1);
+	ck_assert(pool_usable(server, NOW + 2));
+	pool_peer_avoids(
+	    server, NOW + 2 * POOL_TRUST_OWN_USEC, NOW + POOL_TRUST_OWN_USEC + 1);
+	ck_assert(!pool_usable(server, NOW + POOL_TRUST_OWN_USEC + 2));
+	pool_free(pool);
+}
+END_TEST
+
+/* Guards the choice of a plain server against load, errors and distance. */
+START_TEST(plain_requests_go_where_they_succeed)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *near = put(pool, "1", "a", 100);
+	struct pool_server *far = put(pool, "2", "b", 100);
+	GPtrArray *list = pool_service(pool, "s");
+
+	for (uint32_t random = 0; random < 4; random++)
+		ck_assert_ptr_eq(
+		    pool_pick_plain(list, "a", NULL, NOW, random), near);
+	near->peers.active = 8;
+	ck_assert_ptr_eq(pool_pick_plain(list, "a", NULL, NOW, 0), far);
+	near->peers.active = 0;
+	for (int i = 0; i < 10; i++)
+		pool_note_answer(near, i % 2 == 0);
+	ck_assert_ptr_eq(pool_pick_plain(list, "a", NULL, NOW, 0), far);
+	ck_assert_ptr_eq(pool_pick_plain(list, "a", far, NOW, 0), near);
+	pool_avoid(near, NOW);
+	ck_assert_ptr_null(pool_pick_plain(list, "a", far, NOW, 0));
+	g_ptr_array_free(list, TRUE);
+	pool_free(pool);
+}
+END_TEST
+
+/* Guards against a pace that is held against a server for good. */
+START_TEST(slowness_fades_without_evidence)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *server = put(pool, "1", "a", 100);
+
+	for (int i = 0; i < 30; i++)
+		pool_note_pace(server, 8, NOW);
+	ck_assert_double_gt(pool_slowness(server, NOW), 5);
+	ck_assert_double_lt(
+	    pool_slowness(server, NOW + 30 * LOOP_USEC_PER_SEC), 1.1);
+	pool_free(pool);
+}
+END_TEST
+
+HARNESS_MAIN("pool", restarted_server_is_new,
+    failed_server_returns_on_evidence, own_evidence_goes_before_a_peers_word,
+    plain_requests_go_where_they_succeed, slowness_fades_without_evidence)
