Coalesce changes of the store and wait 1.4 s in a watch

Cause: each change of a server's entry ended the watch of every node at once; at 80 nodes calls of the store were half of all prices. Change: after an answer with changes the next watch comes 200 ms later; a watch waits 1.4 s instead of 1.2 s, and not at all after a lost answer.

--- a/src/node/mirror.c
+++ b/src/node/mirror.c
@@ -25,6 +25,8 @@
 	int64_t answered_at;
 	int64_t returned_at;
 	int64_t pause;
+	/* The next watch does not wait: the proof is getting old. */
+	bool hurry;
 	char *page_after;
 	bool synced;
 	bool away;
@@ -125,6 +127,7 @@
 		    (json_int_t)((now - mirror->proved_at) /
 			LOOP_USEC_PER_MSEC));
 	}
+	mirror->hurry = true;
 	loop_timer_set(mirror->timer, now + mirror->pause);
 	mirror->pause = MIN(mirror->pause * 2, MIRROR_PAUSE_MAX_USEC);
 }
@@ -268,7 +271,11 @@
 	if (result->revision > mirror->revision)
 		mirror->revision = result->revision;
 	mirror->proved_at = mirror->call_sent_at;
-	next_call(mirror);
+	if (result->count > 0)
+		loop_timer_set(mirror->timer,
+		    loop_now(mirror->loop) + MIRROR_COALESCE_USEC);
+	else
+		next_call(mirror);
 }
 
 /*
@@ -285,9 +292,11 @@
 	mirror->calling = true;
 	mirror->call_sent_at = now;
 	if (mirror->revision != 0 && mirror->seen == NULL) {
+		int64_t wait = mirror->hurry ? 0 : MIRROR_WATCH_USEC;
+
+		mirror->hurry = false;
 		mirror->kv->vtable->watch(mirror->kv, prefix, mirror->revision,
-		    now + MIRROR_WATCH_USEC,
-		    now + MIRROR_WATCH_USEC + MIRROR_ANSWER_USEC, on_watch,
+		    now + wait, now + wait + MIRROR_ANSWER_USEC, on_watch,
 		    mirror);
 		return;
 	}
--- a/src/node/mirror.h
+++ b/src/node/mirror.h
@@ -13,9 +13,14 @@
  * watches wait only MIRROR_WATCH_USEC.
  */
 
-/* Short enough that keys can be proved well within the time in which a
- * revoked key must be dead, long enough to cost one call a second or less. */
-#define MIRROR_WATCH_USEC (1200 * LOOP_USEC_PER_MSEC)
+/* The proof of a watch is dated by its sending and lasts until the next one is
+ * answered, so it grows to twice this age. That is well within the time in
+ * which a revoked key must be dead, also when one answer is lost and a watch
+ * that does not wait follows; each call is paid. */
+#define MIRROR_WATCH_USEC (1400 * LOOP_USEC_PER_MSEC)
+/* Pause after an answer with changes, so that one call brings those that
+ * follow: many servers change at the same time. */
+#define MIRROR_COALESCE_USEC (200 * LOOP_USEC_PER_MSEC)
 /* An answer that is later than its watch by this much is taken as lost. */
 #define MIRROR_ANSWER_USEC (600 * LOOP_USEC_PER_MSEC)
 #define MIRROR_LIST_USEC (1500 * LOOP_USEC_PER_MSEC)
