Rely on the proofs of the nodes that watch the store

Change: each fifth node by name watches; reports between nodes carry the newest change that the sender knows and the age of its proof, dated by the receiver's own report. A node without a recent proof asks the store itself; changes are fetched twice a second, a new configuration at once. Nodes send reports to neighbours on both sides; use by peers that are not heard is extrapolated; other data centres get each third report. Ruled out on the way: the store's own revision (it moves with each report of a server) and one-sided neighbours (who hears is not heard): no calls saved.

--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -4514,7 +4514,7 @@
   (ProtobufCMessageInit) ch__server_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[10] =
 {
   {
     "node",
@@ -4576,18 +4576,83 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, store_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_revision",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proof_age_msec",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, proof_age_msec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard_peer",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ch__NodeReport, n_heard_peer),
+    offsetof(Ch__NodeReport, heard_peer),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard_sequence",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Ch__NodeReport, n_heard_sequence),
+    offsetof(Ch__NodeReport, heard_sequence),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__node_report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
+  6,   /* field[6] = config_revision */
+  8,   /* field[8] = heard_peer */
+  9,   /* field[9] = heard_sequence */
   3,   /* field[3] = leaving */
   0,   /* field[0] = node */
+  7,   /* field[7] = proof_age_msec */
   2,   /* field[2] = sequence */
   4,   /* field[4] = servers */
+  5,   /* field[5] = store_revision */
 };
 static const ProtobufCIntRange ch__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ch__node_report__descriptor =
 {
@@ -4597,7 +4662,7 @@
   "Ch__NodeReport",
   "ch",
   sizeof(Ch__NodeReport),
-  5,
+  10,
   ch__node_report__field_descriptors,
   ch__node_report__field_indices_by_name,
   1,  ch__node_report__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -713,10 +713,28 @@
   protobuf_c_boolean leaving;
   size_t n_servers;
   Ch__ServerUse **servers;
+  /*
+   * Revisions of the newest change of the store that the sender knows, and of
+   * the configuration that it has.
+   */
+  uint64_t store_revision;
+  uint64_t config_revision;
+  /*
+   * How old the sender's proof of both is, at the sending; 0: it has none.
+   */
+  uint32_t proof_age_msec;
+  /*
+   * The last report that the sender had of each peer: hash of the peer's name
+   * and the report's sequence. A receiver dates the proof by its own report.
+   */
+  size_t n_heard_peer;
+  uint32_t *heard_peer;
+  size_t n_heard_sequence;
+  uint64_t *heard_sequence;
 };
 #define CH__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /* Ch__Hello methods */
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -15,10 +15,14 @@
 #define DATAGRAM_MAX_BYTES 60000
 /* Peers avoid a failing server until the report after next. */
 #define AVOID_TOLD_MSEC (2 * MESH_SEND_USEC / LOOP_USEC_PER_MSEC)
+/* Own reports whose sending times are kept, to date peers' proofs: those of
+ * more than the time for which a proof is of use. */
+#define SENT_KEPT 32
 /* Datagrams read in one round of the loop. */
 #define READ_BATCH 64
 /* A data centre with fewer live nodes than this gets addresses of others. */
 #define PLACE_NODES_MIN 2
+#define ROUND_UP 0.5
 
 struct peer_use {
 	uint32_t hash;
@@ -53,11 +57,24 @@
 	struct lstr_buf entry;
 	uint64_t sequence;
 	int64_t sent_at;
+	/* When the report of a sequence was sent, by its remainder. */
+	int64_t sent_times[SENT_KEPT];
+	uint32_t hash;
 	int64_t started_at;
 	bool leaving;
 	bool stale;
 };
 
+/*
+ * Returns the short name of a process of a node: a restarted one has another,
+ * since its sequence starts anew.
+ */
+static uint32_t
+peer_hash(const char *name, uint64_t boot)
+{
+	return pool_hash(lstr_from(name)) ^ (uint32_t)boot;
+}
+
 /*
  * Frees a peer; used by the table that holds it.
  */
@@ -98,6 +115,32 @@
 		    now);
 }
 
+/*
+ * Takes the proof in a report. It is dated by our own report that the peer had
+ * when it sent this one: the peer's proof was that old at some time after.
+ */
+static void
+take_proof(struct mesh *mesh, const Ch__NodeReport *report)
+{
+	struct mesh_proof proof = {
+	    report->store_revision, report->config_revision, 0};
+
+	if (report->proof_age_msec == 0)
+		return;
+	for (size_t i = 0;
+	     i < report->n_heard_peer && i < report->n_heard_sequence; i++) {
+		uint64_t sequence = report->heard_sequence[i];
+
+		if (report->heard_peer[i] != mesh->hash ||
+		    sequence + SENT_KEPT <= mesh->sequence ||
+		    sequence > mesh->sequence)
+			continue;
+		proof.proved_at = mesh->sent_times[sequence % SENT_KEPT] -
+		    (int64_t)report->proof_age_msec * LOOP_USEC_PER_MSEC;
+	}
+	mesh->config.ops->vouched(&proof, mesh->config.arg);
+}
+
 /*
  * Takes a report of a peer.
  */
@@ -129,6 +172,7 @@
 	for (size_t i = 0; i < report->n_servers; i++)
 		take_use(mesh, peer, report->servers[i], now);
 	mesh->stale = true;
+	take_proof(mesh, report);
 }
 
 /*
@@ -187,6 +231,7 @@
 	mesh->loop = loop;
 	mesh->pool = pool;
 	mesh->config = *config;
+	mesh->hash = peer_hash(config->name, config->boot);
 	mesh->started_at = loop_now(loop);
 	mesh->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
@@ -315,12 +360,35 @@
 	return now - since < MESH_SILENT_USEC;
 }
 
+/*
+ * Returns by how much the sum of the peers that are heard stands for all that
+ * live: in a large fleet a node hears only some.
+ */
+static double
+use_scale(const struct mesh *mesh, int64_t now)
+{
+	uint32_t heard = 0;
+	uint32_t live = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		heard += now - peer->heard_at <= POOL_PEER_USE_USEC;
+		live += peer_lives(mesh, peer, now);
+	}
+	return heard > 0 && live > heard ? (double)live / heard : 1;
+}
+
 /*
  * Sums up what the peers use of each server.
  */
 static void
 sum_uses(struct mesh *mesh, int64_t now)
 {
+	double scale;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -331,6 +399,7 @@
 
 		memset(&server->peers, 0, sizeof(server->peers));
 	}
+	scale = use_scale(mesh, now);
 	g_hash_table_iter_init(&iter, mesh->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
@@ -345,9 +414,13 @@
 
 			if (server == NULL)
 				continue;
-			server->peers.memory += use->use.memory;
-			server->peers.active += use->use.active;
-			server->peers.first_active += use->use.first_active;
+			server->peers.memory +=
+			    (int64_t)(scale * (double)use->use.memory);
+			server->peers.active +=
+			    (uint32_t)(scale * use->use.active + ROUND_UP);
+			server->peers.first_active += (uint32_t)(scale *
+				use->use.first_active +
+			    ROUND_UP);
 		}
 	}
 }
@@ -416,35 +489,96 @@
 }
 
 /*
- * Sends bytes to the peers: to all in a small fleet, else to the next ones in
- * the order of names.
+ * Tells the peers what this node had heard of each of them, so that they can
+ * date its proof.
+ */
+static void
+fill_proof(struct mesh *mesh, Ch__NodeReport *report, int64_t now)
+{
+	struct mesh_proof proof = {0, 0, 0};
+	guint count = g_hash_table_size(mesh->peers);
+	GHashTableIter iter;
+	gpointer value;
+
+	mesh->config.ops->get_proof(&proof, mesh->config.arg);
+	report->store_revision = proof.store_revision;
+	report->config_revision = proof.config_revision;
+	if (proof.proved_at == 0 || !mesh_is_watcher(mesh))
+		return;
+	/* Rounded up: a proof is never made younger. */
+	report->proof_age_msec =
+	    (uint32_t)((now - proof.proved_at) / LOOP_USEC_PER_MSEC + 1);
+	report->heard_peer = g_new(uint32_t, count + 1);
+	report->heard_sequence = g_new(uint64_t, count + 1);
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (peer->silent || peer->heard_at == 0)
+			continue;
+		report->heard_peer[report->n_heard_peer++] =
+		    peer_hash(peer->name, peer->boot);
+		report->heard_sequence[report->n_heard_sequence++] =
+		    peer->sequence;
+	}
+}
+
+/*
+ * Tells whether the next report goes to a peer.
+ */
+static bool
+is_addressed(const struct mesh *mesh, const struct peer *peer)
+{
+	return strcmp(peer->place, mesh->config.place) == 0 ||
+	    mesh->leaving || mesh->sequence % MESH_AWAY_EVERY == 0;
+}
+
+/*
+ * Sends bytes to one peer, unless the report is not for it.
+ */
+static void
+send_to(struct mesh *mesh, const char *name, const uint8_t *bytes, size_t len)
+{
+	const struct peer *peer = g_hash_table_lookup(mesh->peers, name);
+
+	if (is_addressed(mesh, peer) &&
+	    sendto(mesh->fd, bytes, len, MSG_DONTWAIT,
+		(const struct sockaddr *)&peer->address,
+		sizeof(peer->address)) < 0) {
+		/* The next report makes good for a lost one. */
+	}
+}
+
+/*
+ * Sends bytes to the peers: to all in a small fleet, else to the nearest ones
+ * on both sides in the circle of names, so that those that hear a node are
+ * also heard by it.
  */
 static void
 send_to_peers(struct mesh *mesh, const uint8_t *bytes, size_t len)
 {
-	GList *names = g_hash_table_get_keys(mesh->peers);
-	GList *start;
-	guint count = g_list_length(names);
-
-	names = g_list_sort(names, (GCompareFunc)strcmp);
-	start = names;
-	while (count > MESH_FANOUT && start != NULL &&
-	    strcmp(start->data, mesh->config.name) < 0)
-		start = start->next;
-	for (guint i = 0; i < MIN(count, MESH_FANOUT); i++) {
-		const struct peer *peer;
-
-		if (start == NULL)
-			start = names;
-		peer = g_hash_table_lookup(mesh->peers, start->data);
-		start = start->next;
-		if (sendto(mesh->fd, bytes, len, MSG_DONTWAIT,
-			(const struct sockaddr *)&peer->address,
-			sizeof(peer->address)) < 0) {
-			/* The next report makes good for a lost one. */
+	GList *list = g_hash_table_get_keys(mesh->peers);
+	guint count = g_list_length(list);
+	const char **names = g_new(const char *, count + 1);
+	guint after = 0;
+	guint sent = 0;
+
+	list = g_list_sort(list, (GCompareFunc)strcmp);
+	for (GList *at = list; at != NULL; at = at->next) {
+		after += strcmp(at->data, mesh->config.name) < 0;
+		names[sent++] = at->data;
+	}
+	sent = 0;
+	for (guint i = 0; sent < MIN(count, MESH_FANOUT); i++) {
+		send_to(mesh, names[(after + i) % count], bytes, len);
+		if (++sent < MIN(count, MESH_FANOUT)) {
+			send_to(mesh, names[(after + count - 1 - i) % count],
+			    bytes, len);
+			sent++;
 		}
 	}
-	g_list_free(names);
+	g_free(names);
+	g_list_free(list);
 }
 
 /*
@@ -472,10 +606,14 @@
 	report.boot = mesh->config.boot;
 	report.sequence = ++mesh->sequence;
 	report.leaving = mesh->leaving;
+	mesh->sent_times[mesh->sequence % SENT_KEPT] = now;
 	fill_report(mesh, &report, rows, pointers, now);
+	fill_proof(mesh, &report, now);
 	bytes = g_malloc(ch__node_report__get_packed_size(&report));
 	send_to_peers(mesh, bytes, ch__node_report__pack(&report, bytes));
 	g_free(bytes);
+	g_free(report.heard_peer);
+	g_free(report.heard_sequence);
 	g_free(rows);
 	g_free(pointers);
 }
@@ -538,6 +676,16 @@
 	return rank;
 }
 
+/*
+ * Tells whether this node is one of those that watch the store. The first ones
+ * by name do, so that there is one wherever few nodes live.
+ */
+bool
+mesh_is_watcher(const struct mesh *mesh)
+{
+	return mesh_rank(mesh) % MESH_WATCH_EVERY == 0;
+}
+
 /*
  * Adds the addresses of nodes that take connections, in one data centre or,
  * with NULL, in all.
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -17,6 +17,12 @@
 /* Peers that one node sends to; in a larger fleet each node picks that many
  * neighbours in the order of names, so that traffic does not grow with it. */
 #define MESH_FANOUT 24
+/* Nodes of other data centres get each such report: traffic between data
+ * centres is dear, and most paths stay within one. */
+#define MESH_AWAY_EVERY 3
+/* Of the nodes in the order of names, each such one keeps a watch at the
+ * store; the others rely on its proofs. Each node hears several of them. */
+#define MESH_WATCH_EVERY 5
 /* The prefix of nodes' entries in the store. */
 #define MESH_PREFIX "chestnuthoist/node/"
 /* Addresses in one answer to callers. */
@@ -24,6 +30,21 @@
 
 struct mesh;
 
+/* What a node knows of the store, for its peers. */
+struct mesh_proof {
+	uint64_t store_revision;
+	uint64_t config_revision;
+	/* When both were certainly current; 0: never. */
+	int64_t proved_at;
+};
+
+struct mesh_ops {
+	/* Fills in this node's own proof. */
+	void (*get_proof)(struct mesh_proof *, void *arg);
+	/* A peer proves what it has; the time is on this node's clock. */
+	void (*vouched)(const struct mesh_proof *, void *arg);
+};
+
 struct mesh_config {
 	const char *name;
 	const char *ip;
@@ -32,6 +53,8 @@
 	const char *front;
 	const char *place;
 	uint64_t boot;
+	const struct mesh_ops *ops;
+	void *arg;
 };
 
 enum status mesh_create(struct loop *, const struct mesh_config *,
@@ -46,6 +69,8 @@
 uint32_t mesh_live_count(const struct mesh *);
 /* Other nodes that live and take connections. */
 uint32_t mesh_serving_count(const struct mesh *);
+/* Whether this node is one of those that watch the store. */
+bool mesh_is_watcher(const struct mesh *);
 /* Position of this node among the live ones by name. */
 uint32_t mesh_rank(const struct mesh *);
 void mesh_addresses(const struct mesh *, const char *place, GPtrArray *out);
--- a/src/node/mirror.c
+++ b/src/node/mirror.c
@@ -17,7 +17,10 @@
 	/* Keys seen by the list that runs; NULL: none runs. */
 	GHashTable *seen;
 	struct loop_timer *timer;
+	/* The copy has all changes up to this revision of the store. */
 	uint64_t revision;
+	/* The newest of them. */
+	uint64_t newest;
 	uint64_t list_revision;
 	int64_t call_sent_at;
 	int64_t list_sent_at;
@@ -28,6 +31,9 @@
 	/* The next watch does not wait: the proof is getting old. */
 	bool hurry;
 	char *page_after;
+	/* The newest change that a peer knows. */
+	uint64_t peer_revision;
+	bool standing;
 	bool synced;
 	bool away;
 	bool calling;
@@ -61,6 +67,7 @@
 	mirror->ops = ops;
 	mirror->arg = arg;
 	mirror->pause = MIRROR_PAUSE_USEC;
+	mirror->standing = true;
 	mirror->answered_at = loop_now(loop);
 	mirror->versions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -142,6 +149,7 @@
 	uint64_t *known = g_hash_table_lookup(mirror->versions, key);
 	uint64_t *version;
 
+	mirror->newest = MAX(mirror->newest, item->version);
 	if (known != NULL && *known >= item->version) {
 		g_free(key);
 		return;
@@ -271,13 +279,25 @@
 	if (result->revision > mirror->revision)
 		mirror->revision = result->revision;
 	mirror->proved_at = mirror->call_sent_at;
-	if (result->count > 0)
+	if (result->count > 0 && mirror->standing)
 		loop_timer_set(mirror->timer,
 		    loop_now(mirror->loop) + MIRROR_COALESCE_USEC);
-	else
+	else if (mirror->standing)
 		next_call(mirror);
 }
 
+/*
+ * Tells whether the peers' proofs make a watch of our own needless now.
+ */
+static bool
+can_rely(const struct mirror *mirror, int64_t now)
+{
+	return !mirror->standing && mirror->synced && !mirror->away &&
+	    mirror->seen == NULL && mirror->revision != 0 &&
+	    mirror->peer_revision <= mirror->revision &&
+	    now - mirror->proved_at < MIRROR_RELY_USEC;
+}
+
 /*
  * Starts the next page or the next watch.
  */
@@ -287,8 +307,11 @@
 	int64_t now = loop_now(mirror->loop);
 	struct lstr prefix = lstr_from(mirror->prefix);
 
-	if (mirror->calling)
+	if (mirror->calling || can_rely(mirror, now))
 		return;
+	/* What a peer knows, or a new proof, is wanted now. */
+	if (!mirror->standing)
+		mirror->hurry = true;
 	mirror->calling = true;
 	mirror->call_sent_at = now;
 	if (mirror->revision != 0 && mirror->seen == NULL) {
@@ -312,6 +335,55 @@
 	    now + MIRROR_LIST_USEC, on_list, mirror);
 }
 
+/*
+ * Chooses whether the copy keeps a watch of its own.
+ */
+void
+mirror_set_standing(struct mirror *mirror, bool standing)
+{
+	mirror->standing = standing;
+}
+
+/*
+ * Takes a peer's proof. If the peer knows of changes that are missing here,
+ * they are fetched; else its proof is as good as one of our own.
+ */
+void
+mirror_vouch(struct mirror *mirror, uint64_t revision, int64_t proved_at)
+{
+	mirror->peer_revision = MAX(mirror->peer_revision, revision);
+	if (revision == 0 || revision > mirror->revision ||
+	    proved_at <= mirror->proved_at)
+		return;
+	mirror->proved_at = proved_at;
+	mirror->answered_at = loop_now(mirror->loop);
+}
+
+/*
+ * Fetches at once what a peer knows and this copy does not.
+ */
+void
+mirror_hurry(struct mirror *mirror)
+{
+	if (mirror->synced && !mirror->away)
+		next_call(mirror);
+}
+
+/*
+ * Starts a call that has become due: a peer knows more, or the peers' proofs
+ * are old.
+ */
+void
+mirror_tick(struct mirror *mirror)
+{
+	if (loop_timer_is_set(mirror->timer))
+		return;
+	if (!mirror->standing && mirror->synced && !mirror->away &&
+	    loop_now(mirror->loop) - mirror->call_sent_at < MIRROR_FETCH_USEC)
+		return;
+	next_call(mirror);
+}
+
 /*
  * Returns when the copy was certainly current, 0: never.
  */
@@ -331,12 +403,12 @@
 }
 
 /*
- * Returns the revision of the store up to which changes are known.
+ * Returns the revision of the newest change that is known.
  */
 uint64_t
-mirror_revision(const struct mirror *mirror)
+mirror_newest(const struct mirror *mirror)
 {
-	return mirror->revision;
+	return mirror->newest;
 }
 
 /*
--- a/src/node/mirror.h
+++ b/src/node/mirror.h
@@ -17,7 +17,7 @@
  * answered, so it grows to twice this age. That is well within the time in
  * which a revoked key must be dead, also when one answer is lost and a watch
  * that does not wait follows; each call is paid. */
-#define MIRROR_WATCH_USEC (1400 * LOOP_USEC_PER_MSEC)
+#define MIRROR_WATCH_USEC (1000 * LOOP_USEC_PER_MSEC)
 /* Pause after an answer with changes, so that one call brings those that
  * follow: many servers change at the same time. */
 #define MIRROR_COALESCE_USEC (200 * LOOP_USEC_PER_MSEC)
@@ -40,14 +40,31 @@
 	void (*synced)(void *arg);
 };
 
+/* A copy without a watch of its own fetches what its peers know of no more
+ * often than this. */
+#define MIRROR_FETCH_USEC (500 * LOOP_USEC_PER_MSEC)
+/* Without a standing watch of its own, a copy relies on its peers' proofs
+ * until they are this old, and then asks the store itself. */
+#define MIRROR_RELY_USEC (2700 * LOOP_USEC_PER_MSEC)
+
 enum status mirror_create(struct loop *, struct kv *, const char *prefix,
     const struct mirror_ops *, void *, struct mirror **);
 void mirror_destroy(struct mirror *);
+/* Whether the copy keeps a watch of its own; it does at first. */
+void mirror_set_standing(struct mirror *, bool);
+/* A peer proves that the newest change stored before a time is the one of that
+ * revision. */
+void mirror_vouch(struct mirror *, uint64_t revision, int64_t proved_at);
+/* A peer has a newer configuration: what is missing is fetched at once. */
+void mirror_hurry(struct mirror *);
+void mirror_tick(struct mirror *);
 /* When the copy was certainly current; 0: never. */
 int64_t mirror_proved_at(const struct mirror *);
 /* When the last time without the store ended; 0: there was none. */
 int64_t mirror_returned_at(const struct mirror *);
-uint64_t mirror_revision(const struct mirror *);
+/* Revision of the newest change that is known. The store's own revision moves
+ * on also without changes, with each report of a server. */
+uint64_t mirror_newest(const struct mirror *);
 bool mirror_is_synced(const struct mirror *);
 bool mirror_is_away(const struct mirror *);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -51,6 +51,8 @@
 	struct loop_timer *tick;
 	struct fleet_config *fleet;
 	char *identity;
+	/* Revision of the configuration in force. */
+	uint64_t config_revision;
 	int64_t swept_at;
 	/* When SIGTERM came; 0: it has not. */
 	int64_t draining_since;
@@ -88,6 +90,7 @@
 	    "hosts", (int)g_hash_table_size(config->routes), "keys",
 	    (int)g_hash_table_size(config->keys));
 	node->fleet = config;
+	node->config_revision = revision;
 	gate_set_config(node->gate, config);
 }
 
@@ -292,6 +295,8 @@
 
 	loop_timer_set(node->tick, now + TICK_USEC);
 	mesh_tick(node->mesh);
+	mirror_set_standing(node->mirror, mesh_is_watcher(node->mesh));
+	mirror_tick(node->mirror);
 	gate_tick(node->gate);
 	planner_tick(node->planner, node->fleet);
 	if (now - node->swept_at >= SWEEP_USEC) {
@@ -585,6 +590,40 @@
 	return status;
 }
 
+/*
+ * Tells the peers what this node can prove of the store.
+ */
+static void
+get_proof(struct mesh_proof *proof, void *arg)
+{
+	const struct node *node = arg;
+
+	if (node->mirror == NULL)
+		return;
+	proof->store_revision = mirror_newest(node->mirror);
+	proof->config_revision = node->config_revision;
+	proof->proved_at = mirror_proved_at(node->mirror);
+}
+
+/*
+ * Takes a peer's proof. It holds here only for the same configuration.
+ */
+static void
+vouched(const struct mesh_proof *proof, void *arg)
+{
+	struct node *node = arg;
+	bool same = proof->config_revision == node->config_revision;
+
+	if (node->mirror == NULL)
+		return;
+	mirror_vouch(node->mirror, proof->store_revision,
+	    same ? proof->proved_at : 0);
+	if (proof->config_revision > node->config_revision)
+		mirror_hurry(node->mirror);
+}
+
+static const struct mesh_ops mesh_ops = {get_proof, vouched};
+
 /*
  * Creates what talks to the store and to other nodes.
  */
@@ -597,7 +636,9 @@
 	    .port = (uint16_t)settings->mesh_port,
 	    .front = settings->front,
 	    .place = settings->place,
-	    .boot = node->boot};
+	    .boot = node->boot,
+	    .ops = &mesh_ops,
+	    .arg = node};
 	struct planner_config planner = {.loop = node->loop,
 	    .h1 = node->h1,
 	    .adapter = node->adapter,
