Let each node of a small fleet watch the store itself

Change: up to 25 nodes each watches; in larger fleets watchers wait 0.6 s and a proof is relied on for 1.7 s, so that a change is in force in time also when all watchers that a node hears are cut off.

--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -677,13 +677,22 @@
 }
 
 /*
- * Tells whether this node is one of those that watch the store. The first ones
- * by name do, so that there is one wherever few nodes live.
+ * Tells whether the fleet is so large that nodes rely on each other's watches.
+ */
+bool
+mesh_shares_watches(const struct mesh *mesh)
+{
+	return g_hash_table_size(mesh->peers) > MESH_FANOUT;
+}
+
+/*
+ * Tells whether others rely on the watch of this node.
  */
 bool
 mesh_is_watcher(const struct mesh *mesh)
 {
-	return mesh_rank(mesh) % MESH_WATCH_EVERY == 0;
+	return mesh_shares_watches(mesh) &&
+	    mesh_rank(mesh) % MESH_WATCH_EVERY == 0;
 }
 
 /*
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -20,8 +20,10 @@
 /* Nodes of other data centres get each such report: traffic between data
  * centres is dear, and most paths stay within one. */
 #define MESH_AWAY_EVERY 3
-/* Of the nodes in the order of names, each such one keeps a watch at the
- * store; the others rely on its proofs. Each node hears several of them. */
+/* In a fleet in which not all nodes hear each other, each such node in the
+ * order of names keeps a watch at the store and the others rely on its proofs.
+ * Each node hears about five of them. In a smaller fleet each node watches for
+ * itself: two or three watchers may be cut off together. */
 #define MESH_WATCH_EVERY 5
 /* The prefix of nodes' entries in the store. */
 #define MESH_PREFIX "chestnuthoist/node/"
@@ -69,7 +71,8 @@
 uint32_t mesh_live_count(const struct mesh *);
 /* Other nodes that live and take connections. */
 uint32_t mesh_serving_count(const struct mesh *);
-/* Whether this node is one of those that watch the store. */
+/* Whether nodes rely on each other's watches, and whether on this one's. */
+bool mesh_shares_watches(const struct mesh *);
 bool mesh_is_watcher(const struct mesh *);
 /* Position of this node among the live ones by name. */
 uint32_t mesh_rank(const struct mesh *);
--- a/src/node/mirror.c
+++ b/src/node/mirror.c
@@ -33,7 +33,7 @@
 	char *page_after;
 	/* The newest change that a peer knows. */
 	uint64_t peer_revision;
-	bool standing;
+	enum mirror_watch watch;
 	bool synced;
 	bool away;
 	bool calling;
@@ -67,7 +67,6 @@
 	mirror->ops = ops;
 	mirror->arg = arg;
 	mirror->pause = MIRROR_PAUSE_USEC;
-	mirror->standing = true;
 	mirror->answered_at = loop_now(loop);
 	mirror->versions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -279,10 +278,10 @@
 	if (result->revision > mirror->revision)
 		mirror->revision = result->revision;
 	mirror->proved_at = mirror->call_sent_at;
-	if (result->count > 0 && mirror->standing)
+	if (result->count > 0 && mirror->watch != MIRROR_WATCH_PEERS)
 		loop_timer_set(mirror->timer,
 		    loop_now(mirror->loop) + MIRROR_COALESCE_USEC);
-	else if (mirror->standing)
+	else if (mirror->watch != MIRROR_WATCH_PEERS)
 		next_call(mirror);
 }
 
@@ -292,7 +291,7 @@
 static bool
 can_rely(const struct mirror *mirror, int64_t now)
 {
-	return !mirror->standing && mirror->synced && !mirror->away &&
+	return mirror->watch == MIRROR_WATCH_PEERS && mirror->synced && !mirror->away &&
 	    mirror->seen == NULL && mirror->revision != 0 &&
 	    mirror->peer_revision <= mirror->revision &&
 	    now - mirror->proved_at < MIRROR_RELY_USEC;
@@ -310,13 +309,17 @@
 	if (mirror->calling || can_rely(mirror, now))
 		return;
 	/* What a peer knows, or a new proof, is wanted now. */
-	if (!mirror->standing)
+	if (mirror->watch == MIRROR_WATCH_PEERS)
 		mirror->hurry = true;
 	mirror->calling = true;
 	mirror->call_sent_at = now;
 	if (mirror->revision != 0 && mirror->seen == NULL) {
-		int64_t wait = mirror->hurry ? 0 : MIRROR_WATCH_USEC;
+		int64_t wait = mirror->watch == MIRROR_WATCH_SHARED
+		    ? MIRROR_WATCH_SHARED_USEC
+		    : MIRROR_WATCH_USEC;
 
+		if (mirror->hurry)
+			wait = 0;
 		mirror->hurry = false;
 		mirror->kv->vtable->watch(mirror->kv, prefix, mirror->revision,
 		    now + wait, now + wait + MIRROR_ANSWER_USEC, on_watch,
@@ -336,12 +339,12 @@
 }
 
 /*
- * Chooses whether the copy keeps a watch of its own.
+ * Chooses who keeps a watch at the store.
  */
 void
-mirror_set_standing(struct mirror *mirror, bool standing)
+mirror_set_watch(struct mirror *mirror, enum mirror_watch watch)
 {
-	mirror->standing = standing;
+	mirror->watch = watch;
 }
 
 /*
@@ -378,7 +381,8 @@
 {
 	if (loop_timer_is_set(mirror->timer))
 		return;
-	if (!mirror->standing && mirror->synced && !mirror->away &&
+	if (mirror->watch == MIRROR_WATCH_PEERS && mirror->synced &&
+	    !mirror->away &&
 	    loop_now(mirror->loop) - mirror->call_sent_at < MIRROR_FETCH_USEC)
 		return;
 	next_call(mirror);
--- a/src/node/mirror.h
+++ b/src/node/mirror.h
@@ -17,7 +17,9 @@
  * answered, so it grows to twice this age. That is well within the time in
  * which a revoked key must be dead, also when one answer is lost and a watch
  * that does not wait follows; each call is paid. */
-#define MIRROR_WATCH_USEC (1000 * LOOP_USEC_PER_MSEC)
+#define MIRROR_WATCH_USEC (1400 * LOOP_USEC_PER_MSEC)
+/* The same where other nodes rely on the proofs: theirs are older. */
+#define MIRROR_WATCH_SHARED_USEC (600 * LOOP_USEC_PER_MSEC)
 /* Pause after an answer with changes, so that one call brings those that
  * follow: many servers change at the same time. */
 #define MIRROR_COALESCE_USEC (200 * LOOP_USEC_PER_MSEC)
@@ -44,14 +46,26 @@
  * often than this. */
 #define MIRROR_FETCH_USEC (500 * LOOP_USEC_PER_MSEC)
 /* Without a standing watch of its own, a copy relies on its peers' proofs
- * until they are this old, and then asks the store itself. */
-#define MIRROR_RELY_USEC (2700 * LOOP_USEC_PER_MSEC)
+ * until they are this old, and then asks the store itself. All peers that it
+ * hears may be cut off from the store: a new configuration is in force within
+ * this time all the same. */
+#define MIRROR_RELY_USEC (1700 * LOOP_USEC_PER_MSEC)
+
+/* Who keeps a watch at the store. */
+enum mirror_watch {
+	/* This copy, for itself. */
+	MIRROR_WATCH_OWN,
+	/* This copy, for its peers as well. */
+	MIRROR_WATCH_SHARED,
+	/* Peers, on whose proofs this copy relies. */
+	MIRROR_WATCH_PEERS
+};
 
 enum status mirror_create(struct loop *, struct kv *, const char *prefix,
     const struct mirror_ops *, void *, struct mirror **);
 void mirror_destroy(struct mirror *);
-/* Whether the copy keeps a watch of its own; it does at first. */
-void mirror_set_standing(struct mirror *, bool);
+/* Chooses who watches; at first the copy does for itself. */
+void mirror_set_watch(struct mirror *, enum mirror_watch);
 /* A peer proves that the newest change stored before a time is the one of that
  * revision. */
 void mirror_vouch(struct mirror *, uint64_t revision, int64_t proved_at);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -284,6 +284,21 @@
 		loop_stop(node->loop);
 }
 
+/*
+ * Chooses whether this node watches the store.
+ */
+static void
+choose_watch(struct node *node)
+{
+	enum mirror_watch watch = MIRROR_WATCH_OWN;
+
+	if (mesh_is_watcher(node->mesh))
+		watch = MIRROR_WATCH_SHARED;
+	else if (mesh_shares_watches(node->mesh))
+		watch = MIRROR_WATCH_PEERS;
+	mirror_set_watch(node->mirror, watch);
+}
+
 /*
  * Runs the systems over their tables.
  */
@@ -295,7 +310,7 @@
 
 	loop_timer_set(node->tick, now + TICK_USEC);
 	mesh_tick(node->mesh);
-	mirror_set_standing(node->mirror, mesh_is_watcher(node->mesh));
+	choose_watch(node);
 	mirror_tick(node->mirror);
 	gate_tick(node->gate);
 	planner_tick(node->planner, node->fleet);
