--- a/src/ctl.c
+++ b/src/ctl.c
@@ -474,9 +474,9 @@
 	return result;
 }
 
-const struct ctl_command ctl_apply_command = {"apply", 0, run_apply};
-const struct ctl_command ctl_show_command = {"show", 0, run_show};
-const struct ctl_command ctl_status_command = {"status", 0, run_status};
+const struct ctl_command ctl_apply_command = {"apply", 0, false, run_apply};
+const struct ctl_command ctl_show_command = {"show", 0, false, run_show};
+const struct ctl_command ctl_status_command = {"status", 0, false, run_status};
 
 /*
  * Tells whether the words of a command line start with the words of a
@@ -508,6 +508,11 @@
 
 		if (!matches(command->name, count, words, &used))
 			continue;
+		if (!command->local && ctl->options.syncd == NULL) {
+			ctl_error("setting --syncd is missing; %s needs it",
+			    command->name);
+			return CTL_EXIT_USAGE;
+		}
 		if (count - used == command->argument_count)
 			return command->run(ctl, words + used);
 		ctl_error("%s takes %d arguments, not %d", command->name,
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -36,6 +36,8 @@
 struct ctl_command {
 	const char *name;
 	int argument_count;
+	/* It reads files only and needs no syncd. */
+	bool local;
 	enum ctl_exit (*run)(struct ctl *, char **arguments);
 };
 
@@ -52,6 +54,7 @@
 extern const struct ctl_command ctl_status_command;
 extern const struct ctl_command ctl_record_verify_command;
 extern const struct ctl_command ctl_record_explain_command;
+extern const struct ctl_command ctl_explain_command;
 
 enum status ctl_create(
     struct loop *, const struct ctl_options *, struct ctl **);
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -9,7 +9,7 @@
 
 static struct setting settings[] = {
     {"syncd", SETTING_ADDRESS, NULL, 0, 0,
-	"Operators' HTTP address of any syncd", true, NULL, 0},
+	"Operators' HTTP address of any syncd", false, NULL, 0},
     {"inventory", SETTING_TEXT, NULL, 1, 0, "JSON file with the inventory",
 	false, NULL, 0},
     {"rules", SETTING_TEXT, NULL, 1, 0, "JSON file with the rules", false, NULL,
@@ -24,7 +24,7 @@
 
 static const struct ctl_command *const commands[] = {&ctl_apply_command,
     &ctl_show_command, &ctl_status_command, &ctl_record_verify_command,
-    &ctl_record_explain_command, NULL};
+    &ctl_record_explain_command, &ctl_explain_command, NULL};
 
 static const char usage[] = "COMMAND [ARGUMENT...]";
 static const char summary[] =
@@ -33,7 +33,8 @@
     "  show\n"
     "  status\n"
     "  record verify --node NODE\n"
-    "  record explain --node NODE REQUEST REQUEST";
+    "  record explain --node NODE REQUEST REQUEST\n"
+    "  explain REQUEST FILE   (lines of node logs; FILE may be -)";
 
 /*
  * Runs one command.
--- a/src/ctl_record.c
+++ b/src/ctl_record.c
@@ -405,6 +405,6 @@
 }
 
 const struct ctl_command ctl_record_verify_command = {
-    "record verify", 0, run_verify};
+    "record verify", 0, false, run_verify};
 const struct ctl_command ctl_record_explain_command = {
-    "record explain", 2, run_explain};
+    "record explain", 2, false, run_explain};
--- a/src/kv.h
+++ b/src/kv.h
@@ -126,17 +126,20 @@
  * worded, and the names of the fields of answers.
  */
 struct kv_dialect {
-	void (*word)(enum kv_kind, const struct kv_args *, struct kv_call_text *);
+	void (*word)(
+	    enum kv_kind, const struct kv_args *, struct kv_call_text *);
 	/* Maps an HTTP status other than 200 for calls that arrived. */
 	enum status (*status)(enum kv_kind, long http_status);
-	/* The stored version in the answer to a conditional write that failed. */
+	/* The stored version in the answer to a conditional write that failed.
+	 */
 	uint64_t (*conflict_version)(const struct json_t *answer);
 	/* Version of an item, and of what a write made. */
 	const char *version;
 	/* Revision of the whole service in lists and watches. */
 	const char *revision;
 	const char *more;
-	/* Event field that is true for a deleted key; NULL: its value is null. */
+	/* Event field that is true for a deleted key; NULL: its value is null.
+	 */
 	const char *deleted;
 };
 
--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -113,8 +113,9 @@
 map_status(const struct call *call, const struct fetch_result *result)
 {
 	if (result->status != STATUS_OK)
-		return kv_is_write(call->kind) && result->maybe_sent ? STATUS_AMBIGUOUS
-						   : STATUS_UNAVAILABLE;
+		return kv_is_write(call->kind) && result->maybe_sent
+		    ? STATUS_AMBIGUOUS
+		    : STATUS_UNAVAILABLE;
 	if (result->http_status == HTTP_OK)
 		return STATUS_OK;
 	return call->kv->dialect->status(call->kind, result->http_status);
@@ -183,8 +184,8 @@
 		struct kv_item item = {.deleted = json_is_null(value)};
 
 		if (dialect->deleted != NULL)
-			item.deleted =
-			    json_is_true(json_object_get(entry, dialect->deleted));
+			item.deleted = json_is_true(
+			    json_object_get(entry, dialect->deleted));
 
 		if (!json_is_string(key))
 			return false;
@@ -235,8 +236,8 @@
 	case KV_LEASE_GRANT:
 		lease = json_object_get(answer, "lease");
 		if (json_is_integer(lease)) {
-			char *text = g_strdup_printf("%" JSON_INTEGER_FORMAT,
-			    json_integer_value(lease));
+			char *text = g_strdup_printf(
+			    "%" JSON_INTEGER_FORMAT, json_integer_value(lease));
 
 			g_ptr_array_add(call->buffers, text);
 			out->lease = lstr_from(text);
@@ -265,7 +266,7 @@
 	    !read_answer(call, from->body, &result)) {
 		memset(&result, 0, sizeof(result));
 		result.status = kv_is_write(call->kind) ? STATUS_AMBIGUOUS
-						     : STATUS_UNAVAILABLE;
+							: STATUS_UNAVAILABLE;
 	}
 	call_end(call, &result);
 }
@@ -357,8 +358,8 @@
  * Words a call for the stand-in; docs/design.md has its protocol.
  */
 static void
-standin_word(enum kv_kind kind, const struct kv_args *args,
-    struct kv_call_text *out)
+standin_word(
+    enum kv_kind kind, const struct kv_args *args, struct kv_call_text *out)
 {
 	char *key = kv_escape(args->key, "/");
 	char *prefix = kv_escape(args->key, NULL);
@@ -377,9 +378,8 @@
 		break;
 	case KV_DELETE:
 		out->method = "DELETE";
-		out->path = g_strdup_printf("/v1/kv/%s?version=%"
-					    G_GUINT64_FORMAT,
-		    key, args->version);
+		out->path = g_strdup_printf(
+		    "/v1/kv/%s?version=%" G_GUINT64_FORMAT, key, args->version);
 		break;
 	case KV_LIST:
 		out->path = g_strdup_printf(
--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -27,8 +27,8 @@
 int64_t
 admit_leave_after(int64_t objective_usec, int64_t gap_usec)
 {
-	int64_t leave = MAX(
-	    ADMIT_LEAVE_OBJECTIVES * objective_usec, ADMIT_LEAVE_GAPS * gap_usec);
+	int64_t leave = MAX(ADMIT_LEAVE_OBJECTIVES * objective_usec,
+	    ADMIT_LEAVE_GAPS * gap_usec);
 
 	return MAX(leave, ADMIT_LEAVE_USEC);
 }
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -41,7 +41,8 @@
 	int64_t expected_wait_usec;
 	/* Expected time from the start to the first event. */
 	int64_t work_usec;
-	/* Time left until the first event is late, and until the caller leaves. */
+	/* Time left until the first event is late, and until the caller leaves.
+	 */
 	int64_t objective_usec;
 	int64_t leave_usec;
 	/* Time that the caller has left in all. */
@@ -62,8 +63,8 @@
 
 struct admit_verdict admit_decide(const struct admit_case *);
 int64_t admit_leave_after(int64_t objective_usec, int64_t gap_usec);
-int64_t admit_retry_after(int64_t expected_usec, int64_t patience_usec,
-    double spread);
+int64_t admit_retry_after(
+    int64_t expected_usec, int64_t patience_usec, double spread);
 
 /* Time after the order to stop in which every request is still taken: callers
  * learn only by and by that the node stops. */
--- a/src/node/enroll.c
+++ b/src/node/enroll.c
@@ -217,8 +217,8 @@
 		    lstr_buf_view(&enroll->value), enroll->over,
 		    lstr_from(enroll->lease), deadline, on_written, enroll);
 	else
-		kv->vtable->lease_renew(kv, lstr_from(enroll->lease), deadline,
-		    on_renewed, enroll);
+		kv->vtable->lease_renew(
+		    kv, lstr_from(enroll->lease), deadline, on_renewed, enroll);
 }
 
 /*
@@ -281,9 +281,8 @@
 	loop_timer_clear(enroll->timer);
 	if (enroll->written)
 		enroll->kv->vtable->remove(enroll->kv, lstr_from(enroll->key),
-		    enroll->version,
-		    loop_now(enroll->loop) + ENROLL_CALL_USEC, on_removed,
-		    enroll);
+		    enroll->version, loop_now(enroll->loop) + ENROLL_CALL_USEC,
+		    on_removed, enroll);
 	enroll->written = false;
 	enroll->held_until = 0;
 	g_clear_pointer(&enroll->lease, g_free);
--- a/src/node/enroll.h
+++ b/src/node/enroll.h
@@ -28,8 +28,8 @@
 	int64_t ttl_usec;
 	/*
 	 * The node's own entry: created at once, over an earlier one, and again
-	 * whenever it is lost. Else the key is an office: it is tried only after
-	 * enroll_try(), and only where nobody holds it.
+	 * whenever it is lost. Else the key is an office: it is tried only
+	 * after enroll_try(), and only where nobody holds it.
 	 */
 	bool own;
 };
--- a/src/node/fleet.c
+++ b/src/node/fleet.c
@@ -162,8 +162,8 @@
 	config->references = 1;
 	config->routes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, host_free);
-	config->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-	    (GDestroyNotify)fleet_service_free);
+	config->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)fleet_service_free);
 	config->keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	config->organisations =
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -16,6 +16,16 @@
  * which start at different moments, stay within every window together. */
 #define BUDGET_SHARE 0.85
 
+static struct metric_histogram first_event_times = {
+    .name = "chestnuthoist_first_event_seconds",
+    .help = "Time from arrival to the first event or the answer."};
+static struct metric_histogram longest_gaps = {
+    .name = "chestnuthoist_event_gap_seconds",
+    .help = "Longest pause of each stream."};
+static struct metric_histogram queue_waits = {
+    .name = "chestnuthoist_queue_wait_seconds",
+    .help = "Time from arrival to the first send of a request."};
+
 /*
  * Returns the present time.
  */
@@ -69,6 +79,9 @@
 	gate->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	gate->rand = g_rand_new_with_seed(config->seed);
+	metric_register_histogram(&first_event_times);
+	metric_register_histogram(&longest_gaps);
+	metric_register_histogram(&queue_waits);
 	*out = gate;
 	return STATUS_OK;
 }
@@ -240,6 +253,14 @@
 {
 	int64_t now = gate_now(request->gate);
 
+	if (request->first_event_at != 0)
+		metric_observe(&first_event_times,
+		    request->first_event_at - request->arrived_at);
+	if (request->events > 1)
+		metric_observe(&longest_gaps, request->longest_gap);
+	if (request->sends > 0)
+		metric_observe(
+		    &queue_waits, request->started_at - request->arrived_at);
 	slog_event(EV_REQUEST_DONE,
 	    "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:i, s:i, s:I}", "id",
 	    request->id, "route", request->route ? request->route->name : "",
@@ -272,8 +293,7 @@
 		return;
 	gate_attempt_end(request, false);
 	if (request->queued != NULL) {
-		sched_cancel(
-		    gate_service(gate, request->service->name)->queue,
+		sched_cancel(gate_service(gate, request->service->name)->queue,
 		    request->queued);
 		request->queued = NULL;
 	}
@@ -354,8 +374,7 @@
  * Fails a request that may have run.
  */
 void
-gate_fail(
-    struct gate_request *request, unsigned int status, const char *reason)
+gate_fail(struct gate_request *request, unsigned int status, const char *reason)
 {
 	request->gate->counts.failed++;
 	slog_event(EV_REQUEST_FAILED,
@@ -368,13 +387,15 @@
 		LOOP_USEC_PER_MSEC),
 	    "sends", (int)request->sends, "events", (int)request->events,
 	    "server",
-	    request->attempt.server ? request->attempt.server->info.id : "");
+	    request->sends > 0 ? request->tried[request->sends - 1]->info.id
+			       : "");
 	if (request->caller == NULL) {
 		gate_end(request, NULL);
 		return;
 	}
 	if (request->answer_begun) {
-		/* Closing without the end of the answer shows that it is cut. */
+		/* Closing without the end of the answer shows that it is cut.
+		 */
 		h1_close(request->caller);
 		request->caller = NULL;
 		gate_end(request, NULL);
@@ -520,12 +541,11 @@
 		    "keys cannot be proved current");
 		return false;
 	}
-	request->organisation = fleet_config_organisation(
-	    request->config, request->info.key);
+	request->organisation =
+	    fleet_config_organisation(request->config, request->info.key);
 	if (request->organisation != NULL)
 		return true;
-	gate_refuse(
-	    request, HTTP_STATUS_UNAUTHORIZED, 0, "key is not known");
+	gate_refuse(request, HTTP_STATUS_UNAUTHORIZED, 0, "key is not known");
 	return false;
 }
 
--- a/src/node/gate_plain.c
+++ b/src/node/gate_plain.c
@@ -15,9 +15,8 @@
 {
 	struct gate *gate = request->gate;
 	int64_t now = gate_now(gate);
-	const struct pool_server *except = request->sends > 0
-	    ? request->tried[request->sends - 1]
-	    : NULL;
+	const struct pool_server *except =
+	    request->sends > 0 ? request->tried[request->sends - 1] : NULL;
 	GPtrArray *servers;
 	struct pool_server *server;
 
@@ -110,8 +109,7 @@
 		gate_failed(request, true, "server did not run the request");
 		return;
 	}
-	pool_note_answer(
-	    attempt->server, answer->status < HTTP_SERVER_ERROR);
+	pool_note_answer(attempt->server, answer->status < HTTP_SERVER_ERROR);
 	if (success &&
 	    (!answer->stamped || answer->encoded || answer->id.len == 0)) {
 		gate_failed(request, false, "answer is not the server's own");
@@ -125,8 +123,7 @@
 	    request->route->kind == FLEET_IDEMPOTENT && request->sends == 1 &&
 	    request->route->attempts_max > 1 &&
 	    retry_is_available(
-		&gate_service(request->gate, request->service->name)
-		     ->budget)) {
+		&gate_service(request->gate, request->service->name)->budget)) {
 		gate_failed(request, false, "server failed the request");
 		return;
 	}
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -4,6 +4,7 @@
 #include "admit.h"
 #include "ask.h"
 #include "gate.h"
+#include "metric.h"
 #include "retry.h"
 #include "sched.h"
 #include "slog.h"
@@ -97,6 +98,8 @@
 	uint32_t priority;
 	struct sched_entry *queued;
 	int64_t queued_at;
+	/* When it was first sent. */
+	int64_t started_at;
 	/* Expected time from a start to the first event, of the last path. */
 	int64_t first_usec;
 	struct gate_attempt attempt;
--- a/src/node/gate_send.c
+++ b/src/node/gate_send.c
@@ -56,8 +56,8 @@
 	on_idle_message(conn, arg);
 }
 
-static const struct h1_ops idle_ops = {NULL, NULL, on_idle_message,
-    on_idle_body, on_idle_message, on_idle_ended};
+static const struct h1_ops idle_ops = {
+    NULL, NULL, on_idle_message, on_idle_body, on_idle_message, on_idle_ended};
 
 /*
  * Keeps a connection for the next request to its server.
@@ -295,8 +295,7 @@
 {
 	const struct gate_attempt *attempt = &request->attempt;
 	struct adapter_stage stages[FLEET_STAGES_MAX];
-	struct adapter_forward forward = {
-	    .server_id = attempt->server->info.id,
+	struct adapter_forward forward = {.server_id = attempt->server->info.id,
 	    .organisation =
 		request->organisation ? request->organisation->name : NULL,
 	    .patience_usec = request->deadline - gate_now(request->gate),
@@ -312,8 +311,7 @@
 	for (uint32_t i = 0; i < attempt->stage_count; i++)
 		stages[i] = (struct adapter_stage){
 		    attempt->stages[i].server->info.address_text,
-		    attempt->stages[i].layer_from,
-		    attempt->stages[i].layer_to};
+		    attempt->stages[i].layer_from, attempt->stages[i].layer_to};
 	request->gate->config.adapter->word_forward(
 	    request->caller, &forward, out);
 }
@@ -341,10 +339,12 @@
 		return false;
 	}
 	request->state = GATE_SENT;
+	if (request->sends == 0)
+		request->started_at = attempt->sent_at;
 	request->tried[request->sends++] = server;
 	word_request(request, &text);
-	h1_expect_answer(attempt->conn,
-	    lstr_equal_c(h1_method(request->caller), "HEAD"));
+	h1_expect_answer(
+	    attempt->conn, lstr_equal_c(h1_method(request->caller), "HEAD"));
 	h1_write(attempt->conn, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	return true;
@@ -363,8 +363,8 @@
 		bool repeated = false;
 
 		for (uint32_t k = 0; k < i; k++)
-			repeated = repeated ||
-			    request->tried[k] == request->tried[i];
+			repeated =
+			    repeated || request->tried[k] == request->tried[i];
 		count += !repeated && request->tried[i]->avoid_until <= now;
 	}
 	return count;
@@ -383,9 +383,8 @@
 	    .deadline = INT64_MAX};
 	int64_t at;
 
-	return retry_decide(
-		   &gate_service(gate, request->service->name)->budget, &failed,
-		   gate_now(gate), gate->rand, &at) == RETRY_OK;
+	return retry_decide(&gate_service(gate, request->service->name)->budget,
+		   &failed, gate_now(gate), gate->rand, &at) == RETRY_OK;
 }
 
 /*
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -139,8 +139,8 @@
 	    g_new0(struct path_server, MAX(servers->len, 1u));
 	struct path path = {.count = 0};
 	enum status status;
-	size_t count = pool_path_table(
-	    servers, engine, gate_now(gate), rows, SERVERS_MAX);
+	size_t count =
+	    pool_path_table(servers, engine, gate_now(gate), rows, SERVERS_MAX);
 
 	status = find_path(request, rows, count, &path);
 	if (status == STATUS_OK &&
@@ -157,8 +157,7 @@
 		for (uint32_t i = 0; i < path.count; i++)
 			attempt->stages[i] = (struct gate_stage){
 			    g_ptr_array_index(servers, path.stages[i].server),
-			    path.stages[i].layer_from,
-			    path.stages[i].layer_to};
+			    path.stages[i].layer_from, path.stages[i].layer_to};
 		if (!gate_send(request, attempt->stages[0].server))
 			status = STATUS_UNAVAILABLE;
 	}
@@ -181,8 +180,7 @@
 	for (uint32_t i = 0; i < attempt->stage_count; i++)
 		lstr_buf_printf(&path, "%s%s=%u-%u", i > 0 ? "," : "",
 		    attempt->stages[i].server->info.id,
-		    attempt->stages[i].layer_from,
-		    attempt->stages[i].layer_to);
+		    attempt->stages[i].layer_from, attempt->stages[i].layer_to);
 	slog_event(EV_REQUEST_STARTED,
 	    "{s:s, s:I, s:s, s:s, s:i, s:I, s:s%, s:I, s:I, s:I, s:i}", "id",
 	    request->id, "order", (json_int_t)request->order, "organisation",
@@ -213,8 +211,7 @@
 	    request->priority, 1, 1);
 
 	if (service->started_at == 0)
-		return (int64_t)sched_count(service->queue) *
-		    WAIT_UNKNOWN_USEC;
+		return (int64_t)sched_count(service->queue) * WAIT_UNKNOWN_USEC;
 	if (age > RATE_WINDOW_USEC)
 		rate = rate * (double)RATE_WINDOW_USEC / (double)age;
 	if (rate < 1)
@@ -252,11 +249,11 @@
 	struct admit_case load = {
 	    .expected_wait_usec = expected_wait(service, request, now),
 	    .work_usec = request->first_usec,
-	    .objective_usec = request->arrived_at +
-		request->route->objective_usec - now,
+	    .objective_usec =
+		request->arrived_at + request->route->objective_usec - now,
 	    .leave_usec = since +
-		admit_leave_after(request->route->objective_usec,
-		    request->route->gap_usec) -
+		admit_leave_after(
+		    request->route->objective_usec, request->route->gap_usec) -
 		now,
 	    .patience_usec = request->timeout_at - now,
 	    .under_way = request->sends > 0,
@@ -273,15 +270,15 @@
 	    .data = request};
 
 	if (why == STATUS_NOT_FOUND && verdict.choice == ADMIT_REFUSE)
-		verdict.retry_usec = admit_retry_after(GAP_RETRY_USEC,
-		    load.patience_usec, load.spread);
+		verdict.retry_usec = admit_retry_after(
+		    GAP_RETRY_USEC, load.patience_usec, load.spread);
 	entry.deadline = now + verdict.wait_usec;
 	if (verdict.choice == ADMIT_REFUSE ||
-	    sched_push(service->queue, &entry, &request->queued) !=
-		STATUS_OK) {
+	    sched_push(service->queue, &entry, &request->queued) != STATUS_OK) {
 		give_up(request, verdict.retry_usec,
-		    why == STATUS_NOT_FOUND ? "some layers are held by no server"
-					    : "no path has room");
+		    why == STATUS_NOT_FOUND
+			? "some layers are held by no server"
+			: "no path has room");
 		return;
 	}
 	request->state = GATE_WAITING;
@@ -343,8 +340,7 @@
 			return;
 		sched_take(service->queue, &data, &reason);
 		request->queued = NULL;
-		note_started(
-		    service, request->attempt.tokens, gate_now(gate));
+		note_started(service, request->attempt.tokens, gate_now(gate));
 		log_started(request, "first in its class and share");
 	}
 }
@@ -371,8 +367,7 @@
  * Refuses requests that have waited too long.
  */
 void
-gate_stream_expire(
-    struct gate *gate, struct gate_service *service, int64_t now)
+gate_stream_expire(struct gate *gate, struct gate_service *service, int64_t now)
 {
 	void *data;
 
@@ -445,8 +440,8 @@
 		return;
 	request->answer_begun = true;
 	request->chunked = !h1_is_http10(request->caller);
-	gate->config.adapter->word_answer(attempt->conn, request->chunked,
-	    close || !request->chunked, &text);
+	gate->config.adapter->word_answer(
+	    attempt->conn, request->chunked, close || !request->chunked, &text);
 	lstr_buf_printf(&text, "\r\n");
 	h1_write(request->caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
@@ -467,8 +462,7 @@
 	if (request->first_event_at == 0)
 		request->first_event_at = now;
 	else
-		request->longest_gap =
-		    MAX(request->longest_gap, now - since);
+		request->longest_gap = MAX(request->longest_gap, now - since);
 	if (since > attempt->sent_at && attempt->event_usec > 0 && now > since)
 		ratio = (double)(now - since) / (double)attempt->event_usec;
 	for (uint32_t i = 0; i < attempt->stage_count; i++) {
@@ -632,8 +626,8 @@
 	for (guint i = 0; i < gate->requests->len; i++) {
 		struct gate_request *request =
 		    g_ptr_array_index(gate->requests, i);
-		int64_t pause = MAX(3 * request->attempt.event_usec,
-		    STALL_MIN_USEC / 2);
+		int64_t pause =
+		    MAX(3 * request->attempt.event_usec, STALL_MIN_USEC / 2);
 
 		if (request->state != GATE_SENT || !uses(request, server) ||
 		    now - request->attempt.progress_at < pause)
@@ -701,9 +695,9 @@
 	probe->gate = gate;
 	probe->server = g_strdup(server->info.id);
 	gate->config.adapter->word_report(server->info.address_text, &text);
-	server->probing = ask_start(gate->config.h1, gate->config.loop,
-	    &server->info.address, lstr_buf_view(&text), now + PROBE_USEC,
-	    on_probe, probe);
+	server->probing =
+	    ask_start(gate->config.h1, gate->config.loop, &server->info.address,
+		lstr_buf_view(&text), now + PROBE_USEC, on_probe, probe);
 	lstr_buf_free(&text);
 	if (!server->probing) {
 		g_free(probe->server);
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -213,8 +213,8 @@
 	unsigned int wanted = LOOP_READ;
 
 	while (conn->out.len > 0 && !conn->connecting) {
-		ssize_t n = send(
-		    conn->fd, conn->out.data, conn->out.len, MSG_NOSIGNAL);
+		ssize_t n =
+		    send(conn->fd, conn->out.data, conn->out.len, MSG_NOSIGNAL);
 
 		if (n > 0) {
 			lstr_buf_consume(&conn->out, (size_t)n);
@@ -474,8 +474,7 @@
 			    lstr_make(bytes.data + used, bytes.len - used));
 		conn->busy = conn->listener != NULL;
 		conn->idle_since = loop_now(conn->h1->loop);
-		conn->stray =
-		    conn->listener == NULL && conn->held.len > 0;
+		conn->stray = conn->listener == NULL && conn->held.len > 0;
 		conn->ops->complete(conn, conn->arg);
 		return;
 	}
@@ -631,8 +630,7 @@
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	setsockopt(
-	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
@@ -640,8 +638,8 @@
  * Creates a connection over a socket, which it owns also when it fails.
  */
 static enum status
-conn_create(struct h1 *h1, int fd, unsigned int events, enum http_parser_type
-    type, struct h1_conn **out)
+conn_create(struct h1 *h1, int fd, unsigned int events,
+    enum http_parser_type type, struct h1_conn **out)
 {
 	struct h1_conn *conn = calloc(1, sizeof(*conn));
 	enum status status;
@@ -681,8 +679,8 @@
 	(void)events;
 	for (int i = 0; i < ACCEPT_BATCH; i++) {
 		struct h1_conn *conn;
-		int fd = accept4(listener->fd, NULL, NULL,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd = accept4(
+		    listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0)
 			return;
@@ -730,8 +728,7 @@
 		status = status_set(STATUS_INVALID, "address %s", ip);
 		goto fail;
 	}
-	setsockopt(
-	    listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	setsockopt(listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(listener->fd, (struct sockaddr *)&address, sizeof(address)) !=
 		0 ||
 	    listen(listener->fd, LISTEN_BACKLOG) != 0) {
@@ -863,8 +860,8 @@
 		return status_set(
 		    STATUS_UNAVAILABLE, "connect: %s", strerror(errno));
 	}
-	status = conn_create(
-	    h1, fd, LOOP_READ | LOOP_WRITE, HTTP_RESPONSE, &conn);
+	status =
+	    conn_create(h1, fd, LOOP_READ | LOOP_WRITE, HTTP_RESPONSE, &conn);
 	if (status != STATUS_OK)
 		return status;
 	conn->connecting = true;
@@ -969,8 +966,7 @@
 	if (conn->is_closed || conn->finishing)
 		return;
 	conn->finishing = true;
-	loop_timer_set(
-	    conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
+	loop_timer_set(conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
 	flush(conn);
 }
 
@@ -1134,8 +1130,7 @@
 		    (list.data[at] == ' ' || list.data[at] == '\t'))
 			at++;
 		while (last > at &&
-		    (list.data[last - 1] == ' ' ||
-			list.data[last - 1] == '\t'))
+		    (list.data[last - 1] == ' ' || list.data[last - 1] == '\t'))
 			last--;
 		if (last - at == token.len &&
 		    strncasecmp(list.data + at, token.data, token.len) == 0)
--- a/src/node/layout.c
+++ b/src/node/layout.c
@@ -214,8 +214,8 @@
 		missing += holders[i] == 0;
 	for (size_t i = 0; i < count; i++) {
 		if (is_redundant(order[i], holders))
-			capacity += layout_capacity(
-			    engine, order[i]->kind, requests);
+			capacity +=
+			    layout_capacity(engine, order[i]->kind, requests);
 	}
 	return capacity >= missing ? requests : LAYOUT_REQUESTS_MIN;
 }
@@ -277,8 +277,7 @@
 		assign(engine, order[i], capacity, holders);
 		orders++;
 	}
-	return orders +
-	    close_gaps(engine, order, count, requests, holders);
+	return orders + close_gaps(engine, order, count, requests, holders);
 }
 
 /*
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -99,8 +99,7 @@
 {
 	struct peer_use use = {from->server,
 	    {(int64_t)from->memory, from->active, from->first_active}};
-	struct pool_server *server =
-	    pool_find_hash(mesh->pool, from->server);
+	struct pool_server *server = pool_find_hash(mesh->pool, from->server);
 
 	g_array_append_val(peer->uses, use);
 	if (server != NULL && from->layer_to > from->layer_from &&
@@ -159,10 +158,9 @@
 	if (peer->heard_at == 0 || peer->silent)
 		slog_event(EV_PEER_SEEN, "{s:s, s:I}", "peer", peer->name,
 		    "silent_ms",
-		    peer->heard_at == 0
-			? (json_int_t)-1
-			: (json_int_t)((now - peer->heard_at) /
-			      LOOP_USEC_PER_MSEC));
+		    peer->heard_at == 0 ? (json_int_t)-1
+					: (json_int_t)((now - peer->heard_at) /
+					      LOOP_USEC_PER_MSEC));
 	peer->boot = report->boot;
 	peer->sequence = report->sequence;
 	peer->heard_at = now;
@@ -236,7 +234,8 @@
 	mesh->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	inet_pton(AF_INET, config->ip, &address.sin_addr);
-	mesh->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	mesh->fd =
+	    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (mesh->fd < 0 ||
 	    bind(mesh->fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
 		status = status_set(STATUS_IO, "datagrams on %s:%u: %s",
@@ -297,8 +296,8 @@
 	struct peer *peer;
 
 	if (json_unpack(root, "{s:s, s:s, s:I, s:s, s:i}", "front", &front,
-		"place", &place, "boot", &boot, "ip", &ip, "port", &port) !=
-		0 ||
+		"place", &place, "boot", &boot, "ip", &ip, "port",
+		&port) != 0 ||
 	    lstr_equal_c(name, mesh->config.name)) {
 		json_decref(root);
 		return;
@@ -354,8 +353,7 @@
 {
 	int64_t since = MAX(peer->heard_at, peer->listed_at);
 
-	if (peer->heard_at == 0 &&
-	    g_hash_table_size(mesh->peers) > MESH_FANOUT)
+	if (peer->heard_at == 0 && g_hash_table_size(mesh->peers) > MESH_FANOUT)
 		return !peer->unlisted;
 	return now - since < MESH_SILENT_USEC;
 }
@@ -418,9 +416,9 @@
 			    (int64_t)(scale * (double)use->use.memory);
 			server->peers.active +=
 			    (uint32_t)(scale * use->use.active + ROUND_UP);
-			server->peers.first_active += (uint32_t)(scale *
-				use->use.first_active +
-			    ROUND_UP);
+			server->peers.first_active +=
+			    (uint32_t)(scale * use->use.first_active +
+				ROUND_UP);
 		}
 	}
 }
@@ -529,8 +527,8 @@
 static bool
 is_addressed(const struct mesh *mesh, const struct peer *peer)
 {
-	return strcmp(peer->place, mesh->config.place) == 0 ||
-	    mesh->leaving || mesh->sequence % MESH_AWAY_EVERY == 0;
+	return strcmp(peer->place, mesh->config.place) == 0 || mesh->leaving ||
+	    mesh->sequence % MESH_AWAY_EVERY == 0;
 }
 
 /*
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -59,8 +59,8 @@
 	void *arg;
 };
 
-enum status mesh_create(struct loop *, const struct mesh_config *,
-    struct pool *, struct mesh **);
+enum status mesh_create(
+    struct loop *, const struct mesh_config *, struct pool *, struct mesh **);
 void mesh_destroy(struct mesh *);
 struct lstr mesh_entry(const struct mesh *);
 void mesh_put(struct mesh *, struct lstr name, struct lstr value);
--- a/src/node/mirror.c
+++ b/src/node/mirror.c
@@ -237,8 +237,8 @@
 	for (size_t i = 0; i < result->count; i++) {
 		const struct kv_item *item = &result->items[i];
 
-		g_hash_table_add(mirror->seen,
-		    g_strndup(item->key.data, item->key.len));
+		g_hash_table_add(
+		    mirror->seen, g_strndup(item->key.data, item->key.len));
 		apply(mirror, item);
 	}
 	g_clear_pointer(&mirror->page_after, g_free);
@@ -291,8 +291,8 @@
 static bool
 can_rely(const struct mirror *mirror, int64_t now)
 {
-	return mirror->watch == MIRROR_WATCH_PEERS && mirror->synced && !mirror->away &&
-	    mirror->seen == NULL && mirror->revision != 0 &&
+	return mirror->watch == MIRROR_WATCH_PEERS && mirror->synced &&
+	    !mirror->away && mirror->seen == NULL && mirror->revision != 0 &&
 	    mirror->peer_revision <= mirror->revision &&
 	    now - mirror->proved_at < MIRROR_RELY_USEC;
 }
--- a/src/node/mirror.h
+++ b/src/node/mirror.h
@@ -35,8 +35,8 @@
 struct mirror;
 
 struct mirror_ops {
-	void (*changed)(struct lstr key, struct lstr value, uint64_t version,
-	    void *arg);
+	void (*changed)(
+	    struct lstr key, struct lstr value, uint64_t version, void *arg);
 	void (*removed)(struct lstr key, void *arg);
 	/* All keys have been read once. */
 	void (*synced)(void *arg);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,6 +7,7 @@
 
 #include "admit.h"
 #include "gate.h"
+#include "metric.h"
 #include "node.h"
 #include "planner.h"
 #include "settings.h"
@@ -164,8 +165,7 @@
 	if (lstr_equal_c(key, adapter->config_key))
 		take_config(node, value, version);
 	else if (lstr_starts_with(key, adapter->servers_prefix))
-		take_server(
-		    node, behind(key, adapter->servers_prefix), value);
+		take_server(node, behind(key, adapter->servers_prefix), value);
 	else if (lstr_starts_with(key, MESH_PREFIX))
 		mesh_put(node->mesh, behind(key, MESH_PREFIX), value);
 	else if (lstr_equal_c(key, PLANNER_KEY))
@@ -199,8 +199,7 @@
 	struct node *node = arg;
 
 	if (lstr_starts_with(key, node->adapter->servers_prefix))
-		remove_server(
-		    node, behind(key, node->adapter->servers_prefix));
+		remove_server(node, behind(key, node->adapter->servers_prefix));
 	else if (lstr_starts_with(key, MESH_PREFIX))
 		mesh_remove(node->mesh, behind(key, MESH_PREFIX));
 	else if (lstr_equal_c(key, PLANNER_KEY))
@@ -357,7 +356,8 @@
 answer_lookup(struct node *node, struct h1_conn *conn)
 {
 	struct adapter_lookup lookup = {NULL, NULL};
-	struct adapter_addresses from = {.validity_usec = MIN(VALIDITY_USEC,
+	struct adapter_addresses from = {
+	    .validity_usec = MIN(VALIDITY_USEC,
 		(int64_t)(node->settings.address_validity_max_s *
 		    (double)LOOP_USEC_PER_SEC))};
 	char *text;
@@ -387,8 +387,8 @@
 		answer(conn, HTTP_STATUS_NOT_FOUND, "text/plain",
 		    lstr_from("unknown path\n"));
 	else if (is_ready(node))
-		answer(conn, HTTP_STATUS_OK, "text/plain",
-		    lstr_from("ready\n"));
+		answer(
+		    conn, HTTP_STATUS_OK, "text/plain", lstr_from("ready\n"));
 	else
 		answer(conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "text/plain",
 		    lstr_from("not ready\n"));
@@ -439,11 +439,7 @@
 		lstr_buf_printf(&text,
 		    "chestnuthoist_%s %" G_GINT64_FORMAT "\n", rows[i].name,
 		    rows[i].value);
-	for (int i = 0; i < KV_KIND_COUNT; i++)
-		lstr_buf_printf(&text,
-		    "chestnuthoist_store_calls_total{kind=\"%d\"} "
-		    "%" G_GINT64_FORMAT "\n",
-		    i, kv_http_calls((enum kv_kind)i));
+	metric_write(&text);
 	answer(conn, HTTP_STATUS_OK, "text/plain", lstr_buf_view(&text));
 	lstr_buf_free(&text);
 }
@@ -507,12 +503,12 @@
 	answer_metrics(arg, conn);
 }
 
-static const struct h1_ops lookup_ops = {NULL, NULL, on_service_head,
-    on_service_body, on_lookup, on_service_ended};
-static const struct h1_ops ready_ops = {NULL, NULL, on_service_head,
-    on_service_body, on_ready, on_service_ended};
-static const struct h1_ops metrics_ops = {NULL, NULL, on_service_head,
-    on_service_body, on_metrics, on_service_ended};
+static const struct h1_ops lookup_ops = {
+    NULL, NULL, on_service_head, on_service_body, on_lookup, on_service_ended};
+static const struct h1_ops ready_ops = {
+    NULL, NULL, on_service_head, on_service_body, on_ready, on_service_ended};
+static const struct h1_ops metrics_ops = {
+    NULL, NULL, on_service_head, on_service_body, on_metrics, on_service_ended};
 
 /*
  * SIGTERM: takes no more callers and finishes the requests.
@@ -552,8 +548,7 @@
 	}
 	field = node_settings_restart_field(&node->settings, &settings);
 	node->settings.grace_s = settings.grace_s;
-	node->settings.address_validity_max_s =
-	    settings.address_validity_max_s;
+	node->settings.address_validity_max_s = settings.address_validity_max_s;
 	slog_event(EV_NODE_RELOADED, "{s:f, s:f, s:s}", "grace_s",
 	    settings.grace_s, "address_validity_max_s",
 	    settings.address_validity_max_s, "needs_restart",
@@ -588,10 +583,10 @@
 	const struct h1_limits *limits = &node->service_limits;
 	enum status status;
 
-	node->service_limits = (struct h1_limits){16384,
-	    3 * LOOP_USEC_PER_SEC, 30 * LOOP_USEC_PER_SEC};
-	status = listen_on(node, node->settings.front,
-	    gate_limits(node->gate), gate_ops(), node->gate, &node->front);
+	node->service_limits = (struct h1_limits){
+	    16384, 3 * LOOP_USEC_PER_SEC, 30 * LOOP_USEC_PER_SEC};
+	status = listen_on(node, node->settings.front, gate_limits(node->gate),
+	    gate_ops(), node->gate, &node->front);
 	if (status == STATUS_OK)
 		status = listen_on(node, node->settings.ready, limits,
 		    &ready_ops, node, &node->ready);
@@ -631,8 +626,8 @@
 
 	if (node->mirror == NULL)
 		return;
-	mirror_vouch(node->mirror, proof->store_revision,
-	    same ? proof->proved_at : 0);
+	mirror_vouch(
+	    node->mirror, proof->store_revision, same ? proof->proved_at : 0);
 	if (proof->config_revision > node->config_revision)
 		mirror_hurry(node->mirror);
 }
@@ -672,8 +667,8 @@
 	if (status == STATUS_OK)
 		status = planner_create(&planner, &node->planner);
 	if (status == STATUS_OK)
-		status = mirror_create(node->loop, node->kv, "", &mirror_ops,
-		    node, &node->mirror);
+		status = mirror_create(
+		    node->loop, node->kv, "", &mirror_ops, node, &node->mirror);
 	return status;
 }
 
@@ -753,8 +748,8 @@
 	status = loop_create(&node->loop);
 	if (status == STATUS_OK) {
 		node->boot = (uint64_t)loop_now(node->loop);
-		node->identity = g_strdup_printf("%s#%" G_GUINT64_FORMAT,
-		    node->settings.node, node->boot);
+		node->identity = g_strdup_printf(
+		    "%s#%" G_GUINT64_FORMAT, node->settings.node, node->boot);
 		status = h1_create(node->loop, &node->h1);
 	}
 	if (status == STATUS_OK)
@@ -791,12 +786,11 @@
 	    node->settings.place, "store", node->settings.store, "revoke_ms",
 	    (json_int_t)node->settings.revoke_ms, "grace_s",
 	    node->settings.grace_s, "retry_slack",
-	    (json_int_t)node->settings.retry_slack, "identity",
-	    node->identity);
+	    (json_int_t)node->settings.retry_slack, "identity", node->identity);
 	loop_timer_set(node->tick, 0);
 	loop_run(node->loop);
-	slog_event(EV_NODE_STOPPED, "{s:i}", "cut",
-	    (int)gate_active(node->gate));
+	slog_event(
+	    EV_NODE_STOPPED, "{s:i}", "cut", (int)gate_active(node->gate));
 	slog_flush();
 }
 
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -90,8 +90,7 @@
 		    "settings field %s: '%s' is not allowed; %g to %g bytes "
 		    "are",
 		    field->name, value, field->min, field->max);
-	if (field->kind == FIELD_IP &&
-	    inet_pton(AF_INET, value, &binary) != 1)
+	if (field->kind == FIELD_IP && inet_pton(AF_INET, value, &binary) != 1)
 		return status_set(STATUS_INVALID,
 		    "settings field %s: '%s' is not an IPv4 address",
 		    field->name, value);
@@ -167,8 +166,9 @@
 	out->memory_mb = 256;
 	if (!json_is_object(root)) {
 		json_decref(root);
-		return status_set(STATUS_INVALID, "settings file %s, line %d: %s",
-		    path, error.line, root ? "not an object" : error.text);
+		return status_set(STATUS_INVALID,
+		    "settings file %s, line %d: %s", path, error.line,
+		    root ? "not an object" : error.text);
 	}
 	json_object_foreach(root, name, value)
 	{
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -60,8 +60,8 @@
  * Returns the share of a server's time that reading prompts takes.
  */
 static double
-reading_share(const struct fleet_engine *engine,
-    const struct path_server *server)
+reading_share(
+    const struct fleet_engine *engine, const struct path_server *server)
 {
 	double held = server->layer_to - server->layer_from;
 	double read = server->read_factor * engine->read_per_token_usec *
@@ -118,8 +118,7 @@
 crowding(const struct path_server *server, int64_t tokens, uint32_t layers)
 {
 	double limit = (double)server->memory * PATH_MEMORY_SHARE;
-	double share =
-	    ((double)server->used + (double)tokens * layers) / limit;
+	double share = ((double)server->used + (double)tokens * layers) / limit;
 
 	if (limit <= 0 || share > 1)
 		return -1;
@@ -248,8 +247,8 @@
 	if (at == 0) {
 		if (server->first_active >= server->first_max)
 			return;
-		fixed += search->head_usec * server->slowness *
-		    server->first_active;
+		fixed +=
+		    search->head_usec * server->slowness * server->first_active;
 		if (strcmp(server->zone, search->demand->zone) != 0)
 			fixed += PATH_AWAY_USEC;
 	} else {
@@ -463,9 +462,8 @@
 	double cost;
 
 	search.head_usec = head_usec(&search);
-	status = demand->may_cross
-	    ? search_within(&search, NULL, path, &cost)
-	    : search_each_zone(&search, path);
+	status = demand->may_cross ? search_within(&search, NULL, path, &cost)
+				   : search_each_zone(&search, path);
 	if (status != STATUS_OK)
 		return status_set(status, "%s",
 		    status == STATUS_FULL ? "no path has room"
--- a/src/node/path.h
+++ b/src/node/path.h
@@ -25,7 +25,8 @@
 /* Part of a pass of another first server of the data centre by which a token
  * step waits on the average: passes meet only at some stages. */
 #define PATH_PASS_SHARE 0.25
-/* Time that a generation of the usual size runs; prompts are read once in it. */
+/* Time that a generation of the usual size runs; prompts are read once in it.
+ */
 #define PATH_LIFE_USEC 2.2e6
 /* Part of a server's memory that may be promised. Requests are charged their
  * full length from the start, which on average leaves a tenth free for answers
--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -94,8 +94,8 @@
 	struct planner *planner = arg;
 
 	planner->fencing_token = version;
-	slog_event(EV_PLANNER_ELECTED, "{s:I}", "fencing_token",
-	    (json_int_t)version);
+	slog_event(
+	    EV_PLANNER_ELECTED, "{s:I}", "fencing_token", (json_int_t)version);
 }
 
 /*
@@ -155,8 +155,7 @@
 {
 	planner->vacant = holder.len == 0;
 	planner->vacant_since = loop_now(planner->config.loop);
-	if (lstr_equal_c(holder, planner->config.identity) &&
-	    !planner->leaving)
+	if (lstr_equal_c(holder, planner->config.identity) && !planner->leaving)
 		enroll_adopt(planner->enroll, version);
 }
 
@@ -167,8 +166,8 @@
 stand(struct planner *planner)
 {
 	int64_t now = loop_now(planner->config.loop);
-	int64_t turn = (1 + (int64_t)mesh_rank(planner->config.mesh)) *
-	    PLANNER_STAND_USEC;
+	int64_t turn =
+	    (1 + (int64_t)mesh_rank(planner->config.mesh)) * PLANNER_STAND_USEC;
 
 	if (planner->vacant && !planner->leaving &&
 	    planner->fencing_token == 0 && now - planner->vacant_since >= turn)
@@ -276,9 +275,9 @@
 
 	order->calling = false;
 	slog_event(EV_ORDER_ANSWERED, "{s:s, s:s, s:i, s:i, s:i}", "server",
-	    order->server, "status", status_name(result->status),
-	    "http_status", (int)result->http_status, "from",
-	    (int)order->layer_from, "to", (int)order->layer_to);
+	    order->server, "status", status_name(result->status), "http_status",
+	    (int)result->http_status, "from", (int)order->layer_from, "to",
+	    (int)order->layer_to);
 	if (server == NULL) {
 		order->until = 0;
 		return;
@@ -344,8 +343,8 @@
 	order->until = now + PLANNER_EFFECT_USEC + load;
 	order->confirm_at = now + load + PLANNER_LIST_USEC;
 	wanted.order_sequence = order->sequence;
-	planner->config.adapter->word_order(server->info.address_text,
-	    server->info.id, &wanted, &text);
+	planner->config.adapter->word_order(
+	    server->info.address_text, server->info.id, &wanted, &text);
 	order->calling = ask_start(planner->config.h1, planner->config.loop,
 	    &server->info.address, lstr_buf_view(&text),
 	    now + PLANNER_ORDER_USEC, on_ordered, order);
@@ -446,8 +445,7 @@
 static void
 plan_service(struct planner *planner, const struct fleet_service *service)
 {
-	GPtrArray *servers =
-	    pool_service(planner->config.pool, service->name);
+	GPtrArray *servers = pool_service(planner->config.pool, service->name);
 	struct layout_server *rows = g_new(struct layout_server, servers->len);
 	const struct pool_server **of_row =
 	    g_new(const struct pool_server *, servers->len);
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -95,8 +95,8 @@
 		pool->last_added_at = now;
 	} else {
 		g_hash_table_remove(pool->by_id, server->info.id);
-		if (pool_find_address(pool,
-			lstr_from(server->info.address_text)) == server)
+		if (pool_find_address(
+			pool, lstr_from(server->info.address_text)) == server)
 			g_hash_table_remove(
 			    pool->by_address, server->info.address_text);
 		fleet_server_clear(&server->info);
@@ -294,8 +294,7 @@
 	double slowness = pool_slowness(server, now);
 
 	ratio = CLAMP(ratio, 1, SLOWNESS_MAX);
-	server->slowness =
-	    slowness + POOL_SAMPLE_WEIGHT * (ratio - slowness);
+	server->slowness = slowness + POOL_SAMPLE_WEIGHT * (ratio - slowness);
 	server->slowness_at = now;
 }
 
--- a/src/node/slog.c
+++ b/src/node/slog.c
@@ -40,8 +40,8 @@
 
 	gmtime_r(&now->tv_sec, &t);
 	len = strftime(out, TIME_MAX_BYTES, "%Y-%m-%dT%H:%M:%S", &t);
-	g_snprintf(out + len, TIME_MAX_BYTES - len, ".%03ldZ",
-	    now->tv_nsec / 1000000);
+	g_snprintf(
+	    out + len, TIME_MAX_BYTES - len, ".%03ldZ", now->tv_nsec / 1000000);
 }
 
 /*
@@ -81,8 +81,8 @@
 	lstr_buf_printf(&buffer,
 	    "{\"time\":\"%s\",\"node\":\"%s\",\"severity\":%d,\"event\":%u,"
 	    "\"name\":\"%s\"%s%s\n",
-	    time_text, node_name, (int)info->severity, info->number,
-	    info->name, text[1] == '}' ? "" : ",", text + 1);
+	    time_text, node_name, (int)info->severity, info->number, info->name,
+	    text[1] == '}' ? "" : ",", text + 1);
 	free(text);
 }
 
--- a/src/node/sse.c
+++ b/src/node/sse.c
@@ -24,8 +24,8 @@
 
 	while (at < end) {
 		const char *line_end = memchr(at, '\n', (size_t)(end - at));
-		size_t len = line_end ? (size_t)(line_end - at)
-				      : (size_t)(end - at);
+		size_t len =
+		    line_end ? (size_t)(line_end - at) : (size_t)(end - at);
 		int64_t id;
 
 		if (len > 0 && at[len - 1] == '\r')
@@ -34,7 +34,8 @@
 			struct lstr value = lstr_make(at + 3, len - 3);
 
 			if (value.len > 0 && value.data[0] == ' ')
-				value = lstr_make(value.data + 1, value.len - 1);
+				value =
+				    lstr_make(value.data + 1, value.len - 1);
 			if (lstr_to_int64(value, &id) == STATUS_OK && id >= 0) {
 				event->has_id = true;
 				event->id = (uint64_t)id;
@@ -67,8 +68,7 @@
 			break;
 		if (data[next] != '\n')
 			continue;
-		*event = (struct sse_event){
-		    .bytes = lstr_make(data, next + 1)};
+		*event = (struct sse_event){.bytes = lstr_make(data, next + 1)};
 		read_id(event);
 		sse->searched = 0;
 		lstr_buf_consume(&sse->pending, next + 1);
--- a/src/retry.c
+++ b/src/retry.c
@@ -119,8 +119,7 @@
 bool
 retry_is_available(const struct retry_budget *budget)
 {
-	return budget->saved >= RETRY_UNITS ||
-	    budget->minimum > 0;
+	return budget->saved >= RETRY_UNITS || budget->minimum > 0;
 }
 
 /*
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -123,8 +123,8 @@
 static json_t *
 item_json(const char *key, const struct item *item)
 {
-	char *text = g_base64_encode(
-	    (const guchar *)item->value, strlen(item->value));
+	char *text =
+	    g_base64_encode((const guchar *)item->value, strlen(item->value));
 	json_t *json = json_pack("{s:s, s:s, s:I, s:I}", "key", key, "value",
 	    text, "revision", (json_int_t)item->revision, "lease",
 	    (json_int_t)item->lease);
@@ -234,8 +234,8 @@
 	while (at != NULL && value == NULL) {
 		at++;
 		if (g_str_has_prefix(at, mark))
-			value = g_uri_unescape_segment(at + strlen(mark),
-			    at + strcspn(at, "&"), NULL);
+			value = g_uri_unescape_segment(
+			    at + strlen(mark), at + strcspn(at, "&"), NULL);
 		at = strchr(at, '&');
 	}
 	g_free(mark);
@@ -708,8 +708,7 @@
 	work->server = server;
 	work->conn = conn;
 	if (h1_header(conn, "Attempt-Id", &value))
-		snprintf(
-		    work->id, sizeof(work->id), "%.*s", LSTR_ARG(value));
+		snprintf(work->id, sizeof(work->id), "%.*s", LSTR_ARG(value));
 	if (h1_header(conn, "Authorization", &value))
 		server->platform->keys_seen++;
 	g_ptr_array_add(server->platform->works, work);
@@ -761,8 +760,8 @@
 		work_free(work);
 }
 
-static const struct h1_ops store_ops = {NULL, NULL, on_any_head, on_store_body,
-    on_store_call, on_store_ended};
+static const struct h1_ops store_ops = {
+    NULL, NULL, on_any_head, on_store_body, on_store_call, on_store_ended};
 static const struct h1_ops server_ops = {NULL, NULL, on_server_head,
     on_server_body, on_server_complete, on_server_ended};
 
@@ -814,8 +813,7 @@
 		work_free(work);
 	}
 	for (guint i = 0; i < platform->waiters->len; i++) {
-		struct waiter *waiter =
-		    g_ptr_array_index(platform->waiters, i);
+		struct waiter *waiter = g_ptr_array_index(platform->waiters, i);
 
 		loop_timer_destroy(waiter->timer);
 		g_free(waiter->prefix);
@@ -884,8 +882,7 @@
 {
 	platform->silent = silent;
 	while (silent && platform->waiters->len > 0) {
-		struct waiter *waiter =
-		    g_ptr_array_index(platform->waiters, 0);
+		struct waiter *waiter = g_ptr_array_index(platform->waiters, 0);
 
 		/* Its connection stays open and is never answered. */
 		h1_set_data(waiter->conn, NULL);
@@ -897,8 +894,8 @@
 }
 
 void
-fake_platform_set_engine_fault(struct fake_platform *platform,
-    enum fake_fault fault, unsigned int event)
+fake_platform_set_engine_fault(
+    struct fake_platform *platform, enum fake_fault fault, unsigned int event)
 {
 	platform->engine_fault = fault;
 	platform->fault_event = event;
--- a/tests/node_engine.h
+++ b/tests/node_engine.h
@@ -46,8 +46,8 @@
 	while (count-- > 0) {
 		struct layout_server *card = &w->cards[w->count];
 
-		snprintf(w->ids[w->count], sizeof(w->ids[0]), "i-%02zu",
-		    w->count);
+		snprintf(
+		    w->ids[w->count], sizeof(w->ids[0]), "i-%02zu", w->count);
 		card->id = w->ids[w->count];
 		card->place = place;
 		card->kind = fleet_engine_kind(w->engine, kind);
@@ -105,8 +105,7 @@
 
 	for (size_t i = 0; i < w->count; i++) {
 		struct path_server *row = &w->rows[i];
-		uint32_t layers =
-		    w->cards[i].layer_to - w->cards[i].layer_from;
+		uint32_t layers = w->cards[i].layer_to - w->cards[i].layer_from;
 
 		*row = (struct path_server){.address = w->cards[i].id,
 		    .zone = w->cards[i].place,
@@ -115,8 +114,8 @@
 		    .step_factor = w->cards[i].kind->step_factor,
 		    .read_factor = w->cards[i].kind->read_factor,
 		    .slowness = 1,
-		    .memory = path_server_memory(
-			w->engine, w->cards[i].kind, layers),
+		    .memory =
+			path_server_memory(w->engine, w->cards[i].kind, layers),
 		    .first_max = w->engine->batch_max,
 		    .usable = w->cards[i].orderable};
 	}
@@ -150,8 +149,7 @@
 engine_charge(struct engine_world *w, const struct path *path,
     const struct path_demand *demand, int sign)
 {
-	int64_t tokens =
-	    (int64_t)demand->prompt_tokens + demand->output_tokens;
+	int64_t tokens = (int64_t)demand->prompt_tokens + demand->output_tokens;
 
 	w->rows[path->stages[0].server].first_active += (uint32_t)sign;
 	for (uint32_t i = 0; i < path->count; i++) {
--- a/tests/node_world.h
+++ b/tests/node_world.h
@@ -88,8 +88,8 @@
  * Sends bytes to a port of the node.
  */
 static inline void
-node_call_send(
-    struct node_world *w, struct node_call *call, uint16_t port, const char *text)
+node_call_send(struct node_world *w, struct node_call *call, uint16_t port,
+    const char *text)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET,
 	    .sin_port = htons(port),
@@ -166,8 +166,8 @@
 static inline uint16_t
 node_free_port(int type)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	socklen_t len = sizeof(address);
 	int fd = socket(AF_INET, type, 0);
 
@@ -240,8 +240,8 @@
 		node_stream(w, &call, id);
 		node_call_wait(w, &call);
 		if (call.status != 200)
-			loop_run_once(
-			    w->loop, loop_now(w->loop) + 20 * LOOP_USEC_PER_MSEC);
+			loop_run_once(w->loop,
+			    loop_now(w->loop) + 20 * LOOP_USEC_PER_MSEC);
 	} while (call.status != 200 || !call.complete);
 	lstr_buf_free(&call.body);
 	fake_platform_forget(w->platform);
--- a/tests/test_layout.c
+++ b/tests/test_layout.c
@@ -98,8 +98,8 @@
 	w.count++;
 	ck_assert_uint_eq(layout_plan(w.engine, w.cards, w.count), 1);
 	ck_assert(w.cards[w.count - 1].order);
-	ck_assert_uint_gt(w.cards[w.count - 1].layer_to,
-	    w.cards[w.count - 1].layer_from);
+	ck_assert_uint_gt(
+	    w.cards[w.count - 1].layer_to, w.cards[w.count - 1].layer_from);
 	engine_world_free(&w);
 }
 END_TEST
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -83,13 +83,14 @@
 
 	node_world_start(&w);
 	node_call_send(&w, &call, w.lookup,
-	    "GET /lookup?name=x&region=r&zone=here HTTP/1.1\r\nHost: x\r\n\r\n");
+	    "GET /lookup?name=x&region=r&zone=here HTTP/1.1\r\nHost: "
+	    "x\r\n\r\n");
 	node_call_wait(&w, &call);
 	ck_assert_uint_eq(call.status, 200);
 	snprintf(address, sizeof(address), "\"127.0.0.1:%u\"", w.front);
 	ck_assert_ptr_nonnull(strstr(call.body.data, address));
-	node_call_send(&w, &call, w.ready,
-	    "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+	node_call_send(
+	    &w, &call, w.ready, "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
 	node_call_wait(&w, &call);
 	ck_assert_uint_eq(call.status, 200);
 	node_call_send(
@@ -100,6 +101,70 @@
 }
 END_TEST
 
+/*
+ * Checks that the program serves each metric of the node's table in the page,
+ * and that the page has each one that it serves.
+ */
+static void
+compare_metrics(const char *served, const char *page)
+{
+	gchar **rows = g_strsplit(page, "\n| `", -1);
+	gchar **lines = g_strsplit(served, "\n", -1);
+
+	for (gchar **row = rows + 1; *row != NULL; row++) {
+		char *name = g_strdup_printf(
+		    "\nchestnuthoist_%.*s", (int)strcspn(*row, "`"), *row);
+
+		ck_assert_msg(
+		    strstr(served, name) != NULL, "%s is not served", name);
+		g_free(name);
+	}
+	for (gchar **line = lines; *line != NULL; line++) {
+		char *name;
+
+		if (!g_str_has_prefix(*line, "chestnuthoist_"))
+			continue;
+		name = g_strndup(*line + strlen("chestnuthoist_"),
+		    strcspn(*line, " {") - strlen("chestnuthoist_"));
+		for (char *tail = name; (tail = strrchr(name, '_')) != NULL;) {
+			if (strcmp(tail, "_bucket") != 0 &&
+			    strcmp(tail, "_sum") != 0 &&
+			    strcmp(tail, "_count") != 0)
+				break;
+			*tail = '\0';
+		}
+		ck_assert_msg(strstr(page, name) != NULL,
+		    "%s is not in docs/metrics.md", name);
+		g_free(name);
+	}
+	g_strfreev(rows);
+	g_strfreev(lines);
+}
+
+/* Guards the page on metrics against the program. */
+START_TEST(metrics_are_those_of_the_page)
+{
+	struct node_world w;
+	struct node_call call;
+	char *page = NULL;
+	char *served;
+	char *part;
+
+	ck_assert(g_file_get_contents("docs/metrics.md", &page, NULL, NULL));
+	part = strstr(page, "\n## node\n");
+	ck_assert_ptr_nonnull(part);
+	node_world_start(&w);
+	node_call_send(
+	    &w, &call, w.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+	node_call_wait(&w, &call);
+	served = g_strdup_printf("\n%s", call.body.data);
+	compare_metrics(served, part);
+	g_free(served);
+	g_free(page);
+	node_world_stop(&w);
+}
+END_TEST
+
 /* Guards against a stream that is lost with one stage of its path. */
 START_TEST(stream_goes_on_without_a_dark_engine)
 {
@@ -240,8 +305,8 @@
 	ck_assert_uint_eq(call.status, 200);
 	do {
 		node_plain(&w, &call, "GET", "/look/1", "p1", NODE_KEY);
-		ck_assert_int_lt(loop_now(w.loop),
-		    silent_at + HARNESS_DEADLINE_USEC);
+		ck_assert_int_lt(
+		    loop_now(w.loop), silent_at + HARNESS_DEADLINE_USEC);
 	} while (call.status == 200);
 	ck_assert_uint_eq(call.status, 503);
 	ck_assert_int_le(loop_now(w.loop),
@@ -249,8 +314,8 @@
 	fake_platform_set_silent(w.platform, false);
 	do {
 		node_plain(&w, &call, "GET", "/look/1", "p2", NODE_KEY);
-		ck_assert_int_lt(loop_now(w.loop),
-		    silent_at + HARNESS_DEADLINE_USEC);
+		ck_assert_int_lt(
+		    loop_now(w.loop), silent_at + HARNESS_DEADLINE_USEC);
 	} while (call.status != 200);
 	node_world_stop(&w);
 }
@@ -301,8 +366,8 @@
 	node_call_wait(&w, &call);
 	ck_assert(call.complete);
 	check_events(&call);
-	node_call_send(&w, &ready, w.ready,
-	    "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+	node_call_send(
+	    &w, &ready, w.ready, "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
 	node_call_wait(&w, &ready);
 	ck_assert_uint_eq(ready.status, 503);
 	wait.pid = w.pid;
@@ -363,8 +428,9 @@
 END_TEST
 
 HARNESS_MAIN("node", serves_streams_orders_and_lookups,
-    answers_lookup_readiness_and_metrics, stream_goes_on_without_a_dark_engine,
-    stream_goes_on_after_half_an_event, order_without_answer_runs_once,
-    answer_of_another_request_is_skipped, lookup_is_tried_twice,
-    revoked_key_is_dead, keys_need_a_proof, work_ends_when_the_caller_leaves,
-    sigterm_finishes_what_runs, limits_hold, log_tells_the_story_of_a_request)
+    answers_lookup_readiness_and_metrics, metrics_are_those_of_the_page,
+    stream_goes_on_without_a_dark_engine, stream_goes_on_after_half_an_event,
+    order_without_answer_runs_once, answer_of_another_request_is_skipped,
+    lookup_is_tried_twice, revoked_key_is_dead, keys_need_a_proof,
+    work_ends_when_the_caller_leaves, sigterm_finishes_what_runs, limits_hold,
+    log_tells_the_story_of_a_request)
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -24,8 +24,7 @@
 
 			row->usable = g_rand_int_range(rand, 0, 10) > 0;
 			row->slowness = g_rand_double_range(rand, 1, 6);
-			row->active =
-			    (uint32_t)g_rand_int_range(rand, 0, 100);
+			row->active = (uint32_t)g_rand_int_range(rand, 0, 100);
 			row->used = (int64_t)(g_rand_double(rand) *
 			    (double)row->memory);
 			row->first_active = row->active / 2;
@@ -34,8 +33,8 @@
 		demand.zone = engine_places[round % ENGINE_PLACES];
 		if (path_find(w.engine, w.rows, w.count, &demand, &path) ==
 		    STATUS_OK) {
-			ck_assert(path_is_complete(
-			    w.engine, &path, w.rows, w.count));
+			ck_assert(
+			    path_is_complete(w.engine, &path, w.rows, w.count));
 			for (uint32_t i = 0; i < path.count; i++)
 				ck_assert(w.rows[path.stages[i].server].usable);
 		}
@@ -58,8 +57,8 @@
 
 	engine_world_init(&w);
 	engine_world_place(&w);
-	while (path_find(w.engine, w.rows, w.count, &usual, &path) ==
-	    STATUS_OK) {
+	while (
+	    path_find(w.engine, w.rows, w.count, &usual, &path) == STATUS_OK) {
 		const char *place = w.rows[path.stages[0].server].zone;
 
 		ck_assert_uint_eq(path.crossings, 0);
@@ -147,8 +146,8 @@
 	ck_assert_int_eq(path_find(w.engine, w.rows, w.count, &demand, &path),
 	    STATUS_NOT_FOUND);
 	demand.may_cross = true;
-	ck_assert_int_eq(path_find(w.engine, w.rows, w.count, &demand, &path),
-	    STATUS_OK);
+	ck_assert_int_eq(
+	    path_find(w.engine, w.rows, w.count, &demand, &path), STATUS_OK);
 	ck_assert_uint_ge(path.crossings, 1);
 	engine_world_free(&w);
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -71,8 +71,8 @@
 	pool_note_good(server, NOW);
 	pool_peer_avoids(server, NOW + 400000, NOW + 1);
 	ck_assert(pool_usable(server, NOW + 2));
-	pool_peer_avoids(
-	    server, NOW + 2 * POOL_TRUST_OWN_USEC, NOW + POOL_TRUST_OWN_USEC + 1);
+	pool_peer_avoids(server, NOW + 2 * POOL_TRUST_OWN_USEC,
+	    NOW + POOL_TRUST_OWN_USEC + 1);
 	ck_assert(!pool_usable(server, NOW + POOL_TRUST_OWN_USEC + 2));
 	pool_free(pool);
 }
@@ -118,6 +118,6 @@
 }
 END_TEST
 
-HARNESS_MAIN("pool", restarted_server_is_new,
-    failed_server_returns_on_evidence, own_evidence_goes_before_a_peers_word,
-    plain_requests_go_where_they_succeed, slowness_fades_without_evidence)
+HARNESS_MAIN("pool", restarted_server_is_new, failed_server_returns_on_evidence,
+    own_evidence_goes_before_a_peers_word, plain_requests_go_where_they_succeed,
+    slowness_fades_without_evidence)
