--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -404,6 +404,27 @@
 	answer_own(request, status, 0, reason, false);
 }
 
+/*
+ * Passes on an answer that was kept whole, and ends the request.
+ */
+void
+gate_pass_on(struct gate_request *request, const char *outcome)
+{
+	struct gate *gate = request->gate;
+	bool close = gate->draining || !h1_keep_alive(request->caller);
+	struct lstr_buf text = {0};
+
+	gate->config.adapter->word_answer(
+	    request->attempt.conn, false, close, &text);
+	lstr_buf_printf(
+	    &text, "Content-Length: %zu\r\n\r\n", request->answer.len);
+	lstr_buf_append(&text, lstr_buf_view(&request->answer));
+	h1_write(request->caller, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	gate_attempt_end(request, true);
+	gate_end(request, outcome);
+}
+
 /*
  * Breaks off an answer that has begun and cannot be finished.
  */
--- a/src/node/gate_plain.c
+++ b/src/node/gate_plain.c
@@ -64,29 +64,6 @@
 		gate_failed(request, false, "answer is too large");
 }
 
-/*
- * Passes a whole answer on.
- */
-static void
-pass_on(struct gate_request *request)
-{
-	struct gate *gate = request->gate;
-	struct gate_attempt *attempt = &request->attempt;
-	bool close = gate->draining || !h1_keep_alive(request->caller);
-	struct lstr_buf text = {0};
-
-	gate->counts.done++;
-	request->first_event_at = gate_now(gate);
-	gate->config.adapter->word_answer(attempt->conn, false, close, &text);
-	lstr_buf_printf(
-	    &text, "Content-Length: %zu\r\n\r\n", request->answer.len);
-	lstr_buf_append(&text, lstr_buf_view(&request->answer));
-	h1_write(request->caller, lstr_buf_view(&text));
-	lstr_buf_free(&text);
-	gate_attempt_end(request, true);
-	gate_end(request, "answered");
-}
-
 /*
  * Handles a whole answer: passes it on, or tries another server where the
  * request may run again.
@@ -127,7 +104,9 @@
 		gate_failed(request, false, "server failed the request");
 		return;
 	}
-	pass_on(request);
+	request->gate->counts.done++;
+	request->first_event_at = now;
+	gate_pass_on(request, "answered");
 }
 
 /*
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -163,6 +163,9 @@
 void gate_cancel(struct gate_request *);
 void gate_log_done(const struct gate_request *, const char *outcome);
 
+/* Passes on an answer that was kept whole. */
+void gate_pass_on(struct gate_request *, const char *outcome);
+
 /* Attempts. */
 bool gate_send(struct gate_request *, struct pool_server *);
 void gate_attempt_end(struct gate_request *, bool reusable);
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -539,27 +539,6 @@
 		gate_failed(request, false, fault);
 }
 
-/*
- * Passes an answer on that is not a stream: the server's own failure.
- */
-static void
-pass_failure_on(struct gate_request *request)
-{
-	struct gate_attempt *attempt = &request->attempt;
-	struct gate *gate = request->gate;
-	bool close = gate->draining || !h1_keep_alive(request->caller);
-	struct lstr_buf text = {0};
-
-	gate->config.adapter->word_answer(attempt->conn, false, close, &text);
-	lstr_buf_printf(
-	    &text, "Content-Length: %zu\r\n\r\n", request->answer.len);
-	lstr_buf_append(&text, lstr_buf_view(&request->answer));
-	h1_write(request->caller, lstr_buf_view(&text));
-	lstr_buf_free(&text);
-	gate_attempt_end(request, true);
-	gate_end(request, "failed by the server");
-}
-
 /*
  * An answer is complete.
  */
@@ -576,7 +555,7 @@
 			gate_failed(request, attempt->answer.not_run,
 			    "engine refused the request");
 		else
-			pass_failure_on(request);
+			gate_pass_on(request, "failed by the server");
 		return;
 	}
 	if (attempt->sse.pending.len > 0) {
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -635,37 +635,36 @@
 }
 
 /*
- * Creates a connection over a socket, which it owns also when it fails.
+ * Creates a connection over a socket, which it owns also when it fails. Returns
+ * NULL on failure; status_message() says why.
  */
-static enum status
-conn_create(struct h1 *h1, int fd, unsigned int events,
-    enum http_parser_type type, struct h1_conn **out)
+static struct h1_conn *
+conn_create(
+    struct h1 *h1, int fd, unsigned int events, enum http_parser_type type)
 {
 	struct h1_conn *conn = calloc(1, sizeof(*conn));
-	enum status status;
 
 	if (conn == NULL) {
 		close(fd);
-		return status_set(STATUS_NO_MEMORY, "connection");
+		status_set(STATUS_NO_MEMORY, "connection");
+		return NULL;
 	}
 	conn->h1 = h1;
 	conn->fd = fd;
 	http_parser_init(&conn->parser, type);
 	conn->parser.data = conn;
-	status = loop_timer_create(h1->loop, on_timer, conn, &conn->timer);
-	if (status == STATUS_OK)
-		status = loop_watch_create(
-		    h1->loop, fd, events, on_ready, conn, &conn->watch);
-	if (status != STATUS_OK) {
+	if (loop_timer_create(h1->loop, on_timer, conn, &conn->timer) !=
+		STATUS_OK ||
+	    loop_watch_create(h1->loop, fd, events, on_ready, conn,
+		&conn->watch) != STATUS_OK) {
 		loop_timer_destroy(conn->timer);
 		close(fd);
 		free(conn);
-		return status;
+		return NULL;
 	}
 	set_options(fd);
 	conn->idle_since = loop_now(h1->loop);
-	*out = conn;
-	return STATUS_OK;
+	return conn;
 }
 
 /*
@@ -684,8 +683,8 @@
 
 		if (fd < 0)
 			return;
-		if (conn_create(listener->h1, fd, LOOP_READ, HTTP_REQUEST,
-			&conn) != STATUS_OK)
+		conn = conn_create(listener->h1, fd, LOOP_READ, HTTP_REQUEST);
+		if (conn == NULL)
 			return;
 		conn->listener = listener;
 		conn->ops = listener->ops;
@@ -755,7 +754,7 @@
 uint16_t
 h1_listener_port(const struct h1_listener *listener)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = {0};
 	socklen_t len = sizeof(address);
 
 	if (getsockname(listener->fd, (struct sockaddr *)&address, &len) != 0)
@@ -849,7 +848,6 @@
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	struct h1_conn *conn;
-	enum status status;
 
 	if (fd < 0)
 		return status_set(STATUS_FULL, "socket: %s", strerror(errno));
@@ -860,10 +858,9 @@
 		return status_set(
 		    STATUS_UNAVAILABLE, "connect: %s", strerror(errno));
 	}
-	status =
-	    conn_create(h1, fd, LOOP_READ | LOOP_WRITE, HTTP_RESPONSE, &conn);
-	if (status != STATUS_OK)
-		return status;
+	conn = conn_create(h1, fd, LOOP_READ | LOOP_WRITE, HTTP_RESPONSE);
+	if (conn == NULL)
+		return STATUS_NO_MEMORY;
 	conn->connecting = true;
 	conn->ops = ops;
 	conn->arg = arg;
--- a/src/node/layout.c
+++ b/src/node/layout.c
@@ -309,14 +309,12 @@
 layout_plan(const struct fleet_engine *engine, struct layout_server *servers,
     size_t count)
 {
-	struct layout_server **order = calloc(count + 1, sizeof(*order));
-	struct layout_server **rest = calloc(count + 1, sizeof(*rest));
+	struct layout_server **order = g_new0(struct layout_server *, count);
+	struct layout_server **rest = g_new0(struct layout_server *, count);
 	size_t left = count;
 	size_t rest_count = 0;
 	size_t orders = 0;
 
-	if (order == NULL || rest == NULL)
-		goto out;
 	for (size_t i = 0; i < count; i++) {
 		servers[i].order = false;
 		order[i] = &servers[i];
@@ -339,8 +337,7 @@
 	qsort(
 	    rest, rest_count, sizeof(struct layout_server *), compare_servers);
 	orders += plan_group(engine, rest, rest_count);
-out:
-	free(order);
-	free(rest);
+	g_free(order);
+	g_free(rest);
 	return orders;
 }
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -557,12 +557,12 @@
 {
 	GList *list = g_hash_table_get_keys(mesh->peers);
 	guint count = g_list_length(list);
-	const char **names = g_new(const char *, count + 1);
+	const char **names = g_new0(const char *, count + 1);
 	guint after = 0;
 	guint sent = 0;
 
 	list = g_list_sort(list, (GCompareFunc)strcmp);
-	for (GList *at = list; at != NULL; at = at->next) {
+	for (const GList *at = list; at != NULL; at = at->next) {
 		after += strcmp(at->data, mesh->config.name) < 0;
 		names[sent++] = at->data;
 	}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -24,8 +24,9 @@
 #define LINGER_USEC ADMIT_STOPPING_USEC
 /* A node that stops ends this long before it would be killed. */
 #define GRACE_MARGIN_USEC (400 * LOOP_USEC_PER_MSEC)
-/* The node's own entry in the store; peers notice its death by silence. */
-#define ENTRY_TTL_USEC (10 * LOOP_USEC_PER_SEC)
+/* The node's own entry in the store. Its neighbours notice its death by
+ * silence; in a large fleet the others name it to callers until it lapses. */
+#define ENTRY_TTL_USEC (4 * LOOP_USEC_PER_SEC)
 /* Part of the memory that request bodies may take. */
 #define BODIES_MEMORY_SHARE 0.25
 #define BYTES_PER_MB ((size_t)1000 * 1000)
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -134,7 +134,8 @@
 static bool
 is_usable(const struct search *search, const struct path_server *server)
 {
-	return server->usable && server->layer_to > server->layer_from &&
+	return server->usable && server->zone != NULL &&
+	    server->layer_to > server->layer_from &&
 	    server->layer_to <= search->engine->layers &&
 	    (search->within == NULL ||
 		strcmp(server->zone, search->within) == 0);
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -191,6 +191,16 @@
 	waiter_end(arg);
 }
 
+/*
+ * Ends a watch of a list.
+ */
+static void
+end_each(gpointer waiter, gpointer data)
+{
+	(void)data;
+	waiter_end(waiter);
+}
+
 /*
  * Notes a change and wakes the watches.
  */
@@ -198,10 +208,12 @@
 note_change(struct fake_platform *platform, const char *key, bool deleted)
 {
 	struct change change = {platform->revision, g_strdup(key), deleted};
+	GPtrArray *waiting = platform->waiters;
 
 	g_array_append_val(platform->changes, change);
-	while (platform->waiters->len > 0)
-		waiter_end(g_ptr_array_index(platform->waiters, 0));
+	platform->waiters = g_ptr_array_new();
+	g_ptr_array_foreach(waiting, end_each, NULL);
+	g_ptr_array_free(waiting, TRUE);
 }
 
 /*
@@ -765,6 +777,19 @@
 static const struct h1_ops server_ops = {NULL, NULL, on_server_head,
     on_server_body, on_server_complete, on_server_ended};
 
+/*
+ * Ends one work of a list.
+ */
+static void
+free_each(gpointer data, gpointer unused)
+{
+	struct work *work = data;
+
+	(void)unused;
+	h1_set_data(work->conn, NULL);
+	work_free(work);
+}
+
 struct fake_platform *
 fake_platform_new(struct loop *loop, struct h1 *h1)
 {
@@ -806,12 +831,11 @@
 void
 fake_platform_free(struct fake_platform *platform)
 {
-	while (platform->works->len > 0) {
-		struct work *work = g_ptr_array_index(platform->works, 0);
+	GPtrArray *works = platform->works;
 
-		h1_set_data(work->conn, NULL);
-		work_free(work);
-	}
+	platform->works = g_ptr_array_new();
+	g_ptr_array_foreach(works, free_each, NULL);
+	g_ptr_array_free(works, TRUE);
 	for (guint i = 0; i < platform->waiters->len; i++) {
 		struct waiter *waiter = g_ptr_array_index(platform->waiters, i);
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -101,6 +101,20 @@
 }
 END_TEST
 
+/*
+ * Cuts what a histogram adds to its name.
+ */
+static void
+cut_suffix(char *name)
+{
+	static const char *const suffixes[] = {"_bucket", "_sum", "_count"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(suffixes); i++) {
+		if (g_str_has_suffix(name, suffixes[i]))
+			name[strlen(name) - strlen(suffixes[i])] = '\0';
+	}
+}
+
 /*
  * Checks that the program serves each metric of the node's table in the page,
  * and that the page has each one that it serves.
@@ -126,13 +140,7 @@
 			continue;
 		name = g_strndup(*line + strlen("chestnuthoist_"),
 		    strcspn(*line, " {") - strlen("chestnuthoist_"));
-		for (char *tail = name; (tail = strrchr(name, '_')) != NULL;) {
-			if (strcmp(tail, "_bucket") != 0 &&
-			    strcmp(tail, "_sum") != 0 &&
-			    strcmp(tail, "_count") != 0)
-				break;
-			*tail = '\0';
-		}
+		cut_suffix(name);
 		ck_assert_msg(strstr(page, name) != NULL,
 		    "%s is not in docs/metrics.md", name);
 		g_free(name);
