--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -552,8 +552,8 @@
 
 	if (!request->config->keyed || request->route->anonymous)
 		return true;
-	if (gate->config.revoke_usec > 0 &&
-	    proof_age > gate->config.revoke_usec - GATE_PROOF_MARGIN_USEC) {
+	if (gate->config.proof_max_usec > 0 &&
+	    proof_age > gate->config.proof_max_usec) {
 		gate->counts.no_proof++;
 		gate_refuse(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
 		    admit_retry_after(NO_PROOF_RETRY_USEC,
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -21,8 +21,9 @@
 	const struct mirror *mirror;
 	const char *place;
 	uint32_t seed;
-	/* A key that was taken away must be dead this long after it. */
-	int64_t revoke_usec;
+	/* Keys are used while the proof of the configuration is at most this
+	 * old; 0: always. */
+	int64_t proof_max_usec;
 	/* Retries of all nodes in one window: this many, and a share of the
 	 * requests. */
 	int64_t retry_slack;
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -17,10 +17,6 @@
 #define GATE_QUEUE_MAX 256
 /* Sends of one request, whatever the route allows; ends loops of failures. */
 #define GATE_SENDS_MAX 5
-/* The configuration must be proved this much younger than the time in which
- * a revoked key is dead: watches may hear nothing for a second while the
- * store drops its history. */
-#define GATE_PROOF_MARGIN_USEC (1250 * LOOP_USEC_PER_MSEC)
 /* Used for requests that state no patience. */
 #define GATE_PATIENCE_USEC (20 * LOOP_USEC_PER_SEC)
 /* Answers are given this long before the route's time limit ends. */
--- a/src/node/mirror.c
+++ b/src/node/mirror.c
@@ -34,6 +34,7 @@
 	/* The newest change that a peer knows. */
 	uint64_t peer_revision;
 	enum mirror_watch watch;
+	int64_t wait_max;
 	bool synced;
 	bool away;
 	bool calling;
@@ -67,6 +68,7 @@
 	mirror->ops = ops;
 	mirror->arg = arg;
 	mirror->pause = MIRROR_PAUSE_USEC;
+	mirror->wait_max = MIRROR_WATCH_USEC;
 	mirror->answered_at = loop_now(loop);
 	mirror->versions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -315,8 +317,8 @@
 	mirror->call_sent_at = now;
 	if (mirror->revision != 0 && mirror->seen == NULL) {
 		int64_t wait = mirror->watch == MIRROR_WATCH_SHARED
-		    ? MIRROR_WATCH_SHARED_USEC
-		    : MIRROR_WATCH_USEC;
+		    ? MIN(MIRROR_WATCH_SHARED_USEC, mirror->wait_max)
+		    : mirror->wait_max;
 
 		if (mirror->hurry)
 			wait = 0;
@@ -347,6 +349,20 @@
 	mirror->watch = watch;
 }
 
+/*
+ * Shortens watches so that a proof is never older than this while the store
+ * answers: the proof of one watch lasts until the next is answered.
+ */
+void
+mirror_set_proof_max(struct mirror *mirror, int64_t usec)
+{
+	int64_t wait = (usec - MIRROR_PROOF_SLACK_USEC) / 2;
+
+	if (usec > 0)
+		mirror->wait_max =
+		    CLAMP(wait, MIRROR_WATCH_MIN_USEC, MIRROR_WATCH_USEC);
+}
+
 /*
  * Takes a peer's proof. If the peer knows of changes that are missing here,
  * they are fetched; else its proof is as good as one of our own.
--- a/src/node/mirror.h
+++ b/src/node/mirror.h
@@ -18,6 +18,10 @@
  * which a revoked key must be dead, also when one answer is lost and a watch
  * that does not wait follows; each call is paid. */
 #define MIRROR_WATCH_USEC (1400 * LOOP_USEC_PER_MSEC)
+/* Watches are no shorter than this, whatever the limit on a proof's age. */
+#define MIRROR_WATCH_MIN_USEC (200 * LOOP_USEC_PER_MSEC)
+/* Left in the age of a proof for the way to the store and back. */
+#define MIRROR_PROOF_SLACK_USEC (250 * LOOP_USEC_PER_MSEC)
 /* The same where other nodes rely on the proofs: theirs are older. */
 #define MIRROR_WATCH_SHARED_USEC (600 * LOOP_USEC_PER_MSEC)
 /* Pause after an answer with changes, so that one call brings those that
@@ -66,6 +70,9 @@
 void mirror_destroy(struct mirror *);
 /* Chooses who watches; at first the copy does for itself. */
 void mirror_set_watch(struct mirror *, enum mirror_watch);
+/* Shortens watches so that a proof is never older than this while the store
+ * answers; 0: no such limit. */
+void mirror_set_proof_max(struct mirror *, int64_t usec);
 /* A peer proves that the newest change stored before a time is the one of that
  * revision. */
 void mirror_vouch(struct mirror *, uint64_t revision, int64_t proved_at);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -27,6 +27,11 @@
 /* The node's own entry in the store. Its neighbours notice its death by
  * silence; in a large fleet the others name it to callers until it lapses. */
 #define ENTRY_TTL_USEC (4 * LOOP_USEC_PER_SEC)
+/* The configuration must be proved this much younger than the time in which
+ * a revoked key is dead: watches may hear nothing for a second while the store
+ * drops its history. No more than this share of a short time. */
+#define PROOF_MARGIN_USEC (1250 * LOOP_USEC_PER_MSEC)
+#define PROOF_MARGIN_SHARE 0.4
 /* Part of the memory that request bodies may take. */
 #define BODIES_MEMORY_SHARE 0.25
 #define BYTES_PER_MB ((size_t)1000 * 1000)
@@ -635,6 +640,20 @@
 
 static const struct mesh_ops mesh_ops = {get_proof, vouched};
 
+/*
+ * Returns how old the proof of the configuration may be for keys to be used;
+ * 0: there is no bound.
+ */
+static int64_t
+proof_max(const struct node *node)
+{
+	int64_t revoke = node->settings.revoke_ms * LOOP_USEC_PER_MSEC;
+	int64_t margin = MIN(
+	    PROOF_MARGIN_USEC, (int64_t)(PROOF_MARGIN_SHARE * (double)revoke));
+
+	return revoke - margin;
+}
+
 /*
  * Creates what talks to the store and to other nodes.
  */
@@ -670,6 +689,8 @@
 	if (status == STATUS_OK)
 		status = mirror_create(
 		    node->loop, node->kv, "", &mirror_ops, node, &node->mirror);
+	if (status == STATUS_OK)
+		mirror_set_proof_max(node->mirror, proof_max(node));
 	return status;
 }
 
@@ -710,7 +731,7 @@
 	    .mirror = node->mirror,
 	    .place = settings->place,
 	    .seed = (uint32_t)node->boot ^ pool_hash(lstr_from(settings->node)),
-	    .revoke_usec = settings->revoke_ms * LOOP_USEC_PER_MSEC,
+	    .proof_max_usec = proof_max(node),
 	    .retry_slack = settings->retry_slack,
 	    .retry_ratio = settings->retry_ratio,
 	    .bodies_max_bytes = (size_t)((double)settings->memory_mb *
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,213 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include "platform.h"
+
+/* Guards the configuration: splits, unknown fields, keys, units. */
+START_TEST(configuration_is_decoded)
+{
+	static const char text[] =
+	    "{\"version\":7,\"future\":{\"x\":1},\"routes\":["
+	    "{\"name\":\"r1\",\"host\":\"H.example\",\"prefix\":\"/a/\","
+	    "\"kind\":\"streaming\",\"timeoutMs\":20000,"
+	    "\"targetLatencyMs\":500,\"targetGapMs\":250,\"maxAttempts\":2,"
+	    "\"resumable\":true,\"trafficSplit\":[{\"service\":\"s\","
+	    "\"weight\":90},{\"service\":\"t\",\"weight\":10}]},"
+	    "{\"name\":\"r2\",\"host\":\"h.example\",\"prefix\":\"/a/b/\","
+	    "\"kind\":\"non_idempotent\",\"service\":\"t\"},"
+	    "{\"name\":\"bad\",\"host\":\"h.example\",\"prefix\":\"/c/\","
+	    "\"kind\":\"a kind of tomorrow\",\"service\":\"t\"}],"
+	    "\"services\":[{\"name\":\"t\",\"maxConnections\":110}],"
+	    "\"limits\":{\"maxHeaderBytes\":1000,\"idleTimeoutMs\":15000},"
+	    "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"k1\",7],"
+	    "\"priority\":1}]}";
+	struct fleet_config *config = NULL;
+	const struct fleet_route *route;
+
+	ck_assert_int_eq(
+	    platform_decode_config(lstr_from(text), &config), STATUS_OK);
+	ck_assert_int_eq(config->version, 7);
+	route = fleet_config_route(
+	    config, lstr_from("h.example:8080"), lstr_from("/a/x?q=/a/b/"));
+	ck_assert_ptr_nonnull(route);
+	ck_assert_str_eq(route->name, "r1");
+	ck_assert_int_eq(route->objective_usec, 500000);
+	ck_assert(route->resumable);
+	ck_assert_str_eq(fleet_route_pick(route, 89), "s");
+	ck_assert_str_eq(fleet_route_pick(route, 90), "t");
+	route = fleet_config_route(
+	    config, lstr_from("h.example"), lstr_from("/a/b/c"));
+	ck_assert_str_eq(route->name, "r2");
+	ck_assert_int_eq(route->kind, FLEET_ORDER);
+	ck_assert_ptr_null(fleet_config_route(
+	    config, lstr_from("h.example"), lstr_from("/c/d")));
+	ck_assert_str_eq(
+	    fleet_config_organisation(config, lstr_from("k1"))->name, "acme");
+	ck_assert_ptr_null(fleet_config_organisation(config, lstr_from("k")));
+	ck_assert_uint_eq(config->limits.head_max_bytes, 1000);
+	ck_assert_int_eq(config->limits.idle_timeout_usec, 15000000);
+	fleet_config_unref(config);
+}
+END_TEST
+
+/* Guards against values that are no configuration. */
+START_TEST(unreadable_configuration_is_refused)
+{
+	static const char *const texts[] = {"", "no json", "[]", "{}",
+	    "{\"version\":\"7\",\"routes\":[]}", "{\"version\":7}"};
+	struct fleet_config *config = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		ck_assert_int_eq(
+		    platform_decode_config(lstr_from(texts[i]), &config),
+		    STATUS_INVALID);
+}
+END_TEST
+
+/* Guards entries of servers: whole ones, and those that name no server. */
+START_TEST(server_entries_are_decoded_or_refused)
+{
+	static const char *const bad[] = {"", "\xff\xfe", "{}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"z\","
+	    "\"state\":\"ready\"}",
+	    "{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"state\":\"dreaming\"}"};
+	struct fleet_server server;
+
+	ck_assert_int_eq(
+	    platform_decode_server(lstr_from("i-1"),
+		lstr_from("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+			  "\"zone\":\"z\",\"state\":\"draining\","
+			  "\"kind\":\"a100\",\"born\":1700000000123,"
+			  "\"layers\":{\"source\":4,\"target\":9}}"),
+		&server),
+	    STATUS_OK);
+	ck_assert_int_eq(server.state, FLEET_DRAINING);
+	ck_assert_uint_eq(server.layer_from, 4);
+	ck_assert_uint_eq(server.layer_to, 9);
+	ck_assert_int_eq(server.born, 1700000000123);
+	fleet_server_clear(&server);
+	ck_assert_int_eq(
+	    platform_decode_server(lstr_from("i-1"),
+		lstr_from("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+			  "\"zone\":\"z\",\"state\":\"ready\","
+			  "\"layers\":null}"),
+		&server),
+	    STATUS_OK);
+	ck_assert_uint_eq(server.layer_to, 0);
+	fleet_server_clear(&server);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		ck_assert_int_eq(platform_decode_server(lstr_from("i-1"),
+				     lstr_from(bad[i]), &server),
+		    STATUS_INVALID);
+}
+END_TEST
+
+/* Guards an engine's report. */
+START_TEST(report_is_decoded)
+{
+	struct adapter_report report;
+
+	ck_assert_int_eq(
+	    platform_decode_report(
+		lstr_from("{\"busy\":true,\"sequence\":3,\"layers\":"
+			  "[{\"source\":0,\"target\":5}],\"stalledServers\":"
+			  "[{\"id\":\"i-2\",\"address\":\"10.0.0.2:80\"},{}]}"),
+		&report),
+	    STATUS_OK);
+	ck_assert(report.busy);
+	ck_assert_int_eq(report.order_sequence, 3);
+	ck_assert_uint_eq(report.layer_to, 5);
+	ck_assert_uint_eq(report.stalled->len, 1);
+	g_ptr_array_free(report.stalled, TRUE);
+	ck_assert_int_eq(
+	    platform_decode_report(lstr_from("[]"), &report), STATUS_INVALID);
+}
+END_TEST
+
+/* Guards how an order to hold layers is worded. */
+START_TEST(order_is_worded)
+{
+	struct adapter_order order = {4, 9, 77, 2};
+	struct lstr_buf text = {0};
+
+	platform_word_order("10.0.0.1:80", "i-1", &order, &text);
+	lstr_buf_append(&text, lstr_make("", 1));
+	ck_assert_ptr_nonnull(strstr(text.data, "Expect-Instance: i-1\r\n"));
+	ck_assert_ptr_nonnull(strstr(text.data,
+	    "{\"operation\":\"place\",\"source\":4,\"target\":9,"
+	    "\"drainMode\":\"backoff\",\"fencingToken\":77,"
+	    "\"precondition\":2}"));
+	lstr_buf_free(&text);
+	ck_assert_int_eq(platform_order_outcome(202), ADAPTER_ORDER_TAKEN);
+	ck_assert_int_eq(platform_order_outcome(409), ADAPTER_ORDER_STALE);
+	ck_assert_int_eq(platform_order_outcome(412), ADAPTER_ORDER_FENCED);
+	ck_assert_int_eq(platform_order_outcome(500), ADAPTER_ORDER_REFUSED);
+}
+END_TEST
+
+/* Guards the questions of callers and of the platform. */
+START_TEST(questions_are_read)
+{
+	struct adapter_lookup lookup = {NULL, NULL};
+
+	ck_assert(platform_is_lookup(
+	    lstr_from("/lookup?name=x&region=r%2d1&zone=here"), &lookup));
+	ck_assert_str_eq(lookup.place, "here");
+	ck_assert_str_eq(lookup.region, "r-1");
+	g_free(lookup.place);
+	g_free(lookup.region);
+	ck_assert(platform_is_lookup(lstr_from("/lookup"), &lookup));
+	ck_assert_ptr_null(lookup.place);
+	ck_assert(!platform_is_lookup(lstr_from("/else"), &lookup));
+	ck_assert(platform_is_ready_check(lstr_from("/readiness")));
+}
+END_TEST
+
+/* Guards the wording of the store's calls. */
+START_TEST(store_calls_are_worded)
+{
+	struct kv_args args = {.key = lstr_from("a/b c"),
+	    .value_base64 = "dg==",
+	    .version = 9,
+	    .after = 4,
+	    .wait_msec = 600,
+	    .lease = lstr_from("77"),
+	    .ttl_msec = 3000};
+	struct kv_call_text text = {0};
+	char *body;
+
+	platform_store_dialect.word(KV_WATCH, &args, &text);
+	ck_assert_str_eq(
+	    text.path, "/kv-watch?prefix=a/b%20c&after=4&waitMs=600");
+	g_free(text.path);
+	memset(&text, 0, sizeof(text));
+	platform_store_dialect.word(KV_PUT, &args, &text);
+	body = json_dumps(text.body, JSON_COMPACT);
+	ck_assert_str_eq(text.method, "POST");
+	ck_assert_str_eq(body,
+	    "{\"precondition\":[{\"key\":\"a/b c\",\"revision\":9}],"
+	    "\"write\":[{\"key\":\"a/b c\",\"value\":\"dg==\","
+	    "\"lease\":77}],\"remove\":[]}");
+	free(body);
+	json_decref(text.body);
+	g_free(text.path);
+	ck_assert_int_eq(
+	    platform_store_dialect.status(KV_PUT, 503), STATUS_UNAVAILABLE);
+	ck_assert_int_eq(
+	    platform_store_dialect.status(KV_PUT, 500), STATUS_AMBIGUOUS);
+	ck_assert_int_eq(
+	    platform_store_dialect.status(KV_PUT, 412), STATUS_CONFLICT);
+	ck_assert_int_eq(
+	    platform_store_dialect.status(KV_WATCH, 410), STATUS_EXPIRED);
+}
+END_TEST
+
+HARNESS_MAIN("platform", configuration_is_decoded,
+    unreadable_configuration_is_refused, server_entries_are_decoded_or_refused,
+    report_is_decoded, order_is_worded, questions_are_read,
+    store_calls_are_worded)
