Tell a failed write in the next round; ask slow servers for their pace

The write of a request on a reused connection that its server had reset called ended from within h1_write(); the request went on elsewhere or was refused, and the first sender logged the server of an attempt that no longer existed. Also: servers whose paths pause long are asked for their own pace; nodes that cannot prove keys are not named to callers.

--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -78,6 +78,8 @@
 	int64_t born;
 	uint32_t layer_from;
 	uint32_t layer_to;
+	/* Its own times over those of its kind: more than 1 is slow. */
+	double slowness;
 	/* "ip:port" of servers whose work stalls here; freed by the caller. */
 	GPtrArray *stalled;
 };
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -35,6 +35,8 @@
 	char *server;
 };
 
+static void start_probe(struct gate *, struct pool_server *, int64_t);
+
 /*
  * Estimates the length of the answer in tokens.
  */
@@ -470,6 +472,8 @@
 
 		pool_note_good(server, now);
 		pool_note_pace(server, ratio > SLOW_RATIO ? ratio : 1, now);
+		if (pool_wants_pace(server, now))
+			start_probe(request->gate, server, now);
 	}
 	attempt->stalled = false;
 	request->last_event_at = now;
@@ -639,8 +643,11 @@
 			move_streams(gate, server);
 		}
 	} else {
-		if (server != NULL)
+		if (server != NULL) {
 			pool_note_good(server, gate_now(gate));
+			pool_report_pace(
+			    server, report.slowness, gate_now(gate));
+		}
 		for (guint i = 0; i < report.stalled->len; i++) {
 			struct pool_server *stalled = pool_find_address(
 			    gate->config.pool,
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -87,7 +87,8 @@
 	/* Only the output is still to be written; input is discarded. */
 	bool finishing;
 	bool is_closed;
-	bool in_parser;
+	/* Writing failed; the owner is told in the next round. */
+	bool broken;
 	enum h1_fault fault;
 	int64_t head_begun_at;
 	int64_t idle_since;
@@ -212,6 +213,8 @@
 {
 	unsigned int wanted = LOOP_READ;
 
+	if (conn->broken)
+		return;
 	while (conn->out.len > 0 && !conn->connecting) {
 		ssize_t n =
 		    send(conn->fd, conn->out.data, conn->out.len, MSG_NOSIGNAL);
@@ -224,7 +227,10 @@
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			break;
-		end(conn, status_set(STATUS_IO, "send: %s", strerror(errno)));
+		/* Not from here: the caller of h1_write() is not done. */
+		conn->broken = true;
+		loop_watch_set(conn->watch, 0);
+		loop_timer_set(conn->timer, 0);
 		return;
 	}
 	if (conn->out.len > 0 || conn->connecting)
@@ -243,7 +249,7 @@
 {
 	enum status status;
 
-	if (conn->is_closed)
+	if (conn->is_closed || conn->broken)
 		return status_set(STATUS_CLOSED, "connection is closed");
 	if (conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
 		return status_set(STATUS_FULL, "peer does not read");
@@ -461,10 +467,8 @@
 {
 	size_t used;
 
-	conn->in_parser = true;
 	used = http_parser_execute(
 	    &conn->parser, &parser_settings, bytes.data, bytes.len);
-	conn->in_parser = false;
 	if (conn->is_closed || conn->finishing)
 		return;
 	if (conn->complete) {
@@ -515,9 +519,7 @@
 {
 	if (conn->listener == NULL && conn->busy && conn->head_done &&
 	    !conn->complete) {
-		conn->in_parser = true;
 		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
-		conn->in_parser = false;
 		if (conn->is_closed)
 			return;
 		if (conn->complete) {
@@ -593,7 +595,7 @@
 	}
 	if (events & LOOP_WRITE)
 		flush(conn);
-	if (!conn->is_closed && (events & LOOP_READ))
+	if (!conn->is_closed && !conn->broken && (events & LOOP_READ))
 		do_read(conn);
 }
 
@@ -610,7 +612,11 @@
 		end(conn, status_set(STATUS_UNAVAILABLE, "connect timed out"));
 		return;
 	}
-	h1_close(conn);
+	if (conn->broken)
+		end(conn,
+		    status_set(STATUS_IO, "connection cannot be written"));
+	else
+		h1_close(conn);
 }
 
 /*
@@ -905,7 +911,7 @@
 {
 	struct lstr_buf held = conn->held;
 
-	if (conn->is_closed)
+	if (conn->is_closed || conn->broken)
 		return;
 	conn->busy = false;
 	conn->complete = false;
@@ -963,6 +969,8 @@
 	if (conn->is_closed || conn->finishing)
 		return;
 	conn->finishing = true;
+	if (conn->broken)
+		return;
 	loop_timer_set(conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
 	flush(conn);
 }
@@ -1045,8 +1053,9 @@
 bool
 h1_clean(const struct h1_conn *conn)
 {
-	return !conn->is_closed && conn->complete && !conn->stray &&
-	    !conn->connecting && conn->out.len == 0 && h1_keep_alive(conn);
+	return !conn->is_closed && !conn->broken && conn->complete &&
+	    !conn->stray && !conn->connecting && conn->out.len == 0 &&
+	    h1_keep_alive(conn);
 }
 
 /*
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -62,6 +62,8 @@
 	uint32_t hash;
 	int64_t started_at;
 	bool leaving;
+	/* For the time being callers are not served here. */
+	bool suspended;
 	bool stale;
 };
 
@@ -343,6 +345,15 @@
 	mesh_tick(mesh);
 }
 
+/*
+ * Chooses whether callers are sent to this node.
+ */
+void
+mesh_set_serving(struct mesh *mesh, bool serving)
+{
+	mesh->suspended = !serving;
+}
+
 /*
  * Tells whether a peer is heard, or too new to have been heard. In a fleet in
  * which not all nodes hear each other, the store's entry vouches for a node
@@ -603,7 +614,7 @@
 	report.node = (char *)mesh->config.name;
 	report.boot = mesh->config.boot;
 	report.sequence = ++mesh->sequence;
-	report.leaving = mesh->leaving;
+	report.leaving = mesh->leaving || mesh->suspended;
 	mesh->sent_times[mesh->sequence % SENT_KEPT] = now;
 	fill_report(mesh, &report, rows, pointers, now);
 	fill_proof(mesh, &report, now);
@@ -704,7 +715,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!mesh->leaving &&
+	if (!mesh->leaving && !mesh->suspended &&
 	    (place == NULL || strcmp(place, mesh->config.place) == 0))
 		g_ptr_array_add(out, (char *)mesh->config.front);
 	g_hash_table_iter_init(&iter, mesh->peers);
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -66,6 +66,8 @@
 void mesh_put(struct mesh *, struct lstr name, struct lstr value);
 void mesh_remove(struct mesh *, struct lstr name);
 void mesh_leave(struct mesh *);
+/* Whether callers are to be sent to this node; it is told to the peers. */
+void mesh_set_serving(struct mesh *, bool);
 void mesh_tick(struct mesh *);
 /* Nodes that live, this one included. */
 uint32_t mesh_live_count(const struct mesh *);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -304,6 +304,33 @@
 	mirror_set_watch(node->mirror, watch);
 }
 
+/*
+ * Returns how old the proof of the configuration may be for keys to be used;
+ * 0: there is no bound.
+ */
+static int64_t
+proof_max(const struct node *node)
+{
+	int64_t revoke = node->settings.revoke_ms * LOOP_USEC_PER_MSEC;
+	int64_t margin = MIN(
+	    PROOF_MARGIN_USEC, (int64_t)(PROOF_MARGIN_SHARE * (double)revoke));
+
+	return revoke - margin;
+}
+
+/*
+ * Tells whether keys can be used here. A node that cannot prove them is not
+ * named to callers, who are served elsewhere.
+ */
+static bool
+can_prove(const struct node *node)
+{
+	int64_t max = proof_max(node);
+
+	return max == 0 ||
+	    loop_now(node->loop) - mirror_proved_at(node->mirror) <= max;
+}
+
 /*
  * Runs the systems over their tables.
  */
@@ -316,6 +343,7 @@
 	loop_timer_set(node->tick, now + TICK_USEC);
 	mesh_tick(node->mesh);
 	choose_watch(node);
+	mesh_set_serving(node->mesh, can_prove(node));
 	mirror_tick(node->mirror);
 	gate_tick(node->gate);
 	planner_tick(node->planner, node->fleet);
@@ -640,20 +668,6 @@
 
 static const struct mesh_ops mesh_ops = {get_proof, vouched};
 
-/*
- * Returns how old the proof of the configuration may be for keys to be used;
- * 0: there is no bound.
- */
-static int64_t
-proof_max(const struct node *node)
-{
-	int64_t revoke = node->settings.revoke_ms * LOOP_USEC_PER_MSEC;
-	int64_t margin = MIN(
-	    PROOF_MARGIN_USEC, (int64_t)(PROOF_MARGIN_SHARE * (double)revoke));
-
-	return revoke - margin;
-}
-
 /*
  * Creates what talks to the store and to other nodes.
  */
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -293,11 +293,37 @@
 {
 	double slowness = pool_slowness(server, now);
 
+	if (server->reported_at != 0 &&
+	    now - server->reported_at < POOL_REPORT_USEC)
+		return;
 	ratio = CLAMP(ratio, 1, SLOWNESS_MAX);
 	server->slowness = slowness + POOL_SAMPLE_WEIGHT * (ratio - slowness);
 	server->slowness_at = now;
 }
 
+/*
+ * Takes a server's own word on how slow it is. It goes before what the pauses
+ * of whole paths suggest.
+ */
+void
+pool_report_pace(struct pool_server *server, double slowness, int64_t now)
+{
+	server->slowness = CLAMP(slowness, 1, SLOWNESS_MAX);
+	server->slowness_at = now;
+	server->reported_at = now;
+}
+
+/*
+ * Tells whether a server seems slow and has not been asked lately.
+ */
+bool
+pool_wants_pace(const struct pool_server *server, int64_t now)
+{
+	return pool_slowness(server, now) >= POOL_SUSPECT_SLOWNESS &&
+	    (server->reported_at == 0 ||
+		now - server->reported_at >= POOL_REPORT_USEC);
+}
+
 /*
  * Collects the servers of a service. The array is freed by the caller.
  */
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -25,6 +25,10 @@
 #define POOL_TRUST_OWN_USEC (500 * LOOP_USEC_PER_MSEC)
 /* A node vouches this long for layers that it saw a server hold. */
 #define POOL_VOUCH_USEC (3 * LOOP_USEC_PER_SEC)
+/* Pauses of a path put all its servers under suspicion; one that seems this
+ * much slower than its kind is asked, and its word counts for a time. */
+#define POOL_SUSPECT_SLOWNESS 2.5
+#define POOL_REPORT_USEC (2 * LOOP_USEC_PER_SEC)
 /* Weight of the newest sample in moving averages. */
 #define POOL_SAMPLE_WEIGHT 0.1
 
@@ -52,6 +56,8 @@
 	double error_rate;
 	double slowness;
 	int64_t slowness_at;
+	/* When the server itself said how slow it is; 0: never. */
+	int64_t reported_at;
 	/* When it last answered or a stream through it made progress. */
 	int64_t good_at;
 	struct pool_use own;
@@ -96,6 +102,8 @@
 bool pool_avoid(struct pool_server *, int64_t now);
 void pool_note_answer(struct pool_server *, bool good);
 void pool_note_pace(struct pool_server *, double ratio, int64_t now);
+void pool_report_pace(struct pool_server *, double slowness, int64_t now);
+bool pool_wants_pace(const struct pool_server *, int64_t now);
 double pool_slowness(const struct pool_server *, int64_t now);
 
 GPtrArray *pool_service(const struct pool *, const char *service);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -356,6 +356,11 @@
 				s->broken++;
 				printf("BROKEN a node ended by signal %d\n",
 				    WTERMSIG(status));
+			} else if (WIFEXITED(status) &&
+			    WEXITSTATUS(status) != 0) {
+				s->broken++;
+				printf("BROKEN a node ended with code %d\n",
+				    WEXITSTATUS(status));
 			}
 			member->world.pid = 0;
 			member->restart_at = now + RESTART_USEC;
