Name suspended nodes when no other can serve; slow servers keep their layers

Cause: with the store silent for all, every node was suspended and callers went to whichever node answered them; layers of slow servers were loaded elsewhere, which cost more than it gained. Change: nodes without a proof are left out of addresses only while others have one; the planner ignores slowness.

--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -4514,7 +4514,7 @@
   (ProtobufCMessageInit) ch__server_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[11] =
 {
   {
     "node",
@@ -4636,6 +4636,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspended",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, suspended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__node_report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -4648,11 +4660,12 @@
   2,   /* field[2] = sequence */
   4,   /* field[4] = servers */
   5,   /* field[5] = store_revision */
+  10,   /* field[10] = suspended */
 };
 static const ProtobufCIntRange ch__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ch__node_report__descriptor =
 {
@@ -4662,7 +4675,7 @@
   "Ch__NodeReport",
   "ch",
   sizeof(Ch__NodeReport),
-  10,
+  11,
   ch__node_report__field_descriptors,
   ch__node_report__field_indices_by_name,
   1,  ch__node_report__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -731,10 +731,14 @@
   uint32_t *heard_peer;
   size_t n_heard_sequence;
   uint64_t *heard_sequence;
+  /*
+   * For the time being the node cannot use keys; callers are sent to others.
+   */
+  protobuf_c_boolean suspended;
 };
 #define CH__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Ch__Hello methods */
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -42,6 +42,7 @@
 	/* Its entry in the store is gone. */
 	bool unlisted;
 	bool leaving;
+	bool suspended;
 	bool silent;
 	GArray *uses;
 };
@@ -168,6 +169,7 @@
 	peer->heard_at = now;
 	peer->silent = false;
 	peer->leaving = report->leaving;
+	peer->suspended = report->suspended;
 	g_array_set_size(peer->uses, 0);
 	for (size_t i = 0; i < report->n_servers; i++)
 		take_use(mesh, peer, report->servers[i], now);
@@ -614,7 +616,8 @@
 	report.node = (char *)mesh->config.name;
 	report.boot = mesh->config.boot;
 	report.sequence = ++mesh->sequence;
-	report.leaving = mesh->leaving || mesh->suspended;
+	report.leaving = mesh->leaving;
+	report.suspended = mesh->suspended;
 	mesh->sent_times[mesh->sequence % SENT_KEPT] = now;
 	fill_report(mesh, &report, rows, pointers, now);
 	fill_proof(mesh, &report, now);
@@ -706,16 +709,17 @@
 
 /*
  * Adds the addresses of nodes that take connections, in one data centre or,
- * with NULL, in all.
+ * with NULL, in all; those that are suspended only if wanted.
  */
 static void
-add_addresses(const struct mesh *mesh, const char *place, GPtrArray *out)
+add_addresses(
+    const struct mesh *mesh, const char *place, bool suspended, GPtrArray *out)
 {
 	int64_t now = loop_now(mesh->loop);
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!mesh->leaving && !mesh->suspended &&
+	if (!mesh->leaving && (suspended || !mesh->suspended) &&
 	    (place == NULL || strcmp(place, mesh->config.place) == 0))
 		g_ptr_array_add(out, (char *)mesh->config.front);
 	g_hash_table_iter_init(&iter, mesh->peers);
@@ -724,7 +728,8 @@
 
 		if (out->len >= MESH_ADDRESSES_MAX)
 			return;
-		if (!peer->leaving && peer_lives(mesh, peer, now) &&
+		if (!peer->leaving && (suspended || !peer->suspended) &&
+		    peer_lives(mesh, peer, now) &&
 		    (place == NULL || strcmp(place, peer->place) == 0))
 			g_ptr_array_add(out, peer->front);
 	}
@@ -732,17 +737,20 @@
 
 /*
  * Collects addresses for a caller: in its own data centre if enough nodes
- * live there, since traffic between data centres is dear; else all.
+ * live there, since traffic between data centres is dear; else all. Nodes
+ * that cannot use keys are named only if no other can: the store is away.
  */
 void
 mesh_addresses(const struct mesh *mesh, const char *place, GPtrArray *out)
 {
 	if (place != NULL)
-		add_addresses(mesh, place, out);
+		add_addresses(mesh, place, false, out);
 	if (out->len >= PLACE_NODES_MIN)
 		return;
 	g_ptr_array_set_size(out, 0);
-	add_addresses(mesh, NULL, out);
+	add_addresses(mesh, NULL, false, out);
+	if (out->len == 0)
+		add_addresses(mesh, NULL, true, out);
 	if (out->len == 0)
 		g_ptr_array_add(out, (char *)mesh->config.front);
 }
--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -398,9 +398,7 @@
 	row->kind = fleet_engine_kind(engine, server->info.kind);
 	if (row->kind == NULL || server->info.state != FLEET_READY ||
 	    (server->failing_since != 0 &&
-		now - server->failing_since > PLANNER_FAILING_USEC) ||
-	    (server->reported_at != 0 &&
-		pool_slowness(server, now) >= PLANNER_SLOW))
+		now - server->failing_since > PLANNER_FAILING_USEC))
 		return false;
 	row->layer_from = server->info.layer_from;
 	row->layer_to = server->info.layer_to;
--- a/src/node/planner.h
+++ b/src/node/planner.h
@@ -27,9 +27,6 @@
 /* Layers of a server that fails for longer are placed on others: it is not
  * only late. */
 #define PLANNER_FAILING_USEC (700 * LOOP_USEC_PER_MSEC)
-/* A server that is this many times slower than its kind does not count as a
- * holder of its layers: redundant servers take them over as well. */
-#define PLANNER_SLOW 3.0
 #define PLANNER_ORDER_USEC (1 * LOOP_USEC_PER_SEC)
 /* The platform's list shows new layers within this time of their load. */
 #define PLANNER_LIST_USEC (1200 * LOOP_USEC_PER_MSEC)
