--- /dev/null
+++ b/src/node/gate_answer.c
@@ -0,0 +1,229 @@
+#include <http_parser.h>
+
+#include "gate_priv.h"
+
+static struct metric_histogram first_event_times = {
+    .name = "chestnuthoist_first_event_seconds",
+    .help = "Time from arrival to the first event or the answer."};
+static struct metric_histogram longest_gaps = {
+    .name = "chestnuthoist_event_gap_seconds",
+    .help = "Longest pause of each stream."};
+static struct metric_histogram queue_waits = {
+    .name = "chestnuthoist_queue_wait_seconds",
+    .help = "Time from arrival to the first send of a request."};
+
+/*
+ * Registers the histograms of answers.
+ */
+void
+gate_register_metrics(void)
+{
+	metric_register_histogram(&first_event_times);
+	metric_register_histogram(&longest_gaps);
+	metric_register_histogram(&queue_waits);
+}
+
+/*
+ * Logs how a request ended.
+ */
+static void
+log_done(const struct gate_request *request, const char *outcome)
+{
+	int64_t now = gate_now(request->gate);
+
+	if (request->first_event_at != 0)
+		metric_observe(&first_event_times,
+		    request->first_event_at - request->arrived_at);
+	if (request->events > 1)
+		metric_observe(&longest_gaps, request->longest_gap);
+	if (request->sends > 0)
+		metric_observe(
+		    &queue_waits, request->started_at - request->arrived_at);
+	slog_event(EV_REQUEST_DONE,
+	    "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:i, s:i, s:I}", "id",
+	    request->id, "route", request->route ? request->route->name : "",
+	    "organisation",
+	    request->organisation ? request->organisation->name : "", "outcome",
+	    outcome, "total_ms",
+	    (json_int_t)((now - request->arrived_at) / LOOP_USEC_PER_MSEC),
+	    "first_ms",
+	    request->first_event_at
+		? (json_int_t)((request->first_event_at - request->arrived_at) /
+		      LOOP_USEC_PER_MSEC)
+		: (json_int_t)-1,
+	    "longest_gap_ms",
+	    (json_int_t)(request->longest_gap / LOOP_USEC_PER_MSEC), "events",
+	    (int)request->events, "sends", (int)request->sends,
+	    "config_version",
+	    request->config ? (json_int_t)request->config->version : 0);
+}
+
+/*
+ * Ends a request: its answer is written, or its caller is gone.
+ */
+void
+gate_end(struct gate_request *request, const char *outcome)
+{
+	struct gate *gate = request->gate;
+	struct h1_conn *caller = request->caller;
+
+	if (request->state == GATE_OVER)
+		return;
+	gate_attempt_end(request, false);
+	if (request->queued != NULL) {
+		sched_cancel(gate_service(gate, request->service->name)->queue,
+		    request->queued);
+		request->queued = NULL;
+	}
+	if (outcome != NULL)
+		log_done(request, outcome);
+	request->state = GATE_OVER;
+	request->caller = NULL;
+	if (caller == NULL)
+		return;
+	h1_set_data(caller, NULL);
+	if (gate->draining || !h1_keep_alive(caller) ||
+	    h1_fault(caller) != H1_FAULT_NONE)
+		h1_finish(caller);
+	else
+		h1_next(caller);
+}
+
+/*
+ * Writes an answer of the node's own and ends the request.
+ */
+static void
+answer_own(struct gate_request *request, unsigned int status,
+    int64_t retry_usec, const char *reason, bool close)
+{
+	struct lstr_buf text = {0};
+	struct h1_conn *caller = request->caller;
+
+	close = close || request->gate->draining || !h1_keep_alive(caller);
+	request->gate->config.adapter->word_refusal(
+	    status, lstr_from(request->id), retry_usec, close, reason, &text);
+	h1_write(caller, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	if (close && request->state == GATE_READING) {
+		/* What is still to come of the request is not read. */
+		h1_set_data(caller, NULL);
+		request->caller = NULL;
+		gate_end(request, NULL);
+		h1_finish(caller);
+		return;
+	}
+	gate_end(request, NULL);
+}
+
+/*
+ * Refuses a request that has not run and will not.
+ */
+void
+gate_refuse(struct gate_request *request, unsigned int status,
+    int64_t retry_usec, const char *reason)
+{
+	struct gate *gate = request->gate;
+	int64_t now = gate_now(gate);
+
+	gate->counts.refused++;
+	slog_event(EV_REQUEST_REFUSED,
+	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:i}", "id",
+	    request->id, "status", (int)status, "reason", reason, "route",
+	    request->route ? request->route->name : "", "organisation",
+	    request->organisation ? request->organisation->name : "",
+	    "retry_after_ms", (json_int_t)(retry_usec / LOOP_USEC_PER_MSEC),
+	    "held_ms",
+	    (json_int_t)((now - request->arrived_at) / LOOP_USEC_PER_MSEC),
+	    "config_version",
+	    request->config ? (json_int_t)request->config->version : 0,
+	    "proof_age_ms",
+	    (json_int_t)((now - mirror_proved_at(gate->config.mirror)) /
+		LOOP_USEC_PER_MSEC),
+	    "waiting", (int)gate_waiting(gate));
+	if (request->caller == NULL) {
+		gate_end(request, NULL);
+		return;
+	}
+	answer_own(request, status, retry_usec, reason,
+	    request->state == GATE_READING);
+}
+
+/*
+ * Fails a request that may have run.
+ */
+void
+gate_fail(struct gate_request *request, unsigned int status, const char *reason)
+{
+	request->gate->counts.failed++;
+	slog_event(EV_REQUEST_FAILED,
+	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:i, s:i, s:s}", "id", request->id,
+	    "status", (int)status, "reason", reason, "route",
+	    request->route->name, "organisation",
+	    request->organisation ? request->organisation->name : "",
+	    "total_ms",
+	    (json_int_t)((gate_now(request->gate) - request->arrived_at) /
+		LOOP_USEC_PER_MSEC),
+	    "sends", (int)request->sends, "events", (int)request->events,
+	    "server",
+	    request->sends > 0 ? request->tried[request->sends - 1]->info.id
+			       : "");
+	if (request->caller == NULL) {
+		gate_end(request, NULL);
+		return;
+	}
+	if (request->answer_begun) {
+		/* Closing without the end of the answer shows that it is cut.
+		 */
+		h1_close(request->caller);
+		request->caller = NULL;
+		gate_end(request, NULL);
+		return;
+	}
+	answer_own(request, status, 0, reason, false);
+}
+
+/*
+ * Passes on an answer that was kept whole, and ends the request.
+ */
+void
+gate_pass_on(struct gate_request *request, const char *outcome)
+{
+	struct gate *gate = request->gate;
+	bool close = gate->draining || !h1_keep_alive(request->caller);
+	struct lstr_buf text = {0};
+
+	gate->config.adapter->word_answer(
+	    request->attempt.conn, false, close, &text);
+	lstr_buf_printf(
+	    &text, "Content-Length: %zu\r\n\r\n", request->answer.len);
+	lstr_buf_append(&text, lstr_buf_view(&request->answer));
+	h1_write(request->caller, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	gate_attempt_end(request, true);
+	gate_end(request, outcome);
+}
+
+/*
+ * Breaks off an answer that has begun and cannot be finished.
+ */
+void
+gate_break_off(struct gate_request *request, const char *reason)
+{
+	gate_fail(request, HTTP_STATUS_BAD_GATEWAY, reason);
+}
+
+/*
+ * The caller has left: stops the work at the server.
+ */
+void
+gate_cancel(struct gate_request *request)
+{
+	request->gate->counts.cancelled++;
+	slog_event(EV_REQUEST_CANCELLED, "{s:s, s:I, s:i}", "id", request->id,
+	    "after_ms",
+	    (json_int_t)((gate_now(request->gate) - request->arrived_at) /
+		LOOP_USEC_PER_MSEC),
+	    "events", (int)request->events);
+	request->caller = NULL;
+	gate_end(request, NULL);
+}
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -13,6 +13,9 @@
 /* A connection to a server must be established within this time: a live one
  * answers in milliseconds. */
 #define GATE_CONNECT_USEC (400 * LOOP_USEC_PER_MSEC)
+/* A stream is not taken as stalled before this time: a pass may hold a long
+ * prompt. */
+#define GATE_STALL_MIN_USEC (350 * LOOP_USEC_PER_MSEC)
 /* Requests that wait for a path; more could not be served in time. */
 #define GATE_QUEUE_MAX 256
 /* Sends of one request, whatever the route allows; ends loops of failures. */
@@ -157,7 +160,7 @@
 void gate_break_off(struct gate_request *, const char *reason);
 void gate_end(struct gate_request *, const char *outcome);
 void gate_cancel(struct gate_request *);
-void gate_log_done(const struct gate_request *, const char *outcome);
+void gate_register_metrics(void);
 
 /* Passes on an answer that was kept whole. */
 void gate_pass_on(struct gate_request *, const char *outcome);
@@ -186,6 +189,10 @@
 void gate_stream_tick(struct gate_request *, int64_t now);
 void gate_stream_expire(struct gate *, struct gate_service *, int64_t now);
 void gate_stream_pump(struct gate *);
+
+/* Failed and slow servers. */
+void gate_avoid(struct gate *, struct pool_server *, const char *evidence);
+void gate_probe(struct gate *, struct pool_server *, int64_t now);
 void gate_check_probation(struct gate *, int64_t now);
 
 #endif
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -9,17 +9,13 @@
 #include <unistd.h>
 
 #include <glib.h>
-#include <http_parser.h>
 
-#include "h1.h"
+#include "h1_priv.h"
 
 #define READ_BYTES ((size_t)32 * 1024)
 /* Input kept while an answer is in progress; more stays in the kernel. */
 #define HELD_INPUT_MAX_BYTES ((size_t)64 * 1024)
-#define LISTEN_BACKLOG 512
 #define HEADERS_MAX 128
-/* Connections accepted in one round, so that open ones are served between. */
-#define ACCEPT_BATCH 32
 /* Unacknowledged bytes end a connection after this time. */
 #define USER_TIMEOUT_MS 3000
 #define KEEPALIVE_IDLE_S 2
@@ -28,74 +24,6 @@
 /* Largest answer head; larger ones are not of a sane server. */
 #define ANSWER_HEAD_MAX_BYTES ((size_t)64 * 1024)
 
-struct h1 {
-	struct loop *loop;
-	struct h1_counts counts;
-	/* Closed connections that wait to be freed outside of callbacks. */
-	struct h1_conn *closed;
-	struct loop_timer *reaper;
-};
-
-struct h1_listener {
-	struct h1 *h1;
-	int fd;
-	struct loop_watch *watch;
-	const struct h1_limits *limits;
-	const struct h1_ops *ops;
-	void *arg;
-	struct h1_conn *conns;
-	size_t count;
-};
-
-/* Offsets into the text of the head. */
-struct span {
-	uint32_t at;
-	uint32_t len;
-};
-
-struct header {
-	struct span name;
-	struct span value;
-};
-
-struct h1_conn {
-	struct h1 *h1;
-	/* NULL for a client connection. */
-	struct h1_listener *listener;
-	struct h1_conn *next;
-	struct h1_conn *prev;
-	int fd;
-	struct loop_watch *watch;
-	struct loop_timer *timer;
-	const struct h1_ops *ops;
-	void *arg;
-	void *data;
-	http_parser parser;
-	struct lstr_buf text;
-	struct header *headers;
-	uint32_t header_count;
-	uint32_t header_room;
-	struct span target;
-	bool in_value;
-	bool connecting;
-	/* Server: an answer is due. Client: an answer is awaited. */
-	bool busy;
-	bool head_only;
-	bool head_done;
-	bool complete;
-	bool stray;
-	/* Only the output is still to be written; input is discarded. */
-	bool finishing;
-	bool is_closed;
-	/* Writing failed; the owner is told in the next round. */
-	bool broken;
-	enum h1_fault fault;
-	int64_t head_begun_at;
-	int64_t idle_since;
-	struct lstr_buf held;
-	struct lstr_buf out;
-};
-
 static const http_parser_settings parser_settings;
 
 /*
@@ -445,8 +373,8 @@
 /*
  * Reports a request that cannot be read, or ends a client connection.
  */
-static void
-protocol_error(struct h1_conn *conn)
+void
+h1_protocol_error(struct h1_conn *conn)
 {
 	conn->h1->counts.protocol_errors++;
 	if (conn->listener == NULL || conn->busy) {
@@ -484,7 +412,7 @@
 	}
 	if (conn->parser.upgrade || used != bytes.len ||
 	    HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
-		protocol_error(conn);
+		h1_protocol_error(conn);
 }
 
 /*
@@ -644,8 +572,8 @@
  * Creates a connection over a socket, which it owns also when it fails. Returns
  * NULL on failure; status_message() says why.
  */
-static struct h1_conn *
-conn_create(
+struct h1_conn *
+h1_conn_create(
     struct h1 *h1, int fd, unsigned int events, enum http_parser_type type)
 {
 	struct h1_conn *conn = calloc(1, sizeof(*conn));
@@ -673,177 +601,6 @@
 	return conn;
 }
 
-/*
- * Accepts connections.
- */
-static void
-on_accept(void *arg, unsigned int events)
-{
-	struct h1_listener *listener = arg;
-
-	(void)events;
-	for (int i = 0; i < ACCEPT_BATCH; i++) {
-		struct h1_conn *conn;
-		int fd = accept4(
-		    listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-		if (fd < 0)
-			return;
-		conn = conn_create(listener->h1, fd, LOOP_READ, HTTP_REQUEST);
-		if (conn == NULL)
-			return;
-		conn->listener = listener;
-		conn->ops = listener->ops;
-		conn->arg = listener->arg;
-		conn->next = listener->conns;
-		if (listener->conns != NULL)
-			listener->conns->prev = conn;
-		listener->conns = conn;
-		listener->count++;
-		listener->h1->counts.accepted++;
-		if (conn->ops->accepted != NULL)
-			conn->ops->accepted(conn, conn->arg);
-	}
-}
-
-/*
- * Listens on an address; port 0 lets the kernel choose. limits is borrowed.
- */
-enum status
-h1_listen(struct h1 *h1, const char *ip, uint16_t port,
-    const struct h1_limits *limits, const struct h1_ops *ops, void *arg,
-    struct h1_listener **out)
-{
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET, .sin_port = htons(port)};
-	struct h1_listener *listener = calloc(1, sizeof(*listener));
-	enum status status;
-	int on = 1;
-
-	if (listener == NULL)
-		return status_set(STATUS_NO_MEMORY, "listener");
-	listener->h1 = h1;
-	listener->limits = limits;
-	listener->ops = ops;
-	listener->arg = arg;
-	listener->fd =
-	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (listener->fd < 0 ||
-	    inet_pton(AF_INET, ip, &address.sin_addr) != 1) {
-		status = status_set(STATUS_INVALID, "address %s", ip);
-		goto fail;
-	}
-	setsockopt(listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(listener->fd, (struct sockaddr *)&address, sizeof(address)) !=
-		0 ||
-	    listen(listener->fd, LISTEN_BACKLOG) != 0) {
-		status = status_set(STATUS_IO, "listen on %s:%u: %s", ip,
-		    (unsigned int)port, strerror(errno));
-		goto fail;
-	}
-	status = loop_watch_create(h1->loop, listener->fd, LOOP_READ, on_accept,
-	    listener, &listener->watch);
-	if (status != STATUS_OK)
-		goto fail;
-	*out = listener;
-	return STATUS_OK;
-fail:
-	if (listener->fd >= 0)
-		close(listener->fd);
-	free(listener);
-	return status;
-}
-
-/*
- * Returns the port of a listener.
- */
-uint16_t
-h1_listener_port(const struct h1_listener *listener)
-{
-	struct sockaddr_in address = {0};
-	socklen_t len = sizeof(address);
-
-	if (getsockname(listener->fd, (struct sockaddr *)&address, &len) != 0)
-		return 0;
-	return ntohs(address.sin_port);
-}
-
-/*
- * Returns how many accepted connections are open.
- */
-size_t
-h1_listener_count(const struct h1_listener *listener)
-{
-	return listener->count;
-}
-
-/*
- * Closes the listener and its connections without callbacks.
- */
-void
-h1_listener_destroy(struct h1_listener *listener)
-{
-	if (listener == NULL)
-		return;
-	while (listener->conns != NULL)
-		h1_close(listener->conns);
-	h1_listener_stop(listener);
-	free(listener);
-}
-
-/*
- * Accepts no more connections and closes those that wait for a request; the
- * others are served.
- */
-void
-h1_listener_stop(struct h1_listener *listener)
-{
-	struct h1_conn *next;
-
-	loop_watch_destroy(listener->watch);
-	listener->watch = NULL;
-	if (listener->fd >= 0)
-		close(listener->fd);
-	listener->fd = -1;
-	for (struct h1_conn *conn = listener->conns; conn != NULL;
-	     conn = next) {
-		next = conn->next;
-		if (!conn->busy && !conn->finishing && conn->head_begun_at == 0)
-			h1_close(conn);
-	}
-}
-
-/*
- * Closes idle connections and reports heads that take too long; the owner
- * calls it several times a second.
- */
-void
-h1_listener_sweep(struct h1_listener *listener)
-{
-	int64_t now = loop_now(listener->h1->loop);
-	struct h1_conn *next;
-
-	for (struct h1_conn *conn = listener->conns; conn != NULL;
-	     conn = next) {
-		next = conn->next;
-		if (conn->busy || conn->finishing)
-			continue;
-		if (conn->head_begun_at != 0) {
-			if (!conn->head_done &&
-			    now - conn->head_begun_at >=
-				listener->limits->head_timeout_usec) {
-				conn->fault = H1_FAULT_HEAD_TIMEOUT;
-				protocol_error(conn);
-				/* The owner may have closed any of them. */
-				return;
-			}
-		} else if (now - conn->idle_since >=
-		    listener->limits->idle_timeout_usec) {
-			h1_close(conn);
-		}
-	}
-}
-
 /*
  * Opens a client connection. It fails with ended and STATUS_UNAVAILABLE when
  * it is not established by the deadline. Output may be queued at once.
@@ -864,7 +621,7 @@
 		return status_set(
 		    STATUS_UNAVAILABLE, "connect: %s", strerror(errno));
 	}
-	conn = conn_create(h1, fd, LOOP_READ | LOOP_WRITE, HTTP_RESPONSE);
+	conn = h1_conn_create(h1, fd, LOOP_READ | LOOP_WRITE, HTTP_RESPONSE);
 	if (conn == NULL)
 		return STATUS_NO_MEMORY;
 	conn->connecting = true;
@@ -974,174 +731,3 @@
 	loop_timer_set(conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
 	flush(conn);
 }
-
-/*
- * Returns the method of a request.
- */
-struct lstr
-h1_method(const struct h1_conn *conn)
-{
-	return lstr_from(
-	    http_method_str((enum http_method)conn->parser.method));
-}
-
-/*
- * Borrows the bytes of a span of the head.
- */
-static struct lstr
-span_text(const struct h1_conn *conn, struct span span)
-{
-	return lstr_make(conn->text.data + span.at, span.len);
-}
-
-/*
- * Returns the target of a request as it was sent.
- */
-struct lstr
-h1_target(const struct h1_conn *conn)
-{
-	return span_text(conn, conn->target);
-}
-
-/*
- * Returns the status of an answer.
- */
-unsigned int
-h1_status(const struct h1_conn *conn)
-{
-	return conn->parser.status_code;
-}
-
-/*
- * Tells whether the peer keeps the connection open after this message.
- */
-bool
-h1_keep_alive(const struct h1_conn *conn)
-{
-	return http_should_keep_alive(&conn->parser) != 0;
-}
-
-/*
- * Tells whether the message is of HTTP/1.0, which has no chunks.
- */
-bool
-h1_is_http10(const struct h1_conn *conn)
-{
-	return conn->parser.http_major < 1 ||
-	    (conn->parser.http_major == 1 && conn->parser.http_minor == 0);
-}
-
-/*
- * Returns the announced length of the body, -1 if there is none.
- */
-int64_t
-h1_content_length(const struct h1_conn *conn)
-{
-	struct lstr value;
-	int64_t length;
-
-	if (!h1_header(conn, "Content-Length", &value) ||
-	    lstr_to_int64(value, &length) != STATUS_OK)
-		return -1;
-	return length;
-}
-
-/*
- * Client: tells whether the connection can carry another request: the answer
- * is complete and nothing came behind it.
- */
-bool
-h1_clean(const struct h1_conn *conn)
-{
-	return !conn->is_closed && !conn->broken && conn->complete &&
-	    !conn->stray && !conn->connecting && conn->out.len == 0 &&
-	    h1_keep_alive(conn);
-}
-
-/*
- * Returns why the request could not be read.
- */
-enum h1_fault
-h1_fault(const struct h1_conn *conn)
-{
-	return conn->fault;
-}
-
-/*
- * Returns when the first byte of the request arrived, in microseconds since
- * the epoch.
- */
-int64_t
-h1_head_begun_at(const struct h1_conn *conn)
-{
-	return conn->head_begun_at;
-}
-
-/*
- * Returns how many headers the message has.
- */
-size_t
-h1_header_count(const struct h1_conn *conn)
-{
-	return conn->header_count;
-}
-
-/*
- * Borrows a header of the message.
- */
-void
-h1_header_at(const struct h1_conn *conn, size_t index, struct lstr *name,
-    struct lstr *value)
-{
-	assert(index < conn->header_count);
-	*name = span_text(conn, conn->headers[index].name);
-	*value = span_text(conn, conn->headers[index].value);
-}
-
-/*
- * Finds the first header of a name.
- */
-bool
-h1_header(const struct h1_conn *conn, const char *name, struct lstr *value)
-{
-	size_t len = strlen(name);
-
-	for (size_t i = 0; i < conn->header_count; i++) {
-		struct lstr n;
-
-		h1_header_at(conn, i, &n, value);
-		if (n.len == len && strncasecmp(n.data, name, len) == 0)
-			return true;
-	}
-	*value = lstr_make(NULL, 0);
-	return false;
-}
-
-/*
- * Tells whether a comma-separated list, such as Connection, has a token.
- */
-bool
-h1_token_listed(struct lstr list, struct lstr token)
-{
-	size_t at = 0;
-
-	while (at < list.len) {
-		size_t end = at;
-		size_t last;
-
-		while (end < list.len && list.data[end] != ',')
-			end++;
-		last = end;
-		while (at < last &&
-		    (list.data[at] == ' ' || list.data[at] == '\t'))
-			at++;
-		while (last > at &&
-		    (list.data[last - 1] == ' ' || list.data[last - 1] == '\t'))
-			last--;
-		if (last - at == token.len &&
-		    strncasecmp(list.data + at, token.data, token.len) == 0)
-			return true;
-		at = end + 1;
-	}
-	return false;
-}
--- /dev/null
+++ b/src/node/h1_listener.c
@@ -0,0 +1,184 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "h1_priv.h"
+
+#define LISTEN_BACKLOG 512
+/* Connections accepted in one round, so that open ones are served between. */
+#define ACCEPT_BATCH 32
+
+/*
+ * Accepts connections.
+ */
+static void
+on_accept(void *arg, unsigned int events)
+{
+	struct h1_listener *listener = arg;
+
+	(void)events;
+	for (int i = 0; i < ACCEPT_BATCH; i++) {
+		struct h1_conn *conn;
+		int fd = accept4(
+		    listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		conn =
+		    h1_conn_create(listener->h1, fd, LOOP_READ, HTTP_REQUEST);
+		if (conn == NULL)
+			return;
+		conn->listener = listener;
+		conn->ops = listener->ops;
+		conn->arg = listener->arg;
+		conn->next = listener->conns;
+		if (listener->conns != NULL)
+			listener->conns->prev = conn;
+		listener->conns = conn;
+		listener->count++;
+		listener->h1->counts.accepted++;
+		if (conn->ops->accepted != NULL)
+			conn->ops->accepted(conn, conn->arg);
+	}
+}
+
+/*
+ * Listens on an address; port 0 lets the kernel choose. limits is borrowed.
+ */
+enum status
+h1_listen(struct h1 *h1, const char *ip, uint16_t port,
+    const struct h1_limits *limits, const struct h1_ops *ops, void *arg,
+    struct h1_listener **out)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
+	struct h1_listener *listener = calloc(1, sizeof(*listener));
+	enum status status;
+	int on = 1;
+
+	if (listener == NULL)
+		return status_set(STATUS_NO_MEMORY, "listener");
+	listener->h1 = h1;
+	listener->limits = limits;
+	listener->ops = ops;
+	listener->arg = arg;
+	listener->fd =
+	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (listener->fd < 0 ||
+	    inet_pton(AF_INET, ip, &address.sin_addr) != 1) {
+		status = status_set(STATUS_INVALID, "address %s", ip);
+		goto fail;
+	}
+	setsockopt(listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(listener->fd, (struct sockaddr *)&address, sizeof(address)) !=
+		0 ||
+	    listen(listener->fd, LISTEN_BACKLOG) != 0) {
+		status = status_set(STATUS_IO, "listen on %s:%u: %s", ip,
+		    (unsigned int)port, strerror(errno));
+		goto fail;
+	}
+	status = loop_watch_create(h1->loop, listener->fd, LOOP_READ, on_accept,
+	    listener, &listener->watch);
+	if (status != STATUS_OK)
+		goto fail;
+	*out = listener;
+	return STATUS_OK;
+fail:
+	if (listener->fd >= 0)
+		close(listener->fd);
+	free(listener);
+	return status;
+}
+
+/*
+ * Returns the port of a listener.
+ */
+uint16_t
+h1_listener_port(const struct h1_listener *listener)
+{
+	struct sockaddr_in address = {0};
+	socklen_t len = sizeof(address);
+
+	if (getsockname(listener->fd, (struct sockaddr *)&address, &len) != 0)
+		return 0;
+	return ntohs(address.sin_port);
+}
+
+/*
+ * Returns how many accepted connections are open.
+ */
+size_t
+h1_listener_count(const struct h1_listener *listener)
+{
+	return listener->count;
+}
+
+/*
+ * Closes the listener and its connections without callbacks.
+ */
+void
+h1_listener_destroy(struct h1_listener *listener)
+{
+	if (listener == NULL)
+		return;
+	while (listener->conns != NULL)
+		h1_close(listener->conns);
+	h1_listener_stop(listener);
+	free(listener);
+}
+
+/*
+ * Accepts no more connections and closes those that wait for a request; the
+ * others are served.
+ */
+void
+h1_listener_stop(struct h1_listener *listener)
+{
+	struct h1_conn *next;
+
+	loop_watch_destroy(listener->watch);
+	listener->watch = NULL;
+	if (listener->fd >= 0)
+		close(listener->fd);
+	listener->fd = -1;
+	for (struct h1_conn *conn = listener->conns; conn != NULL;
+	     conn = next) {
+		next = conn->next;
+		if (!conn->busy && !conn->finishing && conn->head_begun_at == 0)
+			h1_close(conn);
+	}
+}
+
+/*
+ * Closes idle connections and reports heads that take too long; the owner
+ * calls it several times a second.
+ */
+void
+h1_listener_sweep(struct h1_listener *listener)
+{
+	int64_t now = loop_now(listener->h1->loop);
+	struct h1_conn *next;
+
+	for (struct h1_conn *conn = listener->conns; conn != NULL;
+	     conn = next) {
+		next = conn->next;
+		if (conn->busy || conn->finishing)
+			continue;
+		if (conn->head_begun_at != 0) {
+			if (!conn->head_done &&
+			    now - conn->head_begun_at >=
+				listener->limits->head_timeout_usec) {
+				conn->fault = H1_FAULT_HEAD_TIMEOUT;
+				h1_protocol_error(conn);
+				/* The owner may have closed any of them. */
+				return;
+			}
+		} else if (now - conn->idle_since >=
+		    listener->limits->idle_timeout_usec) {
+			h1_close(conn);
+		}
+	}
+}
--- /dev/null
+++ b/src/node/h1_message.c
@@ -0,0 +1,176 @@
+#include <assert.h>
+#include <string.h>
+#include <strings.h>
+
+#include "h1_priv.h"
+
+/*
+ * Returns the method of a request.
+ */
+struct lstr
+h1_method(const struct h1_conn *conn)
+{
+	return lstr_from(
+	    http_method_str((enum http_method)conn->parser.method));
+}
+
+/*
+ * Borrows the bytes of a span of the head.
+ */
+static struct lstr
+span_text(const struct h1_conn *conn, struct span span)
+{
+	return lstr_make(conn->text.data + span.at, span.len);
+}
+
+/*
+ * Returns the target of a request as it was sent.
+ */
+struct lstr
+h1_target(const struct h1_conn *conn)
+{
+	return span_text(conn, conn->target);
+}
+
+/*
+ * Returns the status of an answer.
+ */
+unsigned int
+h1_status(const struct h1_conn *conn)
+{
+	return conn->parser.status_code;
+}
+
+/*
+ * Tells whether the peer keeps the connection open after this message.
+ */
+bool
+h1_keep_alive(const struct h1_conn *conn)
+{
+	return http_should_keep_alive(&conn->parser) != 0;
+}
+
+/*
+ * Tells whether the message is of HTTP/1.0, which has no chunks.
+ */
+bool
+h1_is_http10(const struct h1_conn *conn)
+{
+	return conn->parser.http_major < 1 ||
+	    (conn->parser.http_major == 1 && conn->parser.http_minor == 0);
+}
+
+/*
+ * Returns the announced length of the body, -1 if there is none.
+ */
+int64_t
+h1_content_length(const struct h1_conn *conn)
+{
+	struct lstr value;
+	int64_t length;
+
+	if (!h1_header(conn, "Content-Length", &value) ||
+	    lstr_to_int64(value, &length) != STATUS_OK)
+		return -1;
+	return length;
+}
+
+/*
+ * Client: tells whether the connection can carry another request: the answer
+ * is complete and nothing came behind it.
+ */
+bool
+h1_clean(const struct h1_conn *conn)
+{
+	return !conn->is_closed && !conn->broken && conn->complete &&
+	    !conn->stray && !conn->connecting && conn->out.len == 0 &&
+	    h1_keep_alive(conn);
+}
+
+/*
+ * Returns why the request could not be read.
+ */
+enum h1_fault
+h1_fault(const struct h1_conn *conn)
+{
+	return conn->fault;
+}
+
+/*
+ * Returns when the first byte of the request arrived, in microseconds since
+ * the epoch.
+ */
+int64_t
+h1_head_begun_at(const struct h1_conn *conn)
+{
+	return conn->head_begun_at;
+}
+
+/*
+ * Returns how many headers the message has.
+ */
+size_t
+h1_header_count(const struct h1_conn *conn)
+{
+	return conn->header_count;
+}
+
+/*
+ * Borrows a header of the message.
+ */
+void
+h1_header_at(const struct h1_conn *conn, size_t index, struct lstr *name,
+    struct lstr *value)
+{
+	assert(index < conn->header_count);
+	*name = span_text(conn, conn->headers[index].name);
+	*value = span_text(conn, conn->headers[index].value);
+}
+
+/*
+ * Finds the first header of a name.
+ */
+bool
+h1_header(const struct h1_conn *conn, const char *name, struct lstr *value)
+{
+	size_t len = strlen(name);
+
+	for (size_t i = 0; i < conn->header_count; i++) {
+		struct lstr n;
+
+		h1_header_at(conn, i, &n, value);
+		if (n.len == len && strncasecmp(n.data, name, len) == 0)
+			return true;
+	}
+	*value = lstr_make(NULL, 0);
+	return false;
+}
+
+/*
+ * Tells whether a comma-separated list, such as Connection, has a token.
+ */
+bool
+h1_token_listed(struct lstr list, struct lstr token)
+{
+	size_t at = 0;
+
+	while (at < list.len) {
+		size_t end = at;
+		size_t last;
+
+		while (end < list.len && list.data[end] != ',')
+			end++;
+		last = end;
+		while (at < last &&
+		    (list.data[at] == ' ' || list.data[at] == '\t'))
+			at++;
+		while (last > at &&
+		    (list.data[last - 1] == ' ' || list.data[last - 1] == '\t'))
+			last--;
+		if (last - at == token.len &&
+		    strncasecmp(list.data + at, token.data, token.len) == 0)
+			return true;
+		at = end + 1;
+	}
+	return false;
+}
