Number data centres once in the search of a path

Change: data centres and their first servers are numbered once a search; the paths found are the same (test_path).

--- a/src/node/path.c
+++ b/src/node/path.c
@@ -7,6 +7,9 @@
 #define CROWDED_SHARE 0.5
 /* A server that is full costs this many times more than an empty one. */
 #define CROWDED_FACTOR 4.0
+/* Data centres that are told apart; further ones are searched together only
+ * where paths may cross. */
+#define ZONES_MAX 64
 /* Cost of what cannot be reached. */
 #define COST_NONE 1e300
 /* Reading counts as no more than this share of a server's time, so that the
@@ -29,8 +32,14 @@
 	const struct path_server *servers;
 	size_t count;
 	const struct path_demand *demand;
-	/* Only servers of this data centre are used; NULL: of all. */
-	const char *within;
+	/* The data centres, and that of each server. */
+	const char *zones[ZONES_MAX];
+	uint32_t zone_count;
+	uint32_t *zone_of;
+	/* First servers of each data centre that run passes now. */
+	uint32_t heads[ZONES_MAX];
+	/* Only servers of this data centre are used; ZONES_MAX: of all. */
+	uint32_t within;
 	uint32_t boundaries[FLEET_LAYERS_MAX + 1];
 	uint32_t boundary_count;
 	/* What each request of a first server adds to a token of the others. */
@@ -72,20 +81,27 @@
 }
 
 /*
- * Counts the first servers of a data centre that run passes now.
+ * Numbers the data centres of the servers and counts the first servers that
+ * run passes in each. Servers of further data centres share the last number.
  */
-static uint32_t
-first_servers(const struct search *search, const char *zone)
+static void
+number_zones(struct search *search)
 {
-	uint32_t count = 0;
-
 	for (size_t i = 0; i < search->count; i++) {
 		const struct path_server *server = &search->servers[i];
+		uint32_t zone = 0;
 
-		count += server->first_active > 0 && server->usable &&
-		    strcmp(server->zone, zone) == 0;
+		if (server->zone == NULL)
+			continue;
+		while (zone < search->zone_count &&
+		    strcmp(search->zones[zone], server->zone) != 0)
+			zone++;
+		if (zone == search->zone_count && zone < ZONES_MAX - 1)
+			search->zones[search->zone_count++] = server->zone;
+		search->zone_of[i] = MIN(zone, ZONES_MAX - 1);
+		search->heads[search->zone_of[i]] +=
+		    server->first_active > 0 && server->usable;
 	}
-	return count;
 }
 
 /*
@@ -94,14 +110,14 @@
  * first server share a pass; passes of several follow one another.
  */
 static double
-step_usec(const struct search *search, const struct path_server *server,
-    double context)
+step_usec(const struct search *search, uint32_t index, double context)
 {
+	const struct path_server *server = &search->servers[index];
 	const struct fleet_engine *engine = search->engine;
 	double held = server->layer_to - server->layer_from;
 	double tokens = (double)server->used / held + context;
 	double passes =
-	    1 + PATH_PASS_SHARE * first_servers(search, server->zone);
+	    1 + PATH_PASS_SHARE * search->heads[search->zone_of[index]];
 
 	return server->slowness * server->step_factor *
 	    (engine->step_usec * passes +
@@ -132,13 +148,15 @@
  * Tells whether the search may use a server.
  */
 static bool
-is_usable(const struct search *search, const struct path_server *server)
+is_usable(const struct search *search, uint32_t index)
 {
+	const struct path_server *server = &search->servers[index];
+
 	return server->usable && server->zone != NULL &&
 	    server->layer_to > server->layer_from &&
 	    server->layer_to <= search->engine->layers &&
-	    (search->within == NULL ||
-		strcmp(server->zone, search->within) == 0);
+	    (search->within == ZONES_MAX ||
+		search->zone_of[index] == search->within);
 }
 
 /*
@@ -169,10 +187,10 @@
 	if (search->engine->layers > HEAD_LAYERS_MIN)
 		add_boundary(search, HEAD_LAYERS_MIN);
 	add_boundary(search, search->engine->layers);
-	for (size_t i = 0; i < search->count; i++) {
+	for (uint32_t i = 0; i < search->count; i++) {
 		const struct path_server *server = &search->servers[i];
 
-		if (!is_usable(search, server))
+		if (!is_usable(search, i))
 			continue;
 		add_boundary(search, server->layer_from);
 		add_boundary(search, server->layer_to);
@@ -242,7 +260,7 @@
 	uint32_t start = search->boundaries[at];
 	int64_t tokens = (int64_t)search->demand->prompt_tokens +
 	    search->demand->output_tokens;
-	double step = step_usec(search, server, (double)tokens);
+	double step = step_usec(search, index, (double)tokens);
 	double fixed = PATH_STAGE_USEC;
 
 	if (at == 0) {
@@ -314,7 +332,7 @@
 		    &search->servers[stage->server];
 		double share = (double)(stage->layer_to - stage->layer_from) /
 		    engine->layers;
-		double own = step_usec(search, server, prompt) * share;
+		double own = step_usec(search, stage->server, prompt) * share;
 
 		step += own;
 		/* It waits for the pass that runs, and reads between others. */
@@ -376,7 +394,7 @@
 	for (uint32_t i = 0; i < search->count; i++) {
 		const struct path_server *server = &search->servers[i];
 
-		if (!is_usable(search, server) || server->layer_from > start ||
+		if (!is_usable(search, i) || server->layer_from > start ||
 		    server->layer_to <= start)
 			continue;
 		held = true;
@@ -387,12 +405,12 @@
 }
 
 /*
- * Searches within one data centre, or with NULL in all of them. Returns what
- * path_find() does; the cost is only set for STATUS_OK.
+ * Searches within one data centre, or with ZONES_MAX in all of them. Returns
+ * what path_find() does; the cost is only set for STATUS_OK.
  */
 static enum status
 search_within(
-    struct search *search, const char *zone, struct path *path, double *cost)
+    struct search *search, uint32_t zone, struct path *path, double *cost)
 {
 	uint32_t last;
 	bool covered = true;
@@ -422,19 +440,12 @@
 	enum status status = STATUS_NOT_FOUND;
 	double best = COST_NONE;
 
-	for (size_t i = 0; i < search->count; i++) {
-		const char *zone = search->servers[i].zone;
+	for (uint32_t zone = 0; zone < search->zone_count; zone++) {
 		struct path found = {.count = 0};
-		enum status outcome;
-		bool repeated = zone == NULL;
 		double cost = COST_NONE;
+		enum status outcome =
+		    search_within(search, zone, &found, &cost);
 
-		for (size_t k = 0; k < i && !repeated; k++)
-			repeated = search->servers[k].zone != NULL &&
-			    strcmp(search->servers[k].zone, zone) == 0;
-		if (repeated)
-			continue;
-		outcome = search_within(search, zone, &found, &cost);
 		if (outcome == STATUS_FULL && status == STATUS_NOT_FOUND)
 			status = STATUS_FULL;
 		if (outcome == STATUS_OK && cost < best) {
@@ -458,20 +469,26 @@
 	struct search search = {.engine = engine,
 	    .servers = servers,
 	    .count = count,
-	    .demand = demand};
+	    .demand = demand,
+	    .zone_of = g_new0(uint32_t, count + 1)};
 	enum status status;
 	double cost;
 
+	number_zones(&search);
 	search.head_usec = head_usec(&search);
-	status = demand->may_cross ? search_within(&search, NULL, path, &cost)
-				   : search_each_zone(&search, path);
-	if (status != STATUS_OK)
-		return status_set(status, "%s",
+	status = demand->may_cross
+	    ? search_within(&search, ZONES_MAX, path, &cost)
+	    : search_each_zone(&search, path);
+	if (status == STATUS_OK) {
+		assert(path_is_complete(engine, path, servers, count));
+		estimate(&search, path);
+	} else {
+		status_set(status, "%s",
 		    status == STATUS_FULL ? "no path has room"
 					  : "some layers are held nowhere");
-	assert(path_is_complete(engine, path, servers, count));
-	estimate(&search, path);
-	return STATUS_OK;
+	}
+	g_free(search.zone_of);
+	return status;
 }
 
 /*
