Compare the proof with the time of the list before

Cause: the watch may be under way when the test reads the time before it. Change: the list's time is kept.

--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -92,6 +92,8 @@
 	struct store store;
 	struct seen seen;
 	struct mirror *mirror;
+	/* When the first list was sent. */
+	int64_t listed_at;
 };
 
 static bool
@@ -155,6 +157,7 @@
 			     &w->seen, &w->mirror),
 	    STATUS_OK);
 	wait_call(w, KV_LIST);
+	w->listed_at = w->store.sent_at;
 	reply(w, STATUS_OK, 10, items, 2);
 	ck_assert_uint_eq(w->seen.changed, 2);
 }
@@ -174,7 +177,7 @@
 	int64_t sent_at;
 
 	start(&w);
-	before = w.store.sent_at;
+	before = w.listed_at;
 	wait_call(&w, KV_WATCH);
 	ck_assert_uint_eq(w.store.after, 10);
 	sent_at = w.store.sent_at;
