--- a/src/node/gate_answer.c
+++ b/src/node/gate_answer.c
@@ -127,8 +127,8 @@
 
 	gate->counts.refused++;
 	slog_event(EV_REQUEST_REFUSED,
-	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:i}", "id",
-	    request->id, "status", (int)status, "reason", reason, "route",
+	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:s}",
+	    "id", request->id, "status", (int)status, "reason", reason, "route",
 	    request->route ? request->route->name : "", "organisation",
 	    request->organisation ? request->organisation->name : "",
 	    "retry_after_ms", (json_int_t)(retry_usec / LOOP_USEC_PER_MSEC),
@@ -139,7 +139,9 @@
 	    "proof_age_ms",
 	    (json_int_t)((now - mirror_proved_at(gate->config.mirror)) /
 		LOOP_USEC_PER_MSEC),
-	    "waiting", (int)gate_waiting(gate));
+	    "waiting", (int)gate_waiting(gate), "sends", (int)request->sends,
+	    "server_status", (int)request->refusal_status, "named",
+	    request->refusal_fault);
 	if (request->caller == NULL) {
 		gate_end(request, NULL);
 		return;
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -36,6 +36,9 @@
 /* A whole answer of a plain service is kept up to this size. */
 #define GATE_ANSWER_MAX_BYTES ((size_t)16 * 1024 * 1024)
 
+/* Longest "ip:port" that is kept for the log. */
+#define GATE_ADDRESS_MAX_BYTES 21
+
 enum gate_state {
 	/* The body is arriving. */
 	GATE_READING,
@@ -106,6 +109,10 @@
 	struct pool_server *tried[GATE_SENDS_MAX];
 	uint32_t sends;
 	bool may_have_run;
+	/* Status of the server that last refused it, and the server that it
+	 * named as the one at fault, for the log; 0: none refused it. */
+	unsigned int refusal_status;
+	char refusal_fault[GATE_ADDRESS_MAX_BYTES + 1];
 	/* The head of the answer has been passed on. */
 	bool answer_begun;
 	bool chunked;
--- a/src/node/gate_send.c
+++ b/src/node/gate_send.c
@@ -387,6 +387,22 @@
 		   &failed, gate_now(gate), gate->rand, &at) == RETRY_OK;
 }
 
+/*
+ * Keeps what the server said for the log; the answer ends with its attempt.
+ */
+static void
+note_refusal(struct gate_request *request)
+{
+	const struct adapter_answer *answer = &request->attempt.answer;
+	size_t len =
+	    MIN(answer->fault_address.len, (size_t)GATE_ADDRESS_MAX_BYTES);
+
+	request->refusal_status = answer->status;
+	if (len > 0)
+		memcpy(request->refusal_fault, answer->fault_address.data, len);
+	request->refusal_fault[len] = '\0';
+}
+
 /*
  * Decides what follows a failed attempt and does it.
  */
@@ -413,6 +429,7 @@
 	if (request->state == GATE_OVER)
 		return;
 	request->may_have_run = request->may_have_run || !not_run;
+	note_refusal(request);
 	gate_attempt_end(request, not_run);
 	if (next == ADMIT_AGAIN && !gate_spend_retry(request)) {
 		failure.attempts_left = false;
@@ -422,11 +439,14 @@
 	switch (next) {
 	case ADMIT_AGAIN:
 		gate->counts.retried++;
-		slog_event(EV_REQUEST_RETRIED, "{s:s, s:s, s:s, s:b, s:I, s:i}",
-		    "id", request->id, "reason", reason, "server",
+		slog_event(EV_REQUEST_RETRIED,
+		    "{s:s, s:s, s:s, s:b, s:I, s:i, s:i, s:s}", "id",
+		    request->id, "reason", reason, "server",
 		    server ? server->info.id : "", "not_run", not_run,
 		    "last_event", (json_int_t)request->last_event, "sends",
-		    (int)request->sends);
+		    (int)request->sends, "server_status",
+		    (int)request->refusal_status, "named",
+		    request->refusal_fault);
 		if (request->service->engine != NULL)
 			gate_stream_start(request);
 		else
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -373,23 +373,44 @@
 }
 
 /*
- * Blames the server that an engine names, if any.
+ * Finds the server that an engine names as the one at fault, on the request's
+ * own path first. NULL: it names none that is known.
+ */
+static struct pool_server *
+named_server(const struct gate_request *request)
+{
+	const struct gate_attempt *attempt = &request->attempt;
+	struct lstr address = attempt->answer.fault_address;
+
+	if (address.len == 0)
+		return NULL;
+	for (uint32_t i = 0; i < attempt->stage_count; i++) {
+		struct pool_server *server = attempt->stages[i].server;
+
+		if (lstr_equal_c(address, server->info.address_text))
+			return server;
+	}
+	return pool_find_address(request->gate->config.pool, address);
+}
+
+/*
+ * Avoids the server for which an engine refused a request: the one that it
+ * names, or itself when the path as it stands is no use to it.
  */
 static void
 blame(struct gate_request *request)
 {
 	const struct adapter_answer *answer = &request->attempt.answer;
-	struct pool_server *server;
-
-	if (answer->fault_address.len > 0) {
-		server = pool_find_address(
-		    request->gate->config.pool, answer->fault_address);
-		if (server != NULL)
-			gate_avoid(request->gate, server, "named by an engine");
-	} else if (answer->status == HTTP_STATUS_MISDIRECTED_REQUEST) {
+	struct pool_server *server = named_server(request);
+
+	if (server != NULL)
+		gate_avoid(request->gate, server, "named by an engine");
+	else if (answer->status == HTTP_STATUS_MISDIRECTED_REQUEST)
 		gate_avoid(request->gate, request->attempt.server,
 		    "address belongs to another server");
-	}
+	else if (answer->status == HTTP_STATUS_BAD_REQUEST)
+		gate_avoid(request->gate, request->attempt.server,
+		    "engine does not accept the path");
 }
 
 /*
--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -397,6 +397,7 @@
 	row->place = server->info.zone;
 	row->kind = fleet_engine_kind(engine, server->info.kind);
 	if (row->kind == NULL || server->info.state != FLEET_READY ||
+	    server->superseded ||
 	    (server->failing_since != 0 &&
 		now - server->failing_since > PLANNER_FAILING_USEC))
 		return false;
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -72,6 +72,26 @@
 	return (uint32_t)XXH3_64bits(id.data, id.len);
 }
 
+/*
+ * Gives the address of a server to the one that started last among those that
+ * claim it: an address belongs to one process at a time.
+ */
+static void
+settle_address(struct pool *pool, struct pool_server *server)
+{
+	struct pool_server *holder =
+	    pool_find_address(pool, lstr_from(server->info.address_text));
+
+	server->superseded = holder != NULL && holder != server &&
+	    holder->info.born > server->info.born;
+	if (server->superseded)
+		return;
+	if (holder != NULL && holder != server)
+		holder->superseded = true;
+	g_hash_table_replace(
+	    pool->by_address, server->info.address_text, server);
+}
+
 /*
  * Takes a server's present description, which the pool then owns. A server
  * that started again is a new one: it holds and knows nothing of before.
@@ -107,8 +127,7 @@
 	g_hash_table_replace(pool->by_id, server->info.id, server);
 	g_hash_table_replace(
 	    pool->by_hash, GUINT_TO_POINTER(server->hash), server);
-	g_hash_table_replace(
-	    pool->by_address, server->info.address_text, server);
+	settle_address(pool, server);
 	return server;
 }
 
@@ -184,7 +203,8 @@
 bool
 pool_is_on_probation(const struct pool_server *server, int64_t now)
 {
-	return server->failing_since != 0 && server->avoid_until <= now;
+	return server->failing_since != 0 && server->avoid_until <= now &&
+	    !server->superseded;
 }
 
 /*
@@ -193,7 +213,7 @@
 bool
 pool_usable(const struct pool_server *server, int64_t now)
 {
-	return server->info.state == FLEET_READY &&
+	return server->info.state == FLEET_READY && !server->superseded &&
 	    server->failing_since == 0 && server->avoid_until <= now &&
 	    server->peer_avoid_until <= now;
 }
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -42,6 +42,9 @@
 struct pool_server {
 	struct fleet_server info;
 	uint32_t hash;
+	/* Another process that started later has the address, so the entry is a
+	 * stale one. Settled anew with each report of either. */
+	bool superseded;
 	/* The entry is gone; the server may be used until lapse_at. */
 	int64_t lapse_at;
 	int64_t avoid_until;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -42,6 +42,68 @@
 }
 END_TEST
 
+/*
+ * Puts a server at a given address into the pool.
+ */
+static struct pool_server *
+put_at(struct pool *pool, const char *id, const char *address, int64_t born)
+{
+	struct fleet_server info = {.id = g_strdup(id),
+	    .service = g_strdup("s"),
+	    .address_text = g_strdup(address),
+	    .zone = g_strdup("a"),
+	    .slots = 4,
+	    .layer_to = 8,
+	    .born = born};
+	bool is_new;
+
+	return pool_put(pool, &info, NOW, &is_new);
+}
+
+/* Guards against an entry that reappears after another process has taken the
+ * address: a path with both names one engine twice, which refuses it. */
+START_TEST(stale_entry_at_a_taken_address_is_not_used)
+{
+	const char *address = "10.0.0.1:80";
+	struct pool *pool = pool_new();
+	struct pool_server *former = put_at(pool, "old", address, 100);
+	struct pool_server *present = put_at(pool, "new", address, 200);
+
+	ck_assert(!pool_usable(former, NOW));
+	ck_assert(pool_usable(present, NOW));
+	/* A late report of the former process is written once more. */
+	former = put_at(pool, "old", address, 100);
+	ck_assert(!pool_usable(former, NOW));
+	ck_assert(pool_usable(present, NOW));
+	ck_assert_ptr_eq(pool_find_address(pool, lstr_from(address)), present);
+	/* It lapses, comes back alone and is told apart once more. */
+	pool_remove(pool, "old");
+	former = put_at(pool, "old", address, 100);
+	ck_assert(!pool_usable(former, NOW));
+	ck_assert_ptr_eq(pool_find_address(pool, lstr_from(address)), present);
+	pool_free(pool);
+}
+END_TEST
+
+/* Guards against a live server that stays out of use because a stale entry had
+ * a later start, stamped by a clock that ran ahead. */
+START_TEST(live_entry_returns_when_the_later_one_is_gone)
+{
+	const char *address = "10.0.0.1:80";
+	struct pool *pool = pool_new();
+	struct pool_server *live;
+
+	put_at(pool, "ahead", address, 5000);
+	live = put_at(pool, "live", address, 3000);
+	ck_assert(!pool_usable(live, NOW));
+	pool_remove(pool, "ahead");
+	live = put_at(pool, "live", address, 3000);
+	ck_assert(pool_usable(live, NOW));
+	ck_assert_ptr_eq(pool_find_address(pool, lstr_from(address)), live);
+	pool_free(pool);
+}
+END_TEST
+
 /* Guards against a failed server that gets requests before it shows life. */
 START_TEST(failed_server_returns_on_evidence)
 {
@@ -118,6 +180,8 @@
 }
 END_TEST
 
-HARNESS_MAIN("pool", restarted_server_is_new, failed_server_returns_on_evidence,
-    own_evidence_goes_before_a_peers_word, plain_requests_go_where_they_succeed,
-    slowness_fades_without_evidence)
+HARNESS_MAIN("pool", restarted_server_is_new,
+    stale_entry_at_a_taken_address_is_not_used,
+    live_entry_returns_when_the_later_one_is_gone,
+    failed_server_returns_on_evidence, own_evidence_goes_before_a_peers_word,
+    plain_requests_go_where_they_succeed, slowness_fades_without_evidence)
