--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -92,6 +92,14 @@
 	int64_t order_sequence;
 };
 
+/* An order to the first server of a path that runs: go on along another one,
+ * which begins with the same stage. */
+struct adapter_reroute {
+	const char *request_id;
+	const struct adapter_stage *stages;
+	size_t stage_count;
+};
+
 enum adapter_order_outcome {
 	/* Begun, or the state holds already. */
 	ADAPTER_ORDER_TAKEN,
@@ -141,6 +149,11 @@
 	enum status (*word_report)(const char *host, struct lstr_buf *);
 	enum status (*word_order)(const char *host, const char *server_id,
 	    const struct adapter_order *, struct lstr_buf *);
+	enum status (*word_reroute)(const char *host, const char *server_id,
+	    const struct adapter_reroute *, struct lstr_buf *);
+	/* Returns the address, "ip:port", of the server for which a reroute
+	 * was refused; NULL: none is named. The caller frees it. */
+	char *(*decode_refusing)(struct lstr);
 	enum adapter_order_outcome (*order_outcome)(unsigned int http_status);
 
 	bool (*is_ready_check)(struct lstr target);
--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -60,6 +60,16 @@
 	return verdict;
 }
 
+/*
+ * Decides whether work does not end before a server that is leaving does.
+ */
+bool
+admit_outlasts(int64_t work_usec, int64_t server_left_usec)
+{
+	return (double)work_usec * ADMIT_STOPPING_FACTOR >=
+	    (double)server_left_usec;
+}
+
 /*
  * Decides whether a node that stops takes one more request: since the order to
  * stop, until its end, and for the expected work.
@@ -68,7 +78,7 @@
 admit_while_stopping(int64_t since_usec, int64_t left_usec, int64_t work_usec)
 {
 	return since_usec <= ADMIT_STOPPING_USEC ||
-	    (double)work_usec * ADMIT_STOPPING_FACTOR < (double)left_usec;
+	    !admit_outlasts(work_usec, left_usec);
 }
 
 /*
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -76,6 +76,10 @@
 bool admit_while_stopping(
     int64_t since_usec, int64_t left_usec, int64_t work_usec);
 
+/* Whether work outlasts a server that is leaving: it moves only if the expected
+ * rest, with the same allowance as above, does not end in time. */
+bool admit_outlasts(int64_t work_usec, int64_t server_left_usec);
+
 /* What a failed attempt leads to. */
 enum admit_next {
 	/* Send it again, to another server or path. */
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -41,6 +41,7 @@
 	uint64_t queued;
 	uint64_t retried;
 	uint64_t resumed;
+	uint64_t rerouted;
 	uint64_t events;
 	uint64_t no_proof;
 	uint64_t stray_answers;
--- a/src/node/gate_priv.h
+++ b/src/node/gate_priv.h
@@ -55,6 +55,9 @@
 	uint32_t layer_to;
 };
 
+/* An order to a first server that is under way; see gate_reroute.c. */
+struct gate_reroute;
+
 /* One attempt at a server or along a path. */
 struct gate_attempt {
 	struct h1_conn *conn;
@@ -77,6 +80,11 @@
 	/* An answer that belongs to another request is being skipped. */
 	bool skipping;
 	bool stalled;
+	/* NULL: none is under way. */
+	struct gate_reroute *reroute;
+	/* No reroute is tried before; reroutes that failed. */
+	int64_t reroute_after;
+	uint32_t reroute_failures;
 	struct adapter_answer answer;
 	struct sse sse;
 };
@@ -197,6 +205,16 @@
 void gate_stream_expire(struct gate *, struct gate_service *, int64_t now);
 void gate_stream_pump(struct gate *);
 
+/* Reroutes: the rest of a path is replaced while the first server keeps the
+ * request. */
+bool gate_reroute(struct gate_request *, const char *reason);
+void gate_reroute_forget(struct gate_attempt *);
+void gate_reroute_leaving(struct gate_request *, int64_t now);
+void gate_charge(const struct gate_attempt *, int sign);
+void gate_path_text(const struct gate_stage *, uint32_t, struct lstr_buf *);
+double *gate_link_account(const struct gate_request *);
+uint32_t gate_output_estimate(const struct gate_request *);
+
 /* Failed and slow servers. */
 void gate_avoid(struct gate *, struct pool_server *, const char *evidence);
 void gate_probe(struct gate *, struct pool_server *, int64_t now);
--- a/src/node/gate_probe.c
+++ b/src/node/gate_probe.c
@@ -55,7 +55,10 @@
 		    3 * request->attempt.event_usec, GATE_STALL_MIN_USEC / 2);
 
 		if (request->state != GATE_SENT || !uses(request, server) ||
-		    now - request->attempt.progress_at < pause)
+		    now - request->attempt.progress_at < pause ||
+		    request->attempt.reroute != NULL)
+			continue;
+		if (gate_reroute(request, "a server of the path has failed"))
 			continue;
 		gate->counts.resumed++;
 		gate_failed(request, false, "a server of the path has failed");
--- a/src/node/gate_send.c
+++ b/src/node/gate_send.c
@@ -119,8 +119,8 @@
 /*
  * Charges what an attempt uses of its servers, or gives it back.
  */
-static void
-charge(const struct gate_attempt *attempt, int sign)
+void
+gate_charge(const struct gate_attempt *attempt, int sign)
 {
 	struct pool_server *server = attempt->server;
 
@@ -148,8 +148,9 @@
 	struct gate_attempt *attempt = &request->attempt;
 	struct sse sse = attempt->sse;
 
+	gate_reroute_forget(attempt);
 	if (attempt->server != NULL) {
-		charge(attempt, -1);
+		gate_charge(attempt, -1);
 		if (attempt->conn != NULL && reusable &&
 		    h1_clean(attempt->conn) &&
 		    attempt->server->avoid_until != INT64_MAX)
@@ -329,7 +330,7 @@
 	attempt->server = server;
 	attempt->sent_at = gate_now(request->gate);
 	attempt->progress_at = attempt->sent_at;
-	charge(attempt, 1);
+	gate_charge(attempt, 1);
 	if (!open_connection(request, server)) {
 		slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:s}", "server",
 		    server->info.id, "evidence", "connect", "status",
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -28,8 +28,8 @@
 /*
  * Estimates the length of the answer in tokens.
  */
-static uint32_t
-output_estimate(const struct gate_request *request)
+uint32_t
+gate_output_estimate(const struct gate_request *request)
 {
 	const struct fleet_engine *engine = request->service->engine;
 	double usual = engine->usual_output_tokens > 0
@@ -66,10 +66,14 @@
  * Returns the bytes that this node's paths may still send between data
  * centres: its share of the links, as long as it was not used.
  */
-static double *
-link_account(struct gate *gate, struct gate_service *service,
-    const struct fleet_engine *engine, int64_t now)
+double *
+gate_link_account(const struct gate_request *request)
 {
+	struct gate *gate = request->gate;
+	struct gate_service *service =
+	    gate_service(gate, request->service->name);
+	const struct fleet_engine *engine = request->service->engine;
+	int64_t now = gate_now(gate);
 	double rate = engine->link_bytes_per_usec * GATE_LINK_SHARE /
 	    mesh_live_count(gate->config.mesh);
 	double max = rate * (double)GATE_LINK_BURST_USEC;
@@ -91,9 +95,8 @@
 	struct gate *gate = request->gate;
 	const struct fleet_engine *engine = request->service->engine;
 	struct path_demand demand = {request->info.prompt_tokens,
-	    output_estimate(request), gate->config.place, false};
-	double *left = link_account(gate,
-	    gate_service(gate, request->service->name), engine, gate_now(gate));
+	    gate_output_estimate(request), gate->config.place, false};
+	double *left = gate_link_account(request);
 	enum status status;
 
 	if (demand.prompt_tokens == 0)
@@ -136,7 +139,7 @@
 	if (status == STATUS_OK &&
 	    !gate_takes_new(request,
 		path.first_usec +
-		    path.event_usec * output_estimate(request) /
+		    path.event_usec * gate_output_estimate(request) /
 			MAX(engine->stride, 1u)))
 		status = STATUS_DENIED;
 	if (status == STATUS_OK) {
@@ -156,6 +159,19 @@
 	return status;
 }
 
+/*
+ * Writes a path as "server=from-to" for each stage, for the log.
+ */
+void
+gate_path_text(
+    const struct gate_stage *stages, uint32_t count, struct lstr_buf *out)
+{
+	for (uint32_t i = 0; i < count; i++)
+		lstr_buf_printf(out, "%s%s=%u-%u", i > 0 ? "," : "",
+		    stages[i].server->info.id, stages[i].layer_from,
+		    stages[i].layer_to);
+}
+
 /*
  * Logs the start of a request: its place in the order of service and what
  * decided it.
@@ -167,10 +183,7 @@
 	struct lstr_buf path = {0};
 
 	request->order = ++request->gate->order;
-	for (uint32_t i = 0; i < attempt->stage_count; i++)
-		lstr_buf_printf(&path, "%s%s=%u-%u", i > 0 ? "," : "",
-		    attempt->stages[i].server->info.id,
-		    attempt->stages[i].layer_from, attempt->stages[i].layer_to);
+	gate_path_text(attempt->stages, attempt->stage_count, &path);
 	slog_event(EV_REQUEST_STARTED,
 	    "{s:s, s:I, s:s, s:s, s:i, s:I, s:s%, s:I, s:I, s:I, s:i}", "id",
 	    request->id, "order", (json_int_t)request->order, "organisation",
@@ -254,8 +267,8 @@
 		request->organisation ? request->organisation->name : ""),
 	    .priority = request->priority,
 	    .weight = 1,
-	    .cost =
-		(int64_t)request->info.prompt_tokens + output_estimate(request),
+	    .cost = (int64_t)request->info.prompt_tokens +
+		gate_output_estimate(request),
 	    .arrival = request->arrived_at,
 	    .data = request};
 
@@ -588,6 +601,9 @@
 	int64_t pause = now - attempt->progress_at;
 	int64_t limit;
 
+	gate_reroute_leaving(request, now);
+	if (attempt->reroute != NULL)
+		return;
 	if (attempt->server->avoid_until > now &&
 	    pause > GATE_STALL_MIN_USEC / 2 && !attempt->stalled) {
 		attempt->stalled = true;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -79,7 +79,7 @@
 	slog_event(
 	    EV_SERVER_REMOVED, "{s:s, s:s}", "server", id, "reason", why);
 	gate_forget_server(node->gate, server);
-	pool_remove(node->pool, id);
+	pool_remove(node->pool, id, loop_now(node->loop));
 }
 
 /*
@@ -460,6 +460,7 @@
 	enum status status;
 
 	node->pool = pool_new();
+	node->pool->leave_usec = settings->leave_ms * LOOP_USEC_PER_MSEC;
 	status = kv_http_create_dialect(node->loop, node->fetch,
 	    settings->store, node->adapter->store, &node->kv);
 	if (status == STATUS_OK)
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -111,6 +111,7 @@
 	    {"requests_queued_total", (int64_t)gate->queued},
 	    {"requests_retried_total", (int64_t)gate->retried},
 	    {"requests_without_proof_total", (int64_t)gate->no_proof},
+	    {"streams_rerouted_total", (int64_t)gate->rerouted},
 	    {"streams_moved_total", (int64_t)gate->resumed},
 	    {"stream_events_total", (int64_t)gate->events},
 	    {"stray_answers_total", (int64_t)gate->stray_answers},
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -11,6 +11,7 @@
 
 #define NAME_MAX_BYTES 100
 #define PORT_MAX 65535
+#define LEAVE_MAX_MS 600000
 #define REVOKE_MAX_MS 600000
 #define SECONDS_MAX 3600
 #define RETRY_SLACK_MAX 1000000
@@ -48,6 +49,7 @@
     {"store", FIELD_ADDRESS, AT(store), 0, 0, true, true},
     {"mesh_port", FIELD_WHOLE, AT(mesh_port), 0, PORT_MAX, true, true},
     {"revoke_ms", FIELD_WHOLE, AT(revoke_ms), 0, REVOKE_MAX_MS, false, true},
+    {"leave_ms", FIELD_WHOLE, AT(leave_ms), 0, LEAVE_MAX_MS, false, true},
     {"grace_s", FIELD_NUMBER, AT(grace_s), 0, SECONDS_MAX, false, false},
     {"retry_slack", FIELD_WHOLE, AT(retry_slack), 0, RETRY_SLACK_MAX, false,
 	true},
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -23,6 +23,8 @@
 	int64_t mesh_port;
 	/* A revoked key must be dead this long after it; 0: no such bound. */
 	int64_t revoke_ms;
+	/* A server that leaves serves at least this much longer. */
+	int64_t leave_ms;
 	/* Time between SIGTERM and SIGKILL. */
 	double grace_s;
 	/* Retries of all nodes in one window: this many, and a share of the
--- a/src/node/path.h
+++ b/src/node/path.h
@@ -82,6 +82,10 @@
 
 enum status path_find(const struct fleet_engine *, const struct path_server *,
     size_t, const struct path_demand *, struct path *);
+/* Replaces the servers of a path that are not usable any more. */
+enum status path_mend(const struct fleet_engine *, const struct path_server *,
+    size_t, const struct path_demand *, const struct path *old,
+    struct path *mended);
 bool path_is_complete(const struct fleet_engine *, const struct path *,
     const struct path_server *, size_t);
 int64_t path_server_memory(
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -92,6 +92,16 @@
 	    pool->by_address, server->info.address_text, server);
 }
 
+/*
+ * Notes that a server leaves, unless that is known.
+ */
+static void
+note_leaving(const struct pool *pool, struct pool_server *server, int64_t now)
+{
+	if (server->leaves_at == 0)
+		server->leaves_at = now + pool->leave_usec;
+}
+
 /*
  * Takes a server's present description, which the pool then owns. A server
  * that started again is a new one: it holds and knows nothing of before.
@@ -103,7 +113,7 @@
 	struct pool_server *server = pool_find(pool, info->id);
 
 	if (server != NULL && server->info.born != info->born) {
-		pool_remove(pool, info->id);
+		pool_remove(pool, info->id, now);
 		server = NULL;
 	}
 	*is_new = server == NULL;
@@ -128,6 +138,10 @@
 	g_hash_table_replace(
 	    pool->by_hash, GUINT_TO_POINTER(server->hash), server);
 	settle_address(pool, server);
+	if (server->info.state != FLEET_READY)
+		note_leaving(pool, server, now);
+	else
+		server->leaves_at = 0;
 	return server;
 }
 
@@ -135,7 +149,7 @@
  * Takes a server out. Requests that use it keep it until the end of the pool.
  */
 void
-pool_remove(struct pool *pool, const char *id)
+pool_remove(struct pool *pool, const char *id, int64_t now)
 {
 	struct pool_server *server = pool_find(pool, id);
 
@@ -149,6 +163,7 @@
 		g_hash_table_remove(
 		    pool->by_address, server->info.address_text);
 	server->avoid_until = INT64_MAX;
+	note_leaving(pool, server, now);
 	g_ptr_array_add(pool->gone, server);
 }
 
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -45,6 +45,8 @@
 	/* Another process that started later has the address, so the entry is a
 	 * stale one. Settled anew with each report of either. */
 	bool superseded;
+	/* It is leaving and may end from this time on; 0: it is not. */
+	int64_t leaves_at;
 	/* The entry is gone; the server may be used until lapse_at. */
 	int64_t lapse_at;
 	int64_t avoid_until;
@@ -83,13 +85,15 @@
 	/* Counts changes, for the logs. */
 	uint64_t version;
 	int64_t last_added_at;
+	/* A server that leaves serves this much longer. */
+	int64_t leave_usec;
 };
 
 struct pool *pool_new(void);
 void pool_free(struct pool *);
 struct pool_server *pool_put(
     struct pool *, struct fleet_server *, int64_t now, bool *is_new);
-void pool_remove(struct pool *, const char *id);
+void pool_remove(struct pool *, const char *id, int64_t now);
 void pool_lapse(struct pool *, const char *id, int64_t until);
 struct pool_server *pool_find(const struct pool *, const char *id);
 struct pool_server *pool_find_hash(const struct pool *, uint32_t);
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -47,6 +47,14 @@
 unsigned int fake_platform_streams(const struct fake_platform *);
 /* Whether some path was not complete; see LAYERS of the users' rules. */
 unsigned int fake_platform_bad_paths(const struct fake_platform *);
+/* Orders to go on along another path that were carried out. */
+unsigned int fake_platform_reroutes(const struct fake_platform *);
+/* Refuses such orders. */
+void fake_platform_refuse_reroutes(struct fake_platform *);
+/* The engine that misbehaves reports that it is about to leave. */
+void fake_platform_drain_engine(struct fake_platform *);
+/* Running streams whose path uses the engine that misbehaves. */
+unsigned int fake_platform_faulty_streams(const struct fake_platform *);
 unsigned int fake_platform_keys_seen(const struct fake_platform *);
 void fake_platform_forget(struct fake_platform *);
 
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -41,6 +41,7 @@
 	unsigned int from;
 	unsigned int to;
 	unsigned int orders;
+	bool draining;
 };
 
 /* A request at an engine, or one at a plain server that is being read. */
@@ -83,6 +84,8 @@
 	unsigned int streams;
 	unsigned int bad_paths;
 	unsigned int keys_seen;
+	unsigned int reroutes;
+	bool refuses_reroutes;
 };
 
 /*
@@ -440,7 +443,8 @@
 	json_t *entry = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}",
 	    "service", server->engine ? "writer" : "ledger", "address",
 	    server->address, "zone", "here", "version", "v1", "slots", 8,
-	    "state", "ready", "coldRemainingMs", 0, "sequence", 1);
+	    "state", server->draining ? "draining" : "ready", "coldRemainingMs",
+	    0, "sequence", 1);
 	char *key = g_strdup_printf("servers/%s", server->id);
 	char *text;
 
@@ -563,6 +567,17 @@
 	return whole && at == LAYERS;
 }
 
+/*
+ * Tells whether a path uses the engine that misbehaves.
+ */
+static bool
+path_is_faulty(const struct fake_platform *platform, struct lstr path)
+{
+	const char *address = platform->servers[FAULTY_ENGINE].address;
+
+	return memmem(path.data, path.len, address, strlen(address)) != NULL;
+}
+
 /*
  * Begins a stream.
  */
@@ -580,10 +595,7 @@
 	if (!h1_header(conn, "Hop-Count", &value) ||
 	    !path_is_whole(platform, value))
 		platform->bad_paths++;
-	work->faulty =
-	    memmem(value.data, value.len,
-		platform->servers[FAULTY_ENGINE].address,
-		strlen(platform->servers[FAULTY_ENGINE].address)) != NULL;
+	work->faulty = path_is_faulty(platform, value);
 	count_run(platform, work->id);
 	work->streaming = true;
 	platform->streams++;
@@ -599,6 +611,49 @@
 	loop_timer_set(work->timer, loop_now(platform->loop) + platform->pace);
 }
 
+/*
+ * Finds a stream that an engine is writing.
+ */
+static struct work *
+find_stream(const struct server *server, const char *id)
+{
+	const struct fake_platform *platform = server->platform;
+
+	for (guint i = 0; i < platform->works->len; i++) {
+		struct work *work = g_ptr_array_index(platform->works, i);
+
+		if (work->server == server && work->streaming &&
+		    strcmp(work->id, id) == 0)
+			return work;
+	}
+	return NULL;
+}
+
+/*
+ * Takes an order to go on with a stream along another path.
+ */
+static unsigned int
+take_reroute(struct server *server, const json_t *body)
+{
+	struct fake_platform *platform = server->platform;
+	const char *path = json_string_value(json_object_get(body, "path"));
+	const char *id = json_string_value(json_object_get(body, "id"));
+	struct work *stream = find_stream(server, id);
+
+	if (stream == NULL)
+		return 404;
+	if (platform->refuses_reroutes)
+		return 409;
+	if (!path_is_whole(platform, lstr_from(path)) ||
+	    !g_str_has_prefix(path, server->address))
+		platform->bad_paths++;
+	platform->reroutes++;
+	stream->faulty = path_is_faulty(platform, lstr_from(path));
+	loop_timer_set(
+	    stream->timer, loop_now(platform->loop) + platform->pace);
+	return 200;
+}
+
 /*
  * Takes an order to hold layers; they are there at once.
  */
@@ -610,7 +665,9 @@
 	struct h1_conn *conn = work->conn;
 	unsigned int status = 202;
 
-	if (json_integer_value(json_object_get(body, "precondition")) !=
+	if (json_object_get(body, "path") != NULL) {
+		status = take_reroute(server, body);
+	} else if (json_integer_value(json_object_get(body, "precondition")) !=
 	    (json_int_t)server->orders) {
 		status = 409;
 	} else {
@@ -967,3 +1024,35 @@
 {
 	g_hash_table_remove_all(platform->runs);
 }
+
+unsigned int
+fake_platform_reroutes(const struct fake_platform *platform)
+{
+	return platform->reroutes;
+}
+
+void
+fake_platform_refuse_reroutes(struct fake_platform *platform)
+{
+	platform->refuses_reroutes = true;
+}
+
+void
+fake_platform_drain_engine(struct fake_platform *platform)
+{
+	platform->servers[FAULTY_ENGINE].draining = true;
+	publish(&platform->servers[FAULTY_ENGINE]);
+}
+
+unsigned int
+fake_platform_faulty_streams(const struct fake_platform *platform)
+{
+	unsigned int count = 0;
+
+	for (guint i = 0; i < platform->works->len; i++) {
+		const struct work *work = g_ptr_array_index(platform->works, i);
+
+		count += work->streaming && work->faulty;
+	}
+	return count;
+}
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -131,7 +131,27 @@
 }
 END_TEST
 
+/* Replays a server that leaves under load: its short streams end on it, and
+ * only the long ones move, so that the others are not all moved at once. */
+START_TEST(only_long_streams_leave_a_server_that_leaves)
+{
+	const int64_t left = 2000000;
+	unsigned int moved = 0;
+
+	for (int64_t rest = 100000; rest <= 4000000; rest += 100000)
+		moved += admit_outlasts(rest, left);
+	ck_assert_uint_gt(moved, 20);
+	ck_assert_uint_lt(moved, 30);
+	ck_assert(!admit_outlasts(1000000, left));
+	ck_assert(admit_outlasts(1300000, left));
+	/* A server whose time is up ends any moment. */
+	ck_assert(admit_outlasts(0, 0));
+	ck_assert(admit_outlasts(100000, -1));
+}
+END_TEST
+
 HARNESS_MAIN("admit", overload_leaves_those_served_on_time,
     refused_callers_return_spread_and_in_time,
     nobody_waits_beyond_the_callers_stay, failure_leads_to_what_is_true,
-    stopping_node_takes_what_ends_in_time)
+    stopping_node_takes_what_ends_in_time,
+    only_long_streams_leave_a_server_that_leaves)
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -197,6 +197,103 @@
 }
 END_TEST
 
+/*
+ * Starts streams until some run through the engine that misbehaves, then
+ * returns how many were started.
+ */
+static int
+start_faulty_streams(struct node_world *w, struct node_call *calls, int max)
+{
+	for (int i = 0; i < max; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "r%d", i);
+		node_stream(w, &calls[i], id);
+		wait_streams(w, (unsigned int)i + 1);
+	}
+	return max;
+}
+
+/* Guards a stream against a dark engine in the middle of its path: its first
+ * server goes on with it, without a second run. */
+START_TEST(stream_is_rerouted_around_a_dark_engine)
+{
+	struct node_world w;
+	struct node_call calls[6];
+	int count;
+
+	node_world_start(&w);
+	fake_platform_set_pace(w.platform, 60 * LOOP_USEC_PER_MSEC);
+	count = start_faulty_streams(&w, calls, 6);
+	fake_platform_set_engine_fault(w.platform, FAKE_DARK, 3);
+	for (int i = 0; i < count; i++) {
+		node_call_wait(&w, &calls[i]);
+		ck_assert(calls[i].complete);
+		check_events(&calls[i]);
+	}
+	ck_assert_uint_gt(fake_platform_reroutes(w.platform), 0);
+	ck_assert_uint_eq(fake_platform_bad_paths(w.platform), 0);
+	node_world_stop(&w);
+}
+END_TEST
+
+/* Guards a stream whose engine refuses to go on along another path. */
+START_TEST(stream_is_resumed_when_a_reroute_is_refused)
+{
+	struct node_world w;
+	struct node_call calls[4];
+	int count;
+
+	node_world_start(&w);
+	fake_platform_refuse_reroutes(w.platform);
+	fake_platform_set_pace(w.platform, 60 * LOOP_USEC_PER_MSEC);
+	count = start_faulty_streams(&w, calls, 4);
+	fake_platform_set_engine_fault(w.platform, FAKE_DARK, 3);
+	for (int i = 0; i < count; i++) {
+		node_call_wait(&w, &calls[i]);
+		ck_assert(calls[i].complete);
+		check_events(&calls[i]);
+	}
+	ck_assert_uint_eq(fake_platform_reroutes(w.platform), 0);
+	node_world_stop(&w);
+}
+END_TEST
+
+static bool
+has_no_faulty_streams(void *arg)
+{
+	return fake_platform_faulty_streams(arg) == 0;
+}
+
+/* Guards streams against an engine that leaves while they run through it: they
+ * are moved before it ends, and each runs once. */
+START_TEST(streams_leave_an_engine_that_drains)
+{
+	struct node_world w;
+	struct node_call calls[6];
+	int count;
+
+	node_world_start(&w);
+	fake_platform_set_pace(w.platform, 200 * LOOP_USEC_PER_MSEC);
+	count = start_faulty_streams(&w, calls, 6);
+	ck_assert_uint_gt(fake_platform_faulty_streams(w.platform), 0);
+	fake_platform_drain_engine(w.platform);
+	ck_assert(harness_wait(w.loop, has_no_faulty_streams, w.platform));
+	fake_platform_set_pace(w.platform, 5 * LOOP_USEC_PER_MSEC);
+	for (int i = 0; i < count; i++) {
+		char id[16];
+
+		node_call_wait(&w, &calls[i]);
+		ck_assert(calls[i].complete);
+		check_events(&calls[i]);
+		snprintf(id, sizeof(id), "r%d", i);
+		ck_assert_uint_eq(fake_platform_runs(w.platform, id), 1);
+	}
+	ck_assert_uint_gt(fake_platform_reroutes(w.platform), 0);
+	node_world_stop(&w);
+}
+END_TEST
+
 /* Guards against a half event that is passed on, or events twice. */
 START_TEST(stream_goes_on_after_half_an_event)
 {
@@ -438,7 +535,9 @@
 HARNESS_MAIN("node", serves_streams_orders_and_lookups,
     answers_lookup_readiness_and_metrics, metrics_are_those_of_the_page,
     stream_goes_on_without_a_dark_engine, stream_goes_on_after_half_an_event,
-    order_without_answer_runs_once, answer_of_another_request_is_skipped,
-    lookup_is_tried_twice, revoked_key_is_dead, keys_need_a_proof,
-    work_ends_when_the_caller_leaves, sigterm_finishes_what_runs, limits_hold,
-    log_tells_the_story_of_a_request)
+    stream_is_rerouted_around_a_dark_engine,
+    stream_is_resumed_when_a_reroute_is_refused,
+    streams_leave_an_engine_that_drains, order_without_answer_runs_once,
+    answer_of_another_request_is_skipped, lookup_is_tried_twice,
+    revoked_key_is_dead, keys_need_a_proof, work_ends_when_the_caller_leaves,
+    sigterm_finishes_what_runs, limits_hold, log_tells_the_story_of_a_request)
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -177,7 +177,117 @@
 }
 END_TEST
 
+/* Guards streams against the loss of one card in the middle of their path:
+ * the others keep what they have, and only its layers move. */
+START_TEST(lost_part_of_a_path_is_replaced)
+{
+	struct engine_world w;
+	struct path_demand demand = usual;
+	uint32_t mended_count = 0;
+
+	engine_world_init(&w);
+	engine_world_place(&w);
+	demand.may_cross = true;
+	for (int z = 0; z < ENGINE_PLACES; z++) {
+		struct path path;
+
+		demand.zone = engine_places[z];
+		ck_assert_int_eq(
+		    path_find(w.engine, w.rows, w.count, &demand, &path),
+		    STATUS_OK);
+		for (uint32_t lost = 0; lost < path.count; lost++) {
+			uint32_t gone = path.stages[lost].server;
+			struct path mended;
+			enum status status;
+
+			w.rows[gone].usable = false;
+			status = path_mend(
+			    w.engine, w.rows, w.count, &demand, &path, &mended);
+			w.rows[gone].usable = true;
+			if (lost == 0)
+				ck_assert_int_eq(status, STATUS_NOT_FOUND);
+			if (status != STATUS_OK)
+				continue;
+			mended_count++;
+			ck_assert(path_is_complete(
+			    w.engine, &mended, w.rows, w.count));
+			ck_assert_mem_eq(&mended.stages[0], &path.stages[0],
+			    sizeof(path.stages[0]));
+			for (uint32_t i = 0; i < mended.count; i++)
+				ck_assert_uint_ne(
+				    mended.stages[i].server, gone);
+		}
+	}
+	ck_assert_uint_gt(mended_count, 3);
+	engine_world_free(&w);
+}
+END_TEST
+
+/* Guards against a path that keeps a server which was ordered to hold other
+ * layers while the stream ran. */
+START_TEST(server_that_gave_up_its_layers_is_replaced)
+{
+	struct engine_world w;
+	struct path_demand demand = usual;
+	uint32_t replaced = 0;
+
+	engine_world_init(&w);
+	engine_world_place(&w);
+	demand.may_cross = true;
+	for (int z = 0; z < ENGINE_PLACES; z++) {
+		struct path path;
+
+		demand.zone = engine_places[z];
+		ck_assert_int_eq(
+		    path_find(w.engine, w.rows, w.count, &demand, &path),
+		    STATUS_OK);
+		for (uint32_t i = 1; i < path.count; i++) {
+			struct path_server *row =
+			    &w.rows[path.stages[i].server];
+			struct path_server before = *row;
+			struct path mended;
+
+			row->layer_from = 0;
+			row->layer_to = 1;
+			if (path_mend(w.engine, w.rows, w.count, &demand, &path,
+				&mended) == STATUS_OK) {
+				replaced++;
+				ck_assert(path_is_complete(
+				    w.engine, &mended, w.rows, w.count));
+			}
+			*row = before;
+		}
+	}
+	ck_assert_uint_gt(replaced, 0);
+	engine_world_free(&w);
+}
+END_TEST
+
+/* Guards against a mended path on servers that have no memory left. */
+START_TEST(full_servers_do_not_replace_a_lost_part)
+{
+	struct engine_world w;
+	struct path path;
+	struct path mended;
+
+	engine_world_init(&w);
+	engine_world_place(&w);
+	ck_assert_int_eq(
+	    path_find(w.engine, w.rows, w.count, &usual, &path), STATUS_OK);
+	ck_assert_uint_gt(path.count, 1);
+	for (size_t i = 0; i < w.count; i++)
+		w.rows[i].used = w.rows[i].memory;
+	w.rows[path.stages[1].server].usable = false;
+	ck_assert_int_ne(
+	    path_mend(w.engine, w.rows, w.count, &usual, &path, &mended),
+	    STATUS_OK);
+	engine_world_free(&w);
+}
+END_TEST
+
 HARNESS_MAIN("path", paths_run_every_layer_once,
     load_that_fills_a_place_moves_as_a_whole, load_is_spread_over_first_servers,
     any_card_may_fail, crossing_is_possible_but_only_where_allowed,
-    slow_server_gets_less)
+    slow_server_gets_less, lost_part_of_a_path_is_replaced,
+    server_that_gave_up_its_layers_is_replaced,
+    full_servers_do_not_replace_a_lost_part)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -150,6 +150,31 @@
 }
 END_TEST
 
+/* Guards how an order to go on along another path is worded. */
+START_TEST(reroute_is_worded)
+{
+	const struct adapter_stage stages[] = {
+	    {"10.0.0.1:80", 0, 5}, {"10.0.0.2:80", 5, 9}};
+	struct adapter_reroute order = {"abc", stages, 2};
+	struct lstr_buf text = {0};
+	char *address;
+
+	platform_word_reroute("10.0.0.1:80", "i-1", &order, &text);
+	lstr_buf_append(&text, lstr_make("", 1));
+	ck_assert_ptr_nonnull(strstr(text.data, "Expect-Instance: i-1\r\n"));
+	ck_assert_ptr_nonnull(strstr(text.data,
+	    "{\"operation\":\"repath\",\"id\":\"abc\","
+	    "\"path\":\"10.0.0.1:80=0-5,10.0.0.2:80=5-9\"}"));
+	lstr_buf_free(&text);
+	address = platform_decode_refusing(
+	    lstr_from("{\"address\":\"10.0.0.2:80\"}"));
+	ck_assert_str_eq(address, "10.0.0.2:80");
+	g_free(address);
+	ck_assert_ptr_null(platform_decode_refusing(lstr_from("{}")));
+	ck_assert_ptr_null(platform_decode_refusing(lstr_from("nothing")));
+}
+END_TEST
+
 /* Guards the questions of callers and of the platform. */
 START_TEST(questions_are_read)
 {
@@ -209,5 +234,5 @@
 
 HARNESS_MAIN("platform", configuration_is_decoded,
     unreadable_configuration_is_refused, server_entries_are_decoded_or_refused,
-    report_is_decoded, order_is_worded, questions_are_read,
+    report_is_decoded, order_is_worded, reroute_is_worded, questions_are_read,
     store_calls_are_worded)
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -77,7 +77,7 @@
 	ck_assert(pool_usable(present, NOW));
 	ck_assert_ptr_eq(pool_find_address(pool, lstr_from(address)), present);
 	/* It lapses, comes back alone and is told apart once more. */
-	pool_remove(pool, "old");
+	pool_remove(pool, "old", NOW);
 	former = put_at(pool, "old", address, 100);
 	ck_assert(!pool_usable(former, NOW));
 	ck_assert_ptr_eq(pool_find_address(pool, lstr_from(address)), present);
@@ -96,7 +96,7 @@
 	put_at(pool, "ahead", address, 5000);
 	live = put_at(pool, "live", address, 3000);
 	ck_assert(!pool_usable(live, NOW));
-	pool_remove(pool, "ahead");
+	pool_remove(pool, "ahead", NOW);
 	live = put_at(pool, "live", address, 3000);
 	ck_assert(pool_usable(live, NOW));
 	ck_assert_ptr_eq(pool_find_address(pool, lstr_from(address)), live);
@@ -104,6 +104,30 @@
 }
 END_TEST
 
+/* Guards streams on a server that leaves: they know until when it serves. */
+START_TEST(leaving_server_serves_for_a_while)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *server = put(pool, "1", "a", 100);
+	struct fleet_server draining = {.id = g_strdup("1"),
+	    .service = g_strdup("s"),
+	    .address_text = g_strdup("10.0.0.1:80"),
+	    .zone = g_strdup("a"),
+	    .state = FLEET_DRAINING,
+	    .born = 100};
+	bool is_new;
+
+	pool->leave_usec = 2000000;
+	ck_assert_int_eq(server->leaves_at, 0);
+	pool_put(pool, &draining, NOW, &is_new);
+	ck_assert_int_eq(server->leaves_at, NOW + 2000000);
+	/* The removal of its entry does not begin the time anew. */
+	pool_remove(pool, "1", NOW + 500000);
+	ck_assert_int_eq(server->leaves_at, NOW + 2000000);
+	pool_free(pool);
+}
+END_TEST
+
 /* Guards against a failed server that gets requests before it shows life. */
 START_TEST(failed_server_returns_on_evidence)
 {
@@ -183,5 +207,6 @@
 HARNESS_MAIN("pool", restarted_server_is_new,
     stale_entry_at_a_taken_address_is_not_used,
     live_entry_returns_when_the_later_one_is_gone,
-    failed_server_returns_on_evidence, own_evidence_goes_before_a_peers_word,
-    plain_requests_go_where_they_succeed, slowness_fades_without_evidence)
+    leaving_server_serves_for_a_while, failed_server_returns_on_evidence,
+    own_evidence_goes_before_a_peers_word, plain_requests_go_where_they_succeed,
+    slowness_fades_without_evidence)
