--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -212,6 +212,7 @@
 {
 	struct order *order = arg;
 	struct adapter_report report;
+	struct pool_server *server = order_server(order);
 	int64_t now = loop_now(order->planner->config.loop);
 
 	order->calling = false;
@@ -219,6 +220,9 @@
 	    order->planner->config.adapter->decode_report(
 		result->body, &report) != STATUS_OK) {
 		order->until = 0;
+		/* Neither the order nor the question was answered. */
+		if (server != NULL)
+			pool_avoid(server, now);
 		return;
 	}
 	g_ptr_array_free(report.stalled, TRUE);
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -53,6 +53,12 @@
 void fake_platform_refuse_reroutes(struct fake_platform *);
 /* The engine that misbehaves reports that it is about to leave. */
 void fake_platform_drain_engine(struct fake_platform *);
+/* The engine that misbehaves starts again empty and closes the connection of
+ * each call to it. */
+void fake_platform_restart_engine_deaf(struct fake_platform *);
+/* Orders and questions that it got since. */
+unsigned int fake_platform_deaf_orders(const struct fake_platform *);
+unsigned int fake_platform_deaf_questions(const struct fake_platform *);
 /* Running streams whose path uses the engine that misbehaves. */
 unsigned int fake_platform_faulty_streams(const struct fake_platform *);
 unsigned int fake_platform_keys_seen(const struct fake_platform *);
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -11,6 +11,8 @@
 #define PLAINS 2
 #define LAYERS 8
 #define EVENTS 12
+/* Start of the engines, milliseconds of the wall clock. */
+#define BORN_MSEC 1700000000000
 #define PACE_USEC (5 * LOOP_USEC_PER_MSEC)
 #define IDLE_USEC (60 * LOOP_USEC_PER_SEC)
 #define HEAD_MAX_BYTES 65536
@@ -42,6 +44,7 @@
 	unsigned int to;
 	unsigned int orders;
 	bool draining;
+	int64_t born;
 };
 
 /* A request at an engine, or one at a plain server that is being read. */
@@ -86,6 +89,9 @@
 	unsigned int keys_seen;
 	unsigned int reroutes;
 	bool refuses_reroutes;
+	bool deaf;
+	unsigned int deaf_orders;
+	unsigned int deaf_questions;
 };
 
 /*
@@ -448,7 +454,7 @@
 	char *key = g_strdup_printf("servers/%s", server->id);
 	char *text;
 
-	json_object_set_new(entry, "born", json_integer(1700000000000));
+	json_object_set_new(entry, "born", json_integer(server->born));
 	if (server->engine) {
 		json_object_set_new(entry, "kind", json_string("card"));
 		json_object_set_new(entry, "layers", layers);
@@ -708,7 +714,7 @@
 	answer_json(conn, 200,
 	    json_pack("{s:b, s:i, s:o, s:o, s:I}", "busy", 0, "sequence",
 		(int)server->orders, "layers", layers, "stalledServers",
-		stalled, "born", (json_int_t)1700000000000));
+		stalled, "born", (json_int_t)server->born));
 }
 
 /*
@@ -796,6 +802,24 @@
 	lstr_buf_append(&work->body, bytes);
 }
 
+/*
+ * Closes the connection of a call to an engine that is deaf.
+ */
+static void
+drop_call(struct work *work)
+{
+	struct fake_platform *platform = work->server->platform;
+	struct h1_conn *conn = work->conn;
+
+	if (lstr_equal_c(h1_target(conn), "/order"))
+		platform->deaf_orders++;
+	else
+		platform->deaf_questions++;
+	h1_set_data(conn, NULL);
+	work_free(work);
+	h1_close(conn);
+}
+
 /*
  * A request is whole.
  */
@@ -807,6 +831,9 @@
 
 	if (!server->engine)
 		run_plain(work);
+	else if (server->platform->deaf &&
+	    server == &server->platform->servers[FAULTY_ENGINE])
+		drop_call(work);
 	else if (lstr_equal_c(h1_target(conn), "/order"))
 		take_order(work);
 	else if (lstr_equal_c(h1_target(conn), "/report"))
@@ -873,6 +900,7 @@
 
 		server->platform = platform;
 		server->engine = i < ENGINES;
+		server->born = BORN_MSEC;
 		snprintf(server->id, sizeof(server->id), "i-%d", i);
 		ck_assert_int_eq(
 		    h1_listen(h1, "127.0.0.1", 0, &platform->limits,
@@ -1056,3 +1084,28 @@
 	}
 	return count;
 }
+
+void
+fake_platform_restart_engine_deaf(struct fake_platform *platform)
+{
+	struct server *server = &platform->servers[FAULTY_ENGINE];
+
+	platform->deaf = true;
+	server->from = 0;
+	server->to = 0;
+	server->orders = 0;
+	server->born++;
+	publish(server);
+}
+
+unsigned int
+fake_platform_deaf_orders(const struct fake_platform *platform)
+{
+	return platform->deaf_orders;
+}
+
+unsigned int
+fake_platform_deaf_questions(const struct fake_platform *platform)
+{
+	return platform->deaf_questions;
+}
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -294,6 +294,26 @@
 }
 END_TEST
 
+static bool
+has_three_deaf_questions(void *arg)
+{
+	return fake_platform_deaf_questions(arg) >= 3;
+}
+
+/* Guards an engine that answers nothing, and the price of orders, against one
+ * order after the other: it must answer a question first. */
+START_TEST(order_without_answer_is_not_repeated_at_once)
+{
+	struct node_world w;
+
+	node_world_start(&w);
+	fake_platform_restart_engine_deaf(w.platform);
+	ck_assert(harness_wait(w.loop, has_three_deaf_questions, w.platform));
+	ck_assert_uint_eq(fake_platform_deaf_orders(w.platform), 1);
+	node_world_stop(&w);
+}
+END_TEST
+
 /* Guards against a half event that is passed on, or events twice. */
 START_TEST(stream_goes_on_after_half_an_event)
 {
@@ -537,7 +557,9 @@
     stream_goes_on_without_a_dark_engine, stream_goes_on_after_half_an_event,
     stream_is_rerouted_around_a_dark_engine,
     stream_is_resumed_when_a_reroute_is_refused,
-    streams_leave_an_engine_that_drains, order_without_answer_runs_once,
-    answer_of_another_request_is_skipped, lookup_is_tried_twice,
-    revoked_key_is_dead, keys_need_a_proof, work_ends_when_the_caller_leaves,
-    sigterm_finishes_what_runs, limits_hold, log_tells_the_story_of_a_request)
+    streams_leave_an_engine_that_drains,
+    order_without_answer_is_not_repeated_at_once,
+    order_without_answer_runs_once, answer_of_another_request_is_skipped,
+    lookup_is_tried_twice, revoked_key_is_dead, keys_need_a_proof,
+    work_ends_when_the_caller_leaves, sigterm_finishes_what_runs, limits_hold,
+    log_tells_the_story_of_a_request)
