--- a/src/node/layout.c
+++ b/src/node/layout.c
@@ -2,9 +2,25 @@
 #include <string.h>
 
 #include "layout.h"
+#include "path.h"
 
 /* Used where a configuration states no usual sizes. */
 #define USUAL_TOKENS_DEFAULT 1000
+/* Strength of a layer that nobody holds, in tokens: far below any other. */
+#define STRENGTH_MIN 1.0
+/* Ranges whose gains differ by less are taken as equal: the first one, with
+ * the fewest layers, is used. */
+#define GAIN_TIE 1e-9
+
+/* What the servers of a group hold together. */
+struct cover {
+	const struct fleet_engine *engine;
+	uint32_t holders[FLEET_LAYERS_MAX];
+	/* Of each layer, see strength_of(). */
+	double strength[FLEET_LAYERS_MAX];
+	/* No server of the group held any layer. */
+	bool first_placement;
+};
 
 /*
  * Returns how many layers a kind holds beside memory for a number of requests
@@ -78,65 +94,140 @@
 }
 
 /*
- * Adds a server's range to the number of holders of each layer.
+ * Returns what a server gives each of the layers that it holds: memory for
+ * requests, in tokens, over the time that a step takes there.
+ */
+static double
+strength_of(const struct fleet_engine *engine,
+    const struct fleet_kind_info *kind, uint32_t layers)
+{
+	if (layers == 0)
+		return 0;
+	return (double)path_server_memory(engine, kind, layers) / layers /
+	    kind->step_factor;
+}
+
+/*
+ * Adds a server's range to the cover of each layer, or takes it out.
  */
 static void
-cover(uint32_t *holders, const struct layout_server *server, int by)
+cover(struct cover *cover, const struct layout_server *server, int by)
 {
-	for (uint32_t i = server->layer_from; i < server->layer_to; i++)
-		holders[i] += (uint32_t)by;
+	double strength = strength_of(
+	    cover->engine, server->kind, server->layer_to - server->layer_from);
+
+	for (uint32_t i = server->layer_from; i < server->layer_to; i++) {
+		cover->holders[i] += (uint32_t)by;
+		cover->strength[i] += by * strength;
+	}
+}
+
+/*
+ * Returns how much a group gains when a layer of a given strength gets more:
+ * the weakest layers bound what all paths together carry.
+ */
+static double
+gain(double strength, double more)
+{
+	strength = MAX(strength, STRENGTH_MIN);
+	return 1 / strength - 1 / (strength + more);
+}
+
+/*
+ * Gives a server the range of layers from which its group gains most: layers
+ * that nobody holds, then those with little memory or on slow servers only.
+ */
+static void
+assign_weakest(
+    struct cover *state, struct layout_server *server, uint32_t capacity)
+{
+	const struct fleet_engine *engine = state->engine;
+	double best = 0;
+
+	for (uint32_t layers = 1; layers <= capacity; layers++) {
+		double more = strength_of(engine, server->kind, layers);
+		double sum = 0;
+
+		for (uint32_t to = 1; to <= engine->layers; to++) {
+			sum += gain(state->strength[to - 1], more);
+			if (to < layers)
+				continue;
+			if (sum > best * (1 + GAIN_TIE)) {
+				best = sum;
+				server->layer_from = to - layers;
+				server->layer_to = to;
+			}
+			sum -= gain(state->strength[to - layers], more);
+		}
+	}
 }
 
 /*
  * Gives a server the first layers that the fewest servers hold: as many as it
- * has room for, up to the end of their run.
+ * has room for, up to the end of their run. Ranges then match, so that most
+ * servers beyond the first copy can be spared when a gap is to be closed.
  */
 static void
-assign(const struct fleet_engine *engine, struct layout_server *server,
-    uint32_t capacity, uint32_t *holders)
+assign_next(
+    struct cover *state, struct layout_server *server, uint32_t capacity)
 {
-	uint32_t least = UINT32_MAX;
+	const uint32_t *holders = state->holders;
+	uint32_t layers = state->engine->layers;
 	uint32_t from = 0;
 	uint32_t to;
 
-	for (uint32_t i = 0; i < engine->layers; i++) {
-		if (holders[i] < least) {
-			least = holders[i];
+	for (uint32_t i = 1; i < layers; i++) {
+		if (holders[i] < holders[from])
 			from = i;
-		}
 	}
-	for (to = from; to < engine->layers && holders[to] == least &&
+	for (to = from; to < layers && holders[to] == holders[from] &&
 	     to - from < capacity;
 	     to++)
 		;
 	server->layer_from = from;
 	server->layer_to = to;
+}
+
+/*
+ * Gives a server layers: in the first placement run by run, later where they
+ * are needed most.
+ */
+static void
+assign(struct cover *state, struct layout_server *server, uint32_t capacity)
+{
+	if (state->first_placement)
+		assign_next(state, server, capacity);
+	else
+		assign_weakest(state, server, capacity);
 	server->order = true;
-	cover(holders, server, 1);
+	cover(state, server, 1);
 }
 
 /*
- * Gives the slowest empty servers of a group the first layers, if too few hold
- * them. A first server may run few layers, so its speed matters least.
+ * Gives empty servers of the slowest kind of a group the first layers, if too
+ * few hold them. A first server may run few layers, so its speed matters least;
+ * a faster one is of more use elsewhere.
  */
 static size_t
 assign_heads(const struct fleet_engine *engine, struct layout_server **order,
-    size_t count, uint32_t requests, uint32_t *holders)
+    size_t count, uint32_t requests, struct cover *state)
 {
 	size_t orders = 0;
 
-	for (size_t i = count; i-- > 0 && holders[0] < LAYOUT_HEADS;) {
+	for (size_t i = count; i-- > 0 && state->holders[0] < LAYOUT_HEADS;) {
 		struct layout_server *server = order[i];
 		uint32_t capacity =
 		    layout_capacity(engine, server->kind, requests);
 
 		if (!server->orderable || capacity == 0 ||
-		    server->layer_from != server->layer_to)
+		    server->layer_from != server->layer_to ||
+		    server->kind->step_factor !=
+			order[count - 1]->kind->step_factor)
 			continue;
 		server->layer_from = 0;
 		server->layer_to = capacity;
 		server->order = true;
-		cover(holders, server, 1);
+		cover(state, server, 1);
 		orders++;
 	}
 	return orders;
@@ -225,8 +316,9 @@
  */
 static size_t
 close_gaps(const struct fleet_engine *engine, struct layout_server **order,
-    size_t count, uint32_t requests, uint32_t *holders)
+    size_t count, uint32_t requests, struct cover *state)
 {
+	const uint32_t *holders = state->holders;
 	size_t orders = 0;
 
 	while (least_held(engine, holders) == 0) {
@@ -240,8 +332,8 @@
 		    gap_requests(engine, order, count, requests, holders));
 		if (capacity == 0)
 			break;
-		cover(holders, server, -1);
-		assign(engine, server, capacity, holders);
+		cover(state, server, -1);
+		assign(state, server, capacity);
 		orders++;
 	}
 	return orders;
@@ -254,30 +346,34 @@
 plan_group(const struct fleet_engine *engine, struct layout_server **order,
     size_t count)
 {
-	uint32_t holders[FLEET_LAYERS_MAX] = {0};
+	struct cover state = {.engine = engine};
 	uint32_t requests = choose_requests(engine, order, count);
 	size_t orders = 0;
 	bool headed = false;
+	bool held = false;
 
-	for (size_t i = 0; i < count; i++)
-		cover(holders, order[i], 1);
+	for (size_t i = 0; i < count; i++) {
+		cover(&state, order[i], 1);
+		held = held || order[i]->layer_to > order[i]->layer_from;
+	}
+	state.first_placement = !held;
 	for (size_t i = 0; i < count; i++) {
 		uint32_t capacity =
 		    layout_capacity(engine, order[i]->kind, requests);
 
 		/* The first copy is on the fastest; then come first layers. */
-		if (!headed && least_held(engine, holders) > 0) {
+		if (!headed && least_held(engine, state.holders) > 0) {
 			headed = true;
 			orders += assign_heads(
-			    engine, order, count, requests, holders);
+			    engine, order, count, requests, &state);
 		}
 		if (!order[i]->orderable || capacity == 0 ||
 		    order[i]->layer_from != order[i]->layer_to)
 			continue;
-		assign(engine, order[i], capacity, holders);
+		assign(&state, order[i], capacity);
 		orders++;
 	}
-	return orders + close_gaps(engine, order, count, requests, holders);
+	return orders + close_gaps(engine, order, count, requests, &state);
 }
 
 /*
--- a/tests/test_layout.c
+++ b/tests/test_layout.c
@@ -104,6 +104,49 @@
 }
 END_TEST
 
+/*
+ * Replays a place that loses one of its two large cards, closes the gap with
+ * small ones, and gets a large card again: the new card takes the layers of the
+ * small ones, so that paths have their room and pace again.
+ */
+START_TEST(new_large_card_relieves_small_ones)
+{
+	const struct path_demand demand = {
+	    ENGINE_PROMPT, ENGINE_OUTPUT, "a", false};
+	struct engine_world w;
+	struct path before;
+	struct path after;
+	struct layout_server *lost;
+
+	engine_world_init(&w);
+	engine_world_place(&w);
+	/* Only the first place is looked at. */
+	for (size_t i = 0; i < w.count; i++)
+		w.rows[i].usable = strcmp(w.rows[i].zone, "a") == 0;
+	ck_assert_int_eq(
+	    path_find(w.engine, w.rows, w.count, &demand, &before), STATUS_OK);
+	lost = &w.cards[1];
+	ck_assert_str_eq(lost->kind->name, "a100");
+	ck_assert_str_eq(lost->place, "a");
+	/* It is away while the plan is mended, and comes back empty. */
+	lost->place = "elsewhere";
+	lost->orderable = false;
+	engine_world_place(&w);
+	lost->place = "a";
+	lost->layer_from = 0;
+	lost->layer_to = 0;
+	lost->orderable = true;
+	engine_world_place(&w);
+	ck_assert_uint_ge(lost->layer_to - lost->layer_from, 20);
+	for (size_t i = 0; i < w.count; i++)
+		w.rows[i].usable = strcmp(w.rows[i].zone, "a") == 0;
+	ck_assert_int_eq(
+	    path_find(w.engine, w.rows, w.count, &demand, &after), STATUS_OK);
+	ck_assert_int_le(after.event_usec * 4, before.event_usec * 5);
+	engine_world_free(&w);
+}
+END_TEST
+
 /* Guards places that cannot hold the model alone: they hold it together. */
 START_TEST(small_places_hold_the_model_together)
 {
@@ -130,4 +173,4 @@
 HARNESS_MAIN("layout", each_place_holds_the_whole_model,
     no_card_holds_more_than_its_memory, placement_that_stands_is_left_alone,
     lost_card_is_replaced_in_its_place, new_server_takes_what_the_fewest_hold,
-    small_places_hold_the_model_together)
+    new_large_card_relieves_small_ones, small_places_hold_the_model_together)
