--- a/src/node/enroll.c
+++ b/src/node/enroll.c
@@ -180,9 +180,14 @@
 	if (enroll->idle)
 		return;
 	if (result->status == STATUS_OK) {
+		bool regained = enroll->held_until == 0;
+
 		enroll->held_until = enroll->sent_at + enroll->ttl;
 		loop_timer_set(enroll->timer,
 		    enroll->sent_at + enroll->ttl / RENEWALS_PER_TTL);
+		/* The lease never ended, so neither did the key. */
+		if (regained)
+			enroll->ops->held(enroll->version, enroll->arg);
 	} else if (result->status == STATUS_NOT_FOUND) {
 		enroll->over = 0;
 		start_over(enroll, "lease ended");
--- /dev/null
+++ b/tests/test_enroll.c
@@ -0,0 +1,185 @@
+#include "harness.h"
+
+#include <string.h>
+
+#include "enroll.h"
+
+/* Short, so that a lease that is not renewed runs out soon. */
+#define TTL_USEC (120 * LOOP_USEC_PER_MSEC)
+#define VERSION 41
+
+/* A store whose answers the test gives by hand. */
+struct store {
+	struct kv base;
+	enum kv_kind kind;
+	kv_done_fn fn;
+	void *arg;
+};
+
+struct world {
+	struct loop *loop;
+	struct store store;
+	struct enroll *enroll;
+	unsigned int held;
+	unsigned int lost;
+	uint64_t version;
+};
+
+/*
+ * Keeps a call until the test answers it.
+ */
+static void
+keep(struct kv *kv, enum kv_kind kind, kv_done_fn fn, void *arg)
+{
+	struct store *store = (struct store *)kv;
+
+	store->kind = kind;
+	store->fn = fn;
+	store->arg = arg;
+}
+
+static void
+store_put(struct kv *kv, struct lstr key, struct lstr value, uint64_t version,
+    struct lstr lease, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	(void)key;
+	(void)value;
+	(void)version;
+	(void)lease;
+	(void)deadline;
+	keep(kv, KV_PUT, fn, arg);
+}
+
+static void
+store_grant(
+    struct kv *kv, int64_t ttl, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	(void)ttl;
+	(void)deadline;
+	keep(kv, KV_LEASE_GRANT, fn, arg);
+}
+
+static void
+store_renew(struct kv *kv, struct lstr lease, int64_t deadline, kv_done_fn fn,
+    void *arg)
+{
+	(void)lease;
+	(void)deadline;
+	keep(kv, KV_LEASE_RENEW, fn, arg);
+}
+
+static const struct kv_vtable store_vtable = {.put = store_put,
+    .lease_grant = store_grant,
+    .lease_renew = store_renew};
+
+static void
+on_held(uint64_t version, void *arg)
+{
+	struct world *w = arg;
+
+	w->held++;
+	w->version = version;
+}
+
+static void
+on_lost(const char *why, void *arg)
+{
+	struct world *w = arg;
+
+	(void)why;
+	w->lost++;
+}
+
+static const struct enroll_ops ops = {on_held, on_lost};
+
+static bool
+has_call(void *arg)
+{
+	return ((struct world *)arg)->store.fn != NULL;
+}
+
+/*
+ * Waits for the next call, which must be of a kind, and answers it.
+ */
+static void
+answer(struct world *w, enum kv_kind kind, enum status status)
+{
+	struct kv_result result = {.status = status,
+	    .version = VERSION,
+	    .lease = lstr_from("lease-1")};
+	kv_done_fn fn;
+
+	ck_assert(harness_wait(w->loop, has_call, w));
+	ck_assert_int_eq(w->store.kind, kind);
+	fn = w->store.fn;
+	w->store.fn = NULL;
+	fn(&result, w->store.arg);
+}
+
+/*
+ * Takes an office.
+ */
+static void
+begin(struct world *w)
+{
+	struct enroll_config config = {.key = "office",
+	    .value = lstr_from("me"),
+	    .ttl_usec = TTL_USEC,
+	    .own = false};
+
+	memset(w, 0, sizeof(*w));
+	w->store.base.vtable = &store_vtable;
+	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
+	ck_assert_int_eq(enroll_create(w->loop, &w->store.base, &config, &ops,
+			     w, &w->enroll),
+	    STATUS_OK);
+	enroll_try(w->enroll);
+	answer(w, KV_LEASE_GRANT, STATUS_OK);
+	answer(w, KV_PUT, STATUS_OK);
+	ck_assert_uint_eq(w->held, 1);
+}
+
+static void
+end(struct world *w)
+{
+	enroll_destroy(w->enroll);
+	loop_destroy(w->loop);
+}
+
+/*
+ * Guards against an office that nobody fills: the store was away for longer
+ * than the lease, kept the key, and renews the lease afterwards.
+ */
+START_TEST(renewed_lease_is_held_again)
+{
+	struct world w;
+
+	begin(&w);
+	while (w.lost == 0)
+		answer(&w, KV_LEASE_RENEW, STATUS_UNAVAILABLE);
+	ck_assert_int_eq(enroll_held_until(w.enroll), 0);
+	answer(&w, KV_LEASE_RENEW, STATUS_OK);
+	ck_assert_uint_eq(w.held, 2);
+	ck_assert_uint_eq(w.version, VERSION);
+	ck_assert_int_gt(enroll_held_until(w.enroll), 0);
+	/* A renewal in time is no news. */
+	answer(&w, KV_LEASE_RENEW, STATUS_OK);
+	ck_assert_uint_eq(w.held, 2);
+	end(&w);
+}
+END_TEST
+
+/* Guards against an office that is kept after its lease has ended. */
+START_TEST(ended_lease_is_lost)
+{
+	struct world w;
+
+	begin(&w);
+	answer(&w, KV_LEASE_RENEW, STATUS_NOT_FOUND);
+	ck_assert_uint_eq(w.lost, 1);
+	ck_assert_int_eq(enroll_held_until(w.enroll), 0);
+	end(&w);
+}
+END_TEST
+
+HARNESS_MAIN("enroll", renewed_lease_is_held_again, ended_lease_is_lost)
