--- a/src/node/layout.c
+++ b/src/node/layout.c
@@ -298,19 +298,73 @@
 gap_requests(const struct fleet_engine *engine, struct layout_server **order,
     size_t count, uint32_t requests, const uint32_t *holders)
 {
+	uint32_t left[FLEET_LAYERS_MAX];
 	uint64_t capacity = 0;
 	uint32_t missing = 0;
 
+	memcpy(left, holders, sizeof(left));
 	for (uint32_t i = 0; i < engine->layers; i++)
 		missing += holders[i] == 0;
 	for (size_t i = 0; i < count; i++) {
-		if (is_redundant(order[i], holders))
-			capacity +=
-			    layout_capacity(engine, order[i]->kind, requests);
+		/* Of several that hold the same layers the last one stays. */
+		if (!is_redundant(order[i], left))
+			continue;
+		for (uint32_t k = order[i]->layer_from; k < order[i]->layer_to;
+		     k++)
+			left[k]--;
+		capacity += layout_capacity(engine, order[i]->kind, requests);
 	}
 	return capacity >= missing ? requests : LAYOUT_REQUESTS_MIN;
 }
 
+/*
+ * Extends a server into a gap beside its range, as far as it has memory for
+ * the least number of requests. Returns false when it cannot be extended.
+ */
+static bool
+extend(struct cover *state, struct layout_server *server)
+{
+	uint32_t most =
+	    layout_capacity(state->engine, server->kind, LAYOUT_REQUESTS_MIN);
+	uint32_t from = server->layer_from;
+	uint32_t to = server->layer_to;
+
+	if (!server->orderable || from == to)
+		return false;
+	while (to - from < most && to < state->engine->layers &&
+	    state->holders[to] == 0)
+		to++;
+	while (to - from < most && from > 0 && state->holders[from - 1] == 0)
+		from--;
+	if (from == server->layer_from && to == server->layer_to)
+		return false;
+	cover(state, server, -1);
+	server->layer_from = from;
+	server->layer_to = to;
+	server->order = true;
+	cover(state, server, 1);
+	return true;
+}
+
+/*
+ * Extends servers beside gaps that no redundant server is left for.
+ */
+static size_t
+extend_into_gaps(
+    struct layout_server **order, size_t count, struct cover *state)
+{
+	size_t orders = 0;
+
+	for (size_t i = 0;
+	     i < count && least_held(state->engine, state->holders) == 0; i++) {
+		bool ordered = order[i]->order;
+
+		if (extend(state, order[i]))
+			orders += !ordered;
+	}
+	return orders;
+}
+
 /*
  * Moves redundant servers to layers that nobody holds.
  */
@@ -373,7 +427,8 @@
 		assign(&state, order[i], capacity);
 		orders++;
 	}
-	return orders + close_gaps(engine, order, count, requests, &state);
+	orders += close_gaps(engine, order, count, requests, &state);
+	return orders + extend_into_gaps(order, count, &state);
 }
 
 /*
--- a/src/node/layout.h
+++ b/src/node/layout.h
@@ -24,7 +24,7 @@
 /* Servers in each data centre that hold the first layers. A generation enters
  * at one of them, which runs one pass at a time: too few make prompts queue,
  * too many make passes small. */
-#define LAYOUT_HEADS 3
+#define LAYOUT_HEADS 2
 
 struct layout_server {
 	const char *id;
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -180,6 +180,26 @@
 	return STATUS_OK;
 }
 
+/*
+ * Tells whether each server has memory for its part of a path: the search sees
+ * the uses of a server that appears twice one by one.
+ */
+static bool
+fits(const struct path_search *search, const struct path *path)
+{
+	int64_t tokens = (int64_t)search->demand->prompt_tokens +
+	    search->demand->output_tokens;
+
+	for (uint32_t i = 0; i < path->count; i++) {
+		const struct path_stage *stage = &path->stages[i];
+
+		if (path_crowding(&search->servers[stage->server], tokens,
+			stage->layer_to - stage->layer_from) < 0)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Extends the paths that end at a boundary by every server that may follow.
  * Returns false when no server holds the next layer.
@@ -247,7 +267,9 @@
 	if (search->reach[last].cost >= PATH_COST_NONE)
 		return STATUS_FULL;
 	*cost = search->reach[last].cost;
-	return collect_path(search, path);
+	return collect_path(search, path) == STATUS_OK && fits(search, path)
+	    ? STATUS_OK
+	    : STATUS_FULL;
 }
 
 /*
--- a/tests/test_enroll.c
+++ b/tests/test_enroll.c
@@ -68,9 +68,8 @@
 	keep(kv, KV_LEASE_RENEW, fn, arg);
 }
 
-static const struct kv_vtable store_vtable = {.put = store_put,
-    .lease_grant = store_grant,
-    .lease_renew = store_renew};
+static const struct kv_vtable store_vtable = {
+    .put = store_put, .lease_grant = store_grant, .lease_renew = store_renew};
 
 static void
 on_held(uint64_t version, void *arg)
