--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	-Wmissing-prototypes -Wformat=2 -Werror -D_GNU_SOURCE
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 # http-parser has no pkg-config file.
-PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm
 DIRS = -iquote src -iquote src/node -iquote platform -iquote proto
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 ALL_CFLAGS = $(CFLAGS_BASE) $(PKG_CFLAGS) $(SANITIZE) $(CFLAGS) $(DIRS) -MMD -MP
--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -4385,7 +4385,7 @@
   (ProtobufCMessageInit) ch__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__server_use__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ch__server_use__field_descriptors[9] =
 {
   {
     "server",
@@ -4483,12 +4483,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "full_msec",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, full_msec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__server_use__field_indices_by_name[] = {
   2,   /* field[2] = active */
   4,   /* field[4] = avoid_msec */
   7,   /* field[7] = born */
   3,   /* field[3] = first_active */
+  8,   /* field[8] = full_msec */
   5,   /* field[5] = layer_from */
   6,   /* field[6] = layer_to */
   1,   /* field[1] = memory */
@@ -4497,7 +4510,7 @@
 static const ProtobufCIntRange ch__server_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ch__server_use__descriptor =
 {
@@ -4507,7 +4520,7 @@
   "Ch__ServerUse",
   "ch",
   sizeof(Ch__ServerUse),
-  8,
+  9,
   ch__server_use__field_descriptors,
   ch__server_use__field_indices_by_name,
   1,  ch__server_use__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -692,10 +692,15 @@
   uint32_t layer_from;
   uint32_t layer_to;
   uint64_t born;
+  /*
+   * It refused a request of the sender, having no room, and gets nothing new
+   * from it for this long.
+   */
+  uint32_t full_msec;
 };
 #define CH__SERVER_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__server_use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/node/gate_stream.c
+++ b/src/node/gate_stream.c
@@ -416,7 +416,17 @@
 	const struct adapter_answer *answer = &request->attempt.answer;
 	struct pool_server *server = named_server(request);
 
-	if (server != NULL)
+	if (server != NULL && answer->not_run &&
+	    answer->status == HTTP_STATUS_SERVICE_UNAVAILABLE &&
+	    pool_is_crowded(server, request->service->engine) &&
+	    pool_note_full(server, gate_now(request->gate)))
+		slog_event(EV_SERVER_FULL, "{s:s, s:I, s:I, s:I, s:i}",
+		    "server", server->info.id, "own_memory",
+		    (json_int_t)server->own.memory, "peers_memory",
+		    (json_int_t)server->peers.memory, "margin",
+		    (json_int_t)server->peers_margin, "own_active",
+		    (int)server->own.active);
+	else if (server != NULL)
 		gate_avoid(request->gate, server, "named by an engine");
 	else if (answer->status == HTTP_STATUS_MISDIRECTED_REQUEST)
 		gate_avoid(request->gate, request->attempt.server,
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -109,6 +109,10 @@
 	    from->born == (uint64_t)server->info.born)
 		pool_confirm_layers(
 		    mesh->pool, server, from->layer_from, from->layer_to);
+	if (server != NULL && from->full_msec > 0)
+		server->peer_full_until = now +
+		    MIN((int64_t)from->full_msec * LOOP_USEC_PER_MSEC,
+			POOL_FULL_USEC);
 	if (server != NULL && from->avoid_msec > 0)
 		pool_peer_avoids(server,
 		    now +
@@ -409,6 +413,7 @@
 		struct pool_server *server = value;
 
 		memset(&server->peers, 0, sizeof(server->peers));
+		server->peers_margin = 0;
 	}
 	scale = use_scale(mesh, now);
 	g_hash_table_iter_init(&iter, mesh->peers);
@@ -434,6 +439,15 @@
 				ROUND_UP);
 		}
 	}
+	if (scale <= 1)
+		return;
+	g_hash_table_iter_init(&iter, mesh->pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_server *server = value;
+
+		server->peers_margin =
+		    pool_sampling_margin(&server->peers, scale);
+	}
 }
 
 /*
@@ -479,7 +493,7 @@
 		Ch__ServerUse *row = &rows[n];
 
 		if (server->own.active == 0 && server->failing_since == 0 &&
-		    server->vouch_until <= now)
+		    server->vouch_until <= now && server->full_until <= now)
 			continue;
 		ch__server_use__init(row);
 		row->server = server->hash;
@@ -488,6 +502,9 @@
 		row->first_active = server->own.first_active;
 		if (server->failing_since != 0)
 			row->avoid_msec = AVOID_TOLD_MSEC;
+		if (server->full_until > now)
+			row->full_msec = (uint32_t)((server->full_until - now) /
+			    LOOP_USEC_PER_MSEC);
 		if (server->vouch_until > now) {
 			row->layer_from = server->info.layer_from;
 			row->layer_to = server->info.layer_to;
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -230,7 +231,8 @@
 {
 	return server->info.state == FLEET_READY && !server->superseded &&
 	    server->failing_since == 0 && server->avoid_until <= now &&
-	    server->peer_avoid_until <= now;
+	    server->peer_avoid_until <= now && server->full_until <= now &&
+	    server->peer_full_until <= now;
 }
 
 /*
@@ -254,6 +256,56 @@
 	return true;
 }
 
+/*
+ * Tells whether most of a server's memory for requests is promised.
+ */
+bool
+pool_is_crowded(
+    const struct pool_server *server, const struct fleet_engine *engine)
+{
+	const struct fleet_kind_info *kind =
+	    fleet_engine_kind(engine, server->info.kind);
+	double used = (double)(server->own.memory + server->peers.memory +
+	    server->peers_margin);
+
+	return kind != NULL &&
+	    used >= POOL_CROWDED_SHARE *
+		(double)path_server_memory(engine, kind,
+		    server->info.layer_to - server->info.layer_from);
+}
+
+/*
+ * Notes that a server refused a request and may have no room: it gets nothing
+ * new for a moment. Returns false when nothing was seen of it since the last
+ * such refusal, so that a fault is the likelier reason.
+ */
+bool
+pool_note_full(struct pool_server *server, int64_t now)
+{
+	if (server->full_at != 0 && server->full_until <= now &&
+	    server->good_at < server->full_at)
+		return false;
+	server->full_at = now;
+	server->full_until = now + POOL_FULL_USEC;
+	return true;
+}
+
+/*
+ * Returns by how much the memory that all peers use may exceed what was worked
+ * out from a sample of them. scale is the number of peers over that of those in
+ * the sample.
+ */
+int64_t
+pool_sampling_margin(const struct pool_use *peers, double scale)
+{
+	double requests = peers->active;
+
+	if (scale <= 1 || peers->active == 0)
+		return 0;
+	return (int64_t)(POOL_MARGIN_DEVIATIONS * sqrt(requests * (scale - 1)) *
+	    (double)peers->memory / requests);
+}
+
 /*
  * Notes that a peer avoids a server.
  */
@@ -407,7 +459,8 @@
 		row->slowness = pool_slowness(server, now);
 		row->memory = path_server_memory(
 		    engine, kind, row->layer_to - row->layer_from);
-		row->used = server->own.memory + server->peers.memory;
+		row->used = server->own.memory + server->peers.memory +
+		    server->peers_margin;
 		row->active = server->own.active + server->peers.active;
 		row->first_active =
 		    server->own.first_active + server->peers.first_active;
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -15,6 +15,15 @@
  * in a row up to the largest; afterwards it must answer a question first. */
 #define POOL_AVOID_USEC (600 * LOOP_USEC_PER_MSEC)
 #define POOL_AVOID_MAX_USEC (2400 * LOOP_USEC_PER_MSEC)
+/* A server that has no room gets nothing new for this long: about the time in
+ * which one of its requests ends, and longer than peers take to report. */
+#define POOL_FULL_USEC (400 * LOOP_USEC_PER_MSEC)
+/* A refusal of a server whose memory is promised to this share is taken for
+ * want of room, and else for a fault. */
+#define POOL_CROWDED_SHARE 0.6
+/* Standard deviations by which the use that was worked out from a sample of
+ * the nodes is raised: one estimate in six is too low then. */
+#define POOL_MARGIN_DEVIATIONS 1.0
 /* An entry that lapsed while the store was away stays this long after the
  * return, in which a live server registers again. */
 #define POOL_LAPSE_USEC (2 * LOOP_USEC_PER_SEC)
@@ -56,6 +65,11 @@
 	int64_t vouch_until;
 	/* Told by a peer. */
 	int64_t peer_avoid_until;
+	/* It had no room, for this node and for a peer. */
+	int64_t full_until;
+	int64_t peer_full_until;
+	/* When it last refused a request for want of room; 0: never. */
+	int64_t full_at;
 	uint32_t failures;
 	/* Share of requests that failed, and of answer time over its kind. */
 	double error_rate;
@@ -67,6 +81,9 @@
 	int64_t good_at;
 	struct pool_use own;
 	struct pool_use peers;
+	/* By how much the peers' memory may be more, where only some of them
+	 * are heard. */
+	int64_t peers_margin;
 	/* Connections that wait for a request: struct h1_conn. */
 	GQueue idle;
 	uint32_t connections;
@@ -107,6 +124,9 @@
 bool pool_is_on_probation(const struct pool_server *, int64_t now);
 bool pool_usable(const struct pool_server *, int64_t now);
 bool pool_avoid(struct pool_server *, int64_t now);
+bool pool_is_crowded(const struct pool_server *, const struct fleet_engine *);
+bool pool_note_full(struct pool_server *, int64_t now);
+int64_t pool_sampling_margin(const struct pool_use *, double scale);
 void pool_note_answer(struct pool_server *, bool good);
 void pool_note_pace(struct pool_server *, double ratio, int64_t now);
 void pool_report_pace(struct pool_server *, double slowness, int64_t now);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -128,6 +128,43 @@
 }
 END_TEST
 
+/* Guards a crowded engine that refuses one request: it is not taken for dead,
+ * needs no question to come back, and keeps what it has. */
+START_TEST(full_server_returns_by_itself)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *server = put(pool, "1", "a", 100);
+	int64_t later = NOW + POOL_FULL_USEC;
+
+	pool_note_good(server, NOW - 1);
+	ck_assert(pool_note_full(server, NOW));
+	ck_assert(!pool_usable(server, NOW + 1));
+	ck_assert(!pool_is_on_probation(server, later));
+	ck_assert(pool_usable(server, later));
+	/* It made progress in between: full again, not dead. */
+	pool_note_good(server, later - 1);
+	ck_assert(pool_note_full(server, later));
+	/* Nothing was seen of it since: a fault is likelier. */
+	ck_assert(!pool_note_full(server, later + POOL_FULL_USEC));
+	pool_free(pool);
+}
+END_TEST
+
+/* Guards large fleets, whose nodes hear only some of the others, against an
+ * estimate of memory that is too low half of the time. */
+START_TEST(sampled_use_has_a_margin)
+{
+	const struct pool_use peers = {.memory = 110 * 1000, .active = 110};
+	int64_t margin = pool_sampling_margin(&peers, 3.3);
+
+	ck_assert_int_eq(pool_sampling_margin(&peers, 1), 0);
+	/* About 16 requests of 1000 units. */
+	ck_assert_int_gt(margin, 14000);
+	ck_assert_int_lt(margin, 18000);
+	ck_assert_int_eq(pool_sampling_margin(&(struct pool_use){0}, 3.3), 0);
+}
+END_TEST
+
 /* Guards against a failed server that gets requests before it shows life. */
 START_TEST(failed_server_returns_on_evidence)
 {
@@ -207,6 +244,7 @@
 HARNESS_MAIN("pool", restarted_server_is_new,
     stale_entry_at_a_taken_address_is_not_used,
     live_entry_returns_when_the_later_one_is_gone,
-    leaving_server_serves_for_a_while, failed_server_returns_on_evidence,
+    leaving_server_serves_for_a_while, full_server_returns_by_itself,
+    sampled_use_has_a_margin, failed_server_returns_on_evidence,
     own_evidence_goes_before_a_peers_word, plain_requests_go_where_they_succeed,
     slowness_fades_without_evidence)
