--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -23,7 +23,7 @@
 #define POOL_CROWDED_SHARE 0.6
 /* Standard deviations by which the use that was worked out from a sample of
  * the nodes is raised: one estimate in six is too low then. */
-#define POOL_MARGIN_DEVIATIONS 2.0
+#define POOL_MARGIN_DEVIATIONS 1.0
 /* An entry that lapsed while the store was away stays this long after the
  * return, in which a live server registers again. */
 #define POOL_LAPSE_USEC (2 * LOOP_USEC_PER_SEC)
