--- a/src/job.c
+++ b/src/job.c
@@ -351,8 +351,8 @@
 void
 job_retry(struct job *job, bool nothing_ran)
 {
-	struct retry_case failed = {
-	    !job->once, nothing_ran, ++job->failures, job->submit->deadline};
+	struct retry_case failed = {!job->once, nothing_ran, ++job->failures,
+	    job->submit->deadline, false};
 	enum retry_verdict verdict;
 	int64_t at = 0;
 
@@ -386,7 +386,7 @@
 job_may_move(struct job *job, int64_t *at)
 {
 	struct retry_case failed = {
-	    !job->once, false, job->failures + 1, job->submit->deadline};
+	    !job->once, false, job->failures + 1, job->submit->deadline, false};
 
 	if (job->failures + 1 >= ATTEMPTS_MAX || job->router->draining ||
 	    retry_decide(budget_for(job), &failed, router_now(job->router),
--- a/src/node/gate_send.c
+++ b/src/node/gate_send.c
@@ -381,7 +381,8 @@
 	struct retry_case failed = {.idempotent = true,
 	    .nothing_ran = true,
 	    .failures = 1,
-	    .deadline = INT64_MAX};
+	    .deadline = INT64_MAX,
+	    .under_way = request->answer_begun || request->may_have_run};
 	int64_t at;
 
 	return retry_decide(&gate_service(gate, request->service->name)->budget,
--- a/src/retry.c
+++ b/src/retry.c
@@ -29,6 +29,8 @@
 	memset(budget, 0, sizeof(*budget));
 	budget->saved_max = burst * RETRY_UNITS;
 	budget->saved = budget->saved_max;
+	budget->reserve =
+	    (int64_t)(RETRY_RESERVE_SHARE * (double)budget->saved_max);
 	budget->earned = (int64_t)(ratio * RETRY_UNITS);
 }
 
@@ -58,13 +60,16 @@
 }
 
 /*
- * Takes one retry from what was saved, else from the minimum.
+ * Takes one retry from what was saved, else from the minimum. What is reserved
+ * is left to requests under way.
  */
 static bool
-spend(struct retry_budget *budget, int64_t now)
+spend(struct retry_budget *budget, bool under_way, int64_t now)
 {
+	int64_t kept = under_way ? 0 : budget->reserve;
+
 	refill(budget, now);
-	if (budget->saved >= RETRY_UNITS) {
+	if (budget->saved - kept >= RETRY_UNITS) {
 		budget->saved -= RETRY_UNITS;
 	} else if (budget->minimum > 0) {
 		budget->minimum--;
@@ -107,19 +112,21 @@
 	when = now + draw_backoff(failed->failures, rand);
 	if (when >= failed->deadline)
 		return RETRY_TOO_LATE;
-	if (!spend(budget, now))
+	if (!spend(budget, failed->under_way, now))
 		return RETRY_NO_BUDGET;
 	*at = when;
 	return RETRY_OK;
 }
 
 /*
- * Tells whether a retry would be granted now, without charging it.
+ * Tells whether a retry of a request that is not under way would be granted
+ * now, without charging it.
  */
 bool
 retry_is_available(const struct retry_budget *budget)
 {
-	return budget->saved >= RETRY_UNITS || budget->minimum > 0;
+	return budget->saved - budget->reserve >= RETRY_UNITS ||
+	    budget->minimum > 0;
 }
 
 /*
--- a/src/retry.h
+++ b/src/retry.h
@@ -15,6 +15,9 @@
 /* Retries that are allowed whatever the number of requests was. */
 #define RETRY_MINIMUM 10
 #define RETRY_MINIMUM_REFILL_USEC ((int64_t)1000000)
+/* Part of a shared budget that is kept for requests under way: one that has not
+ * begun can be refused, and its caller comes back without a charge. */
+#define RETRY_RESERVE_SHARE 0.5
 /* Full jitter below a limit that doubles from the base to the largest. */
 #define RETRY_BACKOFF_BASE_USEC ((int64_t)10000)
 #define RETRY_BACKOFF_MAX_USEC ((int64_t)1000000)
@@ -26,6 +29,8 @@
 	int64_t saved_max;
 	/* What each request earns. */
 	int64_t earned;
+	/* Part of saved that only requests under way may use. */
+	int64_t reserve;
 	int64_t minimum;
 	int64_t minimum_max;
 	int64_t refilled_at;
@@ -49,6 +54,9 @@
 	bool nothing_ran;
 	uint32_t failures;
 	int64_t deadline;
+	/* Its caller has part of the answer, or it may have run: without a
+	 * retry the work is lost. */
+	bool under_way;
 };
 
 void retry_budget_init(struct retry_budget *, int64_t now);
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -10,7 +10,7 @@
 {
 	GRand *rand = g_rand_new_with_seed(SEED);
 	struct retry_budget budget;
-	struct retry_case failed = {false, false, 1, FAR_DEADLINE};
+	struct retry_case failed = {false, false, 1, FAR_DEADLINE, false};
 	int64_t at;
 
 	retry_budget_init(&budget, 0);
@@ -39,7 +39,7 @@
 		int64_t now = g_rand_int_range(rand, 0, 1000000);
 		struct retry_case failed = {true, false,
 		    (uint32_t)g_rand_int_range(rand, 1, 40),
-		    now + g_rand_int_range(rand, -1000, 2000000)};
+		    now + g_rand_int_range(rand, -1000, 2000000), false};
 
 		retry_budget_init(&budget, now);
 		if (retry_decide(&budget, &failed, now, rand, &at) ==
@@ -60,7 +60,7 @@
 {
 	GRand *rand = g_rand_new_with_seed(SEED);
 	struct retry_budget budget;
-	struct retry_case failed = {true, false, 1, FAR_DEADLINE};
+	struct retry_case failed = {true, false, 1, FAR_DEADLINE, false};
 	uint64_t requests = 100000;
 	int64_t now = 0;
 	int64_t at;
@@ -87,7 +87,7 @@
 {
 	GRand *rand = g_rand_new_with_seed(SEED);
 	struct retry_budget budget;
-	struct retry_case failed = {true, false, 1, FAR_DEADLINE};
+	struct retry_case failed = {true, false, 1, FAR_DEADLINE, false};
 	int64_t at;
 
 	retry_budget_init(&budget, 0);
@@ -117,7 +117,7 @@
 		for (int i = 0; i < 4000; i++) {
 			struct retry_budget budget;
 			struct retry_case failed = {
-			    true, false, failures, FAR_DEADLINE};
+			    true, false, failures, FAR_DEADLINE, false};
 			int64_t at = 0;
 
 			retry_budget_init(&budget, 0);
@@ -158,7 +158,7 @@
 	for (int i = 0; i < steps; i++) {
 		struct retry_budget *budget =
 		    &budgets[g_rand_int_range(rand, 0, SHARE_NODES)];
-		struct retry_case failed = {true, true, 1, FAR_DEADLINE};
+		struct retry_case failed = {true, true, 1, FAR_DEADLINE, true};
 		int64_t at;
 
 		retry_request(budget);
@@ -184,7 +184,34 @@
 }
 END_TEST
 
-HARNESS_MAIN("retry", shares_keep_the_common_budget_in_every_window,
+/*
+ * Replays a crash under load: sends that engines refuse come first and would
+ * use up the budget, then streams break that only a retry can save.
+ */
+START_TEST(running_streams_have_a_reserve)
+{
+	struct retry_budget budget;
+	struct retry_case refused = {true, true, 1, FAR_DEADLINE, false};
+	struct retry_case broken = {true, true, 1, FAR_DEADLINE, true};
+	GRand *rand = g_rand_new_with_seed(1);
+	int64_t at;
+	int saved = 0;
+
+	retry_budget_init_share(&budget, 20, 0);
+	for (int i = 0; i < 40; i++)
+		retry_decide(&budget, &refused, 0, rand, &at);
+	ck_assert(!retry_is_available(&budget));
+	for (int i = 0; i < 40; i++)
+		saved +=
+		    retry_decide(&budget, &broken, 0, rand, &at) == RETRY_OK;
+	ck_assert_int_eq(saved, 10);
+	ck_assert_uint_eq(budget.granted, 20);
+	g_rand_free(rand);
+}
+END_TEST
+
+HARNESS_MAIN("retry", running_streams_have_a_reserve,
+    shares_keep_the_common_budget_in_every_window,
     order_that_may_have_run_is_not_repeated, no_retry_past_the_deadline,
     retries_stay_within_the_budget, small_service_has_a_minimum,
     backoff_doubles_with_full_jitter)
