--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -8,72 +8,21 @@
 #include <jansson.h>
 
 #include "chestnuthoist.pb-c.h"
-#include "mesh.h"
+#include "mesh_priv.h"
 #include "settings.h"
 #include "slog.h"
 
 #define DATAGRAM_MAX_BYTES 60000
-/* Peers avoid a failing server until the report after next. */
-#define AVOID_TOLD_MSEC (2 * MESH_SEND_USEC / LOOP_USEC_PER_MSEC)
-/* Own reports whose sending times are kept, to date peers' proofs: those of
- * more than the time for which a proof is of use. */
-#define SENT_KEPT 32
 /* Datagrams read in one round of the loop. */
 #define READ_BATCH 64
-/* A data centre with fewer live nodes than this gets addresses of others. */
-#define PLACE_NODES_MIN 2
 #define ROUND_UP 0.5
 
-struct peer_use {
-	uint32_t hash;
-	struct pool_use use;
-};
-
-struct peer {
-	char *name;
-	char *front;
-	char *place;
-	uint64_t boot;
-	struct sockaddr_in address;
-	uint64_t sequence;
-	/* 0: never. */
-	int64_t heard_at;
-	int64_t listed_at;
-	/* Its entry in the store is gone. */
-	bool unlisted;
-	bool leaving;
-	bool suspended;
-	bool silent;
-	GArray *uses;
-};
-
-struct mesh {
-	struct loop *loop;
-	struct pool *pool;
-	struct mesh_config config;
-	int fd;
-	struct loop_watch *watch;
-	/* By name: struct peer. */
-	GHashTable *peers;
-	struct lstr_buf entry;
-	uint64_t sequence;
-	int64_t sent_at;
-	/* When the report of a sequence was sent, by its remainder. */
-	int64_t sent_times[SENT_KEPT];
-	uint32_t hash;
-	int64_t started_at;
-	bool leaving;
-	/* For the time being callers are not served here. */
-	bool suspended;
-	bool stale;
-};
-
 /*
  * Returns the short name of a process of a node: a restarted one has another,
  * since its sequence starts anew.
  */
-static uint32_t
-peer_hash(const char *name, uint64_t boot)
+uint32_t
+mesh_peer_hash(const char *name, uint64_t boot)
 {
 	return pool_hash(lstr_from(name)) ^ (uint32_t)boot;
 }
@@ -138,10 +87,10 @@
 		uint64_t sequence = report->heard_sequence[i];
 
 		if (report->heard_peer[i] != mesh->hash ||
-		    sequence + SENT_KEPT <= mesh->sequence ||
+		    sequence + MESH_SENT_KEPT <= mesh->sequence ||
 		    sequence > mesh->sequence)
 			continue;
-		proof.proved_at = mesh->sent_times[sequence % SENT_KEPT] -
+		proof.proved_at = mesh->sent_times[sequence % MESH_SENT_KEPT] -
 		    (int64_t)report->proof_age_msec * LOOP_USEC_PER_MSEC;
 	}
 	mesh->config.ops->vouched(&proof, mesh->config.arg);
@@ -237,7 +186,7 @@
 	mesh->loop = loop;
 	mesh->pool = pool;
 	mesh->config = *config;
-	mesh->hash = peer_hash(config->name, config->boot);
+	mesh->hash = mesh_peer_hash(config->name, config->boot);
 	mesh->started_at = loop_now(loop);
 	mesh->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
@@ -360,21 +309,6 @@
 	mesh->suspended = !serving;
 }
 
-/*
- * Tells whether a peer is heard, or too new to have been heard. In a fleet in
- * which not all nodes hear each other, the store's entry vouches for a node
- * that was never heard.
- */
-static bool
-peer_lives(const struct mesh *mesh, const struct peer *peer, int64_t now)
-{
-	int64_t since = MAX(peer->heard_at, peer->listed_at);
-
-	if (peer->heard_at == 0 && g_hash_table_size(mesh->peers) > MESH_FANOUT)
-		return !peer->unlisted;
-	return now - since < MESH_SILENT_USEC;
-}
-
 /*
  * Returns by how much the sum of the peers that are heard stands for all that
  * live: in a large fleet a node hears only some.
@@ -392,7 +326,7 @@
 		const struct peer *peer = value;
 
 		heard += now - peer->heard_at <= POOL_PEER_USE_USEC;
-		live += peer_lives(mesh, peer, now);
+		live += mesh_peer_lives(mesh, peer, now);
 	}
 	return heard > 0 && live > heard ? (double)live / heard : 1;
 }
@@ -463,7 +397,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct peer *peer = value;
 
-		if (peer_lives(mesh, peer, now))
+		if (mesh_peer_lives(mesh, peer, now))
 			continue;
 		if (!peer->silent) {
 			peer->silent = true;
@@ -476,139 +410,6 @@
 	}
 }
 
-/*
- * Fills the report with what this node uses of each server.
- */
-static void
-fill_report(struct mesh *mesh, Ch__NodeReport *report, Ch__ServerUse *rows,
-    Ch__ServerUse **pointers, int64_t now)
-{
-	GHashTableIter iter;
-	gpointer value;
-	size_t n = 0;
-
-	g_hash_table_iter_init(&iter, mesh->pool->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct pool_server *server = value;
-		Ch__ServerUse *row = &rows[n];
-
-		if (server->own.active == 0 && server->failing_since == 0 &&
-		    server->vouch_until <= now && server->full_until <= now)
-			continue;
-		ch__server_use__init(row);
-		row->server = server->hash;
-		row->memory = (uint64_t)MAX(server->own.memory, 0);
-		row->active = server->own.active;
-		row->first_active = server->own.first_active;
-		if (server->failing_since != 0)
-			row->avoid_msec = AVOID_TOLD_MSEC;
-		if (server->full_until > now)
-			row->full_msec = (uint32_t)((server->full_until - now) /
-			    LOOP_USEC_PER_MSEC);
-		if (server->vouch_until > now) {
-			row->layer_from = server->info.layer_from;
-			row->layer_to = server->info.layer_to;
-			row->born = (uint64_t)server->info.born;
-		}
-		pointers[n++] = row;
-	}
-	report->n_servers = n;
-	report->servers = pointers;
-}
-
-/*
- * Tells the peers what this node had heard of each of them, so that they can
- * date its proof.
- */
-static void
-fill_proof(struct mesh *mesh, Ch__NodeReport *report, int64_t now)
-{
-	struct mesh_proof proof = {0, 0, 0};
-	guint count = g_hash_table_size(mesh->peers);
-	GHashTableIter iter;
-	gpointer value;
-
-	mesh->config.ops->get_proof(&proof, mesh->config.arg);
-	report->store_revision = proof.store_revision;
-	report->config_revision = proof.config_revision;
-	if (proof.proved_at == 0 || !mesh_is_watcher(mesh))
-		return;
-	/* Rounded up: a proof is never made younger. */
-	report->proof_age_msec =
-	    (uint32_t)((now - proof.proved_at) / LOOP_USEC_PER_MSEC + 1);
-	report->heard_peer = g_new(uint32_t, count + 1);
-	report->heard_sequence = g_new(uint64_t, count + 1);
-	g_hash_table_iter_init(&iter, mesh->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
-
-		if (peer->silent || peer->heard_at == 0)
-			continue;
-		report->heard_peer[report->n_heard_peer++] =
-		    peer_hash(peer->name, peer->boot);
-		report->heard_sequence[report->n_heard_sequence++] =
-		    peer->sequence;
-	}
-}
-
-/*
- * Tells whether the next report goes to a peer.
- */
-static bool
-is_addressed(const struct mesh *mesh, const struct peer *peer)
-{
-	return strcmp(peer->place, mesh->config.place) == 0 || mesh->leaving ||
-	    mesh->sequence % MESH_AWAY_EVERY == 0;
-}
-
-/*
- * Sends bytes to one peer, unless the report is not for it.
- */
-static void
-send_to(struct mesh *mesh, const char *name, const uint8_t *bytes, size_t len)
-{
-	const struct peer *peer = g_hash_table_lookup(mesh->peers, name);
-
-	if (is_addressed(mesh, peer) &&
-	    sendto(mesh->fd, bytes, len, MSG_DONTWAIT,
-		(const struct sockaddr *)&peer->address,
-		sizeof(peer->address)) < 0) {
-		/* The next report makes good for a lost one. */
-	}
-}
-
-/*
- * Sends bytes to the peers: to all in a small fleet, else to the nearest ones
- * on both sides in the circle of names, so that those that hear a node are
- * also heard by it.
- */
-static void
-send_to_peers(struct mesh *mesh, const uint8_t *bytes, size_t len)
-{
-	GList *list = g_hash_table_get_keys(mesh->peers);
-	guint count = g_list_length(list);
-	const char **names = g_new0(const char *, count + 1);
-	guint after = 0;
-	guint sent = 0;
-
-	list = g_list_sort(list, (GCompareFunc)strcmp);
-	for (const GList *at = list; at != NULL; at = at->next) {
-		after += strcmp(at->data, mesh->config.name) < 0;
-		names[sent++] = at->data;
-	}
-	sent = 0;
-	for (guint i = 0; sent < MIN(count, MESH_FANOUT); i++) {
-		send_to(mesh, names[(after + i) % count], bytes, len);
-		if (++sent < MIN(count, MESH_FANOUT)) {
-			send_to(mesh, names[(after + count - 1 - i) % count],
-			    bytes, len);
-			sent++;
-		}
-	}
-	g_free(names);
-	g_list_free(list);
-}
-
 /*
  * Sends a report when one is due and keeps the sums of the peers' use.
  */
@@ -616,158 +417,10 @@
 mesh_tick(struct mesh *mesh)
 {
 	int64_t now = loop_now(mesh->loop);
-	guint count = g_hash_table_size(mesh->pool->by_id);
-	Ch__NodeReport report = CH__NODE_REPORT__INIT;
-	Ch__ServerUse *rows;
-	Ch__ServerUse **pointers;
-	uint8_t *bytes;
 
 	check_peers(mesh, now);
 	if (mesh->stale)
 		sum_uses(mesh, now);
-	if (now - mesh->sent_at < MESH_SEND_USEC)
-		return;
-	mesh->sent_at = now;
-	rows = g_new(Ch__ServerUse, count + 1);
-	pointers = g_new(Ch__ServerUse *, count + 1);
-	report.node = (char *)mesh->config.name;
-	report.boot = mesh->config.boot;
-	report.sequence = ++mesh->sequence;
-	report.leaving = mesh->leaving;
-	report.suspended = mesh->suspended;
-	mesh->sent_times[mesh->sequence % SENT_KEPT] = now;
-	fill_report(mesh, &report, rows, pointers, now);
-	fill_proof(mesh, &report, now);
-	bytes = g_malloc(ch__node_report__get_packed_size(&report));
-	send_to_peers(mesh, bytes, ch__node_report__pack(&report, bytes));
-	g_free(bytes);
-	g_free(report.heard_peer);
-	g_free(report.heard_sequence);
-	g_free(rows);
-	g_free(pointers);
-}
-
-/*
- * Returns how many nodes live, this one included.
- */
-uint32_t
-mesh_live_count(const struct mesh *mesh)
-{
-	int64_t now = loop_now(mesh->loop);
-	uint32_t count = 1;
-	GHashTableIter iter;
-	gpointer peer;
-
-	g_hash_table_iter_init(&iter, mesh->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &peer))
-		count += peer_lives(mesh, peer, now);
-	return count;
-}
-
-/*
- * Returns how many other nodes live and take connections.
- */
-uint32_t
-mesh_serving_count(const struct mesh *mesh)
-{
-	int64_t now = loop_now(mesh->loop);
-	uint32_t count = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, mesh->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
-
-		count += !peer->leaving && peer_lives(mesh, peer, now);
-	}
-	return count;
-}
-
-/*
- * Returns the position of this node among the live ones by name.
- */
-uint32_t
-mesh_rank(const struct mesh *mesh)
-{
-	int64_t now = loop_now(mesh->loop);
-	uint32_t rank = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, mesh->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
-
-		rank += peer_lives(mesh, peer, now) &&
-		    strcmp(peer->name, mesh->config.name) < 0;
-	}
-	return rank;
-}
-
-/*
- * Tells whether the fleet is so large that nodes rely on each other's watches.
- */
-bool
-mesh_shares_watches(const struct mesh *mesh)
-{
-	return g_hash_table_size(mesh->peers) > MESH_FANOUT;
-}
-
-/*
- * Tells whether others rely on the watch of this node.
- */
-bool
-mesh_is_watcher(const struct mesh *mesh)
-{
-	return mesh_shares_watches(mesh) &&
-	    mesh_rank(mesh) % MESH_WATCH_EVERY == 0;
-}
-
-/*
- * Adds the addresses of nodes that take connections, in one data centre or,
- * with NULL, in all; those that are suspended only if wanted.
- */
-static void
-add_addresses(
-    const struct mesh *mesh, const char *place, bool suspended, GPtrArray *out)
-{
-	int64_t now = loop_now(mesh->loop);
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!mesh->leaving && (suspended || !mesh->suspended) &&
-	    (place == NULL || strcmp(place, mesh->config.place) == 0))
-		g_ptr_array_add(out, (char *)mesh->config.front);
-	g_hash_table_iter_init(&iter, mesh->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
-
-		if (out->len >= MESH_ADDRESSES_MAX)
-			return;
-		if (!peer->leaving && (suspended || !peer->suspended) &&
-		    peer_lives(mesh, peer, now) &&
-		    (place == NULL || strcmp(place, peer->place) == 0))
-			g_ptr_array_add(out, peer->front);
-	}
-}
-
-/*
- * Collects addresses for a caller: in its own data centre if enough nodes
- * live there, since traffic between data centres is dear; else all. Nodes
- * that cannot use keys are named only if no other can: the store is away.
- */
-void
-mesh_addresses(const struct mesh *mesh, const char *place, GPtrArray *out)
-{
-	if (place != NULL)
-		add_addresses(mesh, place, false, out);
-	if (out->len >= PLACE_NODES_MIN)
-		return;
-	g_ptr_array_set_size(out, 0);
-	add_addresses(mesh, NULL, false, out);
-	if (out->len == 0)
-		add_addresses(mesh, NULL, true, out);
-	if (out->len == 0)
-		g_ptr_array_add(out, (char *)mesh->config.front);
+	if (now - mesh->sent_at >= MESH_SEND_USEC)
+		mesh_send_report(mesh, now);
 }
--- /dev/null
+++ b/src/node/mesh_report.c
@@ -0,0 +1,173 @@
+#include <string.h>
+#include <sys/socket.h>
+
+#include "chestnuthoist.pb-c.h"
+#include "mesh_priv.h"
+
+/* Peers avoid a failing server until the report after next. */
+#define AVOID_TOLD_MSEC (2 * MESH_SEND_USEC / LOOP_USEC_PER_MSEC)
+
+/*
+ * Fills the report with what this node uses of each server.
+ */
+static void
+fill_report(struct mesh *mesh, Ch__NodeReport *report, Ch__ServerUse *rows,
+    Ch__ServerUse **pointers, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, mesh->pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_server *server = value;
+		Ch__ServerUse *row = &rows[n];
+
+		if (server->own.active == 0 && server->failing_since == 0 &&
+		    server->vouch_until <= now && server->full_until <= now)
+			continue;
+		ch__server_use__init(row);
+		row->server = server->hash;
+		row->memory = (uint64_t)MAX(server->own.memory, 0);
+		row->active = server->own.active;
+		row->first_active = server->own.first_active;
+		if (server->failing_since != 0)
+			row->avoid_msec = AVOID_TOLD_MSEC;
+		if (server->full_until > now)
+			row->full_msec = (uint32_t)((server->full_until - now) /
+			    LOOP_USEC_PER_MSEC);
+		if (server->vouch_until > now) {
+			row->layer_from = server->info.layer_from;
+			row->layer_to = server->info.layer_to;
+			row->born = (uint64_t)server->info.born;
+		}
+		pointers[n++] = row;
+	}
+	report->n_servers = n;
+	report->servers = pointers;
+}
+
+/*
+ * Tells the peers what this node had heard of each of them, so that they can
+ * date its proof.
+ */
+static void
+fill_proof(struct mesh *mesh, Ch__NodeReport *report, int64_t now)
+{
+	struct mesh_proof proof = {0, 0, 0};
+	guint count = g_hash_table_size(mesh->peers);
+	GHashTableIter iter;
+	gpointer value;
+
+	mesh->config.ops->get_proof(&proof, mesh->config.arg);
+	report->store_revision = proof.store_revision;
+	report->config_revision = proof.config_revision;
+	if (proof.proved_at == 0 || !mesh_is_watcher(mesh))
+		return;
+	/* Rounded up: a proof is never made younger. */
+	report->proof_age_msec =
+	    (uint32_t)((now - proof.proved_at) / LOOP_USEC_PER_MSEC + 1);
+	report->heard_peer = g_new(uint32_t, count + 1);
+	report->heard_sequence = g_new(uint64_t, count + 1);
+	g_hash_table_iter_init(&iter, mesh->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (peer->silent || peer->heard_at == 0)
+			continue;
+		report->heard_peer[report->n_heard_peer++] =
+		    mesh_peer_hash(peer->name, peer->boot);
+		report->heard_sequence[report->n_heard_sequence++] =
+		    peer->sequence;
+	}
+}
+
+/*
+ * Tells whether the next report goes to a peer.
+ */
+static bool
+is_addressed(const struct mesh *mesh, const struct peer *peer)
+{
+	return strcmp(peer->place, mesh->config.place) == 0 || mesh->leaving ||
+	    mesh->sequence % MESH_AWAY_EVERY == 0;
+}
+
+/*
+ * Sends bytes to one peer, unless the report is not for it.
+ */
+static void
+send_to(struct mesh *mesh, const char *name, const uint8_t *bytes, size_t len)
+{
+	const struct peer *peer = g_hash_table_lookup(mesh->peers, name);
+
+	if (is_addressed(mesh, peer) &&
+	    sendto(mesh->fd, bytes, len, MSG_DONTWAIT,
+		(const struct sockaddr *)&peer->address,
+		sizeof(peer->address)) < 0) {
+		/* The next report makes good for a lost one. */
+	}
+}
+
+/*
+ * Sends bytes to the peers: to all in a small fleet, else to the nearest ones
+ * on both sides in the circle of names, so that those that hear a node are
+ * also heard by it.
+ */
+static void
+send_to_peers(struct mesh *mesh, const uint8_t *bytes, size_t len)
+{
+	GList *list = g_hash_table_get_keys(mesh->peers);
+	guint count = g_list_length(list);
+	const char **names = g_new0(const char *, count + 1);
+	guint after = 0;
+	guint sent = 0;
+
+	list = g_list_sort(list, (GCompareFunc)strcmp);
+	for (const GList *at = list; at != NULL; at = at->next) {
+		after += strcmp(at->data, mesh->config.name) < 0;
+		names[sent++] = at->data;
+	}
+	sent = 0;
+	for (guint i = 0; sent < MIN(count, MESH_FANOUT); i++) {
+		send_to(mesh, names[(after + i) % count], bytes, len);
+		if (++sent < MIN(count, MESH_FANOUT)) {
+			send_to(mesh, names[(after + count - 1 - i) % count],
+			    bytes, len);
+			sent++;
+		}
+	}
+	g_free(names);
+	g_list_free(list);
+}
+
+/*
+ * Sends this node's report to the peers.
+ */
+void
+mesh_send_report(struct mesh *mesh, int64_t now)
+{
+	guint count = g_hash_table_size(mesh->pool->by_id);
+	Ch__NodeReport report = CH__NODE_REPORT__INIT;
+	Ch__ServerUse *rows;
+	Ch__ServerUse **pointers;
+	uint8_t *bytes;
+
+	mesh->sent_at = now;
+	rows = g_new(Ch__ServerUse, count + 1);
+	pointers = g_new(Ch__ServerUse *, count + 1);
+	report.node = (char *)mesh->config.name;
+	report.boot = mesh->config.boot;
+	report.sequence = ++mesh->sequence;
+	report.leaving = mesh->leaving;
+	report.suspended = mesh->suspended;
+	mesh->sent_times[mesh->sequence % MESH_SENT_KEPT] = now;
+	fill_report(mesh, &report, rows, pointers, now);
+	fill_proof(mesh, &report, now);
+	bytes = g_malloc(ch__node_report__get_packed_size(&report));
+	send_to_peers(mesh, bytes, ch__node_report__pack(&report, bytes));
+	g_free(bytes);
+	g_free(report.heard_peer);
+	g_free(report.heard_sequence);
+	g_free(rows);
+	g_free(pointers);
+}
