--- a/src/ctl.h
+++ b/src/ctl.h
@@ -55,6 +55,8 @@
 extern const struct ctl_command ctl_record_verify_command;
 extern const struct ctl_command ctl_record_explain_command;
 extern const struct ctl_command ctl_explain_command;
+extern const struct ctl_command ctl_order_verify_command;
+extern const struct ctl_command ctl_order_compare_command;
 
 enum status ctl_create(
     struct loop *, const struct ctl_options *, struct ctl **);
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -24,7 +24,8 @@
 
 static const struct ctl_command *const commands[] = {&ctl_apply_command,
     &ctl_show_command, &ctl_status_command, &ctl_record_verify_command,
-    &ctl_record_explain_command, &ctl_explain_command, NULL};
+    &ctl_record_explain_command, &ctl_explain_command,
+    &ctl_order_verify_command, &ctl_order_compare_command, NULL};
 
 static const char usage[] = "COMMAND [ARGUMENT...]";
 static const char summary[] =
@@ -34,7 +35,9 @@
     "  status\n"
     "  record verify --node NODE\n"
     "  record explain --node NODE REQUEST REQUEST\n"
-    "  explain REQUEST FILE   (lines of node logs; FILE may be -)";
+    "  explain REQUEST FILE   (lines of node logs; FILE may be -)\n"
+    "  order verify FILE\n"
+    "  order compare REQUEST REQUEST FILE";
 
 /*
  * Runs one command.
--- a/tests/test_ctl_explain.c
+++ b/tests/test_ctl_explain.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <glib.h>
+
 #include "ctl.h"
 
 /* Two nodes, out of order, with text of a collector before the lines. */
@@ -20,18 +22,21 @@
     "\"name\":\"store-lost\"}\n";
 
 /*
- * Runs the command on the lines and returns what it prints.
+ * Runs a command with the lines in a file as its last argument, and returns
+ * what it prints.
  */
 static enum ctl_exit
-explain(const char *id, char *out, size_t size)
+run_on(const char *text, const char *command, const char *first,
+    const char *second, char *out, size_t size)
 {
 	static const struct ctl_command *const commands[] = {
-	    &ctl_explain_command, NULL};
+	    &ctl_explain_command, &ctl_order_verify_command,
+	    &ctl_order_compare_command, NULL};
 	const struct ctl_options options = {.timeout_usec = LOOP_USEC_PER_SEC};
 	char path[] = "/tmp/explain-XXXXXX";
-	char word[] = "explain";
-	char name[16];
-	char *words[] = {word, name, path, NULL};
+	char **parts = g_strsplit(command, " ", -1);
+	char *words[6];
+	int count = 0;
 	int fd = mkstemp(path);
 	int saved = dup(STDOUT_FILENO);
 	FILE *print = tmpfile();
@@ -40,15 +45,20 @@
 	struct ctl *ctl;
 	size_t len;
 
-	snprintf(name, sizeof(name), "%s", id);
-	ck_assert_int_eq(
-	    write(fd, logs, sizeof(logs) - 1), (ssize_t)sizeof(logs) - 1);
+	for (char **part = parts; *part != NULL; part++)
+		words[count++] = *part;
+	if (first != NULL)
+		words[count++] = (char *)first;
+	if (second != NULL)
+		words[count++] = (char *)second;
+	words[count++] = path;
+	ck_assert_int_eq(write(fd, text, strlen(text)), (ssize_t)strlen(text));
 	close(fd);
 	ck_assert_int_eq(loop_create(&loop), STATUS_OK);
 	ck_assert_int_eq(ctl_create(loop, &options, &ctl), STATUS_OK);
 	fflush(stdout);
 	dup2(fileno(print), STDOUT_FILENO);
-	result = ctl_run(ctl, commands, 3, words);
+	result = ctl_run(ctl, commands, count, words);
 	fflush(stdout);
 	dup2(saved, STDOUT_FILENO);
 	close(saved);
@@ -59,9 +69,19 @@
 	unlink(path);
 	ctl_destroy(ctl);
 	loop_destroy(loop);
+	g_strfreev(parts);
 	return result;
 }
 
+/*
+ * Explains a request.
+ */
+static enum ctl_exit
+explain(const char *id, char *out, size_t size)
+{
+	return run_on(logs, "explain", id, NULL, out, size);
+}
+
 /* Guards the order of the story and what belongs to it. */
 START_TEST(story_is_in_order_and_of_its_node)
 {
@@ -92,5 +112,81 @@
 }
 END_TEST
 
-HARNESS_MAIN(
-    "ctl_explain", story_is_in_order_and_of_its_node, unknown_request_is_said)
+/* Two requests of one node and one of another; one line was lost. */
+static const char starts[] =
+    "{\"time\":\"2026-01-01T00:00:00.000Z\",\"node\":\"n1\","
+    "\"name\":\"node-started\"}\n"
+    "{\"time\":\"2026-01-01T00:00:01.000Z\",\"node\":\"n1\","
+    "\"name\":\"request-started\",\"id\":\"b\",\"order\":4,"
+    "\"organisation\":\"late\",\"priority\":5,\"waited_ms\":70,"
+    "\"reason\":\"first in its class and share\"}\n"
+    "{\"time\":\"2026-01-01T00:00:01.000Z\",\"node\":\"n1\","
+    "\"name\":\"request-started\",\"id\":\"a\",\"order\":2,"
+    "\"organisation\":\"early\",\"priority\":1,\"waited_ms\":0,"
+    "\"reason\":\"room at arrival\"}\n"
+    "{\"time\":\"2026-01-01T00:00:03.000Z\",\"node\":\"n2\","
+    "\"name\":\"request-started\",\"id\":\"c\",\"order\":1,"
+    "\"organisation\":\"early\",\"priority\":1,\"waited_ms\":0,"
+    "\"reason\":\"room at arrival\"}\n";
+
+/* Guards the answer to who was served first, and why. */
+START_TEST(two_requests_are_compared)
+{
+	char out[4096];
+
+	ck_assert_int_eq(
+	    run_on(starts, "order compare", "b", "a", out, sizeof(out)),
+	    CTL_EXIT_OK);
+	ck_assert_int_eq(strncmp(out, "a: place 2 of n1", 16), 0);
+	ck_assert_ptr_nonnull(strstr(out, "\nb: place 4 of n1"));
+	ck_assert_ptr_nonnull(strstr(out, "first in its class and share"));
+	ck_assert_ptr_null(strstr(out, "Two nodes"));
+	ck_assert_int_eq(
+	    run_on(starts, "order compare", "c", "a", out, sizeof(out)),
+	    CTL_EXIT_OK);
+	ck_assert_int_eq(strncmp(out, "a: place 2 of n1", 16), 0);
+	ck_assert_ptr_nonnull(strstr(out, "Two nodes"));
+	ck_assert_int_eq(
+	    run_on(starts, "order compare", "a", "nobody", out, sizeof(out)),
+	    CTL_EXIT_UNKNOWN);
+}
+END_TEST
+
+/* Guards the check of the order: lost lines are counted, a place that comes
+ * twice is a fault, and a new process counts anew. */
+START_TEST(places_are_checked)
+{
+	char out[4096];
+	char *twice = g_strconcat(starts,
+	    "{\"time\":\"2026-01-01T00:00:04.000Z\",\"node\":\"n1\","
+	    "\"name\":\"request-started\",\"id\":\"d\",\"order\":4}\n",
+	    NULL);
+	char *again = g_strconcat(starts,
+	    "{\"time\":\"2026-01-01T00:00:04.000Z\",\"node\":\"n1\","
+	    "\"name\":\"node-started\"}\n"
+	    "{\"time\":\"2026-01-01T00:00:05.000Z\",\"node\":\"n1\","
+	    "\"name\":\"request-started\",\"id\":\"d\",\"order\":1}\n",
+	    NULL);
+
+	ck_assert_int_eq(
+	    run_on(starts, "order verify", NULL, NULL, out, sizeof(out)),
+	    CTL_EXIT_OK);
+	ck_assert_ptr_nonnull(
+	    strstr(out, "n1: places 2 to 4, 1 without a line, 0 not in order"));
+	ck_assert_int_eq(
+	    run_on(twice, "order verify", NULL, NULL, out, sizeof(out)),
+	    CTL_EXIT_RECORD);
+	ck_assert_int_eq(
+	    run_on(again, "order verify", NULL, NULL, out, sizeof(out)),
+	    CTL_EXIT_OK);
+	ck_assert_ptr_nonnull(strstr(out, "n1: places 1 to 1, 0 without"));
+	ck_assert_int_eq(
+	    run_on("no line\n", "order verify", NULL, NULL, out, sizeof(out)),
+	    CTL_EXIT_UNKNOWN);
+	g_free(twice);
+	g_free(again);
+}
+END_TEST
+
+HARNESS_MAIN("ctl_explain", story_is_in_order_and_of_its_node,
+    unknown_request_is_said, two_requests_are_compared, places_are_checked)
