--- a/src/node/mirror.c
+++ b/src/node/mirror.c
@@ -30,6 +30,8 @@
 	int64_t pause;
 	/* The next watch does not wait: the proof is getting old. */
 	bool hurry;
+	/* No call before: the last answer took long to apply. */
+	int64_t quiet_until;
 	char *page_after;
 	/* The newest change that a peer knows. */
 	uint64_t peer_revision;
@@ -170,6 +172,33 @@
 	    item->key, item->value, item->version, mirror->arg);
 }
 
+/*
+ * Tells whether a later change of the same answer is of the same key.
+ */
+static bool
+is_outdated(const struct kv_result *result, size_t index)
+{
+	for (size_t i = index + 1; i < result->count; i++) {
+		if (lstr_equal(result->items[i].key, result->items[index].key))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Puts the next call off in proportion to the time that an answer took to
+ * apply, so that requests have the rest: on a slow instance a configuration
+ * takes a tenth of a second, and several may come in one.
+ */
+static void
+rest_after(struct mirror *mirror, int64_t began_at)
+{
+	int64_t now = loop_now(mirror->loop);
+	int64_t rest = MIRROR_REST_FACTOR * (now - began_at);
+
+	mirror->quiet_until = now + MIN(rest, MIRROR_REST_MAX_USEC);
+}
+
 /*
  * Removes the keys that a whole list no longer has.
  */
@@ -261,6 +290,7 @@
 on_watch(const struct kv_result *result, void *arg)
 {
 	struct mirror *mirror = arg;
+	int64_t began_at = loop_now(mirror->loop);
 
 	mirror->calling = false;
 	if (result->status == STATUS_EXPIRED) {
@@ -275,8 +305,11 @@
 		return;
 	}
 	note_answer(mirror);
-	for (size_t i = 0; i < result->count; i++)
-		apply(mirror, &result->items[i]);
+	for (size_t i = 0; i < result->count; i++) {
+		if (!is_outdated(result, i))
+			apply(mirror, &result->items[i]);
+	}
+	rest_after(mirror, began_at);
 	if (result->revision > mirror->revision)
 		mirror->revision = result->revision;
 	mirror->proved_at = mirror->call_sent_at;
@@ -310,6 +343,10 @@
 
 	if (mirror->calling || can_rely(mirror, now))
 		return;
+	if (now < mirror->quiet_until) {
+		loop_timer_set(mirror->timer, mirror->quiet_until);
+		return;
+	}
 	/* What a peer knows, or a new proof, is wanted now. */
 	if (mirror->watch == MIRROR_WATCH_PEERS)
 		mirror->hurry = true;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -66,6 +66,47 @@
 	gate_set_config(node->gate, config);
 }
 
+/*
+ * Decodes the configuration that waits, one round of the loop after it came.
+ */
+static void
+on_config_timer(void *arg)
+{
+	struct node *node = arg;
+	struct lstr_buf value = node->pending_config;
+
+	if (!node->config_due) {
+		node->config_due = true;
+		loop_timer_set(node->config_timer, loop_now(node->loop));
+		return;
+	}
+	memset(&node->pending_config, 0, sizeof(node->pending_config));
+	take_config(node, lstr_buf_view(&value), node->pending_revision);
+	lstr_buf_free(&value);
+}
+
+/*
+ * Keeps a configuration to be decoded in the next round: on a slow instance
+ * reading it from the store and decoding it would hold up streams for too long
+ * together. The first one is wanted at once.
+ */
+static void
+put_config(struct node *node, struct lstr value, uint64_t revision)
+{
+	if (node->fleet == NULL) {
+		take_config(node, value, revision);
+		return;
+	}
+	lstr_buf_clear(&node->pending_config);
+	if (lstr_buf_append(&node->pending_config, value) != STATUS_OK) {
+		take_config(node, value, revision);
+		return;
+	}
+	node->pending_revision = revision;
+	node->config_due = false;
+	loop_timer_set(node->config_timer, loop_now(node->loop));
+}
+
 /*
  * Takes a server out of use.
  */
@@ -134,7 +175,7 @@
 	const struct adapter *adapter = node->adapter;
 
 	if (lstr_equal_c(key, adapter->config_key))
-		take_config(node, value, version);
+		put_config(node, value, version);
 	else if (lstr_starts_with(key, adapter->servers_prefix))
 		take_server(node, behind(key, adapter->servers_prefix), value);
 	else if (lstr_starts_with(key, MESH_PREFIX))
@@ -460,6 +501,10 @@
 	enum status status;
 
 	node->pool = pool_new();
+	status = loop_timer_create(
+	    node->loop, on_config_timer, node, &node->config_timer);
+	if (status != STATUS_OK)
+		return status;
 	node->pool->leave_usec = settings->leave_ms * LOOP_USEC_PER_MSEC;
 	status = kv_http_create_dialect(node->loop, node->fetch,
 	    settings->store, node->adapter->store, &node->kv);
@@ -614,6 +659,8 @@
 	h1_listener_destroy(node->lookup);
 	h1_listener_destroy(node->metrics);
 	loop_timer_destroy(node->tick);
+	loop_timer_destroy(node->config_timer);
+	lstr_buf_free(&node->pending_config);
 	if (node->kv != NULL)
 		node->kv->vtable->destroy(node->kv);
 	gate_destroy(node->gate);
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -29,6 +29,12 @@
 	char *identity;
 	/* Revision of the configuration in force. */
 	uint64_t config_revision;
+	/* A configuration that is still to be decoded; none: no revision. */
+	struct lstr_buf pending_config;
+	uint64_t pending_revision;
+	struct loop_timer *config_timer;
+	/* Other events have had their turn since it came. */
+	bool config_due;
 	int64_t swept_at;
 	/* When SIGTERM came; 0: it has not. */
 	int64_t draining_since;
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 #include "mirror.h"
 
 /* A store whose answers the test gives by hand. */
@@ -18,6 +20,9 @@
 };
 
 struct seen {
+	/* Each change takes so long to apply. */
+	int64_t work_usec;
+	struct loop *loop;
 	unsigned int changed;
 	unsigned int removed;
 	char last[64];
@@ -66,6 +71,12 @@
 
 	(void)value;
 	(void)version;
+	if (seen->work_usec > 0) {
+		int64_t end = loop_now(seen->loop) + seen->work_usec;
+
+		while (loop_now(seen->loop) < end)
+			;
+	}
 	seen->changed++;
 	snprintf(seen->last, sizeof(seen->last), "%.*s", LSTR_ARG(key));
 }
@@ -285,7 +296,35 @@
 }
 END_TEST
 
-HARNESS_MAIN("mirror", watches_are_as_short_as_the_limit_asks,
-    proof_is_dated_by_the_sending, failed_call_proves_nothing,
-    changes_are_applied_in_order, lost_history_is_read_again,
-    peers_proof_counts_only_for_what_is_known)
+/* Replays configurations in quick succession on a slow instance: of those in
+ * one answer only the last is applied, and then requests have their turn. */
+START_TEST(slow_changes_leave_time_for_requests)
+{
+	const int64_t work = 50 * LOOP_USEC_PER_MSEC;
+	struct kv_item items[] = {item("a", 11, false), item("a", 12, false),
+	    item("b", 13, false), item("a", 14, false)};
+	struct world w;
+	int64_t answered_at;
+
+	start(&w);
+	wait_call(&w, KV_WATCH);
+	w.seen.loop = w.loop;
+	w.seen.work_usec = work;
+	answered_at = loop_now(w.loop);
+	reply(&w, STATUS_OK, 14, items, 4);
+	ck_assert_uint_eq(w.seen.changed, 4);
+	ck_assert_str_eq(w.seen.last, "a");
+	ck_assert_uint_eq(mirror_newest(w.mirror), 14);
+	wait_call(&w, KV_WATCH);
+	/* Two changes were applied. */
+	ck_assert_int_ge(w.store.sent_at - answered_at,
+	    MIN(2 * work * (1 + MIRROR_REST_FACTOR),
+		2 * work + MIRROR_REST_MAX_USEC));
+	stop(&w);
+}
+END_TEST
+
+HARNESS_MAIN("mirror", slow_changes_leave_time_for_requests,
+    watches_are_as_short_as_the_limit_asks, proof_is_dated_by_the_sending,
+    failed_call_proves_nothing, changes_are_applied_in_order,
+    lost_history_is_read_again, peers_proof_counts_only_for_what_is_known)
