--- a/src/node/mirror.h
+++ b/src/node/mirror.h
@@ -28,7 +28,8 @@
  * follow: many servers change at the same time. */
 #define MIRROR_COALESCE_USEC (200 * LOOP_USEC_PER_MSEC)
 /* After an answer that took long to apply, the copy rests for this many times
- * as long, up to a part of the time in which a configuration must be in force. */
+ * as long, up to a part of the time in which a configuration must be in force.
+ */
 #define MIRROR_REST_FACTOR 8
 #define MIRROR_REST_MAX_USEC (700 * LOOP_USEC_PER_MSEC)
 /* An answer that is later than its watch by this much is taken as lost. */
