Give each test process a loopback address of its own

Change: a node of a test listens on an address in 127.64.0.0/10 that is derived from the process id, on ports that this process counts up. Nothing else binds there. The proxy of the soak takes a whole address.

Ruled out: keeping the listening socket open until the node binds, since the node would have to accept inherited sockets for the tests alone.

--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -12,6 +12,7 @@
 #include "child.h"
 #include "fakes/fake_platform.h"
 #include "h1.h"
+#include "loopback.h"
 
 #define NODE_KEY "k-first"
 #define NODE_REVOKE_MS 3000
@@ -25,10 +26,13 @@
 	char settings_path[128];
 	char log_path[128];
 	pid_t pid;
+	/* Address of the node, and its ports. */
+	char ip[INET_ADDRSTRLEN];
 	uint16_t front;
 	uint16_t ready;
 	uint16_t lookup;
 	uint16_t metrics;
+	uint16_t gossip;
 };
 
 /* A caller's request and the response to it. */
@@ -98,18 +102,14 @@
     node_call_body, node_call_complete, node_call_ended};
 
 /*
- * Connects to a port of the node and sends a serialized request.
+ * Connects to an address and sends a serialized request.
  */
 static inline void
-node_call_send(struct node_fixture *w, struct node_call *call, uint16_t port,
-    const char *text)
+node_call_send_to(struct node_fixture *w, struct node_call *call,
+    const struct sockaddr_in *address, const char *text)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_port = htons(port),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-
 	memset(call, 0, sizeof(*call));
-	ck_assert_int_eq(h1_connect(w->h1, &address,
+	ck_assert_int_eq(h1_connect(w->h1, address,
 			     loop_now(w->loop) + HARNESS_DEADLINE_USEC,
 			     &node_call_ops, call, &call->conn),
 	    STATUS_OK);
@@ -117,6 +117,18 @@
 	h1_write(call->conn, lstr_from(text));
 }
 
+/*
+ * Connects to a port of the node and sends a serialized request.
+ */
+static inline void
+node_call_send(struct node_fixture *w, struct node_call *call, uint16_t port,
+    const char *text)
+{
+	struct sockaddr_in address = loopback_own(port);
+
+	node_call_send_to(w, call, &address, text);
+}
+
 /*
  * Returns whether a call has ended.
  */
@@ -180,21 +192,17 @@
 }
 
 /*
- * Returns a free port chosen by the kernel.
+ * Assigns the node an address and ports that no other process uses.
  */
-static inline uint16_t
-node_free_port(int type)
+static inline void
+node_assign_addresses(struct node_fixture *w)
 {
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(address);
-	int fd = socket(AF_INET, type, 0);
-
-	ck_assert_int_eq(
-	    bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
-	getsockname(fd, (struct sockaddr *)&address, &len);
-	close(fd);
-	return ntohs(address.sin_port);
+	loopback_format_own_address(w->ip);
+	w->front = loopback_next_port();
+	w->ready = loopback_next_port();
+	w->lookup = loopback_next_port();
+	w->metrics = loopback_next_port();
+	w->gossip = loopback_next_port();
 }
 
 /*
@@ -208,12 +216,12 @@
 	ck_assert_ptr_nonnull(file);
 	fprintf(file,
 	    "{\"node\":\"n1\",\"place\":\"here\",\"region\":\"r\","
-	    "\"ip\":\"127.0.0.1\",\"front\":\"127.0.0.1:%u\","
-	    "\"ready\":\"127.0.0.1:%u\",\"lookup\":\"127.0.0.1:%u\","
+	    "\"ip\":\"%s\",\"front\":\"%s:%u\","
+	    "\"ready\":\"%s:%u\",\"lookup\":\"%s:%u\","
 	    "\"store\":\"127.0.0.1:%u\",\"mesh_port\":%u,\"revoke_ms\":%d,"
 	    "\"grace_s\":8,\"retry_slack\":100,\"retry_ratio\":0.2}",
-	    w->front, w->ready, w->lookup, fake_platform_port(w->platform),
-	    node_free_port(SOCK_DGRAM), NODE_REVOKE_MS);
+	    w->ip, w->ip, w->front, w->ip, w->ready, w->ip, w->lookup,
+	    fake_platform_port(w->platform), w->gossip, NODE_REVOKE_MS);
 	fclose(file);
 }
 
@@ -268,10 +276,10 @@
 
 /*
  * Starts the platform with two copies of the model and two plain servers, and
- * a node, and waits until the node serves requests.
+ * writes the settings of a node, which node_spawn() starts.
  */
 static inline void
-node_fixture_start(struct node_fixture *w)
+node_fixture_prepare(struct node_fixture *w)
 {
 	static unsigned int count;
 	const char *build = getenv("BUILD") ? getenv("BUILD") : "build";
@@ -280,16 +288,22 @@
 	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
 	ck_assert_int_eq(h1_create(w->loop, &w->h1), STATUS_OK);
 	w->platform = fake_platform_new(w->loop, w->h1);
-	w->front = node_free_port(SOCK_STREAM);
-	w->ready = node_free_port(SOCK_STREAM);
-	w->lookup = node_free_port(SOCK_STREAM);
-	w->metrics = node_free_port(SOCK_STREAM);
+	node_assign_addresses(w);
 	snprintf(w->settings_path, sizeof(w->settings_path),
 	    "%s/tests/node-%ld-%u.json", build, (long)getpid(), ++count);
 	snprintf(w->log_path, sizeof(w->log_path), "%s/tests/node-%ld-%u.log",
 	    build, (long)getpid(), count);
 	fake_platform_configure(w->platform, 1, NODE_KEY);
 	node_write_settings(w);
+}
+
+/*
+ * Starts the platform and a node, and waits until the node serves requests.
+ */
+static inline void
+node_fixture_start(struct node_fixture *w)
+{
+	node_fixture_prepare(w);
 	node_spawn(w);
 	node_wait_until_serving(w);
 }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -38,7 +38,7 @@
 	struct loop *loop;
 	int fd;
 	struct loop_watch *watch;
-	uint16_t target;
+	struct sockaddr_in target;
 	enum proxy_mode mode;
 	GPtrArray *pairs;
 };
@@ -157,16 +157,14 @@
 on_accept(void *arg, unsigned int events)
 {
 	struct proxy *proxy = arg;
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_port = htons(proxy->target),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	int fd = accept4(proxy->fd, NULL, NULL, SOCK_CLOEXEC);
 	int other = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	struct pair *pair;
 
 	(void)events;
 	if (fd < 0 ||
-	    connect(other, (struct sockaddr *)&address, sizeof(address)) != 0) {
+	    connect(other, (struct sockaddr *)&proxy->target,
+		sizeof(proxy->target)) != 0) {
 		/* The target is down: close the connection. */
 		if (fd >= 0)
 			close(fd);
@@ -186,18 +184,18 @@
 }
 
 /*
- * Creates a proxy to a loopback port; it listens on a port that the kernel
+ * Creates a proxy to a loopback address; it listens on a port that the kernel
  * chooses.
  */
 struct proxy *
-proxy_new(struct loop *loop, uint16_t target)
+proxy_new(struct loop *loop, const struct sockaddr_in *target)
 {
 	struct proxy *proxy = g_new0(struct proxy, 1);
 	struct sockaddr_in address = {
 	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 
 	proxy->loop = loop;
-	proxy->target = target;
+	proxy->target = *target;
 	proxy->pairs = g_ptr_array_new();
 	proxy->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	ck_assert_int_eq(
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -1,6 +1,8 @@
 #ifndef CH_SOAK_PROXY_H
 #define CH_SOAK_PROXY_H
 
+#include <netinet/in.h>
+
 #include "loop.h"
 
 /* Treatment of the bytes of all connections through a proxy. */
@@ -16,10 +18,10 @@
 
 #define PROXY_DELAY_USEC (150 * LOOP_USEC_PER_MSEC)
 
-/* Forwards TCP connections to a loopback port and injects faults. */
+/* Forwards TCP connections to a loopback address and injects faults. */
 struct proxy;
 
-struct proxy *proxy_new(struct loop *, uint16_t target);
+struct proxy *proxy_new(struct loop *, const struct sockaddr_in *target);
 void proxy_free(struct proxy *);
 uint16_t proxy_port(const struct proxy *);
 void proxy_set_mode(struct proxy *, enum proxy_mode);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -106,15 +106,19 @@
 	struct member *member = &s->members[index];
 	struct node_fixture *w = &member->fixture;
 	const char *build = getenv("BUILD") ? getenv("BUILD") : "build";
+	struct sockaddr_in store = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct sockaddr_in front;
 	FILE *file;
 
 	w->loop = s->loop;
 	w->h1 = s->h1;
 	w->platform = s->platform;
-	w->front = node_free_port(SOCK_STREAM);
-	w->metrics = node_free_port(SOCK_STREAM);
-	member->store = proxy_new(s->loop, fake_platform_port(s->platform));
-	member->front = proxy_new(s->loop, w->front);
+	node_assign_addresses(w);
+	store.sin_port = htons(fake_platform_port(s->platform));
+	front = loopback_own(w->front);
+	member->store = proxy_new(s->loop, &store);
+	member->front = proxy_new(s->loop, &front);
 	snprintf(w->settings_path, sizeof(w->settings_path),
 	    "%s/tests/soak-%ld-%d.json", build, (long)getpid(), index);
 	snprintf(w->log_path, sizeof(w->log_path), "%s/tests/soak-%ld-%d.log",
@@ -123,13 +127,12 @@
 	ck_assert_ptr_nonnull(file);
 	fprintf(file,
 	    "{\"node\":\"n%d\",\"place\":\"here\",\"region\":\"r\","
-	    "\"ip\":\"127.0.0.1\",\"front\":\"127.0.0.1:%u\","
-	    "\"ready\":\"127.0.0.1:%u\",\"lookup\":\"127.0.0.1:%u\","
+	    "\"ip\":\"%s\",\"front\":\"%s:%u\","
+	    "\"ready\":\"%s:%u\",\"lookup\":\"%s:%u\","
 	    "\"store\":\"127.0.0.1:%u\",\"mesh_port\":%u,\"revoke_ms\":%d,"
 	    "\"grace_s\":6,\"retry_slack\":200,\"retry_ratio\":0.2}",
-	    index, w->front, node_free_port(SOCK_STREAM),
-	    node_free_port(SOCK_STREAM), proxy_port(member->store),
-	    node_free_port(SOCK_DGRAM), NODE_REVOKE_MS);
+	    index, w->ip, w->ip, w->front, w->ip, w->ready, w->ip, w->lookup,
+	    proxy_port(member->store), w->gossip, NODE_REVOKE_MS);
 	fclose(file);
 	member_start(member);
 }
@@ -147,6 +150,9 @@
 	bool old_key = g_rand_int_range(s->rand, 0, 10) == 0;
 	const char *key = s->keys[old_key ? 0 : 1];
 	int draw = g_rand_int_range(s->rand, 0, 4);
+	struct sockaddr_in front = {.sin_family = AF_INET,
+	    .sin_port = htons(proxy_port(member->front)),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 
 	caller->kind = draw < 2 ? CALL_STREAM
 	    : draw == 2		? CALL_NON_IDEMPOTENT
@@ -156,8 +162,7 @@
 	    now - s->key_changed_at > NODE_REVOKE_MS * LOOP_USEC_PER_MSEC;
 	snprintf(caller->id, sizeof(caller->id), "c%u", s->count);
 	s->count++;
-	node_call_send(&member->fixture, &caller->call,
-	    proxy_port(member->front),
+	node_call_send_to(&member->fixture, &caller->call, &front,
 	    caller->kind == CALL_STREAM
 		? node_request("POST", "/write/draft", caller->id, key, 20000,
 		      "Model: m\r\nToken-Usage: 40,80\r\n"
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -79,6 +79,44 @@
 END_TEST
 
 /* Checks the address lookup, readiness and metrics endpoints. */
+/*
+ * Listens on a port of 127.0.0.1, as a process of another test run may.
+ */
+static int
+listen_on_shared_address(uint16_t port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(listen(fd, 1), 0);
+	return fd;
+}
+
+/*
+ * Guards against a node that cannot start because another process took one of
+ * its ports after the fixture had chosen them.
+ */
+START_TEST(starts_although_other_processes_use_its_ports)
+{
+	struct node_fixture w;
+	int taken[3];
+
+	node_fixture_prepare(&w);
+	taken[0] = listen_on_shared_address(w.front);
+	taken[1] = listen_on_shared_address(w.ready);
+	taken[2] = listen_on_shared_address(w.metrics);
+	node_spawn(&w);
+	node_wait_until_serving(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(taken); i++)
+		close(taken[i]);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 START_TEST(serves_address_lookup_readiness_and_metrics)
 {
 	struct node_fixture w;
@@ -91,7 +129,7 @@
 	    "x\r\n\r\n");
 	node_call_wait(&w, &call);
 	ck_assert_uint_eq(call.status, 200);
-	snprintf(address, sizeof(address), "\"127.0.0.1:%u\"", w.front);
+	snprintf(address, sizeof(address), "\"%s:%u\"", w.ip, w.front);
 	ck_assert_ptr_nonnull(strstr(call.body.data, address));
 	node_call_send(
 	    &w, &call, w.ready, "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -574,6 +612,7 @@
 END_TEST
 
 HARNESS_MAIN("node", serves_streams_and_plain_requests,
+    starts_although_other_processes_use_its_ports,
     serves_address_lookup_readiness_and_metrics,
     metrics_match_the_documentation, stream_survives_an_unresponsive_engine,
     stream_continues_after_a_partial_event,
