Accept bounds with fractions in the node's settings

Change: times and memory are rounded down, so that the bound is kept; the slack of the retry budget keeps its fraction.

--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -26,7 +26,7 @@
 	int64_t proof_max_usec;
 	/* Retry budget of all nodes together in one window: a fixed number
 	 * plus a fraction of the requests. */
-	int64_t retry_slack;
+	double retry_slack;
 	double retry_ratio;
 	/* Limit of the memory for all buffered request bodies. */
 	size_t bodies_max_bytes;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -654,12 +654,12 @@
 void
 node_run(struct node *node)
 {
-	slog_event(EV_NODE_STARTED, "{s:s, s:s, s:s, s:s, s:I, s:f, s:I, s:s}",
+	slog_event(EV_NODE_STARTED, "{s:s, s:s, s:s, s:s, s:I, s:f, s:f, s:s}",
 	    "version", CH_VERSION, "front", node->settings.front, "place",
 	    node->settings.place, "store", node->settings.store, "revoke_ms",
 	    (json_int_t)node->settings.revoke_ms, "grace_s",
-	    node->settings.grace_s, "retry_slack",
-	    (json_int_t)node->settings.retry_slack, "identity", node->identity);
+	    node->settings.grace_s, "retry_slack", node->settings.retry_slack,
+	    "identity", node->identity);
 	loop_timer_set(node->tick, 0);
 	loop_run(node->loop);
 	slog_event(EV_NODE_STOPPED, "{s:i}", "cut",
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -22,6 +22,9 @@
 	FIELD_IP,
 	FIELD_ADDRESS,
 	FIELD_INTEGER,
+	/* A bound of the platform, which may have a fraction. It is rounded
+	 * down, so that the node keeps the bound. */
+	FIELD_BOUND,
 	FIELD_NUMBER
 };
 
@@ -48,16 +51,16 @@
     {"lookup", FIELD_ADDRESS, OFFSET(lookup), 0, 0, true, true},
     {"store", FIELD_ADDRESS, OFFSET(store), 0, 0, true, true},
     {"mesh_port", FIELD_INTEGER, OFFSET(mesh_port), 0, PORT_MAX, true, true},
-    {"revoke_ms", FIELD_INTEGER, OFFSET(revoke_ms), 0, REVOKE_MAX_MS, false,
+    {"revoke_ms", FIELD_BOUND, OFFSET(revoke_ms), 0, REVOKE_MAX_MS, false,
 	true},
-    {"leave_ms", FIELD_INTEGER, OFFSET(leave_ms), 0, LEAVE_MAX_MS, false, true},
+    {"leave_ms", FIELD_BOUND, OFFSET(leave_ms), 0, LEAVE_MAX_MS, false, true},
     {"grace_s", FIELD_NUMBER, OFFSET(grace_s), 0, SECONDS_MAX, false, false},
-    {"retry_slack", FIELD_INTEGER, OFFSET(retry_slack), 0, RETRY_SLACK_MAX,
+    {"retry_slack", FIELD_NUMBER, OFFSET(retry_slack), 0, RETRY_SLACK_MAX,
 	false, true},
     {"retry_ratio", FIELD_NUMBER, OFFSET(retry_ratio), 0, 1, false, true},
     {"address_validity_max_s", FIELD_NUMBER, OFFSET(address_validity_max_s),
 	0.1, SECONDS_MAX, false, false},
-    {"memory_mb", FIELD_INTEGER, OFFSET(memory_mb), 16, MEMORY_MAX_MB, false,
+    {"memory_mb", FIELD_BOUND, OFFSET(memory_mb), 16, MEMORY_MAX_MB, false,
 	true},
 };
 
@@ -125,8 +128,8 @@
 		    "settings field %s: must be %s from %g to %g", field->name,
 		    is_integer ? "an integer" : "a number", field->min,
 		    field->max);
-	if (is_integer)
-		*(int64_t *)out = json_integer_value(value);
+	if (field->kind != FIELD_NUMBER)
+		*(int64_t *)out = (int64_t)number;
 	else
 		*(double *)out = number;
 	return STATUS_OK;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -30,7 +30,7 @@
 	double grace_s;
 	/* Retry budget of all nodes in one window: retry_slack retries plus
 	 * retry_ratio times the requests. */
-	int64_t retry_slack;
+	double retry_slack;
 	double retry_ratio;
 	/* Longest time for which callers may cache an address response. */
 	double address_validity_max_s;
