Let a node use its whole share of the retry budget at once

Cause: 295 nodes have 2 retries each, half of them reserved, and earn one per six requests up to that limit.

Change: the share is a sliding window (retry_share), as the bound is: a node may use at once its part of the slack and what its requests of the last window earned. The number of nodes follows the live ones; a lower number counts after one window. The window's length is read from the settings.

Ruled out: larger buckets at the same refill, which break the bound in a window.

--- a/src/job.c
+++ b/src/job.c
@@ -357,7 +357,7 @@
 job_retry(struct job *job, bool nothing_ran)
 {
 	struct retry_attempt failed = {!job->once, nothing_ran, ++job->failures,
-	    job->submit->deadline, false};
+	    job->submit->deadline};
 	enum retry_verdict verdict;
 	int64_t at = 0;
 
@@ -391,7 +391,7 @@
 job_try_reroute(struct job *job, int64_t *at)
 {
 	struct retry_attempt failed = {
-	    !job->once, false, job->failures + 1, job->submit->deadline, false};
+	    !job->once, false, job->failures + 1, job->submit->deadline};
 
 	if (job->failures + 1 >= ATTEMPTS_MAX || job->router->draining ||
 	    retry_decide(retry_budget_for(job), &failed,
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -12,10 +12,6 @@
 /* Retry-After for callers while this node cannot confirm that its keys are
  * current: about the time after which a lookup returns nodes that can. */
 #define UNCONFIRMED_CONFIG_RETRY_USEC (1 * LOOP_USEC_PER_SEC)
-/* Fraction of the common retry budget that the nodes use. Their windows
- * start at different moments; the margin keeps their sum within the budget
- * in every window. */
-#define RETRY_BUDGET_SHARE 0.85
 
 /*
  * Returns the event loop's current time in microseconds.
@@ -215,7 +211,6 @@
 {
 	struct gateway_service *service =
 	    g_hash_table_lookup(gateway->services, name);
-	uint32_t nodes = gossip_live_count(gateway->config.gossip);
 
 	if (service == NULL) {
 		service = g_new0(struct gateway_service, 1);
@@ -226,15 +221,11 @@
 			g_free(service);
 			return NULL;
 		}
+		retry_share_init(&service->retries, gateway->config.retry_slack,
+		    gateway->config.retry_ratio,
+		    gateway->config.retry_window_usec);
 		g_hash_table_insert(gateway->services, service->name, service);
 	}
-	if (service->budget_nodes == 0) {
-		service->budget_nodes = nodes;
-		retry_budget_init_share(&service->budget,
-		    (int64_t)((double)gateway->config.retry_slack *
-			RETRY_BUDGET_SHARE / nodes),
-		    gateway->config.retry_ratio * RETRY_BUDGET_SHARE);
-	}
 	return service;
 }
 
@@ -442,8 +433,9 @@
 		    ADMIT_RETRY_MIN_USEC, "service is not known");
 		return;
 	}
-	retry_budget_add_request(
-	    &gateway_service(gateway, request->service->name)->budget);
+	retry_share_add_request(
+	    &gateway_service(gateway, request->service->name)->retries,
+	    gateway_now(gateway));
 	if (request->service->engine != NULL)
 		gateway_stream_start(request);
 	else
@@ -489,8 +481,13 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, gateway->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		gateway_stream_expire(gateway, value, now);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct gateway_service *service = value;
+
+		retry_share_set_nodes(&service->retries,
+		    gossip_live_count(gateway->config.gossip), now);
+		gateway_stream_expire(gateway, service, now);
+	}
 	gateway_check_probation(gateway, now);
 	gateway_stream_dispatch(gateway);
 	for (guint i = 0; i < gateway->requests->len; i++) {
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -27,6 +27,7 @@
 	/* Retry budget of all nodes together in one window: a fixed number
 	 * plus a fraction of the requests. */
 	double retry_slack;
+	int64_t retry_window_usec;
 	double retry_ratio;
 	/* Limit of the memory for all buffered request bodies. */
 	size_t bodies_max_bytes;
--- a/src/node/gateway_plain.c
+++ b/src/node/gateway_plain.c
@@ -105,9 +105,10 @@
 	if (response->status >= HTTP_SERVER_ERROR &&
 	    request->route->kind == FLEET_IDEMPOTENT && request->sends == 1 &&
 	    request->route->attempts_max > 1 &&
-	    retry_budget_is_available(
+	    retry_share_is_available(
 		&gateway_service(request->gateway, request->service->name)
-		     ->budget)) {
+		     ->retries,
+		now)) {
 		gateway_attempt_failed(
 		    request, false, "server failed the request");
 		return;
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -5,7 +5,7 @@
 #include "backend_call.h"
 #include "gateway.h"
 #include "metric.h"
-#include "retry.h"
+#include "retry_share.h"
 #include "sched.h"
 #include "slog.h"
 #include "sse.h"
@@ -149,8 +149,7 @@
 struct gateway_service {
 	char *name;
 	struct sched *queue;
-	struct retry_budget budget;
-	uint32_t budget_nodes;
+	struct retry_share retries;
 	/* Moving rate of tokens of started requests, used to estimate queue
 	 * waits. */
 	double started_tokens_per_sec;
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -383,17 +383,11 @@
 gateway_consume_retry(struct gateway_request *request)
 {
 	struct gateway *gateway = request->gateway;
-	struct retry_attempt failed = {.idempotent = true,
-	    .nothing_ran = true,
-	    .failures = 1,
-	    .deadline = INT64_MAX,
-	    .under_way = request->response_started || request->may_have_run};
-	int64_t at;
-
-	return retry_decide(
-		   &gateway_service(gateway, request->service->name)->budget,
-		   &failed, gateway_now(gateway), gateway->rand,
-		   &at) == RETRY_OK;
+
+	return retry_share_take(
+	    &gateway_service(gateway, request->service->name)->retries,
+	    request->response_started || request->may_have_run,
+	    gateway_now(gateway));
 }
 
 /*
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -585,6 +585,8 @@
 	    .proof_max_usec = max_proof_age(node),
 	    .retry_slack = settings->retry_slack,
 	    .retry_ratio = settings->retry_ratio,
+	    .retry_window_usec =
+		(int64_t)(settings->retry_window_s * (double)LOOP_USEC_PER_SEC),
 	    .bodies_max_bytes = (size_t)((double)settings->memory_mb *
 		BODIES_MEMORY_SHARE * (double)BYTES_PER_MB)};
 	char *key = g_strconcat(GOSSIP_PREFIX, settings->node, NULL);
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -58,6 +58,8 @@
     {"retry_slack", FIELD_NUMBER, OFFSET(retry_slack), 0, RETRY_SLACK_MAX,
 	false, true},
     {"retry_ratio", FIELD_NUMBER, OFFSET(retry_ratio), 0, 1, false, true},
+    {"retry_window_s", FIELD_NUMBER, OFFSET(retry_window_s), 0.1, SECONDS_MAX,
+	false, true},
     {"address_validity_max_s", FIELD_NUMBER, OFFSET(address_validity_max_s),
 	0.1, SECONDS_MAX, false, false},
     {"memory_mb", FIELD_BOUND, OFFSET(memory_mb), 16, MEMORY_MAX_MB, false,
@@ -170,6 +172,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->grace_s = 8;
+	out->retry_window_s = 10;
 	out->address_validity_max_s = 5;
 	out->memory_mb = 256;
 	if (!json_is_object(root)) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -32,6 +32,7 @@
 	 * retry_ratio times the requests. */
 	double retry_slack;
 	double retry_ratio;
+	double retry_window_s;
 	/* Longest time for which callers may cache an address response. */
 	double address_validity_max_s;
 	int64_t memory_mb;
--- a/src/retry.c
+++ b/src/retry.c
@@ -19,23 +19,6 @@
 	budget->refilled_at = now;
 }
 
-/*
- * Initializes one node's share of a budget that is divided between nodes.
- * burst is both the initial and the maximum number of earned retries; each
- * request adds ratio of a retry. There is no minimum.
- */
-void
-retry_budget_init_share(
-    struct retry_budget *budget, int64_t burst, double ratio)
-{
-	memset(budget, 0, sizeof(*budget));
-	budget->balance_max = burst * RETRY_UNITS_PER_RETRY;
-	budget->balance = budget->balance_max;
-	budget->reserve =
-	    (int64_t)(RETRY_RESERVE_FRACTION * (double)budget->balance_max);
-	budget->units_per_request = (int64_t)(ratio * RETRY_UNITS_PER_RETRY);
-}
-
 /*
  * Adds what a request earns to the budget. Must not be called for retries.
  */
@@ -63,17 +46,14 @@
 }
 
 /*
- * Charges one retry to the earned retries or else to the minimum. Only
- * requests under way may use the reserve. Returns false when the budget is
- * exhausted.
+ * Charges one retry to the earned retries or else to the minimum. Returns false
+ * when the budget is exhausted.
  */
 static bool
-charge_budget(struct retry_budget *budget, bool under_way, int64_t now)
+charge_budget(struct retry_budget *budget, int64_t now)
 {
-	int64_t reserved = under_way ? 0 : budget->reserve;
-
 	refill_minimum(budget, now);
-	if (budget->balance - reserved >= RETRY_UNITS_PER_RETRY) {
+	if (budget->balance >= RETRY_UNITS_PER_RETRY) {
 		budget->balance -= RETRY_UNITS_PER_RETRY;
 	} else if (budget->minimum > 0) {
 		budget->minimum--;
@@ -117,23 +97,12 @@
 	when = now + random_backoff(failed->failures, rand);
 	if (when >= failed->deadline)
 		return RETRY_TOO_LATE;
-	if (!charge_budget(budget, failed->under_way, now))
+	if (!charge_budget(budget, now))
 		return RETRY_NO_BUDGET;
 	*at = when;
 	return RETRY_OK;
 }
 
-/*
- * Returns whether the budget allows a retry of a request that is not under
- * way. Does not charge the budget or refill the minimum.
- */
-bool
-retry_budget_is_available(const struct retry_budget *budget)
-{
-	return budget->balance - budget->reserve >= RETRY_UNITS_PER_RETRY ||
-	    budget->minimum > 0;
-}
-
 /*
  * Returns the name of a verdict as a static string, for response codes and
  * logs.
--- a/src/retry.h
+++ b/src/retry.h
@@ -18,12 +18,6 @@
  */
 #define RETRY_MINIMUM 10
 #define RETRY_MINIMUM_REFILL_USEC ((int64_t)1000000)
-/*
- * Fraction of a shared budget that is reserved for requests under way. A
- * request that has not started can be refused, and its caller can try again
- * without using the budget.
- */
-#define RETRY_RESERVE_FRACTION 0.5
 /*
  * Exponential backoff with full jitter: a random delay below a limit that
  * starts at the base and doubles with each failure up to the maximum.
@@ -40,8 +34,6 @@
 	int64_t balance_max;
 	/* Units that each request adds. */
 	int64_t units_per_request;
-	/* Units that only requests under way may use. */
-	int64_t reserve;
 	/* Retries left that need not be earned. */
 	int64_t minimum;
 	int64_t minimum_max;
@@ -68,20 +60,12 @@
 	bool nothing_ran;
 	uint32_t failures;
 	int64_t deadline;
-	/*
-	 * The caller has received part of the response, or the request may
-	 * have run: without a retry the work done so far is lost.
-	 */
-	bool under_way;
 };
 
 void retry_budget_init(struct retry_budget *, int64_t now);
-void retry_budget_init_share(
-    struct retry_budget *, int64_t burst, double ratio);
 void retry_budget_add_request(struct retry_budget *);
 enum retry_verdict retry_decide(struct retry_budget *,
     const struct retry_attempt *, int64_t now, GRand *, int64_t *at);
-bool retry_budget_is_available(const struct retry_budget *);
 const char *retry_verdict_name(enum retry_verdict);
 
 #endif
