Hear the nodes that share a data centre's servers, and scale by data centre

Cause: in a fleet of 295 nodes a node hears the 24 that are nearest by name, nearly all of its own data centre, and multiplied their use of the servers by 294/24. Paths stay within a data centre, so the load of its own servers was estimated four times too high, and requests were refused or sent across.

The recipients are selected when nodes come or go, not sorted for each report. A peer that moved out of hearing is live while its entry is. A node that leaves tells all nodes of its data centre, and a server that fails is reported within 50 ms.

--- a/src/node/gateway_probe.c
+++ b/src/node/gateway_probe.c
@@ -21,11 +21,12 @@
 {
 	int64_t now = gateway_now(gateway);
 
-	if (pool_avoid(server, now))
-		slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:I}", "server",
-		    server->info.id, "evidence", evidence, "for_ms",
-		    (json_int_t)((server->avoid_until - now) /
-			LOOP_USEC_PER_MSEC));
+	if (!pool_avoid(server, now))
+		return;
+	gossip_report_soon(gateway->config.gossip);
+	slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:I}", "server",
+	    server->info.id, "evidence", evidence, "for_ms",
+	    (json_int_t)((server->avoid_until - now) / LOOP_USEC_PER_MSEC));
 }
 
 /*
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -15,7 +15,6 @@
 #define DATAGRAM_MAX_BYTES 60000
 /* Most datagrams read in one iteration of the event loop. */
 #define READ_BATCH 64
-#define ROUND_HALF 0.5
 
 /*
  * Returns the hash that identifies one process of a node. It differs after a
@@ -194,6 +193,7 @@
 	gossip->started_at = loop_now(loop);
 	gossip->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	gossip->recipients = g_ptr_array_new();
 	inet_pton(AF_INET, config->ip, &address.sin_addr);
 	gossip->fd =
 	    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -228,6 +228,7 @@
 	loop_watch_destroy(gossip->watch);
 	if (gossip->fd >= 0)
 		close(gossip->fd);
+	g_ptr_array_free(gossip->recipients, TRUE);
 	g_hash_table_destroy(gossip->peers);
 	lstr_buf_free(&gossip->entry);
 	g_free(gossip);
@@ -277,6 +278,7 @@
 	peer->uses = g_array_new(FALSE, TRUE, sizeof(struct peer_use));
 	g_hash_table_replace(gossip->peers, peer->name, peer);
 	gossip->sums_stale = true;
+	gossip->recipients_stale = true;
 	json_decref(root);
 }
 
@@ -315,79 +317,76 @@
 	gossip->suspended = !serving;
 }
 
+/* The peers of one data centre: those with recent reports, and all that are
+ * live. */
+struct place_count {
+	uint32_t heard;
+	uint32_t live;
+};
+
 /*
- * Returns the factor that extrapolates from the peers with recent reports to
- * all live peers; in a large fleet a node hears from only some of them.
+ * Counts the peers by data centre. In a large fleet a node hears many of its
+ * own and few of the others. The caller frees the table.
  */
-static double
-extrapolation_factor(const struct gossip *gossip, int64_t now)
+static GHashTable *
+count_places(const struct gossip *gossip, int64_t now)
 {
-	uint32_t heard = 0;
-	uint32_t live = 0;
+	GHashTable *places =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
+		struct place_count *count =
+		    g_hash_table_lookup(places, peer->place);
 
-		heard += now - peer->heard_at <= POOL_PEER_USE_USEC;
-		live += gossip_peer_is_live(gossip, peer, now);
+		if (count == NULL) {
+			count = g_new0(struct place_count, 1);
+			g_hash_table_insert(places, peer->place, count);
+		}
+		count->heard += now - peer->heard_at <= POOL_PEER_USE_USEC;
+		count->live += gossip_peer_is_live(gossip, peer, now);
 	}
-	return heard > 0 && live > heard ? (double)live / heard : 1;
+	return places;
 }
 
 /*
- * Sums the use of each server by all peers.
+ * Sums the use of each server by all peers. The reports of a data centre stand
+ * for all its live nodes, since the nodes of one use other servers than those
+ * of another.
  */
 static void
 sum_uses(struct gossip *gossip, int64_t now)
 {
-	double scale;
+	GHashTable *places = count_places(gossip, now);
 	GHashTableIter iter;
 	gpointer value;
 
 	gossip->sums_stale = false;
-	g_hash_table_iter_init(&iter, gossip->pool->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool_server *server = value;
-
-		memset(&server->peers, 0, sizeof(server->peers));
-		server->peers_margin = 0;
-	}
-	scale = extrapolation_factor(gossip, now);
+	pool_clear_peers_use(gossip->pool);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
+		const struct place_count *count;
+		double scale;
 
 		if (now - peer->heard_at > POOL_PEER_USE_USEC)
 			continue;
+		count = g_hash_table_lookup(places, peer->place);
+		scale = MAX((double)count->live / count->heard, 1);
 		for (guint i = 0; i < peer->uses->len; i++) {
 			const struct peer_use *use =
 			    &g_array_index(peer->uses, struct peer_use, i);
 			struct pool_server *server =
 			    pool_find_hash(gossip->pool, use->hash);
 
-			if (server == NULL)
-				continue;
-			server->peers.memory +=
-			    (int64_t)(scale * (double)use->use.memory);
-			server->peers.active +=
-			    (uint32_t)(scale * use->use.active + ROUND_HALF);
-			server->peers.first_active +=
-			    (uint32_t)(scale * use->use.first_active +
-				ROUND_HALF);
+			if (server != NULL)
+				pool_add_peers_use(server, &use->use, scale);
 		}
 	}
-	if (scale <= 1)
-		return;
-	g_hash_table_iter_init(&iter, gossip->pool->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool_server *server = value;
-
-		server->peers_margin =
-		    pool_sampling_margin(&server->peers, scale);
-	}
+	g_hash_table_destroy(places);
 }
 
 /*
@@ -411,11 +410,24 @@
 			slog_event(EV_PEER_SILENT, "{s:s, s:b}", "peer",
 			    peer->name, "unlisted", peer->unlisted);
 		}
-		if (peer->unlisted)
+		if (peer->unlisted) {
 			g_hash_table_iter_remove(&iter);
+			gossip->recipients_stale = true;
+		}
 	}
 }
 
+/*
+ * Makes the next tick send a report, although the last one was sent less than
+ * an interval ago: a server fails, and requests of the peers would fail there
+ * too.
+ */
+void
+gossip_report_soon(struct gossip *gossip)
+{
+	gossip->urgent = true;
+}
+
 /*
  * Periodic work: checks the peers, updates the sums of their use, and sends a
  * report if one is due.
@@ -428,6 +440,7 @@
 	check_peers(gossip, now);
 	if (gossip->sums_stale)
 		sum_uses(gossip, now);
-	if (now - gossip->sent_at >= GOSSIP_SEND_USEC)
+	if (now - gossip->sent_at >=
+	    (gossip->urgent ? GOSSIP_URGENT_USEC : GOSSIP_SEND_USEC))
 		gossip_send_report(gossip, now);
 }
--- a/src/node/gossip.h
+++ b/src/node/gossip.h
@@ -13,20 +13,23 @@
 
 /* Interval of reports; shorter than the lag of the engines' own reports. */
 #define GOSSIP_SEND_USEC (200 * LOOP_USEC_PER_MSEC)
+/* Shortest interval of reports if there is news for which peers must not wait.
+ */
+#define GOSSIP_URGENT_USEC (50 * LOOP_USEC_PER_MSEC)
 /* A peer without a report for this long is considered dead, and its address is
  * not given to callers. */
 #define GOSSIP_SILENT_USEC (1000 * LOOP_USEC_PER_MSEC)
-/* Most peers that one node sends reports to. In a larger fleet each node picks
- * this many neighbours in name order, so that traffic per node stays bounded.
- */
-#define GOSSIP_FANOUT 24
+/* In a large fleet, a peer that has not been heard for this long but still has
+ * an entry is alive and reports to other nodes: its lease is shorter. */
+#define GOSSIP_UNHEARD_USEC (6000 * LOOP_USEC_PER_MSEC)
 /* Nodes of other data centres get only one in this many reports, because
  * traffic between data centres is expensive and most paths stay within one. */
 #define GOSSIP_REMOTE_EVERY 3
-/* In a fleet with more than GOSSIP_FANOUT peers, one in this many nodes in name
- * order watches the store and the others rely on its proofs; each node hears
- * from about five such watchers. In a smaller fleet every node watches for
- * itself, because its two or three watchers could be disconnected together. */
+/* In a fleet with more than NEIGHBOURS_MAX peers, one in this many nodes in
+ * name order watches the store and the others rely on its proofs; each node
+ * hears from about five such watchers. In a smaller fleet every node watches
+ * for itself, because its two or three watchers could be disconnected together.
+ */
 #define GOSSIP_WATCHER_EVERY 5
 /* Key prefix of the entries of nodes in the store. */
 #define GOSSIP_PREFIX "chestnuthoist/node/"
@@ -74,6 +77,8 @@
 void gossip_leave(struct gossip *);
 /* Sets whether callers are directed to this node, and reports it to peers. */
 void gossip_set_serving(struct gossip *, bool);
+/* Reports to the peers soon that a server fails. */
+void gossip_report_soon(struct gossip *);
 void gossip_tick(struct gossip *);
 /* Number of live nodes, including this one. */
 uint32_t gossip_live_count(const struct gossip *);
--- a/src/node/gossip_fleet.c
+++ b/src/node/gossip_fleet.c
@@ -9,7 +9,7 @@
 /*
  * Returns true if a peer is considered live: it sent a report recently, or its
  * entry is too new for one. In a fleet in which not all nodes hear each other,
- * a peer that never sent a report here is live as long as it has an entry.
+ * a peer that sends no reports here is live as long as it has an entry.
  */
 bool
 gossip_peer_is_live(
@@ -17,8 +17,8 @@
 {
 	int64_t since = MAX(peer->heard_at, peer->listed_at);
 
-	if (peer->heard_at == 0 &&
-	    g_hash_table_size(gossip->peers) > GOSSIP_FANOUT)
+	if (gossip_shares_watches(gossip) &&
+	    (peer->heard_at == 0 || now - since >= GOSSIP_UNHEARD_USEC))
 		return !peer->unlisted;
 	return now - since < GOSSIP_SILENT_USEC;
 }
@@ -89,7 +89,7 @@
 bool
 gossip_shares_watches(const struct gossip *gossip)
 {
-	return g_hash_table_size(gossip->peers) > GOSSIP_FANOUT;
+	return g_hash_table_size(gossip->peers) > NEIGHBOURS_MAX;
 }
 
 /*
--- a/src/node/gossip_priv.h
+++ b/src/node/gossip_priv.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include "gossip.h"
+#include "neighbours.h"
 
 /* Number of own reports whose send times are kept in order to date the proofs
  * of peers; they cover more than the time for which a proof is useful. */
@@ -55,6 +56,12 @@
 	bool suspended;
 	/* The sums of the use by peers must be updated. */
 	bool sums_stale;
+	/* struct peer that get this node's reports, and whether they must be
+	 * selected again. */
+	GPtrArray *recipients;
+	bool recipients_stale;
+	/* A report is due at once. */
+	bool urgent;
 };
 
 uint32_t gossip_peer_hash(const char *name, uint64_t boot);
--- a/src/node/gossip_report.c
+++ b/src/node/gossip_report.c
@@ -83,26 +83,41 @@
 }
 
 /*
- * Returns true if the current report is to be sent to a peer.
+ * Selects the peers that get this node's reports.
  */
-static bool
-is_recipient(const struct gossip *gossip, const struct peer *peer)
+static void
+select_recipients(struct gossip *gossip)
 {
-	return strcmp(peer->place, gossip->config.place) == 0 ||
-	    gossip->leaving || gossip->sequence % GOSSIP_REMOTE_EVERY == 0;
+	guint count = g_hash_table_size(gossip->peers);
+	struct neighbours_node *nodes =
+	    g_new(struct neighbours_node, count + 1);
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+
+	gossip->recipients_stale = false;
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		nodes[n++] =
+		    (struct neighbours_node){peer->name, peer->place, peer};
+	}
+	g_ptr_array_set_size(gossip->recipients, (gint)count);
+	n = neighbours_select(nodes, n, gossip->config.name,
+	    gossip->config.place, gossip->recipients->pdata);
+	g_ptr_array_set_size(gossip->recipients, (gint)n);
+	g_free(nodes);
 }
 
 /*
- * Sends a packed report to one peer, unless it is not due for that peer.
+ * Sends a packed report to a peer.
  */
 static void
-send_to(
-    struct gossip *gossip, const char *name, const uint8_t *bytes, size_t len)
+send_to(const struct gossip *gossip, const struct peer *peer,
+    const uint8_t *bytes, size_t len)
 {
-	const struct peer *peer = g_hash_table_lookup(gossip->peers, name);
-
-	if (is_recipient(gossip, peer) &&
-	    sendto(gossip->fd, bytes, len, MSG_DONTWAIT,
+	if (sendto(gossip->fd, bytes, len, MSG_DONTWAIT,
 		(const struct sockaddr *)&peer->address,
 		sizeof(peer->address)) < 0) {
 		/* The next report supersedes a lost one. */
@@ -110,35 +125,46 @@
 }
 
 /*
- * Sends a packed report to the peers: to all in a small fleet, otherwise to the
- * nearest ones on both sides in the ring of sorted names, so that the peers
- * that receive reports of a node are those that send it theirs.
+ * Sends a packed report to all nodes of the data centre, which give the address
+ * of this one to callers.
  */
 static void
-send_to_peers(struct gossip *gossip, const uint8_t *bytes, size_t len)
+send_to_place(const struct gossip *gossip, const uint8_t *bytes, size_t len)
 {
-	GList *list = g_hash_table_get_keys(gossip->peers);
-	guint count = g_list_length(list);
-	const char **names = g_new0(const char *, count + 1);
-	guint after = 0;
-	guint sent = 0;
-
-	list = g_list_sort(list, (GCompareFunc)strcmp);
-	for (const GList *at = list; at != NULL; at = at->next) {
-		after += strcmp(at->data, gossip->config.name) < 0;
-		names[sent++] = at->data;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (strcmp(peer->place, gossip->config.place) == 0)
+			send_to(gossip, peer, bytes, len);
 	}
-	sent = 0;
-	for (guint i = 0; sent < MIN(count, GOSSIP_FANOUT); i++) {
-		send_to(gossip, names[(after + i) % count], bytes, len);
-		if (++sent < MIN(count, GOSSIP_FANOUT)) {
-			send_to(gossip, names[(after + count - 1 - i) % count],
-			    bytes, len);
-			sent++;
-		}
+}
+
+/*
+ * Sends a packed report to the selected peers; see neighbours_select(). Those
+ * of other data centres get some of the reports only.
+ */
+static void
+send_to_peers(struct gossip *gossip, const uint8_t *bytes, size_t len)
+{
+	bool to_all =
+	    gossip->leaving || gossip->sequence % GOSSIP_REMOTE_EVERY == 0;
+
+	if (gossip->recipients_stale)
+		select_recipients(gossip);
+	for (guint i = 0; i < gossip->recipients->len; i++) {
+		const struct peer *peer =
+		    g_ptr_array_index(gossip->recipients, i);
+		bool local = strcmp(peer->place, gossip->config.place) == 0;
+
+		if (local ? !gossip->leaving : to_all)
+			send_to(gossip, peer, bytes, len);
 	}
-	g_free(names);
-	g_list_free(list);
+	if (gossip->leaving)
+		send_to_place(gossip, bytes, len);
 }
 
 /*
@@ -154,6 +180,7 @@
 	uint8_t *bytes;
 
 	gossip->sent_at = now;
+	gossip->urgent = false;
 	rows = g_new(Ch__ServerUse, count + 1);
 	pointers = g_new(Ch__ServerUse *, count + 1);
 	report.node = (char *)gossip->config.name;
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -13,6 +13,7 @@
 /* Half-life of a measured slowness without new measurements. */
 #define SLOWNESS_HALF_LIFE_USEC (2 * LOOP_USEC_PER_SEC)
 #define SLOWNESS_MAX 20.0
+#define ROUND_HALF 0.5
 
 /*
  * Frees a server; element destructor of the list of removed servers.
@@ -298,18 +299,50 @@
 
 /*
  * Returns the margin to add to memory use of all peers that is extrapolated
- * from a sample of them. scale is the number of all peers divided by the number
- * in the sample.
+ * from a sample of them. variance is that of the number of requests.
  */
 int64_t
-pool_sampling_margin(const struct pool_use *peers, double scale)
+pool_sampling_margin(const struct pool_use *peers, double variance)
 {
-	double requests = peers->active;
-
-	if (scale <= 1 || peers->active == 0)
+	if (variance <= 0 || peers->active == 0)
 		return 0;
-	return (int64_t)(POOL_MARGIN_DEVIATIONS * sqrt(requests * (scale - 1)) *
-	    (double)peers->memory / requests);
+	return (int64_t)(POOL_MARGIN_DEVIATIONS * sqrt(variance) *
+	    (double)peers->memory / peers->active);
+}
+
+/*
+ * Clears the sums of the peers' use of all servers.
+ */
+void
+pool_clear_peers_use(struct pool *pool)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_server *server = value;
+
+		memset(&server->peers, 0, sizeof(server->peers));
+		server->peers_variance = 0;
+		server->peers_margin = 0;
+	}
+}
+
+/*
+ * Adds the use of a server by one peer, which stands for scale peers.
+ */
+void
+pool_add_peers_use(
+    struct pool_server *server, const struct pool_use *use, double scale)
+{
+	server->peers.memory += (int64_t)(scale * (double)use->memory);
+	server->peers.active += (uint32_t)(scale * use->active + ROUND_HALF);
+	server->peers.first_active +=
+	    (uint32_t)(scale * use->first_active + ROUND_HALF);
+	server->peers_variance += scale * use->active * (scale - 1);
+	server->peers_margin =
+	    pool_sampling_margin(&server->peers, server->peers_variance);
 }
 
 /*
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -96,8 +96,10 @@
 	int64_t worked_at;
 	struct pool_use own;
 	struct pool_use peers;
-	/* Margin added to the memory used by peers if that is extrapolated from
-	 * the reports of only some of them. */
+	/* Variance of the number of the peers' requests if that is extrapolated
+	 * from the reports of only some of them, and the margin that is added
+	 * to their memory for it. */
+	double peers_variance;
 	int64_t peers_margin;
 	/* Idle connections: struct h1_conn. */
 	GQueue idle;
@@ -143,7 +145,10 @@
 bool pool_is_nearly_full(
     const struct pool_server *, const struct fleet_engine *);
 bool pool_note_full(struct pool_server *, int64_t now);
-int64_t pool_sampling_margin(const struct pool_use *, double scale);
+int64_t pool_sampling_margin(const struct pool_use *, double variance);
+void pool_clear_peers_use(struct pool *);
+void pool_add_peers_use(
+    struct pool_server *, const struct pool_use *, double scale);
 void pool_note_result(struct pool_server *, bool success);
 void pool_note_slowness(struct pool_server *, double ratio, int64_t now);
 void pool_note_reported_slowness(
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -157,13 +157,15 @@
 START_TEST(sampled_use_has_a_margin)
 {
 	const struct pool_use peers = {.memory = 110 * 1000, .active = 110};
-	int64_t margin = pool_sampling_margin(&peers, 3.3);
+	/* Each peer in the sample stands for 3.3. */
+	const double variance = 110 * (3.3 - 1);
+	int64_t margin = pool_sampling_margin(&peers, variance);
 
-	ck_assert_int_eq(pool_sampling_margin(&peers, 1), 0);
+	ck_assert_int_eq(pool_sampling_margin(&peers, 0), 0);
 	/* About 16 requests of 1000 units. */
 	ck_assert_int_gt(margin, 14000);
 	ck_assert_int_lt(margin, 18000);
-	ck_assert_int_eq(pool_sampling_margin(&(struct pool_use){0}, 3.3), 0);
+	ck_assert_int_eq(pool_sampling_margin(&(struct pool_use){0}, variance), 0);
 }
 END_TEST
 
