Send callers back when crashed servers are replaced

Streams that ran out of the retry budget were sent back after 0.2 s, into the same crash.

Change: admission knows when servers of the data centre last failed. Until 4.5 s after that (the lapse of entries, the orders and the loading of layers) a stream without a path is sent back at that time, spread over 1.5 s. A stream that did not run returns soon only if a path has room now. The planner takes a server as failed when two peers report it, since in a large fleet it has no requests of its own at most servers.

Ruled out: a longer Retry-After for every shortage; in a burst without failures room returns within a second or two.

Result: the test that replays such a crash sends no caller back early (all but a few before).

--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -25,6 +25,27 @@
 	return MIN(delay, delay_max);
 }
 
+/*
+ * Returns the time in microseconds after which the caller of a request without
+ * a path is to retry: when the layers of failed servers are expected to be held
+ * again, spread over some time, or else when running requests have ended.
+ */
+int64_t
+admit_retry_without_capacity(const struct admit_request *request)
+{
+	int64_t delay = admit_retry_after(
+	    MAX(2 * request->expected_wait_usec, ADMIT_RETRY_OVERLOAD_USEC),
+	    request->caller_timeout_usec, request->jitter);
+	int64_t delay_max =
+	    (int64_t)((double)request->caller_timeout_usec * ADMIT_RETRY_SHARE);
+	int64_t recovery = ADMIT_RECOVERY_USEC - request->failed_since_usec;
+
+	if (request->failed_since_usec < 0 || recovery <= 0)
+		return delay;
+	recovery += (int64_t)(request->jitter * ADMIT_RECOVERY_SPREAD_USEC);
+	return MIN(MAX(delay, recovery), delay_max);
+}
+
 /*
  * Returns how long, in microseconds, callers wait for the next event of a
  * stream before they abandon it.
@@ -60,9 +81,7 @@
 		decision.wait_usec = wait_max;
 		return decision;
 	}
-	decision.retry_usec = admit_retry_after(
-	    MAX(2 * request->expected_wait_usec, ADMIT_RETRY_OVERLOAD_USEC),
-	    request->caller_timeout_usec, request->jitter);
+	decision.retry_usec = admit_retry_without_capacity(request);
 	return decision;
 }
 
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -12,6 +12,10 @@
  * objective; all others are refused at once with a retry time at which capacity
  * is expected, jittered so that callers do not return together. A request that
  * was already sent to a server is queued for as long as its caller waits.
+ *
+ * A caller returns once. In a burst, room returns as running requests end; when
+ * servers have crashed, it returns only when their layers are held again, and a
+ * caller that comes back before that is refused for good.
  */
 
 /* Allowance for delivery to the caller and for estimates that are too low. */
@@ -29,6 +33,13 @@
 /* Shortest retry time under overload: about the time in which the engines
  * finish the running requests. */
 #define ADMIT_RETRY_OVERLOAD_USEC ((int64_t)1500000)
+/* Servers that fail together are missing for about this long: their entries
+ * lapse, their layers are ordered elsewhere or they start again empty, and the
+ * layers are loaded. */
+#define ADMIT_RECOVERY_USEC ((int64_t)4500000)
+/* Callers return within this time after the expected recovery, so that those
+ * refused together do not come back together. */
+#define ADMIT_RECOVERY_SPREAD_USEC ((int64_t)1500000)
 /* Callers honour a retry time of at most a third of their remaining time. */
 #define ADMIT_RETRY_SHARE 0.3
 
@@ -51,6 +62,9 @@
 	/* The request was sent to a server before, so its response may have
 	 * started. */
 	bool already_started;
+	/* Time since servers of this data centre failed; negative: none failed
+	 * lately. */
+	int64_t failed_since_usec;
 	/* Random number from 0 to 1 that jitters the retry time. */
 	double jitter;
 };
@@ -67,6 +81,7 @@
 int64_t admit_abandon_after(int64_t objective_usec, int64_t gap_usec);
 int64_t admit_retry_after(
     int64_t expected_usec, int64_t caller_timeout_usec, double jitter);
+int64_t admit_retry_without_capacity(const struct admit_request *);
 
 /* Time after a node starts to drain during which every request is still
  * accepted, because callers learn only gradually that the node is stopping. */
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -486,7 +486,7 @@
 
 		retry_share_set_nodes(&service->retries,
 		    gossip_live_count(gateway->config.gossip), now);
-		gateway_stream_expire(gateway, service, now);
+		gateway_stream_expire(service, now);
 	}
 	gateway_check_probation(gateway, now);
 	gateway_stream_dispatch(gateway);
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -214,13 +214,12 @@
 
 /* Generations: responses are streamed event by event. */
 void gateway_stream_start(struct gateway_request *);
-bool gateway_stream_try(struct gateway_request *);
 void gateway_stream_head(struct gateway_request *);
 void gateway_stream_body(struct gateway_request *, struct lstr);
 void gateway_stream_complete(struct gateway_request *);
 void gateway_stream_tick(struct gateway_request *, int64_t now);
-void gateway_stream_expire(
-    struct gateway *, struct gateway_service *, int64_t now);
+void gateway_stream_expire(struct gateway_service *, int64_t now);
+int64_t gateway_stream_retry_usec(struct gateway_request *);
 void gateway_stream_dispatch(struct gateway *);
 
 /* Reroutes: servers after the first one of a path are replaced while the
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -460,8 +460,11 @@
 		return;
 	case ADMIT_NOT_RUN:
 		gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
-		    admit_retry_after(ADMIT_RETRY_MIN_USEC,
-			request->deadline - now, g_rand_double(gateway->rand)),
+		    request->service->engine != NULL
+			? gateway_stream_retry_usec(request)
+			: admit_retry_after(ADMIT_RETRY_MIN_USEC,
+			      request->deadline - now,
+			      g_rand_double(gateway->rand)),
 		    reason);
 		return;
 	case ADMIT_UNKNOWN:
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -23,9 +23,6 @@
 /* Expected wait per queued request until the first request has been
  * started. */
 #define WAIT_PER_REQUEST_DEFAULT_USEC (20 * LOOP_USEC_PER_MSEC)
-/* Retry-After if no server holds some layers; they are reloaded in about
- * this time. */
-#define MISSING_LAYERS_RETRY_USEC (1500 * LOOP_USEC_PER_MSEC)
 
 /*
  * Estimates the output length of a request in tokens.
@@ -247,20 +244,20 @@
 }
 
 /*
- * Queues a request that no path can accept now, or refuses it if the wait
- * would be too long.
+ * Describes a request without a path for admission control.
  */
-static void
-queue_or_refuse(struct gateway_request *request, enum status path_status)
+static struct admit_request
+describe_load(struct gateway_request *request, int64_t now)
 {
 	struct gateway *gateway = request->gateway;
-	struct gateway_service *service =
-	    gateway_service(gateway, request->service->name);
-	int64_t now = gateway_now(gateway);
 	int64_t since = request->last_event_at ? request->last_event_at
 					       : request->arrived_at;
-	struct admit_request load = {
-	    .expected_wait_usec = expected_wait(service, request, now),
+	int64_t failed_at = pool_last_failure_at(gateway->config.pool,
+	    request->service->name, gateway->config.place, now);
+
+	return (struct admit_request){
+	    .expected_wait_usec = expected_wait(
+		gateway_service(gateway, request->service->name), request, now),
 	    .work_usec = request->first_usec,
 	    .objective_usec =
 		request->arrived_at + request->route->objective_usec - now,
@@ -270,7 +267,51 @@
 		now,
 	    .caller_timeout_usec = request->timeout_at - now,
 	    .already_started = request->sends > 0,
+	    .failed_since_usec = failed_at ? now - failed_at : -1,
 	    .jitter = g_rand_double(gateway->rand)};
+}
+
+/*
+ * Returns the time in microseconds after which the caller of a request that did
+ * not run is to retry: soon if a path has room, since the failed server is
+ * avoided by now, or else when capacity is expected.
+ */
+int64_t
+gateway_stream_retry_usec(struct gateway_request *request)
+{
+	struct gateway *gateway = request->gateway;
+	const struct fleet_engine *engine = request->service->engine;
+	int64_t now = gateway_now(gateway);
+	GPtrArray *servers =
+	    pool_service_servers(gateway->config.pool, request->service->name);
+	struct path_server *rows =
+	    g_new0(struct path_server, MAX(servers->len, 1u));
+	size_t count = pool_path_table(servers, engine, now, rows, SERVERS_MAX);
+	struct path_demand demand = {request->info.prompt_tokens,
+	    gateway_estimate_output(request), gateway->config.place, false};
+	struct admit_request load = describe_load(request, now);
+	struct path path = {.count = 0};
+	enum status status = path_find(engine, rows, count, &demand, &path);
+
+	g_free(rows);
+	g_ptr_array_free(servers, TRUE);
+	return status == STATUS_OK ? admit_retry_after(ADMIT_RETRY_MIN_USEC,
+					 load.caller_timeout_usec, load.jitter)
+				   : admit_retry_without_capacity(&load);
+}
+
+/*
+ * Queues a request that no path can accept now, or refuses it if the wait
+ * would be too long.
+ */
+static void
+queue_or_refuse(struct gateway_request *request, enum status path_status)
+{
+	struct gateway *gateway = request->gateway;
+	struct gateway_service *service =
+	    gateway_service(gateway, request->service->name);
+	int64_t now = gateway_now(gateway);
+	struct admit_request load = describe_load(request, now);
 	struct admit_decision decision = admit_decide(&load);
 	struct sched_request entry = {
 	    .organisation = lstr_from(
@@ -282,10 +323,6 @@
 	    .arrival = request->arrived_at,
 	    .data = request};
 
-	if (path_status == STATUS_NOT_FOUND && decision.choice == ADMIT_REFUSE)
-		decision.retry_usec =
-		    admit_retry_after(MISSING_LAYERS_RETRY_USEC,
-			load.caller_timeout_usec, load.jitter);
 	entry.deadline = now + decision.wait_usec;
 	if (decision.choice == ADMIT_REFUSE ||
 	    sched_push(service->queue, &entry, &request->queue_entry) !=
@@ -384,18 +421,16 @@
  * Refuses or fails queued requests whose maximum wait has passed.
  */
 void
-gateway_stream_expire(
-    struct gateway *gateway, struct gateway_service *service, int64_t now)
+gateway_stream_expire(struct gateway_service *service, int64_t now)
 {
 	void *data;
 
 	while (sched_expire(service->queue, now, &data)) {
 		struct gateway_request *request = data;
+		struct admit_request load = describe_load(request, now);
 
 		request->queue_entry = NULL;
-		refuse_or_fail(request,
-		    admit_retry_after(ADMIT_RETRY_OVERLOAD_USEC,
-			request->deadline - now, g_rand_double(gateway->rand)),
+		refuse_or_fail(request, admit_retry_without_capacity(&load),
 		    "no path had room in time");
 	}
 }
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -63,6 +63,7 @@
 			POOL_FULL_USEC);
 	if (server != NULL && from->avoid_msec > 0)
 		pool_note_peer_avoids(server,
+		    gossip_peer_hash(peer->name, peer->boot),
 		    now +
 			MIN((int64_t)from->avoid_msec * LOOP_USEC_PER_MSEC,
 			    POOL_AVOID_USEC),
--- a/src/node/planner.c
+++ b/src/node/planner.c
@@ -404,6 +404,7 @@
 {
 	const struct order *order =
 	    g_hash_table_lookup(planner->orders, server->info.id);
+	int64_t failing_since = pool_failing_since(server, now);
 
 	memset(row, 0, sizeof(*row));
 	row->id = server->info.id;
@@ -411,8 +412,7 @@
 	row->kind = fleet_engine_kind(engine, server->info.kind);
 	if (row->kind == NULL || server->info.state != FLEET_READY ||
 	    server->superseded ||
-	    (server->failing_since != 0 &&
-		now - server->failing_since > PLANNER_FAILING_USEC))
+	    (failing_since != 0 && now - failing_since > PLANNER_FAILING_USEC))
 		return false;
 	row->layer_from = server->info.layer_from;
 	row->layer_to = server->info.layer_to;
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -41,6 +41,8 @@
 	pool->by_hash = g_hash_table_new(NULL, NULL);
 	pool->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	pool->removed = g_ptr_array_new_with_free_func(server_free);
+	pool->removed_failures =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return pool;
 }
 
@@ -62,6 +64,7 @@
 	g_hash_table_destroy(pool->by_id);
 	g_hash_table_destroy(pool->by_hash);
 	g_hash_table_destroy(pool->by_address);
+	g_hash_table_destroy(pool->removed_failures);
 	g_free(pool);
 }
 
@@ -148,6 +151,26 @@
 	return server;
 }
 
+/*
+ * Remembers that a server is removed which failed, since the capacity that it
+ * had is missing until its layers are held again.
+ */
+static void
+note_removed_failure(struct pool *pool, const struct pool_server *server)
+{
+	int64_t *at;
+
+	if (server->failing_since == 0 || server->info.zone == NULL)
+		return;
+	at = g_hash_table_lookup(pool->removed_failures, server->info.zone);
+	if (at == NULL) {
+		at = g_new0(int64_t, 1);
+		g_hash_table_insert(
+		    pool->removed_failures, g_strdup(server->info.zone), at);
+	}
+	*at = MAX(*at, server->failing_since);
+}
+
 /*
  * Removes a server from the tables. It stays allocated until the pool is freed,
  * since requests may still use it.
@@ -166,6 +189,7 @@
 	    server)
 		g_hash_table_remove(
 		    pool->by_address, server->info.address_text);
+	note_removed_failure(pool, server);
 	server->avoid_until = INT64_MAX;
 	note_draining(pool, server, now);
 	g_ptr_array_add(pool->removed, server);
@@ -349,10 +373,59 @@
  * Records that a peer avoids a server, unless this node saw it work recently.
  */
 void
-pool_note_peer_avoids(struct pool_server *server, int64_t until, int64_t now)
+pool_note_peer_avoids(
+    struct pool_server *server, uint32_t peer, int64_t until, int64_t now)
+{
+	if (now - server->worked_at <= POOL_OWN_EVIDENCE_USEC)
+		return;
+	if (server->peer_avoid_until <= now) {
+		server->peer_failing_since = now;
+		server->peer_failing_hash = peer;
+		server->peers_agree = false;
+	}
+	server->peers_agree =
+	    server->peers_agree || server->peer_failing_hash != peer;
+	server->peer_avoid_until = until;
+}
+
+/*
+ * Returns since when a server fails for this node or, as two peers report
+ * independently, for others; 0: it does not. A single peer may be the one that
+ * is disconnected.
+ */
+int64_t
+pool_failing_since(const struct pool_server *server, int64_t now)
+{
+	if (server->failing_since != 0)
+		return server->failing_since;
+	if (server->peer_avoid_until > now && server->peers_agree)
+		return server->peer_failing_since;
+	return 0;
+}
+
+/*
+ * Returns when the last server of a service in a data centre failed or vanished
+ * that has not worked since; 0: none did lately.
+ */
+int64_t
+pool_last_failure_at(const struct pool *pool, const char *service,
+    const char *place, int64_t now)
 {
-	if (now - server->worked_at > POOL_OWN_EVIDENCE_USEC)
-		server->peer_avoid_until = until;
+	const int64_t *removed =
+	    g_hash_table_lookup(pool->removed_failures, place);
+	int64_t last = removed ? *removed : 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_server *server = value;
+
+		if (strcmp(server->info.zone, place) == 0 &&
+		    strcmp(server->info.service, service) == 0)
+			last = MAX(last, pool_failing_since(server, now));
+	}
+	return last != 0 && now - last <= POOL_FAILURE_MEMORY_USEC ? last : 0;
 }
 
 /*
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -33,6 +33,8 @@
 /* A peer's report is valid for this long; one is sent every GOSSIP_SEND_USEC.
  */
 #define POOL_PEER_USE_USEC (1000 * LOOP_USEC_PER_MSEC)
+/* Failures of this age no longer explain a lack of capacity. */
+#define POOL_FAILURE_MEMORY_USEC (6 * LOOP_USEC_PER_SEC)
 /* A peer's report that a server fails is ignored if this node saw the server
  * work within this time: it may be the peer that is disconnected. */
 #define POOL_OWN_EVIDENCE_USEC (500 * LOOP_USEC_PER_MSEC)
@@ -74,8 +76,13 @@
 	int64_t failing_since;
 	/* Until then this node confirms the layers to its peers. */
 	int64_t confirm_until;
-	/* A peer reported that the server fails. */
+	/* A peer reported that the server fails; when the first of these
+	 * reports came that followed each other, and the hash of its peer. */
 	int64_t peer_avoid_until;
+	int64_t peer_failing_since;
+	uint32_t peer_failing_hash;
+	/* Two peers report that the server fails. */
+	bool peers_agree;
 	/* It had no capacity for a request of this node, or of a peer. */
 	int64_t full_until;
 	int64_t peer_full_until;
@@ -120,6 +127,9 @@
 	uint64_t version;
 	/* When the last new server was added. */
 	int64_t last_added_at;
+	/* When the last server failed or vanished that has been removed since,
+	 * by data centre (int64_t). */
+	GHashTable *removed_failures;
 	/* Time for which a draining server still serves. */
 	int64_t drain_usec;
 };
@@ -135,7 +145,11 @@
 struct pool_server *pool_find_address(const struct pool *, struct lstr);
 uint32_t pool_hash(struct lstr);
 
-void pool_note_peer_avoids(struct pool_server *, int64_t until, int64_t now);
+void pool_note_peer_avoids(
+    struct pool_server *, uint32_t peer, int64_t until, int64_t now);
+int64_t pool_failing_since(const struct pool_server *, int64_t now);
+int64_t pool_last_failure_at(
+    const struct pool *, const char *service, const char *place, int64_t now);
 void pool_confirm_layers(
     struct pool *, struct pool_server *, uint32_t from, uint32_t to);
 void pool_note_working(struct pool_server *, int64_t now);
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -31,6 +31,7 @@
 		    .objective_usec = OBJECTIVE_USEC,
 		    .abandon_usec = admit_abandon_after(OBJECTIVE_USEC, 250000),
 		    .caller_timeout_usec = CALLER_TIMEOUT_USEC,
+		    .failed_since_usec = -1,
 		    .jitter = g_rand_double(rand)};
 		struct admit_decision decision = admit_decide(&request);
 
@@ -55,6 +56,69 @@
 }
 END_TEST
 
+/*
+ * Replays a crash of several servers whose layers are held again after
+ * ADMIT_RECOVERY_USEC, while requests without a path arrive. Guards against
+ * callers that are told to return before that: a caller returns once, and is
+ * then refused for good. They must not return together either.
+ */
+START_TEST(callers_return_when_crashed_servers_are_replaced)
+{
+	enum {
+		SLOTS = 100,
+		ARRIVALS = 400
+	};
+	const int64_t slot = 100000;
+	const int64_t outage = 3000000;
+	GRand *rand = g_rand_new_with_seed(SEED);
+	unsigned int returns[SLOTS] = {0};
+	unsigned int early = 0;
+
+	for (unsigned int i = 0; i < ARRIVALS; i++) {
+		int64_t now = outage * i / ARRIVALS;
+		struct admit_request request = {.expected_wait_usec = 2000000,
+		    .work_usec = WORK_USEC,
+		    .objective_usec = OBJECTIVE_USEC,
+		    .abandon_usec = admit_abandon_after(OBJECTIVE_USEC, 250000),
+		    .caller_timeout_usec = CALLER_TIMEOUT_USEC,
+		    .failed_since_usec = now,
+		    .jitter = g_rand_double(rand)};
+		struct admit_decision decision = admit_decide(&request);
+		int64_t at = now + decision.retry_usec;
+
+		ck_assert_int_eq(decision.choice, ADMIT_REFUSE);
+		ck_assert_int_le(decision.retry_usec, CALLER_TIMEOUT_USEC / 3);
+		early += at < ADMIT_RECOVERY_USEC;
+		returns[MIN(at / slot, SLOTS - 1)]++;
+	}
+	ck_assert_uint_eq(early, 0);
+	for (int i = 0; i < SLOTS; i++)
+		ck_assert_uint_le(returns[i], ARRIVALS / 5);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* Guards against long retry times in a burst without failures, whose running
+ * requests end within a second or two, and long after a failure. */
+START_TEST(callers_return_soon_without_failures)
+{
+	struct admit_request request = {.expected_wait_usec = 600000,
+	    .work_usec = WORK_USEC,
+	    .objective_usec = OBJECTIVE_USEC,
+	    .abandon_usec = 2000000,
+	    .caller_timeout_usec = CALLER_TIMEOUT_USEC,
+	    .failed_since_usec = -1,
+	    .jitter = 1};
+
+	ck_assert_int_le(admit_decide(&request).retry_usec, 2500000);
+	request.failed_since_usec = ADMIT_RECOVERY_USEC;
+	ck_assert_int_le(admit_decide(&request).retry_usec, 2500000);
+	request.caller_timeout_usec = 900000;
+	request.failed_since_usec = 0;
+	ck_assert_int_le(admit_decide(&request).retry_usec, 300000);
+}
+END_TEST
+
 /* Checks that retry times of refused callers are jittered and end well before
  * the deadline of the caller. */
 START_TEST(retry_times_are_jittered_and_in_time)
@@ -153,7 +217,9 @@
 }
 END_TEST
 
-HARNESS_MAIN("admit", overload_keeps_served_requests_on_time,
+HARNESS_MAIN("admit", callers_return_when_crashed_servers_are_replaced,
+    callers_return_soon_without_failures,
+    overload_keeps_served_requests_on_time,
     retry_times_are_jittered_and_in_time, no_wait_beyond_abandonment,
     failure_action_matches_known_outcome,
     draining_node_accepts_work_that_ends_in_time,
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -165,7 +165,57 @@
 	/* About 16 requests of 1000 units. */
 	ck_assert_int_gt(margin, 14000);
 	ck_assert_int_lt(margin, 18000);
-	ck_assert_int_eq(pool_sampling_margin(&(struct pool_use){0}, variance), 0);
+	ck_assert_int_eq(
+	    pool_sampling_margin(&(struct pool_use){0}, variance), 0);
+}
+END_TEST
+
+/*
+ * Guards against a planner that replaces the layers of all servers because one
+ * node, which is disconnected, reports that they fail, and against one that
+ * waits until the entries of crashed servers have lapsed although two nodes
+ * report it.
+ */
+START_TEST(two_peers_show_that_a_server_fails)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *server = add_server(pool, "1", "a", 100);
+	int64_t until = NOW + POOL_AVOID_USEC;
+
+	pool_note_peer_avoids(server, 11, until, NOW);
+	pool_note_peer_avoids(server, 11, until + 1, NOW + 1);
+	ck_assert_int_eq(pool_failing_since(server, NOW + 1), 0);
+	pool_note_peer_avoids(server, 12, until + 2, NOW + 2);
+	ck_assert_int_eq(pool_failing_since(server, NOW + 2), NOW);
+	/* The reports have ended. */
+	ck_assert_int_eq(pool_failing_since(server, until + 3), 0);
+	pool_note_peer_avoids(
+	    server, 12, until + POOL_AVOID_USEC, until + POOL_AVOID_USEC / 2);
+	ck_assert_int_eq(
+	    pool_failing_since(server, until + POOL_AVOID_USEC / 2), 0);
+	pool_free(pool);
+}
+END_TEST
+
+/* Guards against forgetting lost capacity when a crashed server's entry lapses,
+ * and against remembering it for a service or data centre that lost none. */
+START_TEST(lost_capacity_is_remembered_for_a_while)
+{
+	struct pool *pool = pool_new();
+	struct pool_server *server = add_server(pool, "1", "a", 100);
+
+	add_server(pool, "2", "b", 100);
+	ck_assert_int_eq(pool_last_failure_at(pool, "s", "a", NOW), 0);
+	pool_avoid(server, NOW);
+	ck_assert_int_eq(pool_last_failure_at(pool, "s", "a", NOW + 1), NOW);
+	ck_assert_int_eq(pool_last_failure_at(pool, "s", "b", NOW + 1), 0);
+	ck_assert_int_eq(pool_last_failure_at(pool, "t", "a", NOW + 1), 0);
+	pool_remove(pool, "1", NOW + 2);
+	ck_assert_int_eq(pool_last_failure_at(pool, "s", "a", NOW + 3), NOW);
+	ck_assert_int_eq(pool_last_failure_at(pool, "s", "a",
+			     NOW + POOL_FAILURE_MEMORY_USEC + 1),
+	    0);
+	pool_free(pool);
 }
 END_TEST
 
@@ -198,9 +248,9 @@
 	struct pool_server *server = add_server(pool, "1", "a", 100);
 
 	pool_note_working(server, NOW);
-	pool_note_peer_avoids(server, NOW + 400000, NOW + 1);
+	pool_note_peer_avoids(server, 1, NOW + 400000, NOW + 1);
 	ck_assert(pool_usable(server, NOW + 2));
-	pool_note_peer_avoids(server, NOW + 2 * POOL_OWN_EVIDENCE_USEC,
+	pool_note_peer_avoids(server, 1, NOW + 2 * POOL_OWN_EVIDENCE_USEC,
 	    NOW + POOL_OWN_EVIDENCE_USEC + 1);
 	ck_assert(!pool_usable(server, NOW + POOL_OWN_EVIDENCE_USEC + 2));
 	pool_free(pool);
@@ -247,7 +297,8 @@
 }
 END_TEST
 
-HARNESS_MAIN("pool", restarted_server_is_new,
+HARNESS_MAIN("pool", two_peers_show_that_a_server_fails,
+    lost_capacity_is_remembered_for_a_while, restarted_server_is_new,
     stale_entry_with_reused_address_is_not_used,
     live_entry_is_used_after_removal_of_a_later_one,
     draining_server_serves_for_a_time, full_server_recovers_without_probe,
