--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -1447,6 +1447,96 @@
   assert(message->base.descriptor == &ch__node_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ch__store_changes__init
+                     (Ch__StoreChanges         *message)
+{
+  static const Ch__StoreChanges init_value = CH__STORE_CHANGES__INIT;
+  *message = init_value;
+}
+size_t ch__store_changes__get_packed_size
+                     (const Ch__StoreChanges *message)
+{
+  assert(message->base.descriptor == &ch__store_changes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ch__store_changes__pack
+                     (const Ch__StoreChanges *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ch__store_changes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ch__store_changes__pack_to_buffer
+                     (const Ch__StoreChanges *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ch__store_changes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ch__StoreChanges *
+       ch__store_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ch__StoreChanges *)
+     protobuf_c_message_unpack (&ch__store_changes__descriptor,
+                                allocator, len, data);
+}
+void   ch__store_changes__free_unpacked
+                     (Ch__StoreChanges *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ch__store_changes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ch__store_item__init
+                     (Ch__StoreItem         *message)
+{
+  static const Ch__StoreItem init_value = CH__STORE_ITEM__INIT;
+  *message = init_value;
+}
+size_t ch__store_item__get_packed_size
+                     (const Ch__StoreItem *message)
+{
+  assert(message->base.descriptor == &ch__store_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ch__store_item__pack
+                     (const Ch__StoreItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ch__store_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ch__store_item__pack_to_buffer
+                     (const Ch__StoreItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ch__store_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ch__StoreItem *
+       ch__store_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ch__StoreItem *)
+     protobuf_c_message_unpack (&ch__store_item__descriptor,
+                                allocator, len, data);
+}
+void   ch__store_item__free_unpacked
+                     (Ch__StoreItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ch__store_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ch__hello__field_descriptors[7] =
 {
   {
@@ -4527,7 +4617,7 @@
   (ProtobufCMessageInit) ch__server_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[14] =
 {
   {
     "node",
@@ -4661,9 +4751,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changes",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, changes),
+    &ch__store_changes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete_revision",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, complete_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brief",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__NodeReport, brief),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__node_report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
+  13,   /* field[13] = brief */
+  11,   /* field[11] = changes */
+  12,   /* field[12] = complete_revision */
   6,   /* field[6] = config_revision */
   8,   /* field[8] = heard_peer */
   9,   /* field[9] = heard_sequence */
@@ -4678,7 +4807,7 @@
 static const ProtobufCIntRange ch__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor ch__node_report__descriptor =
 {
@@ -4688,13 +4817,154 @@
   "Ch__NodeReport",
   "ch",
   sizeof(Ch__NodeReport),
-  11,
+  14,
   ch__node_report__field_descriptors,
   ch__node_report__field_indices_by_name,
   1,  ch__node_report__number_ranges,
   (ProtobufCMessageInit) ch__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ch__store_changes__field_descriptors[3] =
+{
+  {
+    "after",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__StoreChanges, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__StoreChanges, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ch__StoreChanges, n_items),
+    offsetof(Ch__StoreChanges, items),
+    &ch__store_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ch__store_changes__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+  2,   /* field[2] = items */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange ch__store_changes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ch__store_changes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ch.StoreChanges",
+  "StoreChanges",
+  "Ch__StoreChanges",
+  "ch",
+  sizeof(Ch__StoreChanges),
+  3,
+  ch__store_changes__field_descriptors,
+  ch__store_changes__field_indices_by_name,
+  1,  ch__store_changes__number_ranges,
+  (ProtobufCMessageInit) ch__store_changes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ch__store_item__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ch__StoreItem, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__StoreItem, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ch__StoreItem, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ch__StoreItem, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ch__store_item__field_indices_by_name[] = {
+  3,   /* field[3] = deleted */
+  0,   /* field[0] = key */
+  2,   /* field[2] = value */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange ch__store_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ch__store_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ch.StoreItem",
+  "StoreItem",
+  "Ch__StoreItem",
+  "ch",
+  sizeof(Ch__StoreItem),
+  4,
+  ch__store_item__field_descriptors,
+  ch__store_item__field_indices_by_name,
+  1,  ch__store_item__number_ranges,
+  (ProtobufCMessageInit) ch__store_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue ch__role__enum_values_by_number[4] =
 {
   { "ROLE_UNSPECIFIED", "CH__ROLE__ROLE_UNSPECIFIED", 0 },
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -47,6 +47,8 @@
 typedef struct Ch__Frame Ch__Frame;
 typedef struct Ch__ServerUse Ch__ServerUse;
 typedef struct Ch__NodeReport Ch__NodeReport;
+typedef struct Ch__StoreChanges Ch__StoreChanges;
+typedef struct Ch__StoreItem Ch__StoreItem;
 
 
 /* --- enums --- */
@@ -740,10 +742,52 @@
    * For the time being the node cannot use keys; callers are sent to others.
    */
   protobuf_c_boolean suspended;
+  /*
+   * Changes of the store that the sender read. A report with changes has none
+   * of the other fields but node and boot.
+   */
+  Ch__StoreChanges *changes;
+  /*
+   * The sender knows all changes up to this revision of the store.
+   */
+  uint64_t complete_revision;
+  /*
+   * The report does not say what the sender uses.
+   */
+  protobuf_c_boolean brief;
 };
 #define CH__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0 }
+
+
+/*
+ * All changes of the store after one revision up to another.
+ */
+struct  Ch__StoreChanges
+{
+  ProtobufCMessage base;
+  uint64_t after;
+  uint64_t revision;
+  size_t n_items;
+  Ch__StoreItem **items;
+};
+#define CH__STORE_CHANGES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ch__store_changes__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Ch__StoreItem
+{
+  ProtobufCMessage base;
+  char *key;
+  uint64_t version;
+  ProtobufCBinaryData value;
+  protobuf_c_boolean deleted;
+};
+#define CH__STORE_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ch__store_item__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
 /* Ch__Hello methods */
@@ -1354,6 +1398,44 @@
 void   ch__node_report__free_unpacked
                      (Ch__NodeReport *message,
                       ProtobufCAllocator *allocator);
+/* Ch__StoreChanges methods */
+void   ch__store_changes__init
+                     (Ch__StoreChanges         *message);
+size_t ch__store_changes__get_packed_size
+                     (const Ch__StoreChanges   *message);
+size_t ch__store_changes__pack
+                     (const Ch__StoreChanges   *message,
+                      uint8_t             *out);
+size_t ch__store_changes__pack_to_buffer
+                     (const Ch__StoreChanges   *message,
+                      ProtobufCBuffer     *buffer);
+Ch__StoreChanges *
+       ch__store_changes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ch__store_changes__free_unpacked
+                     (Ch__StoreChanges *message,
+                      ProtobufCAllocator *allocator);
+/* Ch__StoreItem methods */
+void   ch__store_item__init
+                     (Ch__StoreItem         *message);
+size_t ch__store_item__get_packed_size
+                     (const Ch__StoreItem   *message);
+size_t ch__store_item__pack
+                     (const Ch__StoreItem   *message,
+                      uint8_t             *out);
+size_t ch__store_item__pack_to_buffer
+                     (const Ch__StoreItem   *message,
+                      ProtobufCBuffer     *buffer);
+Ch__StoreItem *
+       ch__store_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ch__store_item__free_unpacked
+                     (Ch__StoreItem *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ch__Hello_Closure)
@@ -1452,6 +1534,12 @@
 typedef void (*Ch__NodeReport_Closure)
                  (const Ch__NodeReport *message,
                   void *closure_data);
+typedef void (*Ch__StoreChanges_Closure)
+                 (const Ch__StoreChanges *message,
+                  void *closure_data);
+typedef void (*Ch__StoreItem_Closure)
+                 (const Ch__StoreItem *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1496,6 +1584,8 @@
 extern const ProtobufCMessageDescriptor ch__frame__descriptor;
 extern const ProtobufCMessageDescriptor ch__server_use__descriptor;
 extern const ProtobufCMessageDescriptor ch__node_report__descriptor;
+extern const ProtobufCMessageDescriptor ch__store_changes__descriptor;
+extern const ProtobufCMessageDescriptor ch__store_item__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -78,8 +78,8 @@
 static void
 apply_proof(struct gossip *gossip, const Ch__NodeReport *report)
 {
-	struct gossip_proof proof = {
-	    report->store_revision, report->config_revision, 0};
+	struct gossip_proof proof = {report->store_revision,
+	    report->complete_revision, report->config_revision, 0};
 
 	if (report->proof_age_msec == 0)
 		return;
@@ -98,6 +98,28 @@
 	gossip->config.ops->proof_received(&proof, gossip->config.arg);
 }
 
+/*
+ * Passes on changes of the store that a peer read.
+ */
+static void
+handle_changes(const struct gossip *gossip, const Ch__StoreChanges *changes)
+{
+	struct kv_item *items = g_new(struct kv_item, changes->n_items + 1);
+
+	for (size_t i = 0; i < changes->n_items; i++) {
+		const Ch__StoreItem *from = changes->items[i];
+
+		items[i] = (struct kv_item){.key = lstr_from(from->key),
+		    .version = from->version,
+		    .value =
+			lstr_make((char *)from->value.data, from->value.len),
+		    .deleted = from->deleted};
+	}
+	gossip->config.ops->changes_received(changes->after, changes->revision,
+	    items, changes->n_items, gossip->config.arg);
+	g_free(items);
+}
+
 /*
  * Handles a report of a peer. Duplicate and outdated reports are ignored.
  */
@@ -109,7 +131,15 @@
 
 	if (peer == NULL)
 		return;
-	if (report->boot == peer->boot && report->sequence <= peer->sequence)
+	if (report->changes != NULL) {
+		if (report->boot >= peer->boot)
+			handle_changes(gossip, report->changes);
+		return;
+	}
+	/* A watcher's proof has the sequence of its report. */
+	if (report->boot == peer->boot &&
+	    (report->sequence < peer->sequence ||
+		(report->sequence == peer->sequence && !report->brief)))
 		return;
 	if (report->boot < peer->boot)
 		return;
@@ -125,11 +155,14 @@
 	peer->silent = false;
 	peer->leaving = report->leaving;
 	peer->suspended = report->suspended;
+	apply_proof(gossip, report);
+	if (report->brief)
+		return;
+	peer->uses_at = now;
 	g_array_set_size(peer->uses, 0);
 	for (size_t i = 0; i < report->n_servers; i++)
 		apply_use(gossip, peer, report->servers[i], now);
 	gossip->sums_stale = true;
-	apply_proof(gossip, report);
 }
 
 /*
@@ -195,6 +228,10 @@
 	gossip->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	gossip->recipients = g_ptr_array_new();
+	gossip->recipients_stale = true;
+	gossip->watchers = g_ptr_array_new();
+	gossip->watch_order = pool_hash(lstr_from(config->name));
+	gossip->watcher_rank = GOSSIP_WATCHERS;
 	inet_pton(AF_INET, config->ip, &address.sin_addr);
 	gossip->fd =
 	    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -230,6 +267,7 @@
 	if (gossip->fd >= 0)
 		close(gossip->fd);
 	g_ptr_array_free(gossip->recipients, TRUE);
+	g_ptr_array_free(gossip->watchers, TRUE);
 	g_hash_table_destroy(gossip->peers);
 	lstr_buf_free(&gossip->entry);
 	g_free(gossip);
@@ -271,6 +309,7 @@
 	peer->name = g_strndup(name.data, name.len);
 	peer->front = g_strdup(front);
 	peer->place = g_strdup(place);
+	peer->watch_order = pool_hash(name);
 	peer->boot = (uint64_t)boot;
 	peer->address.sin_family = AF_INET;
 	peer->address.sin_port = htons((uint16_t)port);
@@ -347,7 +386,8 @@
 			count = g_new0(struct place_count, 1);
 			g_hash_table_insert(places, peer->place, count);
 		}
-		count->heard += now - peer->heard_at <= POOL_PEER_USE_USEC;
+		count->heard += peer->uses_at != 0 &&
+		    now - peer->uses_at <= POOL_PEER_USE_USEC;
 		count->live += gossip_peer_is_live(gossip, peer, now);
 	}
 	return places;
@@ -373,7 +413,8 @@
 		const struct place_count *count;
 		double scale;
 
-		if (now - peer->heard_at > POOL_PEER_USE_USEC)
+		if (peer->uses_at == 0 ||
+		    now - peer->uses_at > POOL_PEER_USE_USEC)
 			continue;
 		count = g_hash_table_lookup(places, peer->place);
 		scale = MAX((double)count->live / count->heard, 1);
--- a/src/node/gossip.h
+++ b/src/node/gossip.h
@@ -1,6 +1,7 @@
 #ifndef CH_GOSSIP_H
 #define CH_GOSSIP_H
 
+#include "kv.h"
 #include "pool.h"
 
 /*
@@ -25,12 +26,18 @@
 /* Nodes of other data centres get only one in this many reports, because
  * traffic between data centres is expensive and most paths stay within one. */
 #define GOSSIP_REMOTE_EVERY 3
-/* In a fleet with more than NEIGHBOURS_MAX peers, one in this many nodes in
- * name order watches the store and the others rely on its proofs; each node
- * hears from about five such watchers. In a smaller fleet every node watches
- * for itself, because its two or three watchers could be disconnected together.
- */
-#define GOSSIP_WATCHER_EVERY 5
+/* In a fleet with more than NEIGHBOURS_MAX peers, this many nodes of each data
+ * centre watch the store, and the others rely on their proofs and on the
+ * changes that they send. In a smaller fleet every node watches for itself,
+ * because its two or three watchers could be disconnected together. */
+#define GOSSIP_WATCHERS 3
+/* Interval at which the recipients of reports and the watchers are selected,
+ * if no entry changes meanwhile. */
+#define GOSSIP_SELECT_USEC (500 * LOOP_USEC_PER_MSEC)
+/* Largest value of a change that is sent to peers, and most bytes of changes in
+ * one datagram. Larger values are configurations, which nodes fetch. */
+#define GOSSIP_CHANGE_MAX_BYTES 2048
+#define GOSSIP_CHANGES_MAX_BYTES 8192
 /* Key prefix of the entries of nodes in the store. */
 #define GOSSIP_PREFIX "chestnuthoist/node/"
 /* Most addresses in one lookup response to callers. */
@@ -41,6 +48,8 @@
 /* What a node reports to its peers about its copy of the store. */
 struct gossip_proof {
 	uint64_t store_revision;
+	/* There was no change after store_revision up to this one. */
+	uint64_t complete_revision;
 	uint64_t config_revision;
 	/* Latest time at which both are proved to have been current; 0:
 	 * never. */
@@ -52,6 +61,10 @@
 	void (*get_proof)(struct gossip_proof *, void *arg);
 	/* A peer sent its proof; its time is converted to this node's clock. */
 	void (*proof_received)(const struct gossip_proof *, void *arg);
+	/* A peer sent all changes of the store after one revision up to
+	 * another. */
+	void (*changes_received)(uint64_t after, uint64_t revision,
+	    const struct kv_item *, size_t count, void *arg);
 };
 
 struct gossip_config {
@@ -79,6 +92,9 @@
 void gossip_set_serving(struct gossip *, bool);
 /* Reports to the peers soon that a server fails. */
 void gossip_report_soon(struct gossip *);
+/* Sends changes of the store to the nodes that rely on this one. */
+void gossip_send_changes(struct gossip *, uint64_t after, uint64_t revision,
+    const struct kv_item *, size_t count);
 void gossip_tick(struct gossip *);
 /* Number of live nodes, including this one. */
 uint32_t gossip_live_count(const struct gossip *);
--- a/src/node/gossip_fleet.c
+++ b/src/node/gossip_fleet.c
@@ -99,7 +99,54 @@
 gossip_is_watcher(const struct gossip *gossip)
 {
 	return gossip_shares_watches(gossip) &&
-	    gossip_rank(gossip) % GOSSIP_WATCHER_EVERY == 0;
+	    gossip->watcher_rank < GOSSIP_WATCHERS;
+}
+
+/*
+ * Orders peers by their turn to watch the store.
+ */
+static gint
+compare_watch_order(gconstpointer a, gconstpointer b)
+{
+	const struct peer *x = *(struct peer *const *)a;
+	const struct peer *y = *(struct peer *const *)b;
+
+	if (x->watch_order != y->watch_order)
+		return x->watch_order < y->watch_order ? -1 : 1;
+	return strcmp(x->name, y->name);
+}
+
+/*
+ * Selects the nodes of this data centre that watch the store: the first live
+ * ones in an order by hash, so that only one changes when a node comes or goes.
+ */
+void
+gossip_select_watchers(struct gossip *gossip, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint max = GOSSIP_WATCHERS;
+
+	g_ptr_array_set_size(gossip->watchers, 0);
+	gossip->watcher_rank = 0;
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (strcmp(peer->place, gossip->config.place) != 0 ||
+		    peer->leaving || !gossip_peer_is_live(gossip, peer, now))
+			continue;
+		gossip->watcher_rank += peer->watch_order < gossip->watch_order;
+		g_ptr_array_add(gossip->watchers, value);
+	}
+	g_ptr_array_sort(gossip->watchers, compare_watch_order);
+	gossip->watcher_rank = gossip->leaving
+	    ? GOSSIP_WATCHERS
+	    : MIN(gossip->watcher_rank, GOSSIP_WATCHERS);
+	if (gossip->watcher_rank < GOSSIP_WATCHERS)
+		max--;
+	g_ptr_array_set_size(
+	    gossip->watchers, (gint)MIN(gossip->watchers->len, max));
 }
 
 /*
--- a/src/node/gossip_priv.h
+++ b/src/node/gossip_priv.h
@@ -26,6 +26,12 @@
 	/* Time of the last report; 0: none yet. */
 	int64_t heard_at;
 	int64_t listed_at;
+	/* When it last reported its use of the servers; 0: never. */
+	int64_t uses_at;
+	/* Order in which the nodes of a data centre watch the store. */
+	uint32_t watch_order;
+	/* It gets the reports of this node. */
+	bool is_recipient;
 	/* Its entry in the store has been removed. */
 	bool unlisted;
 	bool leaving;
@@ -60,6 +66,13 @@
 	 * selected again. */
 	GPtrArray *recipients;
 	bool recipients_stale;
+	int64_t selected_at;
+	/* struct peer of this data centre that watch the store for the others,
+	 * without this node. */
+	GPtrArray *watchers;
+	uint32_t watch_order;
+	/* This node's place among the watchers; GOSSIP_WATCHERS: it is none. */
+	uint32_t watcher_rank;
 	/* A report is due at once. */
 	bool urgent;
 };
@@ -69,5 +82,7 @@
 bool gossip_peer_is_live(
     const struct gossip *, const struct peer *, int64_t now);
 void gossip_send_report(struct gossip *, int64_t now);
+void gossip_select_recipients(struct gossip *, int64_t now);
+void gossip_select_watchers(struct gossip *, int64_t now);
 
 #endif
--- a/src/node/gossip_report.c
+++ b/src/node/gossip_report.c
@@ -48,45 +48,23 @@
 }
 
 /*
- * Adds this node's proof to the report, with the last sequence received from
- * each peer, by which the peers can date the proof.
+ * Fills the fields that all reports have in common.
  */
 static void
-fill_proof(struct gossip *gossip, Ch__NodeReport *report, int64_t now)
+fill_head(const struct gossip *gossip, Ch__NodeReport *report)
 {
-	struct gossip_proof proof = {0, 0, 0};
-	guint count = g_hash_table_size(gossip->peers);
-	GHashTableIter iter;
-	gpointer value;
-
-	gossip->config.ops->get_proof(&proof, gossip->config.arg);
-	report->store_revision = proof.store_revision;
-	report->config_revision = proof.config_revision;
-	if (proof.proved_at == 0 || !gossip_is_watcher(gossip))
-		return;
-	/* Round up, so that a proof never appears newer than it is. */
-	report->proof_age_msec =
-	    (uint32_t)((now - proof.proved_at) / LOOP_USEC_PER_MSEC + 1);
-	report->heard_peer = g_new(uint32_t, count + 1);
-	report->heard_sequence = g_new(uint64_t, count + 1);
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
-
-		if (peer->silent || peer->heard_at == 0)
-			continue;
-		report->heard_peer[report->n_heard_peer++] =
-		    gossip_peer_hash(peer->name, peer->boot);
-		report->heard_sequence[report->n_heard_sequence++] =
-		    peer->sequence;
-	}
+	report->node = (char *)gossip->config.name;
+	report->boot = gossip->config.boot;
+	report->sequence = gossip->sequence;
+	report->leaving = gossip->leaving;
+	report->suspended = gossip->suspended;
 }
 
 /*
  * Selects the peers that get this node's reports.
  */
-static void
-select_recipients(struct gossip *gossip)
+void
+gossip_select_recipients(struct gossip *gossip, int64_t now)
 {
 	guint count = g_hash_table_size(gossip->peers);
 	struct neighbours_node *nodes =
@@ -96,10 +74,12 @@
 	size_t n = 0;
 
 	gossip->recipients_stale = false;
+	gossip->selected_at = now;
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct peer *peer = value;
 
+		peer->is_recipient = false;
 		nodes[n++] =
 		    (struct neighbours_node){peer->name, peer->place, peer};
 	}
@@ -108,6 +88,12 @@
 	    gossip->config.place, gossip->recipients->pdata);
 	g_ptr_array_set_size(gossip->recipients, (gint)n);
 	g_free(nodes);
+	for (guint i = 0; i < gossip->recipients->len; i++) {
+		struct peer *peer = g_ptr_array_index(gossip->recipients, i);
+
+		peer->is_recipient = true;
+	}
+	gossip_select_watchers(gossip, now);
 }
 
 /*
@@ -153,8 +139,6 @@
 	bool to_all =
 	    gossip->leaving || gossip->sequence % GOSSIP_REMOTE_EVERY == 0;
 
-	if (gossip->recipients_stale)
-		select_recipients(gossip);
 	for (guint i = 0; i < gossip->recipients->len; i++) {
 		const struct peer *peer =
 		    g_ptr_array_index(gossip->recipients, i);
@@ -167,6 +151,81 @@
 		send_to_place(gossip, bytes, len);
 }
 
+/*
+ * Packs a report and sends it to one peer.
+ */
+static void
+pack_and_send(const struct gossip *gossip, const struct peer *peer,
+    const Ch__NodeReport *report)
+{
+	size_t len = ch__node_report__get_packed_size(report);
+	uint8_t *bytes = g_malloc(len);
+
+	ch__node_report__pack(report, bytes);
+	send_to(gossip, peer, bytes, len);
+	g_free(bytes);
+}
+
+/*
+ * Sends this node's proof to each node of its data centre, with the last
+ * sequence received from it, by which that node can date the proof.
+ */
+static void
+send_proofs(struct gossip *gossip, int64_t now)
+{
+	struct gossip_proof proof = {0, 0, 0, 0};
+	Ch__NodeReport report = CH__NODE_REPORT__INIT;
+	GHashTableIter iter;
+	gpointer value;
+
+	gossip->config.ops->get_proof(&proof, gossip->config.arg);
+	if (proof.proved_at == 0)
+		return;
+	fill_head(gossip, &report);
+	report.brief = true;
+	report.store_revision = proof.store_revision;
+	report.complete_revision = proof.complete_revision;
+	report.config_revision = proof.config_revision;
+	/* Round up, so that a proof never appears newer than it is. */
+	report.proof_age_msec =
+	    (uint32_t)((now - proof.proved_at) / LOOP_USEC_PER_MSEC + 1);
+	report.n_heard_peer = 1;
+	report.n_heard_sequence = 1;
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+		uint32_t hash = gossip_peer_hash(peer->name, peer->boot);
+		uint64_t sequence = peer->sequence;
+
+		if (peer->silent || peer->heard_at == 0 ||
+		    strcmp(peer->place, gossip->config.place) != 0)
+			continue;
+		report.heard_peer = &hash;
+		report.heard_sequence = &sequence;
+		pack_and_send(gossip, peer, &report);
+	}
+}
+
+/*
+ * Sends a brief report to the watchers that get no other, so that they know
+ * that this node relies on them.
+ */
+static void
+send_to_watchers(const struct gossip *gossip)
+{
+	Ch__NodeReport report = CH__NODE_REPORT__INIT;
+
+	fill_head(gossip, &report);
+	report.brief = true;
+	for (guint i = 0; i < gossip->watchers->len; i++) {
+		const struct peer *peer =
+		    g_ptr_array_index(gossip->watchers, i);
+
+		if (!peer->is_recipient)
+			pack_and_send(gossip, peer, &report);
+	}
+}
+
 /*
  * Sends this node's report to the peers.
  */
@@ -181,21 +240,115 @@
 
 	gossip->sent_at = now;
 	gossip->urgent = false;
+	if (gossip->recipients_stale ||
+	    now - gossip->selected_at >= GOSSIP_SELECT_USEC)
+		gossip_select_recipients(gossip, now);
 	rows = g_new(Ch__ServerUse, count + 1);
 	pointers = g_new(Ch__ServerUse *, count + 1);
-	report.node = (char *)gossip->config.name;
-	report.boot = gossip->config.boot;
-	report.sequence = ++gossip->sequence;
-	report.leaving = gossip->leaving;
-	report.suspended = gossip->suspended;
+	gossip->sequence++;
 	gossip->sent_times[gossip->sequence % GOSSIP_SENT_TIMES_MAX] = now;
+	fill_head(gossip, &report);
 	fill_report(gossip, &report, rows, pointers, now);
-	fill_proof(gossip, &report, now);
 	bytes = g_malloc(ch__node_report__get_packed_size(&report));
 	send_to_peers(gossip, bytes, ch__node_report__pack(&report, bytes));
 	g_free(bytes);
-	g_free(report.heard_peer);
-	g_free(report.heard_sequence);
+	g_free(rows);
+	g_free(pointers);
+	if (gossip_is_watcher(gossip))
+		send_proofs(gossip, now);
+	else if (gossip_shares_watches(gossip))
+		send_to_watchers(gossip);
+}
+
+/*
+ * Sends one datagram of changes to the peers that are assigned to this watcher.
+ */
+static void
+send_changes_part(struct gossip *gossip, const Ch__StoreChanges *changes)
+{
+	Ch__NodeReport report = CH__NODE_REPORT__INIT;
+	uint8_t *bytes;
+	size_t len;
+	guint watchers = gossip->watchers->len + 1;
+	GHashTableIter iter;
+	gpointer value;
+
+	report.node = (char *)gossip->config.name;
+	report.boot = gossip->config.boot;
+	report.changes = (Ch__StoreChanges *)changes;
+	len = ch__node_report__get_packed_size(&report);
+	bytes = g_malloc(len);
+	ch__node_report__pack(&report, bytes);
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (!peer->silent &&
+		    peer->watch_order % watchers == gossip->watcher_rank &&
+		    strcmp(peer->place, gossip->config.place) == 0)
+			send_to(gossip, peer, bytes, len);
+	}
+	g_free(bytes);
+}
+
+/*
+ * Returns true if changes may be sent to peers: they are in the order of their
+ * revisions, so that they can be divided, and none is too large.
+ */
+static bool
+can_send_changes(const struct kv_item *items, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (items[i].value.len > GOSSIP_CHANGE_MAX_BYTES ||
+		    (i > 0 && items[i].version < items[i - 1].version))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Sends all changes of the store after one revision up to another to the nodes
+ * that rely on this one, in as many datagrams as needed. Each watcher serves a
+ * part of the nodes; one that gets nothing fetches the changes itself.
+ */
+void
+gossip_send_changes(struct gossip *gossip, uint64_t after, uint64_t revision,
+    const struct kv_item *items, size_t count)
+{
+	Ch__StoreItem *rows = g_new(Ch__StoreItem, count + 1);
+	Ch__StoreItem **pointers = g_new(Ch__StoreItem *, count + 1);
+	Ch__StoreChanges changes = CH__STORE_CHANGES__INIT;
+	size_t bytes = 0;
+
+	if (!gossip_is_watcher(gossip) || !can_send_changes(items, count))
+		goto out;
+	changes.items = pointers;
+	changes.after = after;
+	for (size_t i = 0; i < count; i++) {
+		Ch__StoreItem *row = &rows[i];
+		bool last = i + 1 == count;
+
+		ch__store_item__init(row);
+		row->key = g_strndup(items[i].key.data, items[i].key.len);
+		row->version = items[i].version;
+		row->value.data = (uint8_t *)items[i].value.data;
+		row->value.len = items[i].value.len;
+		row->deleted = items[i].deleted;
+		pointers[changes.n_items++] = row;
+		bytes += items[i].key.len + items[i].value.len;
+		if (!last &&
+		    (bytes < GOSSIP_CHANGES_MAX_BYTES ||
+			items[i + 1].version == items[i].version))
+			continue;
+		changes.revision = last ? revision : items[i].version;
+		send_changes_part(gossip, &changes);
+		for (size_t k = 0; k < changes.n_items; k++)
+			g_free(pointers[k]->key);
+		changes.after = changes.revision;
+		changes.n_items = 0;
+		bytes = 0;
+	}
+out:
 	g_free(rows);
 	g_free(pointers);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -235,8 +235,20 @@
 	(void)arg;
 }
 
+/*
+ * Sends changes to the nodes that rely on the watch of this one.
+ */
+static void
+on_fetched(uint64_t after, uint64_t revision, const struct kv_item *items,
+    size_t count, void *arg)
+{
+	struct node *node = arg;
+
+	gossip_send_changes(node->gossip, after, revision, items, count);
+}
+
 static const struct store_cache_ops store_cache_ops = {
-    on_changed, on_removed, on_synced};
+    on_changed, on_removed, on_synced, on_fetched};
 
 /*
  * Removes servers whose entries expired and were not registered again in time.
@@ -475,6 +487,8 @@
 	if (node->store_cache == NULL)
 		return;
 	proof->store_revision = store_cache_newest_revision(node->store_cache);
+	proof->complete_revision =
+	    store_cache_complete_revision(node->store_cache);
 	proof->config_revision = node->config_revision;
 	proof->proved_at = store_cache_proved_at(node->store_cache);
 }
@@ -492,12 +506,28 @@
 	if (node->store_cache == NULL)
 		return;
 	store_cache_note_peer_proof(node->store_cache, proof->store_revision,
+	    same_config ? proof->complete_revision : 0,
 	    same_config ? proof->proved_at : 0);
 	if (proof->config_revision > node->config_revision)
 		store_cache_fetch_now(node->store_cache);
 }
 
-static const struct gossip_ops gossip_ops = {get_proof, on_peer_proof};
+/*
+ * Handles changes of the store that a peer read.
+ */
+static void
+on_peer_changes(uint64_t after, uint64_t revision, const struct kv_item *items,
+    size_t count, void *arg)
+{
+	struct node *node = arg;
+
+	if (node->store_cache != NULL)
+		store_cache_apply_peer_changes(
+		    node->store_cache, after, revision, items, count);
+}
+
+static const struct gossip_ops gossip_ops = {
+    get_proof, on_peer_proof, on_peer_changes};
 
 /*
  * Creates the modules that communicate with the store and with other nodes.
--- a/src/node/store_cache.c
+++ b/src/node/store_cache.c
@@ -23,6 +23,8 @@
 	uint64_t newest;
 	uint64_t list_revision;
 	int64_t call_sent_at;
+	/* When the store answers the current watch at the latest. */
+	int64_t watch_until;
 	int64_t list_sent_at;
 	int64_t proved_at;
 	int64_t responded_at;
@@ -35,8 +37,10 @@
 	int64_t throttled_until;
 	/* Last key of the previous page of the list; NULL: first page. */
 	char *page_after;
-	/* Revision of the newest change known to a peer. */
+	/* Revision of the newest change known to a peer, and since when such a
+	 * change is missing here; 0: none is. */
 	uint64_t peer_revision;
+	int64_t behind_since;
 	enum store_cache_watch watch;
 	/* Longest wait of a watch. */
 	int64_t watch_wait_max;
@@ -249,6 +253,11 @@
 	g_hash_table_destroy(store_cache->listed_keys);
 	store_cache->listed_keys = NULL;
 	store_cache->revision = store_cache->list_revision;
+	/* The list does not show deletions, so it counts as a change itself. */
+	store_cache->newest =
+	    MAX(store_cache->newest, store_cache->list_revision);
+	if (store_cache->peer_revision <= store_cache->revision)
+		store_cache->behind_since = 0;
 	store_cache->proved_at = store_cache->list_sent_at;
 	store_cache->synced = true;
 	slog_event(EV_STORE_SYNCED, "{s:I, s:i}", "revision",
@@ -294,6 +303,41 @@
 	next_call(store_cache);
 }
 
+/*
+ * Applies the changes of a watch, the last one of each key only.
+ */
+static void
+apply_changes(struct store_cache *store_cache, const struct kv_result *result)
+{
+	for (size_t i = 0; i < result->count; i++) {
+		if (!is_superseded(result, i))
+			apply_item(store_cache, &result->items[i]);
+	}
+	if (result->revision > store_cache->revision)
+		store_cache->revision = result->revision;
+	if (store_cache->peer_revision <= store_cache->revision)
+		store_cache->behind_since = 0;
+}
+
+/*
+ * Returns when to send the next watch. The store answers a watch early, also
+ * without changes, whenever a server reports to it; watches that followed at
+ * once would be dozens a second while many servers start.
+ */
+static int64_t
+next_watch_at(const struct store_cache *store_cache)
+{
+	int64_t now = loop_now(store_cache->loop);
+
+	if (now >= store_cache->watch_until)
+		return now;
+	if (store_cache->watch == STORE_CACHE_WATCH_SHARED)
+		return MAX(now,
+		    store_cache->call_sent_at +
+			STORE_CACHE_SHARED_INTERVAL_USEC);
+	return now + STORE_CACHE_COALESCE_USEC;
+}
+
 /*
  * Handles the response to a watch and applies its changes.
  */
@@ -302,6 +346,7 @@
 {
 	struct store_cache *store_cache = arg;
 	int64_t started_at = loop_now(store_cache->loop);
+	uint64_t after;
 
 	store_cache->call_pending = false;
 	if (result->status == STATUS_EXPIRED) {
@@ -316,19 +361,17 @@
 		return;
 	}
 	note_response(store_cache);
-	for (size_t i = 0; i < result->count; i++) {
-		if (!is_superseded(result, i))
-			apply_item(store_cache, &result->items[i]);
-	}
+	/* There was no change between the newest known one and the revision at
+	 * which this watch started. */
+	after = store_cache->newest;
+	if (store_cache->watch == STORE_CACHE_WATCH_SHARED && result->count > 0)
+		store_cache->ops->fetched(after, result->revision,
+		    result->items, result->count, store_cache->arg);
+	apply_changes(store_cache, result);
 	throttle(store_cache, started_at);
-	if (result->revision > store_cache->revision)
-		store_cache->revision = result->revision;
 	store_cache->proved_at = store_cache->call_sent_at;
-	if (result->count > 0 && store_cache->watch != STORE_CACHE_WATCH_PEERS)
-		loop_timer_set(store_cache->timer,
-		    loop_now(store_cache->loop) + STORE_CACHE_COALESCE_USEC);
-	else if (store_cache->watch != STORE_CACHE_WATCH_PEERS)
-		next_call(store_cache);
+	if (store_cache->watch != STORE_CACHE_WATCH_PEERS)
+		loop_timer_set(store_cache->timer, next_watch_at(store_cache));
 }
 
 /*
@@ -376,6 +419,7 @@
 		if (store_cache->no_wait)
 			wait = 0;
 		store_cache->no_wait = false;
+		store_cache->watch_until = now + wait;
 		store_cache->kv->vtable->watch(store_cache->kv, prefix,
 		    store_cache->revision, now + wait,
 		    now + wait + STORE_CACHE_RESPONSE_USEC, on_watch,
@@ -421,27 +465,63 @@
 
 /*
  * Records a peer's proof. It counts like a proof of this node unless the peer
- * knows of changes that are missing here; those are fetched later.
+ * knows of changes that are missing here; those arrive or are fetched later.
  */
 void
-store_cache_note_peer_proof(
-    struct store_cache *store_cache, uint64_t revision, int64_t proved_at)
+store_cache_note_peer_proof(struct store_cache *store_cache, uint64_t revision,
+    uint64_t complete_revision, int64_t proved_at)
 {
+	int64_t now = loop_now(store_cache->loop);
+
 	store_cache->peer_revision = MAX(store_cache->peer_revision, revision);
-	if (revision == 0 || revision > store_cache->revision ||
-	    proved_at <= store_cache->proved_at)
+	if (store_cache->peer_revision > store_cache->revision &&
+	    store_cache->behind_since == 0)
+		store_cache->behind_since = now;
+	if (revision == 0 || revision > store_cache->revision)
+		return;
+	/* A watch may continue from here although the store has discarded the
+	 * history before. */
+	if (store_cache->listed_keys == NULL && !store_cache->call_pending &&
+	    store_cache->revision != 0)
+		store_cache->revision =
+		    MAX(store_cache->revision, complete_revision);
+	if (proved_at <= store_cache->proved_at)
 		return;
 	store_cache->proved_at = proved_at;
-	store_cache->responded_at = loop_now(store_cache->loop);
+	store_cache->responded_at = now;
+}
+
+/*
+ * Applies all changes after one revision up to another that a peer read from
+ * the store. They are ignored if earlier ones are missing here, or while a list
+ * or watch of this node's own is in progress.
+ */
+void
+store_cache_apply_peer_changes(struct store_cache *store_cache, uint64_t after,
+    uint64_t revision, const struct kv_item *items, size_t count)
+{
+	const struct kv_result result = {.status = STATUS_OK,
+	    .items = items,
+	    .count = count,
+	    .revision = revision};
+
+	if (store_cache->call_pending || store_cache->listed_keys != NULL ||
+	    store_cache->revision == 0 || after > store_cache->revision ||
+	    revision <= store_cache->revision)
+		return;
+	apply_changes(store_cache, &result);
 }
 
 /*
- * Fetches changes at once that a peer knows and this copy does not.
+ * Fetches changes that a peer knows and this copy does not, without waiting for
+ * the peer to send them: a configuration is too large for that.
  */
 void
 store_cache_fetch_now(struct store_cache *store_cache)
 {
-	if (store_cache->synced && !store_cache->store_lost)
+	if (store_cache->synced && !store_cache->store_lost &&
+	    loop_now(store_cache->loop) - store_cache->call_sent_at >=
+		STORE_CACHE_FETCH_USEC)
 		next_call(store_cache);
 }
 
@@ -452,12 +532,19 @@
 void
 store_cache_tick(struct store_cache *store_cache)
 {
+	int64_t now = loop_now(store_cache->loop);
+
 	if (loop_timer_is_set(store_cache->timer))
 		return;
 	if (store_cache->watch == STORE_CACHE_WATCH_PEERS &&
 	    store_cache->synced && !store_cache->store_lost &&
-	    loop_now(store_cache->loop) - store_cache->call_sent_at <
-		STORE_CACHE_FETCH_USEC)
+	    now - store_cache->call_sent_at < STORE_CACHE_FETCH_USEC)
+		return;
+	/* A peer is about to send the change. */
+	if (store_cache->watch == STORE_CACHE_WATCH_PEERS &&
+	    store_cache->behind_since != 0 &&
+	    now - store_cache->behind_since < STORE_CACHE_RELAY_USEC &&
+	    now - store_cache->proved_at < STORE_CACHE_PEER_PROOF_USEC)
 		return;
 	next_call(store_cache);
 }
@@ -490,6 +577,15 @@
 	return store_cache->newest;
 }
 
+/*
+ * Returns the revision of the store up to which all changes are known.
+ */
+uint64_t
+store_cache_complete_revision(const struct store_cache *store_cache)
+{
+	return store_cache->revision;
+}
+
 /*
  * Returns true if all keys have been read at least once.
  */
--- a/src/node/store_cache.h
+++ b/src/node/store_cache.h
@@ -26,9 +26,13 @@
 /* Longest wait of a watch if other nodes rely on its proofs, which are older
  * when they arrive there. */
 #define STORE_CACHE_WATCH_SHARED_USEC (600 * LOOP_USEC_PER_MSEC)
-/* Pause after a response with changes, so that the next call returns several of
- * the changes that follow: many servers change at the same time. */
+/* Pause after a watch that the store answered early, so that the next one
+ * returns several of the changes that follow: many servers change at the same
+ * time. */
 #define STORE_CACHE_COALESCE_USEC (200 * LOOP_USEC_PER_MSEC)
+/* Shortest interval between watches for peers. Several nodes of a data centre
+ * watch, so the peers learn of a change sooner. */
+#define STORE_CACHE_SHARED_INTERVAL_USEC (400 * LOOP_USEC_PER_MSEC)
 /* After a response, no call is made for this many times the time that it took
  * to apply, up to a maximum that is a part of the time in which a configuration
  * must become active. */
@@ -53,11 +57,18 @@
 	void (*removed)(struct lstr key, void *arg);
 	/* All keys have been read for the first time. */
 	void (*synced)(void *arg);
+	/* A watch for the peers as well returned all changes after one revision
+	 * up to another. */
+	void (*fetched)(uint64_t after, uint64_t revision,
+	    const struct kv_item *items, size_t count, void *arg);
 };
 
 /* Shortest interval between fetches of changes known to peers by a copy without
  * its own watch. */
-#define STORE_CACHE_FETCH_USEC (500 * LOOP_USEC_PER_MSEC)
+#define STORE_CACHE_FETCH_USEC (800 * LOOP_USEC_PER_MSEC)
+/* A copy without its own watch that learns of a change waits this long for a
+ * peer to send it, before it fetches the change itself. */
+#define STORE_CACHE_RELAY_USEC (400 * LOOP_USEC_PER_MSEC)
 /* A copy without its own watch relies on its peers' proofs until they are this
  * old, and then queries the store itself. Thus a new configuration becomes
  * active within this time even if all peers that it hears from are disconnected
@@ -83,9 +94,12 @@
  * responds; 0: the limit is left unchanged. */
 void store_cache_set_proof_max(struct store_cache *, int64_t usec);
 /* Reports a proof of a peer: at that time, the newest change in the store had
- * that revision. */
-void store_cache_note_peer_proof(
-    struct store_cache *, uint64_t revision, int64_t proved_at);
+ * that revision, and there was none after it up to the complete revision. */
+void store_cache_note_peer_proof(struct store_cache *, uint64_t revision,
+    uint64_t complete_revision, int64_t proved_at);
+/* Applies all changes after one revision up to another that a peer read. */
+void store_cache_apply_peer_changes(struct store_cache *, uint64_t after,
+    uint64_t revision, const struct kv_item *, size_t count);
 /* Fetches missing changes at once, because a peer has a newer configuration. */
 void store_cache_fetch_now(struct store_cache *);
 void store_cache_tick(struct store_cache *);
@@ -96,6 +110,8 @@
 /* Revision of the newest known change. The revision of the store itself also
  * advances without such changes, with each report of a server. */
 uint64_t store_cache_newest_revision(const struct store_cache *);
+/* All changes up to this revision of the store are known. */
+uint64_t store_cache_complete_revision(const struct store_cache *);
 bool store_cache_is_synced(const struct store_cache *);
 bool store_cache_is_store_lost(const struct store_cache *);
 
--- /dev/null
+++ b/tests/test_gossip.c
@@ -0,0 +1,286 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "gossip.h"
+#include "harness.h"
+#include "loopback.h"
+
+#define NODES 40
+#define PLACES 2
+
+/* The nodes of a fleet that is large enough to share watches, in one process.
+ */
+struct member {
+	struct gossip *gossip;
+	struct pool *pool;
+	struct gossip_proof proof;
+	char name[16];
+	char place[8];
+	char front[32];
+	/* What the node received. */
+	int64_t proved_at;
+	uint64_t complete_revision;
+	unsigned int changes;
+	char last_key[32];
+};
+
+struct fleet {
+	struct loop *loop;
+	char ip[INET_ADDRSTRLEN];
+	struct member members[NODES];
+};
+
+static void
+get_proof(struct gossip_proof *proof, void *arg)
+{
+	const struct member *member = arg;
+
+	*proof = member->proof;
+}
+
+static void
+on_proof(const struct gossip_proof *proof, void *arg)
+{
+	struct member *member = arg;
+
+	member->proved_at = MAX(member->proved_at, proof->proved_at);
+	member->complete_revision = proof->complete_revision;
+}
+
+static void
+on_changes(uint64_t after, uint64_t revision, const struct kv_item *items,
+    size_t count, void *arg)
+{
+	struct member *member = arg;
+
+	ck_assert_uint_lt(after, revision);
+	member->changes += (unsigned int)count;
+	snprintf(member->last_key, sizeof(member->last_key), "%.*s",
+	    LSTR_ARG(items[count - 1].key));
+}
+
+static const struct gossip_ops ops = {get_proof, on_proof, on_changes};
+
+/*
+ * Creates the nodes and makes them known to each other.
+ */
+static void
+fleet_start(struct fleet *fleet)
+{
+	memset(fleet, 0, sizeof(*fleet));
+	ck_assert_int_eq(loop_create(&fleet->loop), STATUS_OK);
+	loopback_format_own_address(fleet->ip);
+	for (int i = 0; i < NODES; i++) {
+		struct member *member = &fleet->members[i];
+		struct gossip_config config = {.name = member->name,
+		    .ip = fleet->ip,
+		    .port = loopback_next_port(),
+		    .front = member->front,
+		    .place = member->place,
+		    .boot = 1,
+		    .ops = &ops,
+		    .arg = member};
+
+		snprintf(member->name, sizeof(member->name), "n%02d", i);
+		snprintf(member->place, sizeof(member->place), "p%d",
+		    i * PLACES / NODES);
+		snprintf(member->front, sizeof(member->front), "%s:%u",
+		    fleet->ip, (unsigned int)config.port);
+		member->pool = pool_new();
+		ck_assert_int_eq(gossip_create(fleet->loop, &config,
+				     member->pool, &member->gossip),
+		    STATUS_OK);
+	}
+	for (int i = 0; i < NODES; i++) {
+		for (int k = 0; k < NODES; k++)
+			gossip_put(fleet->members[i].gossip,
+			    lstr_from(fleet->members[k].name),
+			    gossip_entry(fleet->members[k].gossip));
+	}
+}
+
+static void
+fleet_stop(struct fleet *fleet)
+{
+	for (int i = 0; i < NODES; i++) {
+		gossip_destroy(fleet->members[i].gossip);
+		pool_free(fleet->members[i].pool);
+	}
+	loop_destroy(fleet->loop);
+}
+
+/*
+ * Runs the loop and the periodic work of the live nodes until a condition
+ * holds.
+ */
+static void
+run_until(struct fleet *fleet, bool (*condition)(struct fleet *))
+{
+	int64_t deadline = loop_now(fleet->loop) + HARNESS_DEADLINE_USEC;
+
+	while (!condition(fleet)) {
+		ck_assert_int_lt(loop_now(fleet->loop), deadline);
+		for (int i = 0; i < NODES; i++) {
+			if (fleet->members[i].gossip != NULL)
+				gossip_tick(fleet->members[i].gossip);
+		}
+		loop_run_once(fleet->loop,
+		    loop_now(fleet->loop) + 10 * LOOP_USEC_PER_MSEC);
+	}
+}
+
+/*
+ * Counts the watchers of a data centre.
+ */
+static int
+count_watchers(const struct fleet *fleet, const char *place)
+{
+	int count = 0;
+
+	for (int i = 0; i < NODES; i++) {
+		const struct member *member = &fleet->members[i];
+
+		count += member->gossip != NULL &&
+		    strcmp(member->place, place) == 0 &&
+		    gossip_is_watcher(member->gossip);
+	}
+	return count;
+}
+
+static bool
+all_places_are_watched(struct fleet *fleet)
+{
+	return count_watchers(fleet, "p0") == GOSSIP_WATCHERS &&
+	    count_watchers(fleet, "p1") == GOSSIP_WATCHERS;
+}
+
+static bool
+all_have_proofs(struct fleet *fleet)
+{
+	for (int i = 0; i < NODES; i++) {
+		const struct member *member = &fleet->members[i];
+
+		if (member->gossip != NULL &&
+		    !gossip_is_watcher(member->gossip) &&
+		    member->proved_at == 0)
+			return false;
+	}
+	return true;
+}
+
+static bool
+all_have_changes(struct fleet *fleet)
+{
+	for (int i = 0; i < NODES; i++) {
+		const struct member *member = &fleet->members[i];
+
+		if (!gossip_is_watcher(member->gossip) && member->changes == 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Guards against proofs and changes that do not reach a node without a watch of
+ * its own, and against proofs dated later than they were made.
+ */
+START_TEST(watchers_serve_all_nodes_of_their_data_centre)
+{
+	struct kv_item items[] = {{.key = lstr_from("servers/a"),
+				      .value = lstr_from("x"),
+				      .version = 11},
+	    {.key = lstr_from("servers/b"), .version = 12, .deleted = true}};
+	static struct fleet fleet;
+	int64_t proved_at;
+
+	fleet_start(&fleet);
+	run_until(&fleet, all_places_are_watched);
+	proved_at = loop_now(fleet.loop);
+	for (int i = 0; i < NODES; i++)
+		fleet.members[i].proof =
+		    (struct gossip_proof){12, 15, 1, proved_at};
+	run_until(&fleet, all_have_proofs);
+	for (int i = 0; i < NODES; i++) {
+		ck_assert_int_le(fleet.members[i].proved_at, proved_at);
+		if (!gossip_is_watcher(fleet.members[i].gossip))
+			ck_assert_uint_eq(
+			    fleet.members[i].complete_revision, 15);
+	}
+	for (int i = 0; i < NODES; i++)
+		gossip_send_changes(fleet.members[i].gossip, 10, 12, items, 2);
+	run_until(&fleet, all_have_changes);
+	for (int i = 0; i < NODES; i++) {
+		const struct member *member = &fleet.members[i];
+
+		if (gossip_is_watcher(member->gossip))
+			continue;
+		/* Each from one watcher only. */
+		ck_assert_uint_eq(member->changes, 2);
+		ck_assert_str_eq(member->last_key, "servers/b");
+	}
+	fleet_stop(&fleet);
+}
+END_TEST
+
+/* Guards against a data centre without watchers after theirs have ended. */
+START_TEST(watchers_that_end_are_replaced)
+{
+	static struct fleet fleet;
+
+	fleet_start(&fleet);
+	run_until(&fleet, all_places_are_watched);
+	for (int i = 0; i < NODES; i++) {
+		struct member *member = &fleet.members[i];
+
+		if (!gossip_is_watcher(member->gossip))
+			continue;
+		gossip_destroy(member->gossip);
+		member->gossip = NULL;
+	}
+	run_until(&fleet, all_places_are_watched);
+	fleet_stop(&fleet);
+}
+END_TEST
+
+/* Guards against configurations that are sent in datagrams, and against changes
+ * that do not fit one. */
+START_TEST(large_changes_are_divided_or_left_to_the_nodes)
+{
+	enum {
+		COUNT = 40
+	};
+	static char value[GOSSIP_CHANGE_MAX_BYTES + 1];
+	static struct fleet fleet;
+	struct kv_item items[COUNT];
+	char keys[COUNT][16];
+
+	memset(value, 'x', sizeof(value));
+	for (int i = 0; i < COUNT; i++) {
+		snprintf(keys[i], sizeof(keys[i]), "servers/%d", i);
+		items[i] = (struct kv_item){.key = lstr_from(keys[i]),
+		    .value = lstr_make(value, GOSSIP_CHANGE_MAX_BYTES),
+		    .version = (uint64_t)(11 + i)};
+	}
+	fleet_start(&fleet);
+	run_until(&fleet, all_places_are_watched);
+	items[0].value.len++;
+	for (int i = 0; i < NODES; i++)
+		gossip_send_changes(
+		    fleet.members[i].gossip, 10, 60, items, COUNT);
+	items[0].value.len--;
+	for (int i = 0; i < NODES; i++)
+		gossip_send_changes(
+		    fleet.members[i].gossip, 10, 60, items, COUNT);
+	run_until(&fleet, all_have_changes);
+	for (int i = 0; i < NODES; i++) {
+		if (!gossip_is_watcher(fleet.members[i].gossip))
+			ck_assert_uint_le(fleet.members[i].changes, COUNT);
+	}
+	fleet_stop(&fleet);
+}
+END_TEST
+
+HARNESS_MAIN("gossip", watchers_serve_all_nodes_of_their_data_centre,
+    watchers_that_end_are_replaced,
+    large_changes_are_divided_or_left_to_the_nodes)
--- a/tests/test_store_cache.c
+++ b/tests/test_store_cache.c
@@ -25,6 +25,10 @@
 	struct loop *loop;
 	unsigned int changed;
 	unsigned int removed;
+	/* Changes passed on for the peers. */
+	unsigned int fetched;
+	uint64_t fetched_after;
+	uint64_t fetched_revision;
 	char last[64];
 };
 
@@ -96,7 +100,23 @@
 	(void)arg;
 }
 
-static const struct store_cache_ops ops = {on_changed, on_removed, on_synced};
+/*
+ * Records changes that a watch for the peers returned.
+ */
+static void
+on_fetched(uint64_t after, uint64_t revision, const struct kv_item *items,
+    size_t count, void *arg)
+{
+	struct recorded *recorded = arg;
+
+	(void)items;
+	recorded->fetched_after = after;
+	recorded->fetched_revision = revision;
+	recorded->fetched += (unsigned int)count;
+}
+
+static const struct store_cache_ops ops = {
+    on_changed, on_removed, on_synced, on_fetched};
 
 struct fixture {
 	struct loop *loop;
@@ -271,18 +291,135 @@
 	respond(&w, STATUS_OK, 12, NULL, 0);
 	store_cache_set_watch(w.store_cache, STORE_CACHE_WATCH_PEERS);
 	proved_at = store_cache_proved_at(w.store_cache);
-	store_cache_note_peer_proof(w.store_cache, 13, proved_at + 1000);
+	store_cache_note_peer_proof(w.store_cache, 13, 13, proved_at + 1000);
 	ck_assert_int_eq(store_cache_proved_at(w.store_cache), proved_at);
-	store_cache_note_peer_proof(w.store_cache, 12, proved_at + 1000);
+	store_cache_note_peer_proof(w.store_cache, 12, 12, proved_at + 1000);
 	ck_assert_int_eq(
 	    store_cache_proved_at(w.store_cache), proved_at + 1000);
-	store_cache_note_peer_proof(w.store_cache, 12, proved_at);
+	store_cache_note_peer_proof(w.store_cache, 12, 12, proved_at);
 	ck_assert_int_eq(
 	    store_cache_proved_at(w.store_cache), proved_at + 1000);
 	stop(&w);
 }
 END_TEST
 
+/*
+ * Guards against a watcher that calls the store dozens of times a second while
+ * many servers start: the store answers its watches early without changes.
+ */
+START_TEST(early_empty_response_is_not_followed_at_once)
+{
+	static const enum store_cache_watch modes[] = {
+	    STORE_CACHE_WATCH_OWN, STORE_CACHE_WATCH_SHARED};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		struct fixture w;
+		int64_t started_at;
+		unsigned int calls;
+
+		start(&w);
+		store_cache_set_watch(w.store_cache, modes[i]);
+		wait_for_call(&w, KV_WATCH);
+		started_at = w.store.sent_at;
+		calls = w.store.calls;
+		for (uint64_t at = 11; at < 16; at++) {
+			respond(&w, STATUS_OK, at, NULL, 0);
+			wait_for_call(&w, KV_WATCH);
+		}
+		ck_assert_uint_eq(w.store.calls, calls + 5);
+		ck_assert_int_ge(w.store.sent_at - started_at,
+		    5 * STORE_CACHE_COALESCE_USEC);
+		stop(&w);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a store call by each of hundreds of nodes for each change:
+ * changes that a peer read are applied without one, in order and completely.
+ */
+START_TEST(changes_of_a_peer_need_no_call)
+{
+	struct fixture w;
+	struct kv_item first[] = {item("c", 14, false), item("b", 15, true)};
+	struct kv_item later[] = {item("d", 20, false)};
+	unsigned int calls;
+
+	start(&w);
+	wait_for_call(&w, KV_WATCH);
+	respond(&w, STATUS_OK, 12, NULL, 0);
+	store_cache_set_watch(w.store_cache, STORE_CACHE_WATCH_PEERS);
+	calls = w.store.calls;
+	/* Changes from 16 to 17 are missing. */
+	store_cache_apply_peer_changes(w.store_cache, 17, 20, later, 1);
+	ck_assert_uint_eq(w.recorded.changed, 2);
+	store_cache_apply_peer_changes(w.store_cache, 10, 15, first, 2);
+	ck_assert_uint_eq(w.recorded.changed, 3);
+	ck_assert_uint_eq(w.recorded.removed, 1);
+	/* The same from another peer. */
+	store_cache_apply_peer_changes(w.store_cache, 10, 15, first, 2);
+	ck_assert_uint_eq(w.recorded.changed, 3);
+	/* There was no change from 16 to 17. */
+	store_cache_note_peer_proof(w.store_cache, 15, 17, 1);
+	store_cache_apply_peer_changes(w.store_cache, 17, 20, later, 1);
+	ck_assert_str_eq(w.recorded.last, "d");
+	store_cache_note_peer_proof(
+	    w.store_cache, 20, 20, loop_now(w.loop) - 1000);
+	store_cache_tick(w.store_cache);
+	ck_assert_uint_eq(w.store.calls, calls);
+	stop(&w);
+}
+END_TEST
+
+/* Guards against waiting for changes that no peer sends. */
+START_TEST(missing_changes_are_fetched_after_a_while)
+{
+	struct fixture w;
+	int64_t learned_at;
+
+	start(&w);
+	wait_for_call(&w, KV_WATCH);
+	respond(&w, STATUS_OK, 12, NULL, 0);
+	store_cache_set_watch(w.store_cache, STORE_CACHE_WATCH_PEERS);
+	/* The timer of the last watch ends first. */
+	loop_run_once(w.loop,
+	    loop_now(w.loop) + 2 * STORE_CACHE_COALESCE_USEC);
+	learned_at = loop_now(w.loop);
+	store_cache_note_peer_proof(w.store_cache, 13, 13, learned_at);
+	while (w.store.fn == NULL) {
+		ck_assert_int_lt(
+		    loop_now(w.loop), learned_at + HARNESS_DEADLINE_USEC);
+		loop_run_once(w.loop, loop_now(w.loop) + 1000);
+		store_cache_tick(w.store_cache);
+	}
+	ck_assert_int_ge(w.store.sent_at - learned_at, STORE_CACHE_RELAY_USEC);
+	ck_assert_int_le(w.store.wait_until, w.store.sent_at);
+	stop(&w);
+}
+END_TEST
+
+/* Checks that the changes of a watch for the peers are passed on with the range
+ * of revisions that they cover, which starts at the newest known change. */
+START_TEST(watch_for_peers_passes_changes_on)
+{
+	struct fixture w;
+	struct kv_item items[] = {item("c", 14, false)};
+
+	start(&w);
+	store_cache_set_watch(w.store_cache, STORE_CACHE_WATCH_SHARED);
+	wait_for_call(&w, KV_WATCH);
+	respond(&w, STATUS_OK, 13, NULL, 0);
+	ck_assert_uint_eq(w.recorded.fetched, 0);
+	wait_for_call(&w, KV_WATCH);
+	respond(&w, STATUS_OK, 16, items, 1);
+	ck_assert_uint_eq(w.recorded.fetched, 1);
+	/* The list, at 10, does not show deletions before it. */
+	ck_assert_uint_eq(w.recorded.fetched_after, 10);
+	ck_assert_uint_eq(w.recorded.fetched_revision, 16);
+	stop(&w);
+}
+END_TEST
+
 /* Guards against watches too long for the limit on the age of proofs. */
 START_TEST(watches_respect_the_proof_age_limit)
 {
@@ -329,7 +466,9 @@
 }
 END_TEST
 
-HARNESS_MAIN("store_cache", slow_changes_throttle_the_cache,
+HARNESS_MAIN("store_cache", early_empty_response_is_not_followed_at_once,
+    changes_of_a_peer_need_no_call, missing_changes_are_fetched_after_a_while,
+    watch_for_peers_passes_changes_on, slow_changes_throttle_the_cache,
     watches_respect_the_proof_age_limit, proof_has_the_time_of_sending,
     failed_call_proves_nothing, outdated_changes_are_ignored,
     discarded_history_is_listed_again,
