--- a/src/job.c
+++ b/src/job.c
@@ -356,8 +356,8 @@
 void
 job_retry(struct job *job, bool nothing_ran)
 {
-	struct retry_attempt failed = {!job->once, nothing_ran, ++job->failures,
-	    job->submit->deadline};
+	struct retry_attempt failed = {
+	    !job->once, nothing_ran, ++job->failures, job->submit->deadline};
 	enum retry_verdict verdict;
 	int64_t at = 0;
 
--- a/tests/test_store_cache.c
+++ b/tests/test_store_cache.c
@@ -382,8 +382,7 @@
 	respond(&w, STATUS_OK, 12, NULL, 0);
 	store_cache_set_watch(w.store_cache, STORE_CACHE_WATCH_PEERS);
 	/* The timer of the last watch ends first. */
-	loop_run_once(w.loop,
-	    loop_now(w.loop) + 2 * STORE_CACHE_COALESCE_USEC);
+	loop_run_once(w.loop, loop_now(w.loop) + 2 * STORE_CACHE_COALESCE_USEC);
 	learned_at = loop_now(w.loop);
 	store_cache_note_peer_proof(w.store_cache, 13, 13, learned_at);
 	while (w.store.fn == NULL) {
