Cut responses without end and events that are never completed

Cause: servers in trouble may send bytes until the caller closes. Bodies of refusals by engines and of responses to other requests were read on until the request's time limit, interim responses without end as well, and the limit of 16 MB held for each request, not for all. A stream counted as alive with any byte, so one whose server sent a byte now and then went on.

A partial event that is not completed within a second ends the attempt, and the stream is resumed elsewhere.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -44,6 +44,7 @@
 	struct gateway_request *request = data;
 
 	request->gateway->body_bytes -= request->body.len;
+	request->gateway->response_bytes -= request->response.len;
 	lstr_buf_free(&request->body);
 	lstr_buf_free(&request->response);
 	sse_free(&request->attempt.sse);
--- a/src/node/gateway_plain.c
+++ b/src/node/gateway_plain.c
@@ -52,7 +52,7 @@
 void
 gateway_plain_head(struct gateway_request *request)
 {
-	lstr_buf_clear(&request->response);
+	gateway_clear_response(request);
 }
 
 /*
@@ -61,9 +61,7 @@
 void
 gateway_plain_body(struct gateway_request *request, struct lstr bytes)
 {
-	if (request->response.len + bytes.len > GATEWAY_RESPONSE_MAX_BYTES ||
-	    lstr_buf_append(&request->response, bytes) != STATUS_OK)
-		gateway_attempt_failed(request, false, "answer is too large");
+	gateway_buffer_response(request, bytes);
 }
 
 /*
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -37,8 +37,14 @@
 /* Largest unused link budget that a node may accumulate, as time at its
  * rate. */
 #define GATEWAY_LINK_BURST_USEC (1000 * LOOP_USEC_PER_MSEC)
-/* Size limit of a buffered response. */
+/* Size limit of a response that is passed on. */
 #define GATEWAY_RESPONSE_MAX_BYTES ((size_t)16 * 1024 * 1024)
+/* Size limit of a response that is not: one to another request, or a refusal by
+ * an engine. Faulty servers send bytes until the connection is closed. */
+#define GATEWAY_DISCARDED_MAX_BYTES ((size_t)256 * 1024)
+/* A partial event that is not completed within this time shows a stalled
+ * server, even if further bytes arrive now and then. */
+#define GATEWAY_PARTIAL_EVENT_USEC (1000 * LOOP_USEC_PER_MSEC)
 
 /* Longest "ip:port" that is kept for the log, without the terminating NUL. */
 #define GATEWAY_ADDRESS_MAX_BYTES 21
@@ -87,6 +93,10 @@
 	bool response_received;
 	/* A response that belongs to another request is being discarded. */
 	bool skipping;
+	/* Bytes of the response body, and since when the last event has been
+	 * incomplete; 0: it is complete. */
+	size_t received_bytes;
+	int64_t partial_since;
 	/* Lack of progress has been handled; cleared by the next event. */
 	bool stalled;
 	/* NULL: no reroute is pending. */
@@ -170,7 +180,9 @@
 	/* By name: struct gateway_service. */
 	GHashTable *services;
 	GRand *rand;
+	/* Memory used by request bodies and by buffered responses. */
 	size_t body_bytes;
+	size_t response_bytes;
 	uint64_t start_sequence;
 	bool draining;
 	/* When draining started and when the process exits. */
@@ -196,6 +208,11 @@
 /* Sends a buffered response to the caller. */
 void gateway_send_response(struct gateway_request *, const char *outcome);
 
+/* Appends to the buffered response; fails the attempt and returns false if a
+ * limit is exceeded. */
+bool gateway_buffer_response(struct gateway_request *, struct lstr);
+void gateway_clear_response(struct gateway_request *);
+
 /* Attempts. */
 bool gateway_send(struct gateway_request *, struct pool_server *);
 void gateway_attempt_end(struct gateway_request *, bool reusable);
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -235,3 +235,33 @@
 	request->caller = NULL;
 	gateway_end_request(request, NULL);
 }
+
+/*
+ * Appends to the buffered response of a server. Fails the attempt and returns
+ * false if the response or all buffered responses together are too large.
+ */
+bool
+gateway_buffer_response(struct gateway_request *request, struct lstr bytes)
+{
+	struct gateway *gateway = request->gateway;
+
+	if (request->response.len + bytes.len > GATEWAY_RESPONSE_MAX_BYTES ||
+	    gateway->response_bytes + bytes.len >
+		gateway->config.bodies_max_bytes ||
+	    lstr_buf_append(&request->response, bytes) != STATUS_OK) {
+		gateway_attempt_failed(request, false, "answer is too large");
+		return false;
+	}
+	gateway->response_bytes += bytes.len;
+	return true;
+}
+
+/*
+ * Discards the buffered response.
+ */
+void
+gateway_clear_response(struct gateway_request *request)
+{
+	request->gateway->response_bytes -= request->response.len;
+	lstr_buf_clear(&request->response);
+}
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -202,6 +202,20 @@
 		gateway_plain_head(request);
 }
 
+/*
+ * Counts bytes of a response body. Returns true if it is larger than a response
+ * of its kind can be.
+ */
+static bool
+exceeds_limit(struct gateway_attempt *attempt, size_t len)
+{
+	attempt->received_bytes += len;
+	return attempt->received_bytes >
+	    (attempt->skipping || attempt->response.not_run
+		    ? GATEWAY_DISCARDED_MAX_BYTES
+		    : GATEWAY_RESPONSE_MAX_BYTES);
+}
+
 /*
  * Handles bytes of a response body.
  */
@@ -211,6 +225,12 @@
 	struct gateway_request *request = arg;
 
 	(void)conn;
+	if (exceeds_limit(&request->attempt, bytes.len)) {
+		gateway_avoid_server(request->gateway, request->attempt.server,
+		    "answer without end");
+		gateway_attempt_failed(request, false, "answer without end");
+		return;
+	}
 	if (request->attempt.skipping)
 		return;
 	request->attempt.last_progress_at = gateway_now(request->gateway);
@@ -230,6 +250,7 @@
 
 	if (request->attempt.skipping) {
 		request->attempt.skipping = false;
+		request->attempt.received_bytes = 0;
 		h1_skip_response(conn);
 		return;
 	}
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -500,7 +500,7 @@
 	bool close = gateway->draining || !h1_keep_alive(request->caller);
 
 	if (attempt->response.status != HTTP_OK) {
-		lstr_buf_clear(&request->response);
+		gateway_clear_response(request);
 		return;
 	}
 	if (!attempt->response.stamped || attempt->response.encoded) {
@@ -585,9 +585,7 @@
 	int64_t now = gateway_now(request->gateway);
 
 	if (attempt->response.status != HTTP_OK) {
-		if (request->response.len + bytes.len <=
-		    GATEWAY_RESPONSE_MAX_BYTES)
-			lstr_buf_append(&request->response, bytes);
+		gateway_buffer_response(request, bytes);
 		return;
 	}
 	if (sse_feed(&attempt->sse, bytes) != STATUS_OK) {
@@ -604,6 +602,7 @@
 		}
 		if (event.has_id)
 			request->last_event = event.id;
+		attempt->partial_since = 0;
 		record_event(request, now);
 		lstr_buf_append(&complete_events, event.bytes);
 	}
@@ -615,6 +614,10 @@
 		return;
 	}
 	lstr_buf_free(&complete_events);
+	if (attempt->sse.pending.len == 0)
+		attempt->partial_since = 0;
+	else if (attempt->partial_since == 0)
+		attempt->partial_since = now;
 	if (fault != NULL)
 		gateway_attempt_failed(request, false, fault);
 }
@@ -683,6 +686,14 @@
 		    request, false, "first server has failed");
 		return;
 	}
+	if (attempt->partial_since != 0 &&
+	    now - attempt->partial_since >= GATEWAY_PARTIAL_EVENT_USEC) {
+		gateway_avoid_server(request->gateway, attempt->server,
+		    "an event is not completed");
+		gateway_attempt_failed(
+		    request, false, "an event is not completed");
+		return;
+	}
 	if (request->last_event_at > attempt->sent_at)
 		limit = MAX(
 		    STALL_FACTOR * attempt->event_usec, GATEWAY_STALL_MIN_USEC);
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -24,6 +24,8 @@
 #define KEEPALIVE_PROBES 2
 /* Largest response head; a server that sends more is faulty. */
 #define RESPONSE_HEAD_MAX_BYTES ((size_t)64 * 1024)
+/* Most interim responses (1xx) before a response. */
+#define INTERIM_MAX 16
 
 static const http_parser_settings parser_settings;
 
@@ -330,7 +332,8 @@
 
 	conn->head_done = true;
 	if (is_interim(conn))
-		return 0;
+		return ++conn->interim_count > INTERIM_MAX ? -1 : 0;
+	conn->interim_count = 0;
 	conn->ops->head(conn, conn->arg);
 	if (conn->is_closed)
 		return -1;
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -61,6 +61,8 @@
 	bool busy;
 	/* Client: the request was HEAD, so the response has no body. */
 	bool head_only;
+	/* Interim responses received before the current one. */
+	unsigned int interim_count;
 	bool head_done;
 	bool complete;
 	/* Client: the peer sent bytes after the response or closed. */
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -29,11 +29,25 @@
 	/* Plain: responds with status 500. */
 	FAKE_ERROR,
 	/* Both: rejects the request and states that it did not run. */
-	FAKE_REFUSED
+	FAKE_REFUSED,
+	/* Engine: sends the given event byte by byte and never completes it. */
+	FAKE_TRICKLE,
+	/*
+	 * Both: sends bytes until the connection is closed, as an unfinished
+	 * head, as interim responses, as the body of a success, a refusal or
+	 * the response to another request.
+	 */
+	FAKE_ENDLESS_HEAD,
+	FAKE_ENDLESS_INTERIM,
+	FAKE_ENDLESS_SUCCESS,
+	FAKE_ENDLESS_REFUSAL,
+	FAKE_ENDLESS_STRAY
 };
 
 struct fake_platform *fake_platform_new(struct loop *, struct h1 *);
 void fake_platform_free(struct fake_platform *);
+/* Bytes that servers sent for the endless faults. */
+size_t fake_platform_endless_bytes(const struct fake_platform *);
 uint16_t fake_platform_port(const struct fake_platform *);
 /* Stores a configuration with one organisation, which has the given key. */
 void fake_platform_configure(
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -16,6 +16,7 @@
 #define EVENT_INTERVAL_USEC (5 * LOOP_USEC_PER_MSEC)
 #define IDLE_TIMEOUT_USEC (60 * LOOP_USEC_PER_SEC)
 #define HEAD_MAX_BYTES 65536
+#define ENDLESS_BYTES 16384
 /* Index of the engine that misbehaves; another one holds the same layers. */
 #define FAULTY_ENGINE 1
 
@@ -83,6 +84,9 @@
 	enum fake_fault engine_fault;
 	unsigned int fault_event;
 	enum fake_fault plain_fault;
+	/* Kind of the responses without end, and the bytes sent in them. */
+	enum fake_fault endless;
+	size_t endless_bytes;
 	bool store_silent;
 	unsigned int streams;
 	unsigned int incomplete_paths;
@@ -513,6 +517,13 @@
 	if (fault && server_call->faulty &&
 	    platform->engine_fault == FAKE_UNRESPONSIVE)
 		return;
+	if (fault && server_call->faulty &&
+	    platform->engine_fault == FAKE_TRICKLE) {
+		h1_write(server_call->conn, lstr_from("1\r\nx\r\n"));
+		loop_timer_set(server_call->timer,
+		    loop_now(platform->loop) + platform->event_interval_usec);
+		return;
+	}
 	snprintf(event, sizeof(event), "id: %u\ndata: %u\n\n",
 	    server_call->next, server_call->next);
 	snprintf(chunk, sizeof(chunk), "%zx\r\n%s\r\n", strlen(event), event);
@@ -749,6 +760,73 @@
 	lstr_buf_free(&out);
 }
 
+/*
+ * Writes the next bytes of a response without end.
+ */
+static void
+on_endless_due(void *arg)
+{
+	static char bytes[ENDLESS_BYTES];
+	struct server_call *server_call = arg;
+	struct fake_platform *platform = server_call->server->platform;
+	struct lstr_buf text = {0};
+
+	if (platform->endless == FAKE_ENDLESS_HEAD) {
+		memset(bytes, 'x', sizeof(bytes));
+		lstr_buf_printf(
+		    &text, "X-More: %.*s\r\n", (int)sizeof(bytes) / 2, bytes);
+	} else if (platform->endless == FAKE_ENDLESS_INTERIM) {
+		for (int i = 0; i < 100; i++)
+			lstr_buf_printf(&text, "HTTP/1.1 102 X\r\n\r\n");
+	} else {
+		memset(bytes, 'x', sizeof(bytes));
+		lstr_buf_printf(&text, "%zx\r\n%.*s\r\n", sizeof(bytes),
+		    (int)sizeof(bytes), bytes);
+	}
+	if (h1_write(server_call->conn, lstr_buf_view(&text)) == STATUS_OK)
+		platform->endless_bytes += text.len;
+	lstr_buf_free(&text);
+	loop_timer_set(server_call->timer, loop_now(platform->loop) + 1000);
+}
+
+/*
+ * Starts a response without end.
+ */
+static void
+start_endless(struct server_call *server_call, enum fake_fault fault)
+{
+	struct fake_platform *platform = server_call->server->platform;
+	struct lstr_buf text = {0};
+
+	platform->endless = fault;
+	if (fault == FAKE_ENDLESS_HEAD)
+		lstr_buf_printf(&text, "HTTP/1.1 200 OK\r\n");
+	else if (fault != FAKE_ENDLESS_INTERIM)
+		lstr_buf_printf(&text,
+		    "HTTP/1.1 %u X\r\nAttempt-Id: %s\r\nServer-Stamp: s.%s"
+		    "\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+		    fault == FAKE_ENDLESS_REFUSAL ? 503 : 200,
+		    fault == FAKE_ENDLESS_STRAY ? "of-another-request"
+						: server_call->id,
+		    server_call->server->id,
+		    fault == FAKE_ENDLESS_REFUSAL ? "Not-Executed: 1\r\n" : "");
+	h1_write(server_call->conn, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	ck_assert_int_eq(loop_timer_create(platform->loop, on_endless_due,
+			     server_call, &server_call->timer),
+	    STATUS_OK);
+	loop_timer_set(server_call->timer, 0);
+}
+
+/*
+ * Returns the number of bytes sent in responses without end.
+ */
+size_t
+fake_platform_endless_bytes(const struct fake_platform *platform)
+{
+	return platform->endless_bytes;
+}
+
 /*
  * Executes a request at a plain server, with the fault that is set.
  */
@@ -768,6 +846,10 @@
 		h1_read_next_request(conn);
 		return;
 	}
+	if (fault >= FAKE_ENDLESS_HEAD) {
+		start_endless(server_call, fault);
+		return;
+	}
 	count_run(platform, server_call->id);
 	if (fault == FAKE_STRAY_RESPONSE)
 		respond_plain(server_call, 200, "of-another-request");
@@ -852,6 +934,8 @@
 		handle_order(server_call);
 	else if (lstr_equal_c(h1_target(conn), "/report"))
 		respond_report(server_call);
+	else if (server->platform->engine_fault >= FAKE_ENDLESS_HEAD)
+		start_endless(server_call, server->platform->engine_fault);
 	else
 		start_stream(server_call);
 }
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -79,6 +79,112 @@
 END_TEST
 
 /* Checks the address lookup, readiness and metrics endpoints. */
+/*
+ * Returns the peak resident memory of the node in kilobytes.
+ */
+static long
+node_peak_kbytes(const struct node_fixture *w)
+{
+	char path[64];
+	char *text = NULL;
+	const char *line;
+	long kbytes;
+
+	snprintf(path, sizeof(path), "/proc/%ld/status", (long)w->pid);
+	ck_assert(g_file_get_contents(path, &text, NULL, NULL));
+	line = strstr(text, "VmHWM:");
+	ck_assert_ptr_nonnull(line);
+	kbytes = strtol(line + strlen("VmHWM:"), NULL, 10);
+	g_free(text);
+	return kbytes;
+}
+
+/* Bytes that the node may read of a response without end before it closes the
+ * connection: the limit of a response that is passed on, and socket buffers. */
+#define ENDLESS_READ_MAX_BYTES ((size_t)32 * 1024 * 1024)
+#define ENDLESS_MEMORY_MAX_KBYTES (64L * 1024)
+/* Most attempts of a request. */
+#define ENDLESS_ATTEMPTS_MAX 5
+
+/*
+ * Sends one request to servers that send bytes without end, and checks that the
+ * node closes their connections and answers the caller with a failure.
+ */
+static void
+check_endless(struct node_fixture *w, enum fake_fault fault, bool stream)
+{
+	size_t before = fake_platform_endless_bytes(w->platform);
+	struct node_call call;
+	char id[32];
+
+	snprintf(id, sizeof(id), "endless-%d-%d", (int)fault, stream);
+	if (stream) {
+		fake_platform_set_engine_fault(w->platform, fault, 1);
+		node_start_stream(w, &call, id);
+		node_call_wait(w, &call);
+	} else {
+		fake_platform_set_plain_fault(w->platform, fault);
+		node_call_plain(w, &call, "POST", "/order/1", id, NODE_KEY);
+	}
+	ck_assert(!call.complete || call.status >= 502);
+	ck_assert_uint_le(fake_platform_endless_bytes(w->platform) - before,
+	    (stream ? ENDLESS_ATTEMPTS_MAX : 1) * ENDLESS_READ_MAX_BYTES);
+	lstr_buf_free(&call.body);
+	fake_platform_set_engine_fault(w->platform, FAKE_NONE, 0);
+	fake_platform_set_plain_fault(w->platform, FAKE_NONE);
+	node_wait_until_serving(w);
+}
+
+/*
+ * Guards against servers that send bytes until the connection is closed: the
+ * node must close it, keep its memory bounded, answer the caller with a failure
+ * and serve the next request.
+ */
+START_TEST(responses_without_end_are_cut)
+{
+	static const enum fake_fault faults[] = {FAKE_ENDLESS_HEAD,
+	    FAKE_ENDLESS_INTERIM, FAKE_ENDLESS_SUCCESS, FAKE_ENDLESS_REFUSAL,
+	    FAKE_ENDLESS_STRAY};
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		check_endless(&w, faults[i], false);
+		check_endless(&w, faults[i], true);
+	}
+	ck_assert_int_le(node_peak_kbytes(&w), ENDLESS_MEMORY_MAX_KBYTES);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/*
+ * Guards against a stream that never ends because a stalled server sends a byte
+ * now and then: it must be resumed along another path.
+ */
+START_TEST(stream_with_an_event_that_is_never_completed_is_resumed)
+{
+	struct node_fixture w;
+	struct node_call calls[6];
+
+	node_fixture_start(&w);
+	fake_platform_set_engine_fault(w.platform, FAKE_TRICKLE, 5);
+	for (int i = 0; i < 6; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "t%d", i);
+		node_start_stream(&w, &calls[i], id);
+	}
+	for (int i = 0; i < 6; i++) {
+		node_call_wait(&w, &calls[i]);
+		ck_assert_uint_eq(calls[i].status, 200);
+		ck_assert(calls[i].complete);
+		check_events(&calls[i]);
+		lstr_buf_free(&calls[i].body);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /*
  * Listens on a port of 127.0.0.1, as a process of another test run may.
  */
@@ -613,6 +719,8 @@
 
 HARNESS_MAIN("node", serves_streams_and_plain_requests,
     starts_although_other_processes_use_its_ports,
+    responses_without_end_are_cut,
+    stream_with_an_event_that_is_never_completed_is_resumed,
     serves_address_lookup_readiness_and_metrics,
     metrics_match_the_documentation, stream_survives_an_unresponsive_engine,
     stream_continues_after_a_partial_event,
