Hold requests while a node that has started reads the store

Cause: after all nodes are killed, the callers of cut streams come back at once, with their only retry.

Change: a node that has just started holds requests until it has read the store, for two seconds after its start and a third of the caller's time at most.

Ruled out: opening the listener later, which uses up the caller's retry as well; a Retry-After, which a caller that comes back for the last time cannot use.

--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -85,6 +85,20 @@
 	return decision;
 }
 
+/*
+ * Returns the time until which a request is held at a node that started at
+ * started_at and has not read the store yet. A caller with little time is
+ * refused while it can still try another node.
+ */
+int64_t
+admit_hold_until(
+    int64_t arrived_at, int64_t started_at, int64_t caller_timeout_usec)
+{
+	return MIN(started_at + ADMIT_START_HOLD_USEC,
+	    arrived_at +
+		(int64_t)((double)caller_timeout_usec * ADMIT_RETRY_SHARE));
+}
+
 /*
  * Returns true if work, with an allowance for estimates that are too low, may
  * not end before a draining server exits.
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -83,6 +83,18 @@
     int64_t expected_usec, int64_t caller_timeout_usec, double jitter);
 int64_t admit_retry_without_capacity(const struct admit_request *);
 
+/* Longest time for which a node that has just started holds a request until it
+ * has read the store; after all nodes were killed, this takes a second. */
+#define ADMIT_START_HOLD_USEC ((int64_t)2000000)
+
+/*
+ * Load: all nodes were killed, their streams were cut, and the callers come
+ * back at once, with their only retry, while the nodes read the store. A
+ * refusal would be final for most of them.
+ */
+int64_t admit_hold_until(
+    int64_t arrived_at, int64_t started_at, int64_t caller_timeout_usec);
+
 /* Time after a node starts to drain during which every request is still
  * accepted, because callers learn only gradually that the node is stopping. */
 #define ADMIT_DRAIN_ACCEPT_USEC ((int64_t)2500000)
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -62,6 +62,7 @@
 	struct gateway *gateway = g_new0(struct gateway, 1);
 
 	gateway->config = *config;
+	gateway->created_at = loop_now(config->loop);
 	gateway->limits = (struct h1_limits){HEAD_MAX_DEFAULT_BYTES,
 	    HEAD_TIMEOUT_DEFAULT_USEC, IDLE_TIMEOUT_DEFAULT_USEC};
 	gateway->requests = g_ptr_array_new();
@@ -388,35 +389,34 @@
 }
 
 /*
- * Processes a complete request: selects its route, organisation and service,
- * and starts it.
+ * Refuses a request because the node has not read a configuration yet.
  */
 static void
-on_complete(struct h1_conn *conn, void *arg)
+refuse_unconfigured(struct gateway_request *request)
 {
-	struct gateway *gateway = arg;
-	struct gateway_request *request = h1_data(conn);
+	gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+	    admit_retry_after(UNCONFIRMED_CONFIG_RETRY_USEC,
+		request->deadline - gateway_now(request->gateway),
+		g_rand_double(request->gateway->rand)),
+	    "no configuration yet");
+}
+
+/*
+ * Selects the route, organisation and service of a request, and starts it.
+ */
+static void
+start_request(struct gateway_request *request)
+{
+	struct gateway *gateway = request->gateway;
 	const char *service;
 
-	if (h1_fault(conn) != H1_FAULT_NONE) {
-		reject_malformed(gateway, conn);
-		return;
-	}
-	if (request == NULL)
-		return;
-	request->state = GATEWAY_WAITING;
-	set_deadlines(request);
 	if (gateway->fleet == NULL) {
-		gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
-		    admit_retry_after(UNCONFIRMED_CONFIG_RETRY_USEC,
-			request->deadline - request->arrived_at,
-			g_rand_double(gateway->rand)),
-		    "no configuration yet");
+		refuse_unconfigured(request);
 		return;
 	}
 	request->config = fleet_config_ref(gateway->fleet);
 	request->route = fleet_config_find_route(
-	    request->config, request->info.host, h1_target(conn));
+	    request->config, request->info.host, h1_target(request->caller));
 	if (request->route == NULL) {
 		gateway_refuse_request(
 		    request, HTTP_STATUS_NOT_FOUND, 0, "no route matches");
@@ -443,6 +443,52 @@
 		gateway_plain_start(request);
 }
 
+/*
+ * Processes a complete request. One that arrives while the node reads the store
+ * after its start is held.
+ */
+static void
+on_complete(struct h1_conn *conn, void *arg)
+{
+	struct gateway *gateway = arg;
+	struct gateway_request *request = h1_data(conn);
+
+	if (h1_fault(conn) != H1_FAULT_NONE) {
+		reject_malformed(gateway, conn);
+		return;
+	}
+	if (request == NULL)
+		return;
+	request->state = GATEWAY_WAITING;
+	set_deadlines(request);
+	if (!store_cache_is_synced(gateway->config.store_cache))
+		request->held_until =
+		    admit_hold_until(request->arrived_at, gateway->created_at,
+			request->deadline - request->arrived_at);
+	if (request->held_until <= gateway_now(gateway)) {
+		request->held_until = 0;
+		start_request(request);
+	}
+}
+
+/*
+ * Starts the requests that were held until the store has been read.
+ */
+void
+gateway_release_held(struct gateway *gateway)
+{
+	for (guint i = 0; i < gateway->requests->len; i++) {
+		struct gateway_request *request =
+		    g_ptr_array_index(gateway->requests, i);
+
+		if (request->held_until == 0 ||
+		    request->state != GATEWAY_WAITING)
+			continue;
+		request->held_until = 0;
+		start_request(request);
+	}
+}
+
 /*
  * Cancels the request of a caller whose connection has closed.
  */
@@ -495,6 +541,11 @@
 		struct gateway_request *request =
 		    g_ptr_array_index(gateway->requests, i);
 
+		if (request->state == GATEWAY_WAITING &&
+		    request->held_until != 0 && now >= request->held_until) {
+			request->held_until = 0;
+			start_request(request);
+		}
 		if (request->state != GATEWAY_SENT)
 			continue;
 		if (now >= request->timeout_at - GATEWAY_TIMEOUT_MARGIN_USEC)
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -53,6 +53,8 @@
 void gateway_destroy(struct gateway *);
 const struct h1_ops *gateway_ops(void);
 const struct h1_limits *gateway_limits(const struct gateway *);
+/* Starts the requests that were held until the store has been read. */
+void gateway_release_held(struct gateway *);
 void gateway_set_config(struct gateway *, struct fleet_config *);
 void gateway_drain(struct gateway *, int64_t end_at);
 size_t gateway_count_active(const struct gateway *);
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -127,6 +127,9 @@
 	int64_t deadline;
 	int64_t timeout_at;
 	uint32_t priority;
+	/* The request waits until this time for the node to read the store
+	 * after its start; 0: it does not. */
+	int64_t held_until;
 	struct sched_entry *queue_entry;
 	int64_t queued_at;
 	/* When the request was first sent to a server. */
@@ -184,6 +187,7 @@
 	size_t body_bytes;
 	size_t response_bytes;
 	uint64_t start_sequence;
+	int64_t created_at;
 	bool draining;
 	/* When draining started and when the process exits. */
 	int64_t drain_started_at;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -227,12 +227,14 @@
 }
 
 /*
- * All keys of the store have been read; nothing to do.
+ * Starts the requests that arrived while the store was read.
  */
 static void
 on_synced(void *arg)
 {
-	(void)arg;
+	struct node *node = arg;
+
+	gateway_release_held(node->gateway);
 }
 
 /*
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -98,6 +98,30 @@
 }
 END_TEST
 
+/*
+ * Replays the second after all nodes were killed: callers of cut streams come
+ * back at once, and a node has read the store a second after its start. Guards
+ * against refusals that are final, and against holding a caller with little
+ * time, or one at a node that cannot read the store.
+ */
+START_TEST(requests_are_held_while_a_node_starts)
+{
+	const int64_t started_at = 1000000;
+	const int64_t read_at = started_at + 1100000;
+
+	for (int64_t at = started_at; at < read_at; at += 10000) {
+		ck_assert_int_gt(
+		    admit_hold_until(at, started_at, CALLER_TIMEOUT_USEC),
+		    read_at);
+		ck_assert_int_le(
+		    admit_hold_until(at, started_at, 1500000), at + 500000);
+	}
+	ck_assert_int_le(admit_hold_until(started_at + ADMIT_START_HOLD_USEC,
+			     started_at, CALLER_TIMEOUT_USEC),
+	    started_at + ADMIT_START_HOLD_USEC);
+}
+END_TEST
+
 /* Guards against long retry times in a burst without failures, whose running
  * requests end within a second or two, and long after a failure. */
 START_TEST(callers_return_soon_without_failures)
@@ -217,7 +241,8 @@
 }
 END_TEST
 
-HARNESS_MAIN("admit", callers_return_when_crashed_servers_are_replaced,
+HARNESS_MAIN("admit", requests_are_held_while_a_node_starts,
+    callers_return_when_crashed_servers_are_replaced,
     callers_return_soon_without_failures,
     overload_keeps_served_requests_on_time,
     retry_times_are_jittered_and_in_time, no_wait_beyond_abandonment,
