--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -202,6 +202,20 @@
 		gateway_plain_head(request);
 }
 
+/*
+ * Counts bytes of a response body. Returns true if it is larger than a response
+ * of its kind can be.
+ */
+static bool
+exceeds_limit(struct gateway_attempt *attempt, size_t len)
+{
+	attempt->received_bytes += len;
+	return attempt->received_bytes >
+	    (attempt->skipping || attempt->response.not_run
+		    ? GATEWAY_DISCARDED_MAX_BYTES
+		    : GATEWAY_RESPONSE_MAX_BYTES);
+}
+
 /*
  * Handles bytes of a response body.
  */
@@ -211,6 +225,12 @@
 	struct gateway_request *request = arg;
 
 	(void)conn;
+	if (exceeds_limit(&request->attempt, bytes.len)) {
+		gateway_avoid_server(request->gateway, request->attempt.server,
+		    "answer without end");
+		gateway_attempt_failed(request, false, "answer without end");
+		return;
+	}
 	if (request->attempt.skipping)
 		return;
 	request->attempt.last_progress_at = gateway_now(request->gateway);
@@ -230,6 +250,7 @@
 
 	if (request->attempt.skipping) {
 		request->attempt.skipping = false;
+		request->attempt.received_bytes = 0;
 		h1_skip_response(conn);
 		return;
 	}
@@ -383,17 +404,11 @@
 gateway_consume_retry(struct gateway_request *request)
 {
 	struct gateway *gateway = request->gateway;
-	struct retry_attempt failed = {.idempotent = true,
-	    .nothing_ran = true,
-	    .failures = 1,
-	    .deadline = INT64_MAX,
-	    .under_way = request->response_started || request->may_have_run};
-	int64_t at;
-
-	return retry_decide(
-		   &gateway_service(gateway, request->service->name)->budget,
-		   &failed, gateway_now(gateway), gateway->rand,
-		   &at) == RETRY_OK;
+
+	return retry_share_take(
+	    &gateway_service(gateway, request->service->name)->retries,
+	    request->response_started || request->may_have_run,
+	    gateway_now(gateway));
 }
 
 /*
@@ -466,8 +481,11 @@
 		return;
 	case ADMIT_NOT_RUN:
 		gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
-		    admit_retry_after(ADMIT_RETRY_MIN_USEC,
-			request->deadline - now, g_rand_double(gateway->rand)),
+		    request->service->engine != NULL
+			? gateway_stream_retry_usec(request)
+			: admit_retry_after(ADMIT_RETRY_MIN_USEC,
+			      request->deadline - now,
+			      g_rand_double(gateway->rand)),
 		    reason);
 		return;
 	case ADMIT_UNKNOWN:
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -15,7 +15,6 @@
 #define DATAGRAM_MAX_BYTES 60000
 /* Most datagrams read in one iteration of the event loop. */
 #define READ_BATCH 64
-#define ROUND_HALF 0.5
 
 /*
  * Returns the hash that identifies one process of a node. It differs after a
@@ -64,6 +63,7 @@
 			POOL_FULL_USEC);
 	if (server != NULL && from->avoid_msec > 0)
 		pool_note_peer_avoids(server,
+		    gossip_peer_hash(peer->name, peer->boot),
 		    now +
 			MIN((int64_t)from->avoid_msec * LOOP_USEC_PER_MSEC,
 			    POOL_AVOID_USEC),
@@ -78,8 +78,8 @@
 static void
 apply_proof(struct gossip *gossip, const Ch__NodeReport *report)
 {
-	struct gossip_proof proof = {
-	    report->store_revision, report->config_revision, 0};
+	struct gossip_proof proof = {report->store_revision,
+	    report->complete_revision, report->config_revision, 0};
 
 	if (report->proof_age_msec == 0)
 		return;
@@ -98,6 +98,28 @@
 	gossip->config.ops->proof_received(&proof, gossip->config.arg);
 }
 
+/*
+ * Passes on changes of the store that a peer read.
+ */
+static void
+handle_changes(const struct gossip *gossip, const Ch__StoreChanges *changes)
+{
+	struct kv_item *items = g_new(struct kv_item, changes->n_items + 1);
+
+	for (size_t i = 0; i < changes->n_items; i++) {
+		const Ch__StoreItem *from = changes->items[i];
+
+		items[i] = (struct kv_item){.key = lstr_from(from->key),
+		    .version = from->version,
+		    .value =
+			lstr_make((char *)from->value.data, from->value.len),
+		    .deleted = from->deleted};
+	}
+	gossip->config.ops->changes_received(changes->after, changes->revision,
+	    items, changes->n_items, gossip->config.arg);
+	g_free(items);
+}
+
 /*
  * Handles a report of a peer. Duplicate and outdated reports are ignored.
  */
@@ -109,7 +131,15 @@
 
 	if (peer == NULL)
 		return;
-	if (report->boot == peer->boot && report->sequence <= peer->sequence)
+	if (report->changes != NULL) {
+		if (report->boot >= peer->boot)
+			handle_changes(gossip, report->changes);
+		return;
+	}
+	/* A watcher's proof has the sequence of its report. */
+	if (report->boot == peer->boot &&
+	    (report->sequence < peer->sequence ||
+		(report->sequence == peer->sequence && !report->brief)))
 		return;
 	if (report->boot < peer->boot)
 		return;
@@ -125,11 +155,14 @@
 	peer->silent = false;
 	peer->leaving = report->leaving;
 	peer->suspended = report->suspended;
+	apply_proof(gossip, report);
+	if (report->brief)
+		return;
+	peer->uses_at = now;
 	g_array_set_size(peer->uses, 0);
 	for (size_t i = 0; i < report->n_servers; i++)
 		apply_use(gossip, peer, report->servers[i], now);
 	gossip->sums_stale = true;
-	apply_proof(gossip, report);
 }
 
 /*
@@ -194,6 +227,11 @@
 	gossip->started_at = loop_now(loop);
 	gossip->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	gossip->recipients = g_ptr_array_new();
+	gossip->recipients_stale = true;
+	gossip->watchers = g_ptr_array_new();
+	gossip->watch_order = pool_hash(lstr_from(config->name));
+	gossip->watcher_rank = GOSSIP_WATCHERS;
 	inet_pton(AF_INET, config->ip, &address.sin_addr);
 	gossip->fd =
 	    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -228,6 +266,8 @@
 	loop_watch_destroy(gossip->watch);
 	if (gossip->fd >= 0)
 		close(gossip->fd);
+	g_ptr_array_free(gossip->recipients, TRUE);
+	g_ptr_array_free(gossip->watchers, TRUE);
 	g_hash_table_destroy(gossip->peers);
 	lstr_buf_free(&gossip->entry);
 	g_free(gossip);
@@ -269,6 +309,7 @@
 	peer->name = g_strndup(name.data, name.len);
 	peer->front = g_strdup(front);
 	peer->place = g_strdup(place);
+	peer->watch_order = pool_hash(name);
 	peer->boot = (uint64_t)boot;
 	peer->address.sin_family = AF_INET;
 	peer->address.sin_port = htons((uint16_t)port);
@@ -277,6 +318,7 @@
 	peer->uses = g_array_new(FALSE, TRUE, sizeof(struct peer_use));
 	g_hash_table_replace(gossip->peers, peer->name, peer);
 	gossip->sums_stale = true;
+	gossip->recipients_stale = true;
 	json_decref(root);
 }
 
@@ -315,79 +357,78 @@
 	gossip->suspended = !serving;
 }
 
+/* The peers of one data centre: those with recent reports, and all that are
+ * live. */
+struct place_count {
+	uint32_t heard;
+	uint32_t live;
+};
+
 /*
- * Returns the factor that extrapolates from the peers with recent reports to
- * all live peers; in a large fleet a node hears from only some of them.
+ * Counts the peers by data centre. In a large fleet a node hears many of its
+ * own and few of the others. The caller frees the table.
  */
-static double
-extrapolation_factor(const struct gossip *gossip, int64_t now)
+static GHashTable *
+count_places(const struct gossip *gossip, int64_t now)
 {
-	uint32_t heard = 0;
-	uint32_t live = 0;
+	GHashTable *places =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
+		struct place_count *count =
+		    g_hash_table_lookup(places, peer->place);
 
-		heard += now - peer->heard_at <= POOL_PEER_USE_USEC;
-		live += gossip_peer_is_live(gossip, peer, now);
+		if (count == NULL) {
+			count = g_new0(struct place_count, 1);
+			g_hash_table_insert(places, peer->place, count);
+		}
+		count->heard += peer->uses_at != 0 &&
+		    now - peer->uses_at <= POOL_PEER_USE_USEC;
+		count->live += gossip_peer_is_live(gossip, peer, now);
 	}
-	return heard > 0 && live > heard ? (double)live / heard : 1;
+	return places;
 }
 
 /*
- * Sums the use of each server by all peers.
+ * Sums the use of each server by all peers. The reports of a data centre stand
+ * for all its live nodes, since the nodes of one use other servers than those
+ * of another.
  */
 static void
 sum_uses(struct gossip *gossip, int64_t now)
 {
-	double scale;
+	GHashTable *places = count_places(gossip, now);
 	GHashTableIter iter;
 	gpointer value;
 
 	gossip->sums_stale = false;
-	g_hash_table_iter_init(&iter, gossip->pool->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool_server *server = value;
-
-		memset(&server->peers, 0, sizeof(server->peers));
-		server->peers_margin = 0;
-	}
-	scale = extrapolation_factor(gossip, now);
+	pool_clear_peers_use(gossip->pool);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
+		const struct place_count *count;
+		double scale;
 
-		if (now - peer->heard_at > POOL_PEER_USE_USEC)
+		if (peer->uses_at == 0 ||
+		    now - peer->uses_at > POOL_PEER_USE_USEC)
 			continue;
+		count = g_hash_table_lookup(places, peer->place);
+		scale = MAX((double)count->live / count->heard, 1);
 		for (guint i = 0; i < peer->uses->len; i++) {
 			const struct peer_use *use =
 			    &g_array_index(peer->uses, struct peer_use, i);
 			struct pool_server *server =
 			    pool_find_hash(gossip->pool, use->hash);
 
-			if (server == NULL)
-				continue;
-			server->peers.memory +=
-			    (int64_t)(scale * (double)use->use.memory);
-			server->peers.active +=
-			    (uint32_t)(scale * use->use.active + ROUND_HALF);
-			server->peers.first_active +=
-			    (uint32_t)(scale * use->use.first_active +
-				ROUND_HALF);
+			if (server != NULL)
+				pool_add_peers_use(server, &use->use, scale);
 		}
 	}
-	if (scale <= 1)
-		return;
-	g_hash_table_iter_init(&iter, gossip->pool->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool_server *server = value;
-
-		server->peers_margin =
-		    pool_sampling_margin(&server->peers, scale);
-	}
+	g_hash_table_destroy(places);
 }
 
 /*
@@ -411,11 +452,24 @@
 			slog_event(EV_PEER_SILENT, "{s:s, s:b}", "peer",
 			    peer->name, "unlisted", peer->unlisted);
 		}
-		if (peer->unlisted)
+		if (peer->unlisted) {
 			g_hash_table_iter_remove(&iter);
+			gossip->recipients_stale = true;
+		}
 	}
 }
 
+/*
+ * Makes the next tick send a report, although the last one was sent less than
+ * an interval ago: a server fails, and requests of the peers would fail there
+ * too.
+ */
+void
+gossip_report_soon(struct gossip *gossip)
+{
+	gossip->urgent = true;
+}
+
 /*
  * Periodic work: checks the peers, updates the sums of their use, and sends a
  * report if one is due.
@@ -428,6 +482,7 @@
 	check_peers(gossip, now);
 	if (gossip->sums_stale)
 		sum_uses(gossip, now);
-	if (now - gossip->sent_at >= GOSSIP_SEND_USEC)
+	if (now - gossip->sent_at >=
+	    (gossip->urgent ? GOSSIP_URGENT_USEC : GOSSIP_SEND_USEC))
 		gossip_send_report(gossip, now);
 }
--- a/src/node/gossip_priv.h
+++ b/src/node/gossip_priv.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include "gossip.h"
+#include "neighbours.h"
 
 /* Number of own reports whose send times are kept in order to date the proofs
  * of peers; they cover more than the time for which a proof is useful. */
@@ -25,6 +26,12 @@
 	/* Time of the last report; 0: none yet. */
 	int64_t heard_at;
 	int64_t listed_at;
+	/* When it last reported its use of the servers; 0: never. */
+	int64_t uses_at;
+	/* Order in which the nodes of a data centre watch the store. */
+	uint32_t watch_order;
+	/* It gets the reports of this node. */
+	bool is_recipient;
 	/* Its entry in the store has been removed. */
 	bool unlisted;
 	bool leaving;
@@ -55,6 +62,19 @@
 	bool suspended;
 	/* The sums of the use by peers must be updated. */
 	bool sums_stale;
+	/* struct peer that get this node's reports, and whether they must be
+	 * selected again. */
+	GPtrArray *recipients;
+	bool recipients_stale;
+	int64_t selected_at;
+	/* struct peer of this data centre that watch the store for the others,
+	 * without this node. */
+	GPtrArray *watchers;
+	uint32_t watch_order;
+	/* This node's place among the watchers; GOSSIP_WATCHERS: it is none. */
+	uint32_t watcher_rank;
+	/* A report is due at once. */
+	bool urgent;
 };
 
 uint32_t gossip_peer_hash(const char *name, uint64_t boot);
@@ -62,5 +82,7 @@
 bool gossip_peer_is_live(
     const struct gossip *, const struct peer *, int64_t now);
 void gossip_send_report(struct gossip *, int64_t now);
+void gossip_select_recipients(struct gossip *, int64_t now);
+void gossip_select_watchers(struct gossip *, int64_t now);
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -227,16 +227,30 @@
 }
 
 /*
- * All keys of the store have been read; nothing to do.
+ * Starts the requests that arrived while the store was read.
  */
 static void
 on_synced(void *arg)
 {
-	(void)arg;
+	struct node *node = arg;
+
+	gateway_release_held(node->gateway);
+}
+
+/*
+ * Sends changes to the nodes that rely on the watch of this one.
+ */
+static void
+on_fetched(uint64_t after, uint64_t revision, const struct kv_item *items,
+    size_t count, void *arg)
+{
+	struct node *node = arg;
+
+	gossip_send_changes(node->gossip, after, revision, items, count);
 }
 
 static const struct store_cache_ops store_cache_ops = {
-    on_changed, on_removed, on_synced};
+    on_changed, on_removed, on_synced, on_fetched};
 
 /*
  * Removes servers whose entries expired and were not registered again in time.
@@ -475,6 +489,8 @@
 	if (node->store_cache == NULL)
 		return;
 	proof->store_revision = store_cache_newest_revision(node->store_cache);
+	proof->complete_revision =
+	    store_cache_complete_revision(node->store_cache);
 	proof->config_revision = node->config_revision;
 	proof->proved_at = store_cache_proved_at(node->store_cache);
 }
@@ -492,12 +508,28 @@
 	if (node->store_cache == NULL)
 		return;
 	store_cache_note_peer_proof(node->store_cache, proof->store_revision,
+	    same_config ? proof->complete_revision : 0,
 	    same_config ? proof->proved_at : 0);
 	if (proof->config_revision > node->config_revision)
 		store_cache_fetch_now(node->store_cache);
 }
 
-static const struct gossip_ops gossip_ops = {get_proof, on_peer_proof};
+/*
+ * Handles changes of the store that a peer read.
+ */
+static void
+on_peer_changes(uint64_t after, uint64_t revision, const struct kv_item *items,
+    size_t count, void *arg)
+{
+	struct node *node = arg;
+
+	if (node->store_cache != NULL)
+		store_cache_apply_peer_changes(
+		    node->store_cache, after, revision, items, count);
+}
+
+static const struct gossip_ops gossip_ops = {
+    get_proof, on_peer_proof, on_peer_changes};
 
 /*
  * Creates the modules that communicate with the store and with other nodes.
@@ -585,6 +617,8 @@
 	    .proof_max_usec = max_proof_age(node),
 	    .retry_slack = settings->retry_slack,
 	    .retry_ratio = settings->retry_ratio,
+	    .retry_window_usec =
+		(int64_t)(settings->retry_window_s * (double)LOOP_USEC_PER_SEC),
 	    .bodies_max_bytes = (size_t)((double)settings->memory_mb *
 		BODIES_MEMORY_SHARE * (double)BYTES_PER_MB)};
 	char *key = g_strconcat(GOSSIP_PREFIX, settings->node, NULL);
@@ -654,12 +688,12 @@
 void
 node_run(struct node *node)
 {
-	slog_event(EV_NODE_STARTED, "{s:s, s:s, s:s, s:s, s:I, s:f, s:I, s:s}",
+	slog_event(EV_NODE_STARTED, "{s:s, s:s, s:s, s:s, s:I, s:f, s:f, s:s}",
 	    "version", CH_VERSION, "front", node->settings.front, "place",
 	    node->settings.place, "store", node->settings.store, "revoke_ms",
 	    (json_int_t)node->settings.revoke_ms, "grace_s",
-	    node->settings.grace_s, "retry_slack",
-	    (json_int_t)node->settings.retry_slack, "identity", node->identity);
+	    node->settings.grace_s, "retry_slack", node->settings.retry_slack,
+	    "identity", node->identity);
 	loop_timer_set(node->tick, 0);
 	loop_run(node->loop);
 	slog_event(EV_NODE_STOPPED, "{s:i}", "cut",
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -30,8 +30,9 @@
 	double grace_s;
 	/* Retry budget of all nodes in one window: retry_slack retries plus
 	 * retry_ratio times the requests. */
-	int64_t retry_slack;
+	double retry_slack;
 	double retry_ratio;
+	double retry_window_s;
 	/* Longest time for which callers may cache an address response. */
 	double address_validity_max_s;
 	int64_t memory_mb;
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -13,6 +13,7 @@
 /* Half-life of a measured slowness without new measurements. */
 #define SLOWNESS_HALF_LIFE_USEC (2 * LOOP_USEC_PER_SEC)
 #define SLOWNESS_MAX 20.0
+#define ROUND_HALF 0.5
 
 /*
  * Frees a server; element destructor of the list of removed servers.
@@ -40,6 +41,8 @@
 	pool->by_hash = g_hash_table_new(NULL, NULL);
 	pool->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	pool->removed = g_ptr_array_new_with_free_func(server_free);
+	pool->removed_failures =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return pool;
 }
 
@@ -61,6 +64,7 @@
 	g_hash_table_destroy(pool->by_id);
 	g_hash_table_destroy(pool->by_hash);
 	g_hash_table_destroy(pool->by_address);
+	g_hash_table_destroy(pool->removed_failures);
 	g_free(pool);
 }
 
@@ -147,6 +151,26 @@
 	return server;
 }
 
+/*
+ * Remembers that a server is removed which failed, since the capacity that it
+ * had is missing until its layers are held again.
+ */
+static void
+note_removed_failure(struct pool *pool, const struct pool_server *server)
+{
+	int64_t *at;
+
+	if (server->failing_since == 0 || server->info.zone == NULL)
+		return;
+	at = g_hash_table_lookup(pool->removed_failures, server->info.zone);
+	if (at == NULL) {
+		at = g_new0(int64_t, 1);
+		g_hash_table_insert(
+		    pool->removed_failures, g_strdup(server->info.zone), at);
+	}
+	*at = MAX(*at, server->failing_since);
+}
+
 /*
  * Removes a server from the tables. It stays allocated until the pool is freed,
  * since requests may still use it.
@@ -165,6 +189,7 @@
 	    server)
 		g_hash_table_remove(
 		    pool->by_address, server->info.address_text);
+	note_removed_failure(pool, server);
 	server->avoid_until = INT64_MAX;
 	note_draining(pool, server, now);
 	g_ptr_array_add(pool->removed, server);
@@ -298,28 +323,109 @@
 
 /*
  * Returns the margin to add to memory use of all peers that is extrapolated
- * from a sample of them. scale is the number of all peers divided by the number
- * in the sample.
+ * from a sample of them. variance is that of the number of requests.
  */
 int64_t
-pool_sampling_margin(const struct pool_use *peers, double scale)
+pool_sampling_margin(const struct pool_use *peers, double variance)
 {
-	double requests = peers->active;
-
-	if (scale <= 1 || peers->active == 0)
+	if (variance <= 0 || peers->active == 0)
 		return 0;
-	return (int64_t)(POOL_MARGIN_DEVIATIONS * sqrt(requests * (scale - 1)) *
-	    (double)peers->memory / requests);
+	return (int64_t)(POOL_MARGIN_DEVIATIONS * sqrt(variance) *
+	    (double)peers->memory / peers->active);
+}
+
+/*
+ * Clears the sums of the peers' use of all servers.
+ */
+void
+pool_clear_peers_use(struct pool *pool)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_server *server = value;
+
+		memset(&server->peers, 0, sizeof(server->peers));
+		server->peers_variance = 0;
+		server->peers_margin = 0;
+	}
+}
+
+/*
+ * Adds the use of a server by one peer, which stands for scale peers.
+ */
+void
+pool_add_peers_use(
+    struct pool_server *server, const struct pool_use *use, double scale)
+{
+	server->peers.memory += (int64_t)(scale * (double)use->memory);
+	server->peers.active += (uint32_t)(scale * use->active + ROUND_HALF);
+	server->peers.first_active +=
+	    (uint32_t)(scale * use->first_active + ROUND_HALF);
+	server->peers_variance += scale * use->active * (scale - 1);
+	server->peers_margin =
+	    pool_sampling_margin(&server->peers, server->peers_variance);
 }
 
 /*
  * Records that a peer avoids a server, unless this node saw it work recently.
  */
 void
-pool_note_peer_avoids(struct pool_server *server, int64_t until, int64_t now)
+pool_note_peer_avoids(
+    struct pool_server *server, uint32_t peer, int64_t until, int64_t now)
 {
-	if (now - server->worked_at > POOL_OWN_EVIDENCE_USEC)
-		server->peer_avoid_until = until;
+	if (now - server->worked_at <= POOL_OWN_EVIDENCE_USEC)
+		return;
+	if (server->peer_avoid_until <= now) {
+		server->peer_failing_since = now;
+		server->peer_failing_hash = peer;
+		server->peers_agree = false;
+	}
+	server->peers_agree =
+	    server->peers_agree || server->peer_failing_hash != peer;
+	server->peer_avoid_until = until;
+}
+
+/*
+ * Returns since when a server fails for this node or, as two peers report
+ * independently, for others; 0: it does not. A single peer may be the one that
+ * is disconnected.
+ */
+int64_t
+pool_failing_since(const struct pool_server *server, int64_t now)
+{
+	if (server->failing_since != 0)
+		return server->failing_since;
+	if (server->peer_avoid_until > now && server->peers_agree)
+		return server->peer_failing_since;
+	return 0;
+}
+
+/*
+ * Returns when the last server of a service in a data centre failed or vanished
+ * that has not worked since; 0: none did lately.
+ */
+int64_t
+pool_last_failure_at(const struct pool *pool, const char *service,
+    const char *place, int64_t now)
+{
+	const int64_t *removed =
+	    g_hash_table_lookup(pool->removed_failures, place);
+	int64_t last = removed ? *removed : 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_server *server = value;
+
+		if (strcmp(server->info.zone, place) == 0 &&
+		    strcmp(server->info.service, service) == 0)
+			last = MAX(last, pool_failing_since(server, now));
+	}
+	return last != 0 && now - last <= POOL_FAILURE_MEMORY_USEC ? last : 0;
 }
 
 /*
