Divide the retry budget by the live nodes from the first request on

Cause: a service's share was set up for one node and corrected by the next tick, so requests that were held at the start could use the whole budget at each of 295 nodes for 20 ms.

Change: the number of live nodes is set when the share is created.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -226,6 +226,9 @@
 		retry_share_init(&service->retries, gateway->config.retry_slack,
 		    gateway->config.retry_ratio,
 		    gateway->config.retry_window_usec);
+		retry_share_set_nodes(&service->retries,
+		    gossip_live_count(gateway->config.gossip),
+		    gateway_now(gateway));
 		g_hash_table_insert(gateway->services, service->name, service);
 	}
 	return service;
