Log the age of the proof beside a configuration, and failed store calls

Cause: the logs do not tell apart a proof that is ahead of the configuration, a refusal without a proof, and a configuration that arrives late. Change: config-applied says how long the configuration waited and how old the proof is; request-started the configuration and its proof; store-call-failed after how long a list or watch failed and how much of the response had arrived. No logic is changed.

--- a/src/kv.h
+++ b/src/kv.h
@@ -58,6 +58,8 @@
 	size_t count;
 	uint64_t revision;
 	bool more;
+	/* Bytes of the response that had been received. */
+	size_t received_bytes;
 };
 
 typedef void (*kv_done_fn)(const struct kv_result *, void *);
--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -272,6 +272,7 @@
 		result.status = kv_is_write(call->kind) ? STATUS_AMBIGUOUS
 							: STATUS_UNAVAILABLE;
 	}
+	result.received_bytes = transport_result->body.len;
 	finish_call(call, &result);
 }
 
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -188,8 +188,9 @@
 	request->start_sequence = ++request->gateway->start_sequence;
 	gateway_format_path(attempt->stages, attempt->stage_count, &path);
 	slog_event(EV_REQUEST_STARTED,
-	    "{s:s, s:I, s:s, s:s, s:i, s:I, s:s%, s:I, s:I, s:I, s:i}", "id",
-	    request->id, "order", (json_int_t)request->start_sequence,
+	    "{s:s, s:I, s:s, s:s, s:i, s:I, s:s%, s:I, s:I, s:I, s:i, s:I, "
+	    "s:I}",
+	    "id", request->id, "order", (json_int_t)request->start_sequence,
 	    "organisation",
 	    request->organisation ? request->organisation->name : "", "reason",
 	    reason, "priority", (int)request->priority, "waited_ms",
@@ -200,7 +201,13 @@
 	    (json_int_t)(attempt->first_usec / LOOP_USEC_PER_MSEC),
 	    "expected_gap_ms",
 	    (json_int_t)(attempt->event_usec / LOOP_USEC_PER_MSEC),
-	    "own_first_active", (int)attempt->server->own.first_active);
+	    "own_first_active", (int)attempt->server->own.first_active,
+	    "config_version", (json_int_t)request->config->version,
+	    "proof_age_ms",
+	    (json_int_t)((gateway_now(request->gateway) -
+			     store_cache_proved_at(
+				 request->gateway->config.store_cache)) /
+		LOOP_USEC_PER_MSEC));
 	lstr_buf_free(&path);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -37,13 +37,15 @@
 #define BYTES_PER_MB ((size_t)1000 * 1000)
 
 /*
- * Decodes a configuration from the store and applies it, unless it is older
- * than the one in force.
+ * Decodes a configuration that was received from the store and applies it,
+ * unless it is older than the one in force.
  */
 static void
-apply_config(struct node *node, struct lstr value, uint64_t revision)
+apply_config(struct node *node, struct lstr value, uint64_t revision,
+    int64_t received_at)
 {
 	struct fleet_config *config = NULL;
+	int64_t now = loop_now(node->loop);
 
 	if (node->adapter->decode_config(value, &config) != STATUS_OK) {
 		slog_event(EV_CONFIG_REFUSED, "{s:s, s:I, s:I}", "reason",
@@ -60,10 +62,19 @@
 		fleet_config_unref(config);
 		return;
 	}
-	slog_event(EV_CONFIG_APPLIED, "{s:I, s:I, s:i, s:i}", "version",
-	    (json_int_t)config->version, "revision", (json_int_t)revision,
-	    "hosts", (int)g_hash_table_size(config->routes), "keys",
-	    (int)g_hash_table_size(config->keys));
+	slog_event(EV_CONFIG_APPLIED, "{s:I, s:I, s:i, s:i, s:I, s:I, s:I}",
+	    "version", (json_int_t)config->version, "revision",
+	    (json_int_t)revision, "hosts",
+	    (int)g_hash_table_size(config->routes), "keys",
+	    (int)g_hash_table_size(config->keys), "bytes",
+	    (json_int_t)value.len, "deferred_ms",
+	    (json_int_t)((now - received_at) / LOOP_USEC_PER_MSEC),
+	    "proof_age_ms",
+	    node->store_cache
+		? (json_int_t)((now -
+				   store_cache_proved_at(node->store_cache)) /
+		      LOOP_USEC_PER_MSEC)
+		: (json_int_t)-1);
 	node->fleet = config;
 	node->config_revision = revision;
 	gateway_set_config(node->gateway, config);
@@ -84,7 +95,8 @@
 		return;
 	}
 	memset(&node->pending_config, 0, sizeof(node->pending_config));
-	apply_config(node, lstr_buf_view(&value), node->pending_revision);
+	apply_config(node, lstr_buf_view(&value), node->pending_revision,
+	    node->pending_received_at);
 	lstr_buf_free(&value);
 }
 
@@ -97,15 +109,16 @@
 schedule_config(struct node *node, struct lstr value, uint64_t revision)
 {
 	if (node->fleet == NULL) {
-		apply_config(node, value, revision);
+		apply_config(node, value, revision, loop_now(node->loop));
 		return;
 	}
 	lstr_buf_clear(&node->pending_config);
 	if (lstr_buf_append(&node->pending_config, value) != STATUS_OK) {
-		apply_config(node, value, revision);
+		apply_config(node, value, revision, loop_now(node->loop));
 		return;
 	}
 	node->pending_revision = revision;
+	node->pending_received_at = loop_now(node->loop);
 	node->config_deferred = false;
 	loop_timer_set(node->config_timer, loop_now(node->loop));
 }
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -29,10 +29,11 @@
 	char *identity;
 	/* Store revision of the configuration in force. */
 	uint64_t config_revision;
-	/* A configuration that has yet to be decoded, and its store revision.
-	 */
+	/* A configuration that has yet to be decoded, its store revision, and
+	 * when it was received. */
 	struct lstr_buf pending_config;
 	uint64_t pending_revision;
+	int64_t pending_received_at;
 	struct loop_timer *config_timer;
 	/* The loop has handled other events since pending_config arrived. */
 	bool config_deferred;
--- a/src/node/store_cache.c
+++ b/src/node/store_cache.c
@@ -135,16 +135,24 @@
  * Records a failed call and schedules the next one after a pause.
  */
 static void
-note_failure(
-    struct store_cache *store_cache, const char *call, enum status status)
+note_failure(struct store_cache *store_cache, const char *call,
+    const struct kv_result *result)
 {
 	int64_t now = loop_now(store_cache->loop);
 
+	slog_event(EV_STORE_CALL_FAILED, "{s:s, s:s, s:I, s:I, s:I}", "call",
+	    call, "status", status_name(result->status), "after_ms",
+	    (json_int_t)((now - store_cache->call_sent_at) /
+		LOOP_USEC_PER_MSEC),
+	    "received_bytes", (json_int_t)result->received_bytes,
+	    "proof_age_ms",
+	    (json_int_t)((now - store_cache->proved_at) / LOOP_USEC_PER_MSEC));
+
 	if (!store_cache->store_lost &&
 	    now - store_cache->responded_at > STORE_CACHE_STORE_LOST_USEC) {
 		store_cache->store_lost = true;
 		slog_event(EV_STORE_LOST, "{s:s, s:s, s:I}", "call", call,
-		    "status", status_name(status), "proved_age_ms",
+		    "status", status_name(result->status), "proved_age_ms",
 		    (json_int_t)((now - store_cache->proved_at) /
 			LOOP_USEC_PER_MSEC));
 	}
@@ -279,7 +287,7 @@
 	if (result->status != STATUS_OK) {
 		g_hash_table_destroy(store_cache->listed_keys);
 		store_cache->listed_keys = NULL;
-		note_failure(store_cache, "list", result->status);
+		note_failure(store_cache, "list", result);
 		return;
 	}
 	note_response(store_cache);
@@ -357,7 +365,7 @@
 		return;
 	}
 	if (result->status != STATUS_OK) {
-		note_failure(store_cache, "watch", result->status);
+		note_failure(store_cache, "watch", result);
 		return;
 	}
 	note_response(store_cache);
