Simulate copies of the store, and show a proof that is ahead of the configuration

Only processes with real clocks drove the copy of the store and the hand-over of proofs. Change: config_proof says how old the proof of the configuration in force is; for now it returns the proof of the copy, as before. test_config_proof drives six copies, two of them watchers, through calls that are late or lost, early answers, pages that change while they are read, a discarded history, stalls, cuts and starts, and compares the configuration in force with its proof.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -22,6 +22,17 @@
 	return loop_now(gateway->config.loop);
 }
 
+/*
+ * Returns the latest time at which the configuration in force is proved to have
+ * been the newest; 0: never.
+ */
+int64_t
+gateway_config_proved_at(const struct gateway *gateway)
+{
+	return config_proof_at(gateway->config.config_proof,
+	    store_cache_proved_at(gateway->config.store_cache));
+}
+
 /*
  * Frees a service and its queue; value destructor of the services table.
  */
@@ -335,8 +346,8 @@
 authenticate(struct gateway_request *request)
 {
 	struct gateway *gateway = request->gateway;
-	int64_t proof_age = gateway_now(gateway) -
-	    store_cache_proved_at(gateway->config.store_cache);
+	int64_t proof_age =
+	    gateway_now(gateway) - gateway_config_proved_at(gateway);
 
 	if (!request->config->keys_required || request->route->anonymous)
 		return true;
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -2,6 +2,7 @@
 #define CH_GATEWAY_H
 
 #include "adapter.h"
+#include "config_proof.h"
 #include "gossip.h"
 #include "store_cache.h"
 #include "pool.h"
@@ -19,6 +20,7 @@
 	struct pool *pool;
 	struct gossip *gossip;
 	const struct store_cache *store_cache;
+	const struct config_proof *config_proof;
 	const char *place;
 	uint32_t seed;
 	/* API keys are accepted only while the configuration was confirmed
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -197,6 +197,7 @@
 };
 
 int64_t gateway_now(const struct gateway *);
+int64_t gateway_config_proved_at(const struct gateway *);
 struct gateway_service *gateway_service(struct gateway *, const char *);
 /* Responses. Each function ends the request, which stays allocated until
  * the next gateway_tick(). */
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -139,9 +139,7 @@
 	    "config_version",
 	    request->config ? (json_int_t)request->config->version : 0,
 	    "proof_age_ms",
-	    (json_int_t)((now -
-			     store_cache_proved_at(
-				 gateway->config.store_cache)) /
+	    (json_int_t)((now - gateway_config_proved_at(gateway)) /
 		LOOP_USEC_PER_MSEC),
 	    "waiting", (int)gateway_count_waiting(gateway), "sends",
 	    (int)request->sends, "server_status", (int)request->failure_status,
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -205,8 +205,7 @@
 	    "config_version", (json_int_t)request->config->version,
 	    "proof_age_ms",
 	    (json_int_t)((gateway_now(request->gateway) -
-			     store_cache_proved_at(
-				 request->gateway->config.store_cache)) /
+			     gateway_config_proved_at(request->gateway)) /
 		LOOP_USEC_PER_MSEC));
 	lstr_buf_free(&path);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -36,6 +36,19 @@
 #define BODIES_MEMORY_SHARE 0.25
 #define BYTES_PER_MB ((size_t)1000 * 1000)
 
+/*
+ * Returns the latest time at which the configuration in force is proved to have
+ * been the newest; 0: never.
+ */
+int64_t
+node_config_proved_at(const struct node *node)
+{
+	return node->store_cache == NULL
+	    ? 0
+	    : config_proof_at(&node->config_proof,
+		  store_cache_proved_at(node->store_cache));
+}
+
 /*
  * Decodes a configuration that was received from the store and applies it,
  * unless it is older than the one in force.
@@ -47,6 +60,7 @@
 	struct fleet_config *config = NULL;
 	int64_t now = loop_now(node->loop);
 
+	config_proof_decide(&node->config_proof, revision);
 	if (node->adapter->decode_config(value, &config) != STATUS_OK) {
 		slog_event(EV_CONFIG_REFUSED, "{s:s, s:I, s:I}", "reason",
 		    status_message(), "revision", (json_int_t)revision,
@@ -70,11 +84,8 @@
 	    (json_int_t)value.len, "deferred_ms",
 	    (json_int_t)((now - received_at) / LOOP_USEC_PER_MSEC),
 	    "proof_age_ms",
-	    node->store_cache
-		? (json_int_t)((now -
-				   store_cache_proved_at(node->store_cache)) /
-		      LOOP_USEC_PER_MSEC)
-		: (json_int_t)-1);
+	    (json_int_t)((now - node_config_proved_at(node)) /
+		LOOP_USEC_PER_MSEC));
 	node->fleet = config;
 	node->config_revision = revision;
 	gateway_set_config(node->gateway, config);
@@ -108,6 +119,8 @@
 static void
 schedule_config(struct node *node, struct lstr value, uint64_t revision)
 {
+	config_proof_receive(&node->config_proof, revision,
+	    node->store_cache ? store_cache_proved_at(node->store_cache) : 0);
 	if (node->fleet == NULL) {
 		apply_config(node, value, revision, loop_now(node->loop));
 		return;
@@ -365,8 +378,7 @@
 	int64_t max = max_proof_age(node);
 
 	return max == 0 ||
-	    loop_now(node->loop) - store_cache_proved_at(node->store_cache) <=
-	    max;
+	    loop_now(node->loop) - node_config_proved_at(node) <= max;
 }
 
 /*
@@ -625,6 +637,7 @@
 	    .pool = node->pool,
 	    .gossip = node->gossip,
 	    .store_cache = node->store_cache,
+	    .config_proof = &node->config_proof,
 	    .place = settings->place,
 	    .seed = (uint32_t)node->boot ^ pool_hash(lstr_from(settings->node)),
 	    .proof_max_usec = max_proof_age(node),
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -129,8 +129,7 @@
 	    {"log_lines_dropped_total", slog_dropped_count()},
 	    {"config_version", node->fleet ? node->fleet->version : 0},
 	    {"store_proof_age_ms",
-		(loop_now(node->loop) -
-		    store_cache_proved_at(node->store_cache)) /
+		(loop_now(node->loop) - node_config_proved_at(node)) /
 		    LOOP_USEC_PER_MSEC},
 	    {"servers", (int64_t)g_hash_table_size(node->pool->by_id)},
 	    {"nodes_live", (int64_t)gossip_live_count(node->gossip)},
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -27,6 +27,7 @@
 	struct loop_timer *tick;
 	struct fleet_config *fleet;
 	char *identity;
+	struct config_proof config_proof;
 	/* Store revision of the configuration in force. */
 	uint64_t config_revision;
 	/* A configuration that has yet to be decoded, its store revision, and
@@ -47,6 +48,8 @@
 	uint64_t boot;
 };
 
+int64_t node_config_proved_at(const struct node *);
+
 /* Services of the node itself: address lookup, readiness and metrics. The
  * argument of the callbacks is the node. */
 extern const struct h1_ops node_lookup_ops;
--- /dev/null
+++ b/tests/config_sim.h
@@ -0,0 +1,631 @@
+#ifndef CH_TEST_CONFIG_SIM_H
+#define CH_TEST_CONFIG_SIM_H
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "config_proof.h"
+#include "store_cache.h"
+
+/*
+ * Simulates several nodes with their copies of one store, on a clock of its
+ * own: calls that are late or lost, watches that end early, pages that are read
+ * while keys change, a history that is discarded, proofs and changes that
+ * watchers hand over to other nodes, nodes that stall, are cut off or start
+ * again, and configurations that are decoded some time after they arrived.
+ * Checks that the configuration in force at a node is never older than its
+ * proof.
+ */
+#define SIM_NODES 6
+#define SIM_WATCHERS 2
+#define SIM_KEYS 7
+#define SIM_PAGE 3
+#define SIM_STEP_USEC ((int64_t)2000)
+#define SIM_HISTORY_MAX 8192
+#define SIM_MESSAGES_MAX 512
+#define SIM_PROOF_EVERY_USEC ((int64_t)200000)
+#define SIM_CONFIG_KEY 2
+
+static const char *const sim_keys[SIM_KEYS] = {"chestnuthoist/node/a",
+    "chestnuthoist/node/b", "op/config", "servers/a", "servers/b", "servers/c",
+    "servers/d"};
+
+struct loop_timer {
+	struct loop_timer *next;
+	loop_fn fn;
+	void *arg;
+	int64_t at;
+	bool set;
+	bool destroyed;
+};
+
+struct loop {
+	int64_t now;
+	struct loop_timer *timers;
+};
+
+/* One change of the store. */
+struct sim_change {
+	uint64_t revision;
+	int64_t at;
+	int key;
+	bool deleted;
+};
+
+struct sim_node;
+
+struct sim_kv {
+	struct kv base;
+	struct sim_node *node;
+	enum kv_kind kind;
+	/* The call that is pending; NULL: none. */
+	kv_done_fn fn;
+	void *arg;
+	int64_t deadline;
+	int64_t wait_until;
+	int64_t arrives_at;
+	uint64_t after;
+	char after_key[64];
+	/* The response is on its way until then; 0: not answered yet. */
+	int64_t delivered_at;
+	bool lost;
+	struct kv_item items[SIM_KEYS + SIM_HISTORY_MAX];
+	struct kv_result result;
+};
+
+struct sim_message {
+	int64_t at;
+	int to;
+	bool is_proof;
+	uint64_t revision;
+	uint64_t complete;
+	uint64_t config;
+	int64_t proved_at;
+	uint64_t after;
+	size_t count;
+	struct kv_item items[16];
+};
+
+struct sim_node {
+	struct sim *sim;
+	int index;
+	struct loop loop;
+	struct sim_kv kv;
+	struct store_cache *copy;
+	struct config_proof proof;
+	uint64_t in_force;
+	uint64_t pending;
+	int64_t apply_at;
+	int64_t stalled_until;
+	int64_t cut_until;
+	int64_t next_proof_at;
+};
+
+struct sim {
+	GRand *rand;
+	int64_t now;
+	uint64_t revision;
+	uint64_t compacted;
+	uint64_t versions[SIM_KEYS];
+	struct sim_change history[SIM_HISTORY_MAX];
+	size_t changes;
+	struct sim_message messages[SIM_MESSAGES_MAX];
+	size_t message_count;
+	struct sim_node nodes[SIM_NODES];
+	/* Trouble is injected. */
+	bool calm;
+	int64_t store_down_until;
+	int64_t store_slow_until;
+	/* Number of states in which the configuration in force was older than
+	 * its proof. */
+	unsigned int violations;
+	/* Number of proofs that were accepted by nodes that do not watch. */
+	unsigned int handed_over;
+};
+
+int64_t
+loop_now(const struct loop *loop)
+{
+	return loop->now;
+}
+
+enum status
+loop_timer_create(
+    struct loop *loop, loop_fn fn, void *arg, struct loop_timer **out)
+{
+	struct loop_timer *timer = g_new0(struct loop_timer, 1);
+
+	timer->fn = fn;
+	timer->arg = arg;
+	timer->next = loop->timers;
+	loop->timers = timer;
+	*out = timer;
+	return STATUS_OK;
+}
+
+void
+loop_timer_set(struct loop_timer *timer, int64_t at)
+{
+	timer->at = at;
+	timer->set = true;
+}
+
+void
+loop_timer_clear(struct loop_timer *timer)
+{
+	timer->set = false;
+}
+
+bool
+loop_timer_is_set(const struct loop_timer *timer)
+{
+	return timer->set;
+}
+
+void
+loop_timer_destroy(struct loop_timer *timer)
+{
+	if (timer != NULL)
+		timer->destroyed = true;
+}
+
+static int64_t
+sim_between(struct sim *sim, int64_t from, int64_t to)
+{
+	return from + (int64_t)(g_rand_double(sim->rand) * (double)(to - from));
+}
+
+static bool
+sim_chance(struct sim *sim, double probability)
+{
+	return g_rand_double(sim->rand) < probability;
+}
+
+/*
+ * Returns the store revision of the newest configuration at a time.
+ */
+static uint64_t
+sim_config_at(const struct sim *sim, int64_t at)
+{
+	uint64_t revision = 0;
+
+	for (size_t i = 0; i < sim->changes && sim->history[i].at <= at; i++)
+		if (sim->history[i].key == SIM_CONFIG_KEY)
+			revision = sim->history[i].revision;
+	return revision;
+}
+
+static void
+sim_write(struct sim *sim, int key, bool deleted)
+{
+	if (sim->changes == SIM_HISTORY_MAX)
+		return;
+	sim->revision += 1 + g_rand_int_range(sim->rand, 0, 3);
+	sim->versions[key] = deleted ? 0 : sim->revision;
+	sim->history[sim->changes++] =
+	    (struct sim_change){sim->revision, sim->now, key, deleted};
+}
+
+/*
+ * Starts a call of a node; it is lost while the node or the store is away.
+ */
+static void
+sim_call(struct sim_kv *kv, enum kv_kind kind, int64_t deadline, kv_done_fn fn,
+    void *arg)
+{
+	struct sim *sim = kv->node->sim;
+	bool slow = sim->store_slow_until > sim->now;
+
+	ck_assert(kv->fn == NULL);
+	kv->kind = kind;
+	kv->fn = fn;
+	kv->arg = arg;
+	kv->deadline = deadline;
+	kv->arrives_at =
+	    sim->now + sim_between(sim, 1000, slow ? 400000 : 6000);
+	kv->delivered_at = 0;
+	kv->lost = sim->store_down_until > sim->now ||
+	    kv->node->cut_until > sim->now ||
+	    (!sim->calm && sim_chance(sim, 0.02));
+}
+
+static void
+sim_list(struct kv *base, struct lstr prefix, struct lstr after,
+    int64_t deadline, kv_done_fn fn, void *arg)
+{
+	struct sim_kv *kv = (struct sim_kv *)base;
+
+	(void)prefix;
+	snprintf(kv->after_key, sizeof(kv->after_key), "%.*s", LSTR_ARG(after));
+	sim_call(kv, KV_LIST, deadline, fn, arg);
+}
+
+static void
+sim_watch(struct kv *base, struct lstr prefix, uint64_t after,
+    int64_t wait_until, int64_t deadline, kv_done_fn fn, void *arg)
+{
+	struct sim_kv *kv = (struct sim_kv *)base;
+
+	(void)prefix;
+	kv->after = after;
+	kv->wait_until = wait_until;
+	sim_call(kv, KV_WATCH, deadline, fn, arg);
+}
+
+static const struct kv_vtable sim_vtable = {
+    .list = sim_list, .watch = sim_watch};
+
+/*
+ * Returns the configuration or another key as an item.
+ */
+static struct kv_item
+sim_item(int key, uint64_t revision, bool deleted)
+{
+	return (struct kv_item){.key = lstr_from(sim_keys[key]),
+	    .version = revision,
+	    .value = lstr_from("v"),
+	    .deleted = deleted};
+}
+
+static void
+sim_answer_list(struct sim *sim, struct sim_kv *kv)
+{
+	size_t n = 0;
+
+	for (int i = 0; i < SIM_KEYS; i++) {
+		if (sim->versions[i] == 0 ||
+		    strcmp(sim_keys[i], kv->after_key) <= 0)
+			continue;
+		if (n == SIM_PAGE) {
+			kv->result.more = true;
+			break;
+		}
+		kv->items[n++] = sim_item(i, sim->versions[i], false);
+	}
+	kv->result.count = n;
+}
+
+/*
+ * Answers a watch if there are changes, its wait has ended, or, now and then,
+ * early. Returns false while it waits.
+ */
+static bool
+sim_answer_watch(struct sim *sim, struct sim_kv *kv)
+{
+	size_t n = 0;
+
+	if (kv->after < sim->compacted) {
+		kv->result.status = STATUS_EXPIRED;
+		return true;
+	}
+	for (size_t i = 0; i < sim->changes; i++) {
+		const struct sim_change *change = &sim->history[i];
+
+		if (change->revision > kv->after)
+			kv->items[n++] = sim_item(
+			    change->key, change->revision, change->deleted);
+	}
+	kv->result.count = n;
+	return n > 0 || sim->now >= kv->wait_until || sim_chance(sim, 0.005);
+}
+
+/*
+ * Performs the pending call of a node at the store and delivers its response.
+ */
+static void
+sim_step_call(struct sim *sim, struct sim_kv *kv)
+{
+	kv_done_fn fn = kv->fn;
+
+	if (fn == NULL)
+		return;
+	if (kv->delivered_at == 0 && !kv->lost && sim->now >= kv->arrives_at) {
+		memset(&kv->result, 0, sizeof(kv->result));
+		kv->result.items = kv->items;
+		/* Servers also report without a change of their entries. */
+		if (sim_chance(sim, 0.5))
+			sim->revision++;
+		kv->result.revision = sim->revision;
+		if (kv->kind == KV_LIST)
+			sim_answer_list(sim, kv);
+		else if (!sim_answer_watch(sim, kv))
+			return;
+		kv->delivered_at = sim->now +
+		    sim_between(sim, 1000,
+			!sim->calm && sim_chance(sim, 0.1) ? 900000 : 6000);
+	}
+	if (kv->delivered_at != 0 && sim->now >= kv->delivered_at &&
+	    kv->delivered_at <= kv->deadline) {
+		kv->fn = NULL;
+		fn(&kv->result, kv->arg);
+	} else if (sim->now >= kv->deadline) {
+		struct kv_result failed = {.status = STATUS_UNAVAILABLE};
+
+		kv->fn = NULL;
+		fn(&failed, kv->arg);
+	}
+}
+
+static void
+sim_on_changed(struct lstr key, struct lstr value, uint64_t version, void *arg)
+{
+	struct sim_node *node = arg;
+	struct sim *sim = node->sim;
+
+	(void)value;
+	if (!lstr_equal_c(key, sim_keys[SIM_CONFIG_KEY]))
+		return;
+	config_proof_receive(
+	    &node->proof, version, store_cache_proved_at(node->copy));
+	if (node->in_force == 0) {
+		node->in_force = version;
+		config_proof_decide(&node->proof, version);
+		return;
+	}
+	node->pending = version;
+	node->apply_at = sim->now +
+	    sim_between(
+		sim, 0, !sim->calm && sim_chance(sim, 0.2) ? 400000 : 20000);
+}
+
+static void
+sim_on_removed(struct lstr key, void *arg)
+{
+	(void)key;
+	(void)arg;
+}
+
+static void
+sim_on_synced(void *arg)
+{
+	(void)arg;
+}
+
+static bool
+sim_is_watcher(const struct sim_node *node)
+{
+	return node->index < SIM_WATCHERS;
+}
+
+static void
+sim_post(struct sim *sim, const struct sim_message *message)
+{
+	if (sim->message_count == SIM_MESSAGES_MAX ||
+	    (!sim->calm && sim_chance(sim, 0.15)))
+		return;
+	sim->messages[sim->message_count] = *message;
+	sim->messages[sim->message_count++].at = sim->now +
+	    sim_between(
+		sim, 500, !sim->calm && sim_chance(sim, 0.1) ? 1500000 : 4000);
+}
+
+/*
+ * Hands changes over to the nodes that do not watch, unless a configuration,
+ * which is too large, is among them.
+ */
+static void
+sim_on_fetched(uint64_t after, uint64_t revision, const struct kv_item *items,
+    size_t count, void *arg)
+{
+	struct sim_node *node = arg;
+	struct sim_message message = {
+	    .after = after, .revision = revision, .count = count};
+
+	if (count > G_N_ELEMENTS(message.items))
+		return;
+	for (size_t i = 0; i < count; i++) {
+		if (lstr_equal_c(items[i].key, sim_keys[SIM_CONFIG_KEY]))
+			return;
+		message.items[i] = items[i];
+	}
+	for (int i = 0; i < SIM_NODES; i++) {
+		message.to = i;
+		if (i != node->index)
+			sim_post(node->sim, &message);
+	}
+}
+
+static const struct store_cache_ops sim_ops = {
+    sim_on_changed, sim_on_removed, sim_on_synced, sim_on_fetched};
+
+/*
+ * Sends the proof of a watcher to all other nodes.
+ */
+static void
+sim_send_proofs(struct sim *sim, struct sim_node *node)
+{
+	struct sim_message message = {.is_proof = true,
+	    .revision = store_cache_newest_revision(node->copy),
+	    .complete = store_cache_complete_revision(node->copy),
+	    .config = node->in_force,
+	    .proved_at = store_cache_proved_at(node->copy)};
+
+	node->next_proof_at = sim->now + SIM_PROOF_EVERY_USEC;
+	if (message.proved_at == 0)
+		return;
+	for (int i = 0; i < SIM_NODES; i++) {
+		message.to = i;
+		if (i != node->index)
+			sim_post(sim, &message);
+	}
+}
+
+static void
+sim_deliver(struct sim *sim, const struct sim_message *message)
+{
+	struct sim_node *node = &sim->nodes[message->to];
+	int64_t before = store_cache_proved_at(node->copy);
+	bool same = message->config == node->in_force;
+
+	if (!message->is_proof) {
+		store_cache_apply_peer_changes(node->copy, message->after,
+		    message->revision, message->items, message->count);
+		return;
+	}
+	store_cache_note_peer_proof(node->copy, message->revision,
+	    same ? message->complete : 0, same ? message->proved_at : 0);
+	if (message->config > node->in_force)
+		store_cache_fetch_now(node->copy);
+	sim->handed_over +=
+	    !sim_is_watcher(node) && store_cache_proved_at(node->copy) > before;
+}
+
+static void
+sim_node_start(struct sim *sim, struct sim_node *node)
+{
+	memset(&node->proof, 0, sizeof(node->proof));
+	node->in_force = 0;
+	node->pending = 0;
+	memset(&node->kv, 0, sizeof(node->kv));
+	node->kv.base.vtable = &sim_vtable;
+	node->kv.node = node;
+	node->loop.now = sim->now;
+	ck_assert_int_eq(store_cache_create(&node->loop, &node->kv.base, "",
+			     &sim_ops, node, &node->copy),
+	    STATUS_OK);
+	store_cache_set_watch(node->copy,
+	    sim_is_watcher(node) ? STORE_CACHE_WATCH_SHARED
+				 : STORE_CACHE_WATCH_PEERS);
+}
+
+/*
+ * Calls the timers that are due and frees those that were destroyed.
+ */
+static void
+sim_run_timers(struct loop *loop)
+{
+	struct loop_timer **link = &loop->timers;
+
+	for (struct loop_timer *t = loop->timers; t != NULL; t = t->next) {
+		if (!t->set || t->destroyed || t->at > loop->now)
+			continue;
+		t->set = false;
+		t->fn(t->arg);
+	}
+	while (*link != NULL) {
+		struct loop_timer *timer = *link;
+
+		if (!timer->destroyed) {
+			link = &timer->next;
+			continue;
+		}
+		*link = timer->next;
+		g_free(timer);
+	}
+}
+
+static void
+sim_node_step(struct sim *sim, struct sim_node *node)
+{
+	int64_t proved_at;
+
+	if (node->stalled_until > sim->now)
+		return;
+	node->loop.now = sim->now;
+	sim_step_call(sim, &node->kv);
+	for (size_t i = 0; i < sim->message_count;) {
+		struct sim_message message = sim->messages[i];
+
+		if (message.to != node->index || message.at > sim->now) {
+			i++;
+			continue;
+		}
+		sim->messages[i] = sim->messages[--sim->message_count];
+		sim_deliver(sim, &message);
+	}
+	sim_run_timers(&node->loop);
+	store_cache_tick(node->copy);
+	if (node->pending != 0 && sim->now >= node->apply_at) {
+		node->in_force = node->pending;
+		config_proof_decide(&node->proof, node->pending);
+		node->pending = 0;
+	}
+	if (sim_is_watcher(node) && sim->now >= node->next_proof_at)
+		sim_send_proofs(sim, node);
+	proved_at =
+	    config_proof_at(&node->proof, store_cache_proved_at(node->copy));
+	sim->violations += node->in_force != 0 && proved_at != 0 &&
+	    node->in_force < sim_config_at(sim, proved_at);
+}
+
+/*
+ * Changes keys and injects trouble.
+ */
+static void
+sim_disturb(struct sim *sim)
+{
+	if (sim_chance(sim, 0.004))
+		sim_write(sim, g_rand_int_range(sim->rand, 0, SIM_KEYS), false);
+	if (sim_chance(sim, 0.0015))
+		sim_write(sim, SIM_CONFIG_KEY, false);
+	if (sim_chance(sim, 0.001))
+		sim_write(sim, SIM_KEYS - 1, true);
+	if (sim->calm)
+		return;
+	if (sim_chance(sim, 0.0005))
+		sim->store_down_until = sim->now + sim_between(sim, 0, 4000000);
+	if (sim_chance(sim, 0.0005))
+		sim->store_slow_until = sim->now + sim_between(sim, 0, 4000000);
+	if (sim_chance(sim, 0.001))
+		sim->compacted = sim->revision;
+	if (sim_chance(sim, 0.003)) {
+		struct sim_node *node =
+		    &sim->nodes[g_rand_int_range(sim->rand, 0, SIM_NODES)];
+
+		switch (g_rand_int_range(sim->rand, 0, 3)) {
+		case 0:
+			node->stalled_until =
+			    sim->now + sim_between(sim, 0, 3000000);
+			break;
+		case 1:
+			node->cut_until =
+			    sim->now + sim_between(sim, 0, 5000000);
+			break;
+		default:
+			node->kv.fn = NULL;
+			store_cache_destroy(node->copy);
+			sim_run_timers(&node->loop);
+			sim_node_start(sim, node);
+		}
+	}
+}
+
+static void
+sim_init(struct sim *sim, uint32_t seed)
+{
+	memset(sim, 0, sizeof(*sim));
+	sim->rand = g_rand_new_with_seed(seed);
+	sim->now = LOOP_USEC_PER_SEC;
+	for (int i = 0; i < SIM_KEYS; i++)
+		sim_write(sim, i, false);
+	for (int i = 0; i < SIM_NODES; i++) {
+		sim->nodes[i].sim = sim;
+		sim->nodes[i].index = i;
+		sim_node_start(sim, &sim->nodes[i]);
+	}
+}
+
+static void
+sim_run(struct sim *sim, int64_t usec)
+{
+	int64_t end = sim->now + usec;
+
+	for (; sim->now < end; sim->now += SIM_STEP_USEC) {
+		sim_disturb(sim);
+		for (int i = 0; i < SIM_NODES; i++)
+			sim_node_step(sim, &sim->nodes[i]);
+	}
+}
+
+static void
+sim_destroy(struct sim *sim)
+{
+	for (int i = 0; i < SIM_NODES; i++) {
+		store_cache_destroy(sim->nodes[i].copy);
+		sim_run_timers(&sim->nodes[i].loop);
+	}
+	g_rand_free(sim->rand);
+}
+
+#endif
