Let lists and watches end only when their response stops arriving

Cause: a node that was cut off asks for all changes since then. A watch returns each version of the configuration in full; with 2,800 more routes they are several megabytes. Change: the deadline of a list or watch moves while its response makes progress, at most 10 s; a watch with more than 2 MB of changes reports that the caller has to list, which returns each value once. Ruled out: a longer fixed limit, since any limit is too short for some link.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -26,6 +26,11 @@
 	struct lstr_buf response_body;
 	size_t body_max_bytes;
 	struct loop_timer *timer;
+	int64_t deadline;
+	int64_t progress_usec;
+	int64_t progress_deadline;
+	/* Bytes received since the deadline was last moved. */
+	size_t progress_bytes;
 	bool timed_out;
 	bool too_large;
 	bool in_data_callback;
@@ -215,6 +220,28 @@
 	finish(call, CURLE_OPERATION_TIMEDOUT);
 }
 
+/*
+ * Moves the deadline of a call whose response makes progress.
+ */
+static void
+note_progress(struct fetch_call *call, size_t len)
+{
+	int64_t deadline;
+
+	call->progress_bytes += len;
+	if (call->progress_usec == 0 ||
+	    call->progress_bytes < FETCH_PROGRESS_BYTES)
+		return;
+	call->progress_bytes = 0;
+	deadline = loop_now(call->fetch->loop) + call->progress_usec;
+	if (deadline > call->progress_deadline)
+		deadline = call->progress_deadline;
+	if (deadline <= call->deadline)
+		return;
+	call->deadline = deadline;
+	loop_timer_set(call->timer, deadline);
+}
+
 /*
  * Called by libcurl with bytes of a response body. Returning fewer bytes than
  * given makes libcurl abort the call.
@@ -225,6 +252,7 @@
 	struct fetch_call *call = arg;
 	size_t len = size * count;
 
+	note_progress(call, len);
 	if (call->ops->data != NULL) {
 		call->in_data_callback = true;
 		call->ops->data(call, lstr_make(data, len), call->arg);
@@ -358,6 +386,9 @@
 			return status;
 		}
 		loop_timer_set(call->timer, request->deadline);
+		call->deadline = request->deadline;
+		call->progress_usec = request->progress_usec;
+		call->progress_deadline = request->progress_deadline;
 	}
 	set_options(call, request);
 	if (curl_multi_add_handle(fetch->multi, call->easy) != CURLM_OK) {
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -11,6 +11,10 @@
 struct fetch;
 struct fetch_call;
 
+/* Bytes of a response that count as progress. Fewer of them, sent now and then,
+ * do not keep a call alive. */
+#define FETCH_PROGRESS_BYTES ((size_t)16 * 1024)
+
 struct fetch_result {
 	/*
 	 * STATUS_OK if a complete response with any HTTP status arrived,
@@ -43,6 +47,11 @@
 	const char *const *headers;
 	/* In microseconds since the epoch; 0 for none. */
 	int64_t deadline;
+	/* While the response arrives, the deadline moves to this long after the
+	 * last FETCH_PROGRESS_BYTES of it, up to the progress deadline; 0: it
+	 * does not move. */
+	int64_t progress_usec;
+	int64_t progress_deadline;
 	/* Uses a new connection, so that libcurl never resends the request. */
 	bool once;
 	/* Limit on a collected response body; 0 for the default. */
--- a/src/kv.h
+++ b/src/kv.h
@@ -42,8 +42,9 @@
 	 * before it concludes that another client wrote it. STATUS_NOT_FOUND:
 	 * no such key or lease. STATUS_UNAVAILABLE: definitely not done.
 	 * STATUS_AMBIGUOUS: a write that may have taken effect, or may still
-	 * do so. STATUS_EXPIRED: the start revision of a watch is too old and
-	 * the caller must list again.
+	 * do so. STATUS_EXPIRED: the start revision of a watch is too old, or
+	 * the changes since then are too large for one response, and the caller
+	 * must list again.
 	 */
 	enum status status;
 	/* get: version of the value; put: new version; conflict: stored one. */
--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -12,6 +12,14 @@
 #define URL_PREFIX_MAX_BYTES 128
 /* A page of 1 MB in base64 with its keys and JSON syntax. */
 #define RESPONSE_MAX_BYTES ((size_t)4 * 1024 * 1024)
+/* A watch returns each version of a value, a list only the last one. Room for
+ * one value of the largest size in base64. */
+#define WATCH_RESPONSE_MAX_BYTES ((size_t)2 * 1024 * 1024)
+/* A list or watch does not end while its response arrives. Ended and made
+ * again, it would load the link of the service for nothing, and a response that
+ * takes longer than the time limit would never be complete. */
+#define PROGRESS_USEC (600 * LOOP_USEC_PER_MSEC)
+#define PROGRESS_MAX_USEC (10 * LOOP_USEC_PER_SEC)
 #define HTTP_OK 200
 #define HTTP_NOT_FOUND 404
 #define HTTP_CONFLICT 409
@@ -112,6 +120,8 @@
 static enum status
 map_status(const struct call *call, const struct fetch_result *result)
 {
+	if (result->status == STATUS_FULL && call->kind == KV_WATCH)
+		return STATUS_EXPIRED;
 	if (result->status != STATUS_OK)
 		return kv_is_write(call->kind) && result->maybe_sent
 		    ? STATUS_AMBIGUOUS
@@ -305,6 +315,12 @@
 	char *url;
 
 	assert(deadline != 0);
+	if (kind == KV_WATCH)
+		request.response_max_bytes = WATCH_RESPONSE_MAX_BYTES;
+	if (kind == KV_WATCH || kind == KV_LIST) {
+		request.progress_usec = PROGRESS_USEC;
+		request.progress_deadline = deadline + PROGRESS_MAX_USEC;
+	}
 	http->protocol->build_request(kind, args, &http_request);
 	text = http_request.body ? json_dumps(http_request.body, JSON_COMPACT)
 				 : NULL;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -74,6 +74,19 @@
 	ck_assert_int_eq(fetch_create(f->loop, &f->fetch), STATUS_OK);
 }
 
+/*
+ * Sends a request to a path of the server.
+ */
+static void
+post_request(struct fixture *f, const char *path, struct fetch_request *request)
+{
+	snprintf(f->url, sizeof(f->url), "http://127.0.0.1:%u%s",
+	    httpd_port(f->httpd), path);
+	request->url = f->url;
+	ck_assert_int_eq(
+	    fetch_start(f->fetch, request, &client_ops, f, NULL), STATUS_OK);
+}
+
 /*
  * Posts a body to a path of the server.
  */
@@ -83,11 +96,7 @@
 	struct fetch_request request = {
 	    .method = "POST", .body = body, .deadline = deadline};
 
-	snprintf(f->url, sizeof(f->url), "http://127.0.0.1:%u%s",
-	    httpd_port(f->httpd), path);
-	request.url = f->url;
-	ck_assert_int_eq(
-	    fetch_start(f->fetch, &request, &client_ops, f, NULL), STATUS_OK);
+	post_request(f, path, &request);
 }
 
 static bool
@@ -162,6 +171,69 @@
 }
 END_TEST
 
+/*
+ * Sends parts of a response, each of which takes a part of the time limit.
+ */
+static void
+send_slowly(struct fixture *f, size_t bytes, int parts, int64_t part_usec)
+{
+	static char part[2 * FETCH_PROGRESS_BYTES];
+
+	memset(part, 'x', sizeof(part));
+	ck_assert_uint_le(bytes, sizeof(part));
+	ck_assert(harness_wait(f->loop, is_held, f));
+	httpd_stream_begin(f->held, 200, "text/plain");
+	for (int i = 0; i < parts && !f->done; i++) {
+		int64_t end = loop_now(f->loop) + part_usec;
+
+		httpd_stream_write(f->held, lstr_make(part, bytes));
+		while (loop_now(f->loop) < end)
+			loop_run_once(f->loop, end);
+	}
+}
+
+/*
+ * Guards against large responses that are requested again and again and never
+ * complete, since each call ends while its response arrives.
+ */
+START_TEST(call_does_not_end_while_its_response_arrives)
+{
+	struct fixture f;
+	struct fetch_request request = {
+	    .method = "POST", .progress_usec = HARNESS_DEADLINE_USEC};
+
+	fixture_start(&f);
+	request.deadline = loop_now(f.loop) + 100 * LOOP_USEC_PER_MSEC;
+	request.progress_deadline =
+	    loop_now(f.loop) + 2 * HARNESS_DEADLINE_USEC;
+	post_request(&f, "/hold", &request);
+	send_slowly(&f, 2 * FETCH_PROGRESS_BYTES, 10, 30 * LOOP_USEC_PER_MSEC);
+	ck_assert(!f.done);
+	httpd_stream_end(f.held);
+	ck_assert(harness_wait(f.loop, is_done, &f));
+	ck_assert_int_eq(f.status, STATUS_OK);
+	ck_assert_uint_eq(f.body.len, 20 * FETCH_PROGRESS_BYTES);
+}
+END_TEST
+
+/* Guards against calls that a few bytes now and then keep alive. */
+START_TEST(trickling_response_ends_at_the_deadline)
+{
+	struct fixture f;
+	struct fetch_request request = {
+	    .method = "POST", .progress_usec = HARNESS_DEADLINE_USEC};
+
+	fixture_start(&f);
+	request.deadline = loop_now(f.loop) + 100 * LOOP_USEC_PER_MSEC;
+	request.progress_deadline =
+	    loop_now(f.loop) + 2 * HARNESS_DEADLINE_USEC;
+	post_request(&f, "/hold", &request);
+	send_slowly(&f, 10, 10, 30 * LOOP_USEC_PER_MSEC);
+	ck_assert(f.done);
+	ck_assert_int_eq(f.status, STATUS_TIMEOUT);
+}
+END_TEST
+
 /* Guards against reporting a request as maybe sent when it was not. */
 START_TEST(refused_connection_was_not_sent)
 {
@@ -241,4 +313,5 @@
     disconnected_client_is_detected, server_stops_with_a_request_open,
     echo_returns_the_body, deferred_stream_arrives_complete,
     large_body_is_refused, deadline_ends_the_call,
-    refused_connection_was_not_sent)
+    call_does_not_end_while_its_response_arrives,
+    trickling_response_ends_at_the_deadline, refused_connection_was_not_sent)
--- a/tests/test_kv.c
+++ b/tests/test_kv.c
@@ -10,6 +10,7 @@
 #define SHORT_USEC (300 * LOOP_USEC_PER_MSEC)
 #define LARGE_BYTES ((size_t)300 * 1024)
 #define LARGE_KEYS 5
+#define LARGE_VERSIONS 4
 
 /*
  * Test fixture: a client, the fake service in a child process, and the result
@@ -304,6 +305,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a copy that never catches up: a watch returns each version of
+ * a large value, and together they exceed any limit on a response.
+ */
+START_TEST(watch_with_too_many_large_changes_has_to_list)
+{
+	static char large[KV_VALUE_MAX_BYTES / 2];
+	struct fixture f;
+
+	memset(large, 'x', sizeof(large));
+	fixture_start(&f);
+	for (int i = 0; i < LARGE_VERSIONS; i++)
+		ck_assert_int_eq(put(&f, "k", lstr_make(large, sizeof(large)),
+				     f.version, NULL, CALL_USEC),
+		    STATUS_OK);
+	f.kv->vtable->watch(f.kv, lstr_from("k"), 0, deadline_in(&f, 0),
+	    deadline_in(&f, CALL_USEC), on_result, &f);
+	wait_result(&f);
+	ck_assert_int_eq(f.status, STATUS_EXPIRED);
+	f.kv->vtable->list(f.kv, lstr_from("k"), lstr_make("", 0),
+	    deadline_in(&f, CALL_USEC), on_result, &f);
+	wait_result(&f);
+	ck_assert_int_eq(f.status, STATUS_OK);
+	ck_assert_uint_eq(f.count, 1);
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against calls that are missing from the count of service calls. */
 START_TEST(calls_are_counted_by_kind)
 {
@@ -327,4 +356,4 @@
 HARNESS_MAIN("kv", put_is_conditional, list_returns_all_pages,
     expired_lease_removes_its_keys, lost_response_is_ambiguous,
     outage_is_unavailable, slow_write_takes_effect_later,
-    calls_are_counted_by_kind)
+    watch_with_too_many_large_changes_has_to_list, calls_are_counted_by_kind)
