Refuse unknown routes and keys only with a recent proof

Cause: 404 needed no proof at all, and 401 one that is good enough for a revoked key but older than the bound of a configuration. A refusal is a decision like any other: a newer configuration may allow the request. Change: setting config_apply_ms; without a proof of that age a request for an unknown route or with an unknown key is answered 503 with a time to come back, and callers try another node. Watches are short enough for this bound. Ruled out: holding such requests until the next proof, which makes callers with a wrong key wait and costs a table.

--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -85,6 +85,17 @@
 	return decision;
 }
 
+/*
+ * Returns whether a configuration is proved recently enough to decide about a
+ * request.
+ */
+bool
+admit_proof_decides(const struct admit_proof *proof)
+{
+	return proof->age_max_usec == 0 ||
+	    proof->age_usec <= proof->age_max_usec;
+}
+
 /*
  * Returns the time until which a request is held at a node that started at
  * started_at and has not read the store yet. A caller with little time is
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -48,6 +48,13 @@
 	ADMIT_REFUSE
 };
 
+/* How long ago, in microseconds, a configuration was confirmed to be current,
+ * and the largest age at which it decides; 0: no limit. */
+struct admit_proof {
+	int64_t age_usec;
+	int64_t age_max_usec;
+};
+
 struct admit_request {
 	/* Expected wait for the requests that are already queued. */
 	int64_t expected_wait_usec;
@@ -92,6 +99,7 @@
  * back at once, with their only retry, while the nodes read the store. A
  * refusal would be final for most of them.
  */
+bool admit_proof_decides(const struct admit_proof *);
 int64_t admit_hold_until(
     int64_t arrived_at, int64_t started_at, int64_t caller_timeout_usec);
 
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -338,6 +338,44 @@
 	h1_close_gracefully(conn);
 }
 
+/*
+ * Returns whether the configuration in force is proved recently enough for a
+ * decision; age_max_usec 0: no limit. Otherwise refuses the request so that the
+ * caller tries again.
+ */
+static bool
+check_proof(
+    struct gateway_request *request, int64_t age_max_usec, const char *reason)
+{
+	struct gateway *gateway = request->gateway;
+	int64_t now = gateway_now(gateway);
+	const struct admit_proof proof = {
+	    now - gateway_config_proved_at(gateway), age_max_usec};
+
+	if (admit_proof_decides(&proof))
+		return true;
+	gateway->counts.no_proof++;
+	gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+	    admit_retry_after(UNCONFIRMED_CONFIG_RETRY_USEC,
+		request->deadline - now, g_rand_double(gateway->rand)),
+	    reason);
+	return false;
+}
+
+/*
+ * Refuses a request for a route or with a key that the configuration does not
+ * contain.
+ */
+static void
+refuse_unknown(
+    struct gateway_request *request, unsigned int status, const char *reason)
+{
+	if (check_proof(request,
+		request->gateway->config.unknown_proof_max_usec,
+		"configuration cannot be proved current"))
+		gateway_refuse_request(request, status, 0, reason);
+}
+
 /*
  * Finds the organisation of a request by its API key. Returns false if the
  * request was refused.
@@ -345,28 +383,16 @@
 static bool
 authenticate(struct gateway_request *request)
 {
-	struct gateway *gateway = request->gateway;
-	int64_t proof_age =
-	    gateway_now(gateway) - gateway_config_proved_at(gateway);
-
 	if (!request->config->keys_required || request->route->anonymous)
 		return true;
-	if (gateway->config.proof_max_usec > 0 &&
-	    proof_age > gateway->config.proof_max_usec) {
-		gateway->counts.no_proof++;
-		gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
-		    admit_retry_after(UNCONFIRMED_CONFIG_RETRY_USEC,
-			request->deadline - request->arrived_at,
-			g_rand_double(gateway->rand)),
-		    "keys cannot be proved current");
+	if (!check_proof(request, request->gateway->config.proof_max_usec,
+		"keys cannot be proved current"))
 		return false;
-	}
 	request->organisation =
 	    fleet_config_find_organisation(request->config, request->info.key);
 	if (request->organisation != NULL)
 		return true;
-	gateway_refuse_request(
-	    request, HTTP_STATUS_UNAUTHORIZED, 0, "key is not known");
+	refuse_unknown(request, HTTP_STATUS_UNAUTHORIZED, "key is not known");
 	return false;
 }
 
@@ -432,8 +458,8 @@
 	request->route = fleet_config_find_route(
 	    request->config, request->info.host, h1_target(request->caller));
 	if (request->route == NULL) {
-		gateway_refuse_request(
-		    request, HTTP_STATUS_NOT_FOUND, 0, "no route matches");
+		refuse_unknown(
+		    request, HTTP_STATUS_NOT_FOUND, "no route matches");
 		return;
 	}
 	set_deadlines(request);
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -26,6 +26,9 @@
 	/* API keys are accepted only while the configuration was confirmed
 	 * as current at most this long ago; 0: no limit. */
 	int64_t proof_max_usec;
+	/* The same for the refusal of a route or key that the configuration
+	 * does not contain: a newer one may contain it. */
+	int64_t unknown_proof_max_usec;
 	/* Retry budget of all nodes together in one window: a fixed number
 	 * plus a fraction of the requests. */
 	double retry_slack;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -366,6 +366,31 @@
 	return revoke - margin;
 }
 
+/*
+ * Returns the largest age of that proof at which unknown routes and keys are
+ * refused; 0: no limit.
+ */
+static int64_t
+max_unknown_proof_age(const struct node *node)
+{
+	return node->settings.config_apply_ms * LOOP_USEC_PER_MSEC;
+}
+
+/*
+ * Returns the age that the proof must not exceed while the store responds; 0:
+ * no limit.
+ */
+static int64_t
+max_usual_proof_age(const struct node *node)
+{
+	int64_t keys = max_proof_age(node);
+	int64_t unknown = max_unknown_proof_age(node);
+
+	if (keys == 0 || unknown == 0)
+		return MAX(keys, unknown);
+	return MIN(keys, unknown);
+}
+
 /*
  * Returns whether the proof of the configuration is recent enough to accept API
  * keys. Otherwise the address of this node is not given to callers, and they
@@ -598,7 +623,7 @@
 		    &store_cache_ops, node, &node->store_cache);
 	if (status == STATUS_OK)
 		store_cache_set_proof_max(
-		    node->store_cache, max_proof_age(node));
+		    node->store_cache, max_usual_proof_age(node));
 	return status;
 }
 
@@ -641,6 +666,7 @@
 	    .place = settings->place,
 	    .seed = (uint32_t)node->boot ^ pool_hash(lstr_from(settings->node)),
 	    .proof_max_usec = max_proof_age(node),
+	    .unknown_proof_max_usec = max_unknown_proof_age(node),
 	    .retry_slack = settings->retry_slack,
 	    .retry_ratio = settings->retry_ratio,
 	    .retry_window_usec =
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -13,6 +13,7 @@
 #define PORT_MAX 65535
 #define LEAVE_MAX_MS 600000
 #define REVOKE_MAX_MS 600000
+#define CONFIG_APPLY_MAX_MS 600000
 #define SECONDS_MAX 3600
 #define RETRY_SLACK_MAX 1000000
 #define MEMORY_MAX_MB 1048576
@@ -53,6 +54,8 @@
     {"mesh_port", FIELD_INTEGER, OFFSET(mesh_port), 0, PORT_MAX, true, true},
     {"revoke_ms", FIELD_BOUND, OFFSET(revoke_ms), 0, REVOKE_MAX_MS, false,
 	true},
+    {"config_apply_ms", FIELD_BOUND, OFFSET(config_apply_ms), 0,
+	CONFIG_APPLY_MAX_MS, false, true},
     {"leave_ms", FIELD_BOUND, OFFSET(leave_ms), 0, LEAVE_MAX_MS, false, true},
     {"grace_s", FIELD_NUMBER, OFFSET(grace_s), 0, SECONDS_MAX, false, false},
     {"retry_slack", FIELD_NUMBER, OFFSET(retry_slack), 0, RETRY_SLACK_MAX,
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -24,6 +24,9 @@
 	int64_t mesh_port;
 	/* Time within which a revoked key must stop working; 0: no limit. */
 	int64_t revoke_ms;
+	/* Time within which a confirmed configuration must be in force; 0: no
+	 * limit. */
+	int64_t config_apply_ms;
 	/* Shortest time for which a draining backend server still serves. */
 	int64_t leave_ms;
 	/* Time between SIGTERM and SIGKILL. */
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -16,6 +16,7 @@
 
 #define NODE_KEY "k-first"
 #define NODE_REVOKE_MS 3000
+#define NODE_CONFIG_APPLY_MS 1200
 
 /* A node that runs as a child process, and the fake platform in this
  * process. */
@@ -219,9 +220,11 @@
 	    "\"ip\":\"%s\",\"front\":\"%s:%u\","
 	    "\"ready\":\"%s:%u\",\"lookup\":\"%s:%u\","
 	    "\"store\":\"127.0.0.1:%u\",\"mesh_port\":%u,\"revoke_ms\":%d,"
-	    "\"grace_s\":8,\"retry_slack\":100,\"retry_ratio\":0.2}",
+	    "\"config_apply_ms\":%d,\"grace_s\":8,\"retry_slack\":100,\"retry_"
+	    "ratio\":0.2}",
 	    w->ip, w->ip, w->front, w->ip, w->ready, w->ip, w->lookup,
-	    fake_platform_port(w->platform), w->gossip, NODE_REVOKE_MS);
+	    fake_platform_port(w->platform), w->gossip, NODE_REVOKE_MS,
+	    NODE_CONFIG_APPLY_MS);
 	fclose(file);
 }
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -608,6 +608,41 @@
 }
 END_TEST
 
+/*
+ * Guards against 404 and 401 for a route or a key that has been added: a node
+ * that cannot prove its configuration current sends callers elsewhere instead.
+ */
+START_TEST(unknown_route_is_not_refused_by_an_old_configuration)
+{
+	struct node_fixture w;
+	struct node_call call;
+	int64_t silent_at;
+
+	node_fixture_start(&w);
+	node_call_plain(&w, &call, "GET", "/none/1", "u0", NODE_KEY);
+	ck_assert_uint_eq(call.status, 404);
+	fake_platform_set_store_silent(w.platform, true);
+	silent_at = loop_now(w.loop);
+	do {
+		node_call_plain(&w, &call, "GET", "/none/1", "u1", NODE_KEY);
+		ck_assert_int_lt(
+		    loop_now(w.loop), silent_at + HARNESS_DEADLINE_USEC);
+	} while (call.status == 404);
+	ck_assert_uint_eq(call.status, 503);
+	ck_assert_int_le(loop_now(w.loop),
+	    silent_at + (NODE_CONFIG_APPLY_MS + 100) * LOOP_USEC_PER_MSEC);
+	fake_platform_set_store_silent(w.platform, false);
+	do {
+		node_call_plain(&w, &call, "GET", "/none/1", "u2", NODE_KEY);
+		ck_assert_int_lt(
+		    loop_now(w.loop), silent_at + HARNESS_DEADLINE_USEC);
+	} while (call.status != 404);
+	node_call_plain(&w, &call, "GET", "/look/1", "u3", "no-such-key");
+	ck_assert_uint_eq(call.status, 401);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Work at the servers must stop when the caller disconnects. */
 START_TEST(work_stops_when_the_caller_disconnects)
 {
@@ -731,6 +766,8 @@
     non_idempotent_request_without_response_runs_once,
     response_to_another_request_is_skipped,
     failed_idempotent_request_is_retried_once, revoked_key_is_refused,
-    unconfirmed_keys_are_refused, work_stops_when_the_caller_disconnects,
+    unconfirmed_keys_are_refused,
+    unknown_route_is_not_refused_by_an_old_configuration,
+    work_stops_when_the_caller_disconnects,
     sigterm_lets_running_requests_finish,
     oversized_and_malformed_requests_are_refused, log_traces_a_failed_request)
--- a/tests/test_node_settings.c
+++ b/tests/test_node_settings.c
@@ -95,9 +95,9 @@
  */
 START_TEST(other_values_are_refused_with_the_field)
 {
-	static const char *const names[] = {"revoke_ms", "leave_ms", "grace_s",
-	    "retry_slack", "retry_ratio", "address_validity_max_s",
-	    "memory_mb"};
+	static const char *const names[] = {"revoke_ms", "config_apply_ms",
+	    "leave_ms", "grace_s", "retry_slack", "retry_ratio",
+	    "address_validity_max_s", "memory_mb"};
 	static const char *const values[] = {
 	    "true", "false", "null", "\"4\"", "-1", "1e300", "[]"};
 	struct node_settings settings;
