Read the parts of a prompt, and log those of requests whose server ended

Cause: the logs do not say which requests a server had in hand when it ended, nor what their prompts have in common. Change: the adapter decodes the identifiers of a prompt's parts; request-cut names them with the events that the server had sent. No decision uses them yet.

--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -16,6 +16,9 @@
 /* Longest request identifier that is accepted. */
 #define ADAPTER_ID_MAX_BYTES 64
 
+/* Most parts of a prompt that are read; further ones are ignored. */
+#define ADAPTER_PARTS_MAX 64
+
 /* Fields of a caller's request. Strings are borrowed from the connection. */
 struct adapter_request {
 	/* Identifier of this attempt; each retry by a client has its own. */
@@ -30,6 +33,11 @@
 	uint32_t output_tokens_max;
 	/* The caller's estimate of the output, often inaccurate; 0: none. */
 	uint32_t output_tokens_hint;
+	/* Identifiers of the parts of the prompt that other requests may share,
+	 * without the last part, which is the request's or its session's own.
+	 */
+	uint64_t parts[ADAPTER_PARTS_MAX];
+	size_t part_count;
 	/* A stream is to resume after this event; 0: from its start. */
 	uint64_t last_event;
 	/* The caller expects "100 Continue" before it sends the body. */
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -105,6 +105,8 @@
 	 * failed. */
 	int64_t reroute_not_before;
 	uint32_t reroute_failures;
+	/* Events that the server has sent. */
+	uint32_t events;
 	struct adapter_response response;
 	struct sse sse;
 };
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -260,6 +260,25 @@
 		gateway_plain_complete(request);
 }
 
+/*
+ * Logs that the connection to a server ended before its answer was complete.
+ */
+static void
+log_cut(const struct gateway_request *request)
+{
+	struct lstr_buf parts = {0};
+
+	for (size_t i = 0; i < request->info.part_count; i++)
+		lstr_buf_printf(&parts, "%s%" G_GINT64_MODIFIER "x",
+		    i > 0 ? "," : "", request->info.parts[i]);
+	slog_event(EV_REQUEST_CUT, "{s:s, s:s, s:i, s:i, s:s%}", "id",
+	    request->id, "server", request->attempt.server->info.id, "events",
+	    (int)request->attempt.events, "server_status",
+	    (int)request->attempt.response.status, "parts",
+	    parts.len > 0 ? parts.data : "", parts.len);
+	lstr_buf_free(&parts);
+}
+
 /*
  * Fails an attempt whose connection closed before the response was complete.
  */
@@ -277,8 +296,10 @@
 		slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:s}", "server",
 		    attempt->server->info.id, "evidence", "connect", "status",
 		    status_name(status));
-	if (!not_sent && !stale_reuse)
+	if (!not_sent && !stale_reuse) {
 		pool_note_result(attempt->server, false);
+		log_cut(request);
+	}
 	gateway_attempt_failed(request, not_sent,
 	    not_sent ? "server cannot be reached"
 		     : "connection ended before the answer");
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -538,6 +538,7 @@
 
 	request->gateway->counts.events++;
 	request->events++;
+	attempt->events++;
 	if (request->first_event_at == 0)
 		request->first_event_at = now;
 	else
