Test answers without length and chunks, and malformed prompts

Cause: the platform allows answers that end with their connection; nothing tested which of them count as complete. Prompt headers of a wrong form were not tested. Change: the fake platform sends unframed streams that end in order, within an event or by a reset before an event, and unframed plain answers that end in order or by a reset; engines can end when they begin to answer a given part.

--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -9,6 +9,8 @@
  */
 struct fake_platform;
 
+#define FAKE_DEADLY_PART "dead"
+
 /* Faults of an engine or a plain server. */
 enum fake_fault {
 	FAKE_NONE,
@@ -32,6 +34,19 @@
 	FAKE_REFUSED,
 	/* Engine: sends the given event byte by byte and never completes it. */
 	FAKE_TRICKLE,
+	/*
+	 * Engine: ends when it begins to write the answer to a request with the
+	 * part FAKE_DEADLY_PART in its prompt, and comes back after a while.
+	 */
+	FAKE_DEADLY,
+	/*
+	 * Responses have neither a length nor chunks and end with their
+	 * connection. Engine: after the last event, within the given event, or
+	 * by a reset before it. Plain: after the body, or by a reset within it.
+	 */
+	FAKE_UNFRAMED,
+	FAKE_UNFRAMED_CUT,
+	FAKE_UNFRAMED_RESET,
 	/*
 	 * Both: sends bytes until the connection is closed, as an unfinished
 	 * head, as interim responses, as the body of a success, a refusal or
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -1,11 +1,13 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 #include <jansson.h>
 
 #include "fake_platform.h"
+#include "h1_priv.h"
 
 #define ENGINE_COUNT 5
 #define PLAIN_COUNT 2
@@ -16,6 +18,7 @@
 #define EVENT_INTERVAL_USEC (5 * LOOP_USEC_PER_MSEC)
 #define IDLE_TIMEOUT_USEC (60 * LOOP_USEC_PER_SEC)
 #define HEAD_MAX_BYTES 65536
+#define ENGINE_DOWN_USEC (2 * LOOP_USEC_PER_SEC)
 #define ENDLESS_BYTES 16384
 /* Index of the engine that misbehaves; another one holds the same layers. */
 #define FAULTY_ENGINE 1
@@ -46,6 +49,9 @@
 	unsigned int orders;
 	bool draining;
 	int64_t born;
+	/* For an engine that has ended and comes back. */
+	uint16_t port;
+	struct loop_timer *back_timer;
 };
 
 /* A request in progress at an engine or at a plain server. */
@@ -59,6 +65,9 @@
 	bool streaming;
 	/* The path of the stream uses the engine that misbehaves. */
 	bool faulty;
+	/* The response has neither a length nor chunks. */
+	bool unframed;
+	bool deadly;
 };
 
 struct change {
@@ -501,6 +510,90 @@
 	    platform->runs, g_strdup(id), GUINT_TO_POINTER(runs + 1));
 }
 
+/*
+ * Ends a request and closes its connection, by a reset or in order.
+ */
+static void
+close_server_call(struct server_call *server_call, bool reset)
+{
+	const struct linger linger = {1, 0};
+	struct h1_conn *conn = server_call->conn;
+
+	h1_set_data(conn, NULL);
+	server_call_free(server_call);
+	if (reset)
+		setsockopt(
+		    conn->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	h1_close(conn);
+}
+
+static const struct h1_ops server_ops;
+
+/*
+ * Lets an engine that has ended accept connections again, as a new process.
+ */
+static void
+on_engine_back(void *arg)
+{
+	struct server *server = arg;
+	struct fake_platform *platform = server->platform;
+
+	ck_assert_int_eq(
+	    h1_listen(platform->h1, "127.0.0.1", server->port,
+		&platform->limits, &server_ops, server, &server->listener),
+	    STATUS_OK);
+	server->orders = 0;
+	server->born++;
+	publish_server(server);
+}
+
+/*
+ * Ends an engine, which cuts all its requests. It is back after a while, with
+ * its layers.
+ */
+static void
+end_engine(struct server *server)
+{
+	struct fake_platform *platform = server->platform;
+
+	for (guint i = platform->server_calls->len; i > 0; i--) {
+		struct server_call *server_call =
+		    g_ptr_array_index(platform->server_calls, i - 1);
+
+		if (server_call->server == server)
+			close_server_call(server_call, false);
+	}
+	server->port = h1_listener_port(server->listener);
+	h1_listener_destroy(server->listener);
+	server->listener = NULL;
+	if (server->back_timer == NULL)
+		loop_timer_create(platform->loop, on_engine_back, server,
+		    &server->back_timer);
+	loop_timer_set(
+	    server->back_timer, loop_now(platform->loop) + ENGINE_DOWN_USEC);
+}
+
+/*
+ * Ends an unframed response at its next event if that is faulty. Returns true
+ * if it has ended.
+ */
+static bool
+end_unframed(struct server_call *server_call, const char *event)
+{
+	struct fake_platform *platform = server_call->server->platform;
+	enum fake_fault fault = platform->engine_fault;
+
+	if (server_call->next < platform->fault_event ||
+	    (fault != FAKE_UNFRAMED_CUT && fault != FAKE_UNFRAMED_RESET))
+		return false;
+	platform->engine_fault = FAKE_UNFRAMED;
+	if (fault == FAKE_UNFRAMED_CUT)
+		h1_write(
+		    server_call->conn, lstr_make(event, strlen(event) / 2));
+	close_server_call(server_call, fault == FAKE_UNFRAMED_RESET);
+	return true;
+}
+
 /*
  * Writes the next event of a stream.
  */
@@ -514,6 +607,10 @@
 	bool fault = platform->engine_fault != FAKE_NONE &&
 	    server_call->next >= platform->fault_event;
 
+	if (server_call->deadly) {
+		end_engine(server_call->server);
+		return;
+	}
 	if (fault && server_call->faulty &&
 	    platform->engine_fault == FAKE_UNRESPONSIVE)
 		return;
@@ -537,12 +634,19 @@
 		h1_close(conn);
 		return;
 	}
-	h1_write(server_call->conn, lstr_from(chunk));
+	if (server_call->unframed && end_unframed(server_call, event))
+		return;
+	h1_write(server_call->conn,
+	    lstr_from(server_call->unframed ? event : chunk));
 	if (server_call->next++ < EVENT_COUNT) {
 		loop_timer_set(server_call->timer,
 		    loop_now(platform->loop) + platform->event_interval_usec);
 		return;
 	}
+	if (server_call->unframed) {
+		close_server_call(server_call, false);
+		return;
+	}
 	h1_write(server_call->conn, lstr_from("0\r\n\r\n"));
 	h1_set_data(server_call->conn, NULL);
 	h1_read_next_request(server_call->conn);
@@ -620,11 +724,18 @@
 	server_call->streaming = true;
 	platform->streams++;
 	server_call->next = (unsigned int)last + 1;
+	server_call->deadly = platform->engine_fault == FAKE_DEADLY &&
+	    h1_find_header(conn, "Prefix-Hash", &value) &&
+	    memmem(value.data, value.len, FAKE_DEADLY_PART ":",
+		strlen(FAKE_DEADLY_PART ":")) != NULL;
+	server_call->unframed = platform->engine_fault >= FAKE_UNFRAMED &&
+	    platform->engine_fault <= FAKE_UNFRAMED_RESET;
 	lstr_buf_printf(&out,
 	    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s.%s\r\n"
-	    "Content-Type: text/event-stream\r\n"
-	    "Transfer-Encoding: chunked\r\n\r\n",
-	    server_call->id, server_call->server->id);
+	    "Content-Type: text/event-stream\r\n%s\r\n\r\n",
+	    server_call->id, server_call->server->id,
+	    server_call->unframed ? "Connection: close"
+				  : "Transfer-Encoding: chunked");
 	h1_write(conn, lstr_buf_view(&out));
 	lstr_buf_free(&out);
 	loop_timer_create(
@@ -749,13 +860,16 @@
 	struct fake_platform *platform = server_call->server->platform;
 	size_t sent = sizeof(body) - 1;
 
-	if (platform->plain_fault == FAKE_TRUNCATED)
+	if (platform->plain_fault == FAKE_TRUNCATED ||
+	    platform->plain_fault == FAKE_UNFRAMED_RESET)
 		sent /= 2;
 	lstr_buf_printf(&out,
-	    "HTTP/1.1 %u X\r\nAttempt-Id: %s\r\nServer-Stamp: s.%s\r\n"
-	    "Content-Length: %zu\r\n\r\n%.*s",
-	    status, id, server_call->server->id, sizeof(body) - 1, (int)sent,
-	    body);
+	    "HTTP/1.1 %u X\r\nAttempt-Id: %s\r\nServer-Stamp: s.%s\r\n", status,
+	    id, server_call->server->id);
+	if (platform->plain_fault < FAKE_UNFRAMED)
+		lstr_buf_printf(
+		    &out, "Content-Length: %zu\r\n", sizeof(body) - 1);
+	lstr_buf_printf(&out, "\r\n%.*s", (int)sent, body);
 	h1_write(server_call->conn, lstr_buf_view(&out));
 	lstr_buf_free(&out);
 }
@@ -856,9 +970,14 @@
 	if (fault != FAKE_NO_RESPONSE)
 		respond_plain(server_call, fault == FAKE_ERROR ? 500 : 200,
 		    server_call->id);
+	if (fault == FAKE_UNFRAMED_RESET) {
+		close_server_call(server_call, true);
+		return;
+	}
 	h1_set_data(conn, NULL);
 	server_call_free(server_call);
-	if (fault == FAKE_NO_RESPONSE || fault == FAKE_TRUNCATED)
+	if (fault == FAKE_NO_RESPONSE || fault == FAKE_TRUNCATED ||
+	    fault == FAKE_UNFRAMED)
 		h1_close_gracefully(conn);
 	else
 		h1_read_next_request(conn);
@@ -1028,8 +1147,11 @@
 		g_free(watcher);
 	}
 	h1_listener_destroy(platform->store);
-	for (int i = 0; i < ENGINE_COUNT + PLAIN_COUNT; i++)
-		h1_listener_destroy(platform->servers[i].listener);
+	for (int i = 0; i < ENGINE_COUNT + PLAIN_COUNT; i++) {
+		if (platform->servers[i].listener != NULL)
+			h1_listener_destroy(platform->servers[i].listener);
+		loop_timer_destroy(platform->servers[i].back_timer);
+	}
 	for (guint i = 0; i < platform->changes->len; i++)
 		g_free(g_array_index(platform->changes, struct change, i).key);
 	g_array_free(platform->changes, TRUE);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -167,6 +167,24 @@
 	return text;
 }
 
+/*
+ * Starts a generation whose response is a few events; prompt lists the parts of
+ * its prompt.
+ */
+static inline void
+node_start_prompt(struct node_fixture *w, struct node_call *call,
+    const char *id, const char *prompt)
+{
+	char more[1024];
+
+	snprintf(more, sizeof(more),
+	    "Model: m\r\nToken-Usage: 40,80\r\nPrefix-Hash: %s\r\n"
+	    "Content-Length: 2\r\n\r\nhi",
+	    prompt);
+	node_call_send(w, call, w->front,
+	    node_request("POST", "/write/draft", id, NODE_KEY, 20000, more));
+}
+
 /*
  * Starts a generation whose response is a few events.
  */
@@ -174,10 +192,7 @@
 node_start_stream(
     struct node_fixture *w, struct node_call *call, const char *id)
 {
-	node_call_send(w, call, w->front,
-	    node_request("POST", "/write/draft", id, NODE_KEY, 20000,
-		"Model: m\r\nToken-Usage: 40,80\r\nPrefix-Hash: ab:40\r\n"
-		"Content-Length: 2\r\n\r\nhi"));
+	node_start_prompt(w, call, id, "ab:40");
 }
 
 /*
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -489,6 +489,108 @@
 }
 END_TEST
 
+/*
+ * Sends one generation and returns the status of its response; 0: it was cut
+ * before the head.
+ */
+static unsigned int
+send_prompt(struct node_fixture *w, const char *id, const char *prompt)
+{
+	struct node_call call;
+	unsigned int status;
+
+	node_start_prompt(w, &call, id, prompt);
+	node_call_wait(w, &call);
+	status = call.status;
+	lstr_buf_free(&call.body);
+	return status;
+}
+
+/* Guards against a request with a prompt header of the wrong form, or with very
+ * many parts, ending the node or being refused. */
+START_TEST(malformed_prompts_are_passed_on)
+{
+	static const char *const prompts[] = {"", ",", ":", "zz:1,ab:2", "ab",
+	    "ab:-1,cd:2", "ab:1,,cd:2",
+	    "0123456789abcdef0123456789abcdef:1,ab:2"};
+	struct node_fixture w;
+	struct lstr_buf many = {0};
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(prompts); i++)
+		ck_assert_uint_eq(send_prompt(&w, "form", prompts[i]), 200);
+	for (int i = 0; i < 80; i++)
+		lstr_buf_printf(&many, "%x:1,", i);
+	lstr_buf_printf(&many, "ab:1");
+	lstr_buf_append(&many, lstr_make("", 1));
+	ck_assert_uint_eq(send_prompt(&w, "many", many.data), 200);
+	lstr_buf_free(&many);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/*
+ * Guards against a stream without length and chunks that is passed on as
+ * complete although it was broken off, or is cut although it ended in order.
+ */
+START_TEST(unframed_streams_are_complete_or_resumed)
+{
+	static const enum fake_fault faults[] = {
+	    FAKE_UNFRAMED, FAKE_UNFRAMED_CUT, FAKE_UNFRAMED_RESET};
+	static const unsigned int events[] = {1, 4, EVENTS};
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		for (size_t k = 0; k < G_N_ELEMENTS(events); k++) {
+			struct node_call call;
+			char id[32];
+
+			snprintf(id, sizeof(id), "unframed-%zu-%zu", i, k);
+			fake_platform_set_engine_fault(
+			    w.platform, faults[i], events[k]);
+			node_start_stream(&w, &call, id);
+			node_call_wait(&w, &call);
+			ck_assert_uint_eq(call.status, 200);
+			ck_assert(call.complete);
+			check_events(&call);
+			ck_assert_uint_eq(
+			    fake_platform_run_count(w.platform, id),
+			    faults[i] == FAKE_UNFRAMED ? 1 : 2);
+			lstr_buf_free(&call.body);
+		}
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/*
+ * Guards against a plain answer without length that was reset and is passed on
+ * as complete, and against an order that is repeated because of it.
+ */
+START_TEST(unframed_plain_answers_are_complete_or_failed)
+{
+	struct node_fixture w;
+	struct node_call call;
+
+	node_fixture_start(&w);
+	fake_platform_set_plain_fault(w.platform, FAKE_UNFRAMED);
+	node_call_plain(&w, &call, "POST", "/order/1", "o1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 200);
+	ck_assert_str_eq(call.body.data, "a whole answer");
+	node_call_plain(&w, &call, "GET", "/look/1", "l1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 200);
+	ck_assert_str_eq(call.body.data, "a whole answer");
+	fake_platform_set_plain_fault(w.platform, FAKE_UNFRAMED_RESET);
+	node_call_plain(&w, &call, "POST", "/order/1", "o2", NODE_KEY);
+	ck_assert_uint_eq(call.status, 502);
+	ck_assert_uint_eq(fake_platform_run_count(w.platform, "o2"), 1);
+	node_call_plain(&w, &call, "GET", "/look/1", "l2", NODE_KEY);
+	ck_assert_uint_eq(call.status, 502);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* A non-idempotent request must not run twice, and must be reported as not run
  * (503) only if it did not run. */
 START_TEST(non_idempotent_request_without_response_runs_once)
@@ -758,7 +860,9 @@
     stream_with_an_event_that_is_never_completed_is_resumed,
     serves_address_lookup_readiness_and_metrics,
     metrics_match_the_documentation, stream_survives_an_unresponsive_engine,
-    stream_continues_after_a_partial_event,
+    stream_continues_after_a_partial_event, malformed_prompts_are_passed_on,
+    unframed_streams_are_complete_or_resumed,
+    unframed_plain_answers_are_complete_or_failed,
     stream_is_rerouted_around_an_unresponsive_engine,
     stream_is_resumed_when_a_reroute_is_refused,
     streams_are_moved_off_a_draining_engine,
