Refuse requests whose prompt has a part that ends servers

Cause: each crash was handled by itself. A request that had ended its server was sent to the next one, its retries used up the budget of all, and no node related the servers that ended to what they had in hand, nor heard of them from others. The class of the fault: a failure that belongs to the input is retried as if it belonged to the server. Change: quarantine holds each server that ends against the parts of the requests that it had in hand and had not begun to answer. A part is judged by the servers that ended since it last came through; three of them, six for a part that is known to be sound, confirm it. Evidence is exchanged in the reports between nodes, in rows of bounded number and size. Requests with a confirmed part get 400, after which callers do not come back; requests with a suspected part are sent once. A server at which a later request comes through had not ended. Of parts with the same crashes the deepest is the cause. Evidence lapses; a confirmed part is tried twice more.

--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -1447,6 +1447,51 @@
   assert(message->base.descriptor == &ch__node_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ch__part_evidence__init
+                     (Ch__PartEvidence         *message)
+{
+  static const Ch__PartEvidence init_value = CH__PART_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t ch__part_evidence__get_packed_size
+                     (const Ch__PartEvidence *message)
+{
+  assert(message->base.descriptor == &ch__part_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ch__part_evidence__pack
+                     (const Ch__PartEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ch__part_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ch__part_evidence__pack_to_buffer
+                     (const Ch__PartEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ch__part_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ch__PartEvidence *
+       ch__part_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ch__PartEvidence *)
+     protobuf_c_message_unpack (&ch__part_evidence__descriptor,
+                                allocator, len, data);
+}
+void   ch__part_evidence__free_unpacked
+                     (Ch__PartEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ch__part_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ch__store_changes__init
                      (Ch__StoreChanges         *message)
 {
@@ -4617,7 +4662,7 @@
   (ProtobufCMessageInit) ch__server_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[15] =
 {
   {
     "node",
@@ -4787,6 +4832,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ch__NodeReport, n_parts),
+    offsetof(Ch__NodeReport, parts),
+    &ch__part_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__node_report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -4798,6 +4855,7 @@
   9,   /* field[9] = heard_sequence */
   3,   /* field[3] = leaving */
   0,   /* field[0] = node */
+  14,   /* field[14] = parts */
   7,   /* field[7] = proof_age_msec */
   2,   /* field[2] = sequence */
   4,   /* field[4] = servers */
@@ -4807,7 +4865,7 @@
 static const ProtobufCIntRange ch__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ch__node_report__descriptor =
 {
@@ -4817,13 +4875,155 @@
   "Ch__NodeReport",
   "ch",
   sizeof(Ch__NodeReport),
-  14,
+  15,
   ch__node_report__field_descriptors,
   ch__node_report__field_indices_by_name,
   1,  ch__node_report__number_ranges,
   (ProtobufCMessageInit) ch__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ch__part_evidence__field_descriptors[9] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ch__PartEvidence, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ch__PartEvidence, n_server),
+    offsetof(Ch__PartEvidence, server),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ch__PartEvidence, n_request),
+    offsetof(Ch__PartEvidence, request),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_msec",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ch__PartEvidence, n_age_msec),
+    offsetof(Ch__PartEvidence, age_msec),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sound_age_msec",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__PartEvidence, sound_age_msec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_age_msec",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__PartEvidence, refused_age_msec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__PartEvidence, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "depth",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__PartEvidence, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alive",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__PartEvidence, alive),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ch__part_evidence__field_indices_by_name[] = {
+  3,   /* field[3] = age_msec */
+  8,   /* field[8] = alive */
+  7,   /* field[7] = depth */
+  0,   /* field[0] = part */
+  5,   /* field[5] = refused_age_msec */
+  2,   /* field[2] = request */
+  1,   /* field[1] = server */
+  4,   /* field[4] = sound_age_msec */
+  6,   /* field[6] = trials */
+};
+static const ProtobufCIntRange ch__part_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor ch__part_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ch.PartEvidence",
+  "PartEvidence",
+  "Ch__PartEvidence",
+  "ch",
+  sizeof(Ch__PartEvidence),
+  9,
+  ch__part_evidence__field_descriptors,
+  ch__part_evidence__field_indices_by_name,
+  1,  ch__part_evidence__number_ranges,
+  (ProtobufCMessageInit) ch__part_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ch__store_changes__field_descriptors[3] =
 {
   {
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -47,6 +47,7 @@
 typedef struct Ch__Frame Ch__Frame;
 typedef struct Ch__ServerUse Ch__ServerUse;
 typedef struct Ch__NodeReport Ch__NodeReport;
+typedef struct Ch__PartEvidence Ch__PartEvidence;
 typedef struct Ch__StoreChanges Ch__StoreChanges;
 typedef struct Ch__StoreItem Ch__StoreItem;
 
@@ -755,10 +756,53 @@
    * The report does not say what the sender uses.
    */
   protobuf_c_boolean brief;
+  /*
+   * Evidence against parts of prompts.
+   */
+  size_t n_parts;
+  Ch__PartEvidence **parts;
 };
 #define CH__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0, 0,NULL }
+
+
+/*
+ * Servers that ended while a request with the part was in hand, since it last
+ * came through.
+ */
+struct  Ch__PartEvidence
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  /*
+   * Hash of each server's process, hash of the request, and how long ago.
+   */
+  size_t n_server;
+  uint32_t *server;
+  size_t n_request;
+  uint32_t *request;
+  size_t n_age_msec;
+  uint32_t *age_msec;
+  /*
+   * How long ago the part last came through, and how long ago a request was last
+   * refused because of it, plus 1; 0: not known.
+   */
+  uint32_t sound_age_msec;
+  uint32_t refused_age_msec;
+  uint32_t trials;
+  /*
+   * Index of the part in its prompts.
+   */
+  uint32_t depth;
+  /*
+   * Bit i: server i has answered since.
+   */
+  uint32_t alive;
+};
+#define CH__PART_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ch__part_evidence__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1398,6 +1442,25 @@
 void   ch__node_report__free_unpacked
                      (Ch__NodeReport *message,
                       ProtobufCAllocator *allocator);
+/* Ch__PartEvidence methods */
+void   ch__part_evidence__init
+                     (Ch__PartEvidence         *message);
+size_t ch__part_evidence__get_packed_size
+                     (const Ch__PartEvidence   *message);
+size_t ch__part_evidence__pack
+                     (const Ch__PartEvidence   *message,
+                      uint8_t             *out);
+size_t ch__part_evidence__pack_to_buffer
+                     (const Ch__PartEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Ch__PartEvidence *
+       ch__part_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ch__part_evidence__free_unpacked
+                     (Ch__PartEvidence *message,
+                      ProtobufCAllocator *allocator);
 /* Ch__StoreChanges methods */
 void   ch__store_changes__init
                      (Ch__StoreChanges         *message);
@@ -1534,6 +1597,9 @@
 typedef void (*Ch__NodeReport_Closure)
                  (const Ch__NodeReport *message,
                   void *closure_data);
+typedef void (*Ch__PartEvidence_Closure)
+                 (const Ch__PartEvidence *message,
+                  void *closure_data);
 typedef void (*Ch__StoreChanges_Closure)
                  (const Ch__StoreChanges *message,
                   void *closure_data);
@@ -1584,6 +1650,7 @@
 extern const ProtobufCMessageDescriptor ch__frame__descriptor;
 extern const ProtobufCMessageDescriptor ch__server_use__descriptor;
 extern const ProtobufCMessageDescriptor ch__node_report__descriptor;
+extern const ProtobufCMessageDescriptor ch__part_evidence__descriptor;
 extern const ProtobufCMessageDescriptor ch__store_changes__descriptor;
 extern const ProtobufCMessageDescriptor ch__store_item__descriptor;
 
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -575,6 +575,7 @@
 		    gossip_live_count(gateway->config.gossip), now);
 		gateway_stream_expire(service, now);
 	}
+	gateway_quarantine_tick(gateway);
 	gateway_check_probation(gateway, now);
 	gateway_stream_dispatch(gateway);
 	for (guint i = 0; i < gateway->requests->len; i++) {
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -21,6 +21,7 @@
 	struct gossip *gossip;
 	const struct store_cache *store_cache;
 	const struct config_proof *config_proof;
+	struct quarantine *quarantine;
 	const char *place;
 	uint32_t seed;
 	/* API keys are accepted only while the configuration was confirmed
@@ -52,6 +53,7 @@
 	uint64_t events;
 	uint64_t no_proof;
 	uint64_t stray_answers;
+	uint64_t quarantined;
 };
 
 enum status gateway_create(const struct gateway_config *, struct gateway **);
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -144,6 +144,12 @@
 	struct pool_server *tried[GATEWAY_ATTEMPTS_MAX];
 	uint32_t sends;
 	bool may_have_run;
+	/* Attempts whose server seems to have ended before they came through.
+	 */
+	uint32_t cuts;
+	/* It is sent although a part of its prompt is confirmed to end servers,
+	 * to find out whether it still does. */
+	bool trial;
 	/* HTTP status of the last failed attempt and the address that it
 	 * named as the faulty server, for the log; 0: no response. */
 	unsigned int failure_status;
@@ -189,6 +195,8 @@
 	size_t body_bytes;
 	size_t response_bytes;
 	uint64_t start_sequence;
+	/* quarantine_confirmations() when the requests were last checked. */
+	uint64_t confirmations;
 	int64_t created_at;
 	bool draining;
 	/* When draining started and when the process exits. */
@@ -229,6 +237,13 @@
 void gateway_refuse_draining(struct gateway_request *);
 bool gateway_consume_retry(struct gateway_request *);
 
+/* Parts of prompts that end servers; see quarantine.h. */
+bool gateway_quarantine_admit(struct gateway_request *);
+bool gateway_quarantine_may_repeat(struct gateway_request *, bool not_run);
+void gateway_quarantine_note_sound(const struct gateway_request *);
+void gateway_quarantine_note_end(struct gateway_request *);
+void gateway_quarantine_tick(struct gateway *);
+
 /* Plain services: each response is buffered completely before it is sent. */
 void gateway_plain_start(struct gateway_request *);
 void gateway_plain_head(struct gateway_request *);
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -300,6 +300,7 @@
 		pool_note_result(attempt->server, false);
 		log_cut(request);
 	}
+	gateway_quarantine_note_end(request);
 	gateway_attempt_failed(request, not_sent,
 	    not_sent ? "server cannot be reached"
 		     : "connection ended before the answer");
@@ -468,6 +469,7 @@
 	    .earlier_may_have_run = request->may_have_run,
 	    .response_begun = request->response_started,
 	    .attempts_left = request->sends < GATEWAY_ATTEMPTS_MAX &&
+		gateway_quarantine_may_repeat(request, not_run) &&
 		count_live_servers(request, now) < request->route->attempts_max,
 	    .another_server_available = true,
 	    .time_left_usec = request->timeout_at - now,
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -362,6 +362,9 @@
 	bool first = request->sends == 0;
 	enum status status = STATUS_FULL;
 
+	if (first && !gateway_quarantine_admit(request))
+		return;
+
 	/* A request that was sent before precedes those not yet started. */
 	if (!first || sched_count(service->queue) == 0)
 		status = start_on_path(request);
@@ -538,7 +541,8 @@
 
 	request->gateway->counts.events++;
 	request->events++;
-	attempt->events++;
+	if (++attempt->events == QUARANTINE_SOUND_EVENTS)
+		gateway_quarantine_note_sound(request);
 	if (request->first_event_at == 0)
 		request->first_event_at = now;
 	else
@@ -655,6 +659,8 @@
 		return;
 	}
 	pool_note_result(attempt->server, true);
+	if (attempt->events < QUARANTINE_SOUND_EVENTS)
+		gateway_quarantine_note_sound(request);
 	gateway->counts.done++;
 	if (request->chunked)
 		h1_write(request->caller, lstr_from("0\r\n\r\n"));
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -70,6 +70,54 @@
 		    now);
 }
 
+/*
+ * Returns the time that is a reported age ago; see struct quarantine_row.
+ */
+static int64_t
+time_of_age(uint32_t age_msec, int64_t now)
+{
+	return age_msec == 0
+	    ? 0
+	    : MAX(now - (int64_t)(age_msec - 1) * LOOP_USEC_PER_MSEC, 1);
+}
+
+/*
+ * Decodes a peer's evidence against a part of prompts.
+ */
+static struct quarantine_row
+decode_evidence(const Ch__PartEvidence *from, int64_t now)
+{
+	struct quarantine_row row = {.part = from->part,
+	    .depth = from->depth,
+	    .trials = from->trials,
+	    .sound_at = time_of_age(from->sound_age_msec, now),
+	    .refused_at = time_of_age(from->refused_age_msec, now)};
+
+	for (size_t i = 0; i < from->n_server && i < from->n_request &&
+	     i < from->n_age_msec && i < QUARANTINE_CRASHES_MAX;
+	     i++)
+		row.crashes[row.crash_count++] =
+		    (struct quarantine_crash){from->server[i], from->request[i],
+			time_of_age(MAX(from->age_msec[i], 1u), now),
+			(from->alive >> i & 1) != 0};
+	return row;
+}
+
+/*
+ * Adds a peer's evidence against parts of prompts.
+ */
+static void
+apply_evidence(
+    const struct gossip *gossip, const Ch__NodeReport *report, int64_t now)
+{
+	struct quarantine_row rows[QUARANTINE_ROWS_MAX];
+	size_t count = MIN(report->n_parts, (size_t)QUARANTINE_ROWS_MAX);
+
+	for (size_t i = 0; i < count; i++)
+		rows[i] = decode_evidence(report->parts[i], now);
+	quarantine_merge(gossip->config.quarantine, rows, count, now);
+}
+
 /*
  * Passes on the proof in a report. Its age is subtracted from the time at which
  * this node sent the last report that the peer had received, since the peer
@@ -162,6 +210,7 @@
 	g_array_set_size(peer->uses, 0);
 	for (size_t i = 0; i < report->n_servers; i++)
 		apply_use(gossip, peer, report->servers[i], now);
+	apply_evidence(gossip, report, now);
 	gossip->sums_stale = true;
 }
 
--- a/src/node/gossip.h
+++ b/src/node/gossip.h
@@ -3,13 +3,14 @@
 
 #include "kv.h"
 #include "pool.h"
+#include "quarantine.h"
 
 /*
  * The nodes of the system and the reports that they exchange. Each node has an
  * entry in the store and sends a datagram to the other nodes several times a
- * second: its use of each backend server, which servers fail for it, and
- * whether it accepts connections. Reports contain the full state, so a lost
- * datagram is superseded by the next one.
+ * second: its use of each backend server, which servers fail for it, evidence
+ * against parts of prompts, and whether it accepts connections. Reports contain
+ * the full state, so a lost datagram is superseded by the next one.
  */
 
 /* Interval of reports; shorter than the lag of the engines' own reports. */
@@ -78,6 +79,7 @@
 	const char *place;
 	/* Identifies the process; larger after each restart. */
 	uint64_t boot;
+	struct quarantine *quarantine;
 	const struct gossip_ops *ops;
 	void *arg;
 };
--- a/src/node/gossip_report.c
+++ b/src/node/gossip_report.c
@@ -47,6 +47,43 @@
 	report->servers = pointers;
 }
 
+/*
+ * Returns the age of a time in milliseconds plus 1; 0: the time is not known.
+ */
+static uint32_t
+age_msec(int64_t at, int64_t now)
+{
+	return at == 0 ? 0 : (uint32_t)((now - at) / LOOP_USEC_PER_MSEC + 1);
+}
+
+/*
+ * Fills one row of evidence against a part of prompts. The arrays have room for
+ * all its crashes.
+ */
+static void
+fill_evidence(const struct quarantine_row *from, Ch__PartEvidence *to,
+    uint32_t *arrays, int64_t now)
+{
+	ch__part_evidence__init(to);
+	to->part = from->part;
+	to->server = arrays;
+	to->request = to->server + QUARANTINE_CRASHES_MAX;
+	to->age_msec = to->request + QUARANTINE_CRASHES_MAX;
+	to->n_server = from->crash_count;
+	to->n_request = from->crash_count;
+	to->n_age_msec = from->crash_count;
+	for (uint32_t i = 0; i < from->crash_count; i++) {
+		to->server[i] = from->crashes[i].server;
+		to->request[i] = from->crashes[i].request;
+		to->age_msec[i] = age_msec(from->crashes[i].at, now);
+		to->alive |= (uint32_t)from->crashes[i].alive << i;
+	}
+	to->sound_age_msec = age_msec(from->sound_at, now);
+	to->refused_age_msec = age_msec(from->refused_at, now);
+	to->trials = from->trials;
+	to->depth = from->depth;
+}
+
 /*
  * Fills the fields that all reports have in common.
  */
@@ -234,6 +271,10 @@
 {
 	guint count = g_hash_table_size(gossip->pool->by_id);
 	Ch__NodeReport report = CH__NODE_REPORT__INIT;
+	struct quarantine_row evidence[QUARANTINE_ROWS_MAX];
+	Ch__PartEvidence parts[QUARANTINE_ROWS_MAX];
+	Ch__PartEvidence *part_pointers[QUARANTINE_ROWS_MAX];
+	uint32_t arrays[QUARANTINE_ROWS_MAX][3 * QUARANTINE_CRASHES_MAX];
 	Ch__ServerUse *rows;
 	Ch__ServerUse **pointers;
 	uint8_t *bytes;
@@ -249,6 +290,13 @@
 	gossip->sent_times[gossip->sequence % GOSSIP_SENT_TIMES_MAX] = now;
 	fill_head(gossip, &report);
 	fill_report(gossip, &report, rows, pointers, now);
+	report.n_parts = quarantine_fill(gossip->config.quarantine,
+	    gossip->sequence, now, evidence, QUARANTINE_ROWS_MAX);
+	report.parts = part_pointers;
+	for (size_t i = 0; i < report.n_parts; i++) {
+		fill_evidence(&evidence[i], &parts[i], arrays[i], now);
+		part_pointers[i] = &parts[i];
+	}
 	bytes = g_malloc(ch__node_report__get_packed_size(&report));
 	send_to_peers(gossip, bytes, ch__node_report__pack(&report, bytes));
 	g_free(bytes);
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -119,6 +119,13 @@
 	    {"streams_moved_total", (int64_t)gateway->resumed},
 	    {"stream_events_total", (int64_t)gateway->events},
 	    {"stray_answers_total", (int64_t)gateway->stray_answers},
+	    {"requests_quarantined_total", (int64_t)gateway->quarantined},
+	    {"parts_suspected",
+		(int64_t)quarantine_count(
+		    node->quarantine, QUARANTINE_SUSPECTED)},
+	    {"parts_confirmed",
+		(int64_t)quarantine_count(
+		    node->quarantine, QUARANTINE_CONFIRMED)},
 	    {"requests_active", (int64_t)gateway_count_active(node->gateway)},
 	    {"requests_waiting", (int64_t)gateway_count_waiting(node->gateway)},
 	    {"connections_accepted_total", (int64_t)h1->accepted},
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -15,6 +15,7 @@
 	struct kv *kv;
 	struct store_cache *store_cache;
 	struct pool *pool;
+	struct quarantine *quarantine;
 	struct gossip *gossip;
 	struct lease_key *entry;
 	struct planner *planner;
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -14,6 +14,7 @@
 struct member {
 	struct gossip *gossip;
 	struct pool *pool;
+	struct quarantine *quarantine;
 	struct gossip_proof proof;
 	char name[16];
 	char place[8];
@@ -79,6 +80,7 @@
 		    .front = member->front,
 		    .place = member->place,
 		    .boot = 1,
+		    .quarantine = quarantine_new(NULL, NULL),
 		    .ops = &ops,
 		    .arg = member};
 
@@ -87,6 +89,7 @@
 		    i * PLACES / NODES);
 		snprintf(member->front, sizeof(member->front), "%s:%u",
 		    fleet->ip, (unsigned int)config.port);
+		member->quarantine = config.quarantine;
 		member->pool = pool_new();
 		ck_assert_int_eq(gossip_create(fleet->loop, &config,
 				     member->pool, &member->gossip),
@@ -105,6 +108,7 @@
 {
 	for (int i = 0; i < NODES; i++) {
 		gossip_destroy(fleet->members[i].gossip);
+		quarantine_free(fleet->members[i].quarantine);
 		pool_free(fleet->members[i].pool);
 	}
 	loop_destroy(fleet->loop);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -489,6 +489,24 @@
 }
 END_TEST
 
+/* Requests with a deadly part that may be sent; see BUDGET in the users' rules:
+ * five crashes and three requests after them. */
+#define DEADLY_SENT_MAX 8
+#define DEADLY_REQUESTS 50
+#define DEADLY_PAUSE_USEC (200 * LOOP_USEC_PER_MSEC)
+
+/*
+ * Lets time pass in the loop of the test.
+ */
+static void
+pause_for(struct node_fixture *w, int64_t usec)
+{
+	int64_t end = loop_now(w->loop) + usec;
+
+	while (loop_now(w->loop) < end)
+		loop_run_once(w->loop, end);
+}
+
 /*
  * Sends one generation and returns the status of its response; 0: it was cut
  * before the head.
@@ -506,6 +524,53 @@
 	return status;
 }
 
+/*
+ * Guards against requests of one kind that end one engine after the other:
+ * after a few crashes they are refused at once with a status after which
+ * callers do not come back, and requests that share their other parts are
+ * served.
+ */
+START_TEST(requests_with_a_part_that_ends_engines_are_refused)
+{
+	struct node_fixture w;
+	unsigned int sent = 0;
+	unsigned int status = 0;
+	char *log;
+
+	node_fixture_start(&w);
+	fake_platform_set_engine_fault(w.platform, FAKE_DEADLY, 1);
+	for (int i = 0; i < DEADLY_REQUESTS; i++) {
+		char id[32];
+		char prompt[64];
+
+		snprintf(id, sizeof(id), "deadly-%d", i);
+		snprintf(prompt, sizeof(prompt),
+		    "ab:10," FAKE_DEADLY_PART ":10,%x:20", 0x1000 + i);
+		status = send_prompt(&w, id, prompt);
+		sent += fake_platform_run_count(w.platform, id);
+		pause_for(&w, DEADLY_PAUSE_USEC);
+	}
+	ck_assert_uint_eq(status, 400);
+	ck_assert_uint_ge(sent, 1);
+	ck_assert_uint_le(sent, DEADLY_SENT_MAX);
+	node_wait_until_serving(&w);
+	for (int i = 0; i < EVENTS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "sound-%d", i);
+		ck_assert_uint_eq(send_prompt(&w, id, "ab:10,77:30"), 200);
+		ck_assert_uint_eq(fake_platform_run_count(w.platform, id), 1);
+	}
+	log = node_read_log(&w);
+	ck_assert_ptr_nonnull(
+	    strstr(log, "\"name\":\"part-confirmed\",\"part\":\"dead\""));
+	ck_assert_ptr_null(
+	    strstr(log, "\"name\":\"part-confirmed\",\"part\":\"ab\""));
+	g_free(log);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against a request with a prompt header of the wrong form, or with very
  * many parts, ending the node or being refused. */
 START_TEST(malformed_prompts_are_passed_on)
@@ -860,8 +925,9 @@
     stream_with_an_event_that_is_never_completed_is_resumed,
     serves_address_lookup_readiness_and_metrics,
     metrics_match_the_documentation, stream_survives_an_unresponsive_engine,
-    stream_continues_after_a_partial_event, malformed_prompts_are_passed_on,
-    unframed_streams_are_complete_or_resumed,
+    stream_continues_after_a_partial_event,
+    requests_with_a_part_that_ends_engines_are_refused,
+    malformed_prompts_are_passed_on, unframed_streams_are_complete_or_resumed,
     unframed_plain_answers_are_complete_or_failed,
     stream_is_rerouted_around_an_unresponsive_engine,
     stream_is_resumed_when_a_reroute_is_refused,
