Keep the evidence against confirmed parts in the store

Cause: the evidence was in the memory of the nodes only. The class of the fault: state that must outlive a process and has no place that does. Change: the planner writes the evidence against confirmed parts to one key whenever it changes, at most once a second; all nodes read it with the rest of the store, as evidence of a peer. The time for evidence to settle and the time for peers to contradict it run at the same time. Tests are linked from their own sources, also if the dependency files name included ones by tests/../src.

--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 $(BUILD)/tests/%: tests/%.c $(LIB)
 	@mkdir -p $(@D)
 	@echo "  LD $@"
-	@$(CC) $(ALL_CFLAGS) -o $@ $(filter tests/%.c,$^) $(LIB) $(PKG_LIBS) \
+	@$(CC) $(ALL_CFLAGS) -o $@ $(filter-out tests/../%,$(filter tests/%.c,$^)) $(LIB) $(PKG_LIBS) \
 	    $(CHECK_LIBS)
 
 $(BUILD)/tests/test_node: tests/fakes/platform_model.c
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -213,6 +213,8 @@
 		gossip_put(node->gossip, key_suffix(key, GOSSIP_PREFIX), value);
 	else if (lstr_equal_c(key, PLANNER_KEY))
 		planner_note_holder(node->planner, value, version);
+	else if (lstr_equal_c(key, QUARANTINE_STORE_KEY))
+		quarantine_store_read(node->quarantine_store, value, version);
 }
 
 /*
@@ -249,6 +251,9 @@
 		gossip_remove(node->gossip, key_suffix(key, GOSSIP_PREFIX));
 	else if (lstr_equal_c(key, PLANNER_KEY))
 		planner_note_holder(node->planner, lstr_make("", 0), 0);
+	else if (lstr_equal_c(key, QUARANTINE_STORE_KEY))
+		quarantine_store_read(
+		    node->quarantine_store, lstr_make("", 0), 0);
 }
 
 /*
@@ -424,6 +429,8 @@
 	if (now - node->last_sweep_at >= SWEEP_USEC) {
 		node->last_sweep_at = now;
 		drop_expired_servers(node);
+		quarantine_store_tick(
+		    node->quarantine_store, planner_is_leader(node->planner));
 		h1_listener_check_timeouts(node->front);
 		h1_listener_check_timeouts(node->ready);
 		h1_listener_check_timeouts(node->lookup);
@@ -646,6 +653,8 @@
 	if (status == STATUS_OK)
 		status = gossip_create(
 		    node->loop, &gossip, node->pool, &node->gossip);
+	node->quarantine_store =
+	    quarantine_store_new(node->loop, node->kv, node->quarantine);
 	planner.kv = node->kv;
 	planner.gossip = node->gossip;
 	planner.pool = node->pool;
@@ -809,6 +818,7 @@
 	lease_key_destroy(node->entry);
 	store_cache_destroy(node->store_cache);
 	gossip_destroy(node->gossip);
+	quarantine_store_free(node->quarantine_store);
 	quarantine_free(node->quarantine);
 	pool_free(node->pool);
 	fetch_destroy(node->fetch);
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -4,6 +4,7 @@
 #include "gateway.h"
 #include "node.h"
 #include "planner.h"
+#include "quarantine_store.h"
 
 struct node {
 	struct node_options options;
@@ -16,6 +17,7 @@
 	struct store_cache *store_cache;
 	struct pool *pool;
 	struct quarantine *quarantine;
+	struct quarantine_store *quarantine_store;
 	struct gossip *gossip;
 	struct lease_key *entry;
 	struct planner *planner;
--- a/src/node/quarantine.c
+++ b/src/node/quarantine.c
@@ -30,6 +30,8 @@
 	/* When this node last saw a server end. */
 	int64_t last_crash_at;
 	uint64_t confirmations;
+	/* See quarantine_changes(). */
+	uint64_t changes;
 };
 
 /*
@@ -158,8 +160,10 @@
 		return;
 	entry->state = state;
 	quarantine->confirmations += state == QUARANTINE_CONFIRMED;
-	if (before == QUARANTINE_CONFIRMED || state == QUARANTINE_CONFIRMED)
+	if (before == QUARANTINE_CONFIRMED || state == QUARANTINE_CONFIRMED) {
+		quarantine->changes++;
 		collect_explained(quarantine);
+	}
 	if (quarantine->ops != NULL)
 		quarantine->ops->changed(
 		    &entry->row, state, reason, quarantine->arg);
@@ -172,7 +176,7 @@
 static bool
 is_proved(const struct quarantine *quarantine, struct entry *entry, int64_t now)
 {
-	if (!quarantine_row_is_proved(&entry->row, quarantine->explained, now))
+	if (!quarantine_row_is_proved(&entry->row, quarantine->explained))
 		entry->proved_since = 0;
 	else if (entry->proved_since == 0)
 		entry->proved_since = now;
@@ -229,6 +233,17 @@
 	return deepest;
 }
 
+/*
+ * Returns whether peers have had the time to report that a part with sufficient
+ * evidence has come through.
+ */
+static bool
+has_settled(const struct entry *entry, int64_t now)
+{
+	return now - entry->row.crashes[0].at >= QUARANTINE_SETTLE_USEC &&
+	    now - entry->proved_since >= QUARANTINE_CONFIRM_DELAY_USEC;
+}
+
 /*
  * Updates the states of all parts after evidence has changed or time has
  * passed. A confirmed part is released only when it comes through, its evidence
@@ -242,7 +257,7 @@
 	gpointer value;
 
 	while ((proved = find_deepest_proved(quarantine, now)) != NULL &&
-	    now - proved->proved_since >= QUARANTINE_CONFIRM_DELAY_USEC) {
+	    has_settled(proved, now)) {
 		proved->confirmed_at = now;
 		set_state(quarantine, proved, QUARANTINE_CONFIRMED,
 		    "does not come through");
@@ -522,6 +537,7 @@
 	    tried->trial_until > now || now < next_trial_at(&tried->row))
 		return false;
 	tried->row.trials++;
+	quarantine->changes++;
 	tried->trial_until = now + QUARANTINE_TRIAL_TIMEOUT_USEC;
 	tried->changed_at = now;
 	tried->reported_at = 0;
@@ -675,6 +691,7 @@
 	if (row.trials > entry->row.trials && entry->row.crash_count > 0) {
 		entry->row.trials =
 		    MIN(row.trials, (uint32_t)QUARANTINE_TRIALS_MAX);
+		quarantine->changes++;
 		changed = true;
 	}
 	if (changed) {
@@ -726,6 +743,37 @@
 	return quarantine->confirmations;
 }
 
+/*
+ * Returns a number that changes with each part that is confirmed or released,
+ * and with each trial.
+ */
+uint64_t
+quarantine_changes(const struct quarantine *quarantine)
+{
+	return quarantine->changes;
+}
+
+/*
+ * Copies the evidence against confirmed parts. Returns the number of rows.
+ */
+size_t
+quarantine_fill_confirmed(const struct quarantine *quarantine,
+    struct quarantine_row *rows, size_t max)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry *entry = value;
+
+		if (entry->state == QUARANTINE_CONFIRMED && count < max)
+			rows[count++] = entry->row;
+	}
+	return count;
+}
+
 /*
  * Writes the identifier of a part as it is in requests.
  */
--- a/src/node/quarantine.h
+++ b/src/node/quarantine.h
@@ -152,6 +152,9 @@
     size_t count, int64_t now);
 uint32_t quarantine_count(const struct quarantine *, enum quarantine_state);
 uint64_t quarantine_confirmations(const struct quarantine *);
+uint64_t quarantine_changes(const struct quarantine *);
+size_t quarantine_fill_confirmed(
+    const struct quarantine *, struct quarantine_row *rows, size_t max);
 void quarantine_format_part(
     uint64_t part, char text[QUARANTINE_PART_TEXT_SIZE]);
 
@@ -173,6 +176,6 @@
 uint32_t quarantine_row_unexplained(
     const struct quarantine_row *, const GArray *explained);
 bool quarantine_row_is_proved(
-    const struct quarantine_row *, const GArray *explained, int64_t now);
+    const struct quarantine_row *, const GArray *explained);
 
 #endif
--- a/src/node/quarantine_row.c
+++ b/src/node/quarantine_row.c
@@ -98,7 +98,7 @@
  */
 bool
 quarantine_row_is_proved(
-    const struct quarantine_row *row, const GArray *explained, int64_t now)
+    const struct quarantine_row *row, const GArray *explained)
 {
 	struct summary sum = summarize(row, explained);
 	uint32_t needed = row->sound_at == 0 ? QUARANTINE_CONFIRM_CRASHES
@@ -106,8 +106,7 @@
 
 	return sum.moments >= needed &&
 	    sum.requests >= QUARANTINE_CONFIRM_REQUESTS &&
-	    sum.unexplained >= QUARANTINE_CONFIRM_UNEXPLAINED &&
-	    now - row->crashes[0].at >= QUARANTINE_SETTLE_USEC;
+	    sum.unexplained >= QUARANTINE_CONFIRM_UNEXPLAINED;
 }
 
 /*
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -525,34 +525,45 @@
 }
 
 /*
- * Guards against requests of one kind that end one engine after the other:
- * after a few crashes they are refused at once with a status after which
- * callers do not come back, and requests that share their other parts are
- * served.
+ * Sends requests with a deadly part until they are refused with 400, and checks
+ * how many reach the engines.
  */
-START_TEST(requests_with_a_part_that_ends_engines_are_refused)
+static void
+send_until_refused(struct node_fixture *w)
 {
-	struct node_fixture w;
 	unsigned int sent = 0;
 	unsigned int status = 0;
-	char *log;
 
-	node_fixture_start(&w);
-	fake_platform_set_engine_fault(w.platform, FAKE_DEADLY, 1);
-	for (int i = 0; i < DEADLY_REQUESTS; i++) {
+	fake_platform_set_engine_fault(w->platform, FAKE_DEADLY, 1);
+	for (int i = 0; i < DEADLY_REQUESTS && status != 400; i++) {
 		char id[32];
 		char prompt[64];
 
 		snprintf(id, sizeof(id), "deadly-%d", i);
 		snprintf(prompt, sizeof(prompt),
 		    "ab:10," FAKE_DEADLY_PART ":10,%x:20", 0x1000 + i);
-		status = send_prompt(&w, id, prompt);
-		sent += fake_platform_run_count(w.platform, id);
-		pause_for(&w, DEADLY_PAUSE_USEC);
+		status = send_prompt(w, id, prompt);
+		sent += fake_platform_run_count(w->platform, id);
+		pause_for(w, DEADLY_PAUSE_USEC);
 	}
 	ck_assert_uint_eq(status, 400);
 	ck_assert_uint_ge(sent, 1);
 	ck_assert_uint_le(sent, DEADLY_SENT_MAX);
+}
+
+/*
+ * Guards against requests of one kind that end one engine after the other:
+ * after a few crashes they are refused at once with a status after which
+ * callers do not come back, and requests that share their other parts are
+ * served.
+ */
+START_TEST(requests_with_a_part_that_ends_engines_are_refused)
+{
+	struct node_fixture w;
+	char *log;
+
+	node_fixture_start(&w);
+	send_until_refused(&w);
 	node_wait_until_serving(&w);
 	for (int i = 0; i < EVENTS; i++) {
 		char id[32];
@@ -571,6 +582,51 @@
 }
 END_TEST
 
+/*
+ * Returns whether the node's log has a line, after which it has written what it
+ * refuses to the store.
+ */
+static bool
+parts_are_stored(void *arg)
+{
+	char *log = node_read_log(arg);
+	bool stored = strstr(log,
+			  "\"name\":\"quarantine-stored\",\"status\":\"ok\","
+			  "\"parts\":1") != NULL;
+
+	g_free(log);
+	return stored;
+}
+
+/*
+ * Guards against nodes that all start again and end as many engines as before
+ * until they refuse a part again.
+ */
+START_TEST(refused_part_is_known_after_all_nodes_were_killed)
+{
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	send_until_refused(&w);
+	ck_assert(harness_wait(w.loop, parts_are_stored, &w));
+	kill(w.pid, SIGKILL);
+	waitpid(w.pid, NULL, 0);
+	node_spawn(&w);
+	node_wait_until_serving(&w);
+	pause_for(&w, DEADLY_PAUSE_USEC * 2);
+	for (int i = 0; i < EVENTS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "again-%d", i);
+		ck_assert_uint_eq(
+		    send_prompt(&w, id, "ab:10," FAKE_DEADLY_PART ":10,9:1"),
+		    400);
+		ck_assert_uint_eq(fake_platform_run_count(w.platform, id), 0);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against a request with a prompt header of the wrong form, or with very
  * many parts, ending the node or being refused. */
 START_TEST(malformed_prompts_are_passed_on)
@@ -927,6 +983,7 @@
     metrics_match_the_documentation, stream_survives_an_unresponsive_engine,
     stream_continues_after_a_partial_event,
     requests_with_a_part_that_ends_engines_are_refused,
+    refused_part_is_known_after_all_nodes_were_killed,
     malformed_prompts_are_passed_on, unframed_streams_are_complete_or_resumed,
     unframed_plain_answers_are_complete_or_failed,
     stream_is_rerouted_around_an_unresponsive_engine,
