--- a/src/node/quarantine.h
+++ b/src/node/quarantine.h
@@ -158,24 +158,4 @@
 void quarantine_format_part(
     uint64_t part, char text[QUARANTINE_PART_TEXT_SIZE]);
 
-/* Evidence in one row; see quarantine_row.c. */
-
-/* Time in which a confirmed part explains why servers ended. */
-struct quarantine_span {
-	int64_t from;
-	int64_t until;
-};
-
-bool quarantine_row_add(
-    struct quarantine_row *, const struct quarantine_crash *);
-void quarantine_row_drop(struct quarantine_row *, int64_t until);
-int64_t quarantine_row_last_at(const struct quarantine_row *);
-bool quarantine_row_includes(
-    const struct quarantine_row *, const struct quarantine_row *other);
-uint32_t quarantine_row_moments(const struct quarantine_row *);
-uint32_t quarantine_row_unexplained(
-    const struct quarantine_row *, const GArray *explained);
-bool quarantine_row_is_proved(
-    const struct quarantine_row *, const GArray *explained);
-
 #endif
--- a/src/node/quarantine_row.c
+++ b/src/node/quarantine_row.c
@@ -1,4 +1,4 @@
-#include "quarantine.h"
+#include "quarantine_priv.h"
 
 /* What the crashes in a row amount to. */
 struct summary {
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -6,7 +6,7 @@
 #define SEEDS 6
 #define RUN_USEC (30 * SIM_SECOND_USEC)
 /* For a large fleet, which takes longer to simulate. */
-#define LARGE_RUN_USEC (12 * SIM_SECOND_USEC)
+#define LARGE_RUN_USEC (9 * SIM_SECOND_USEC)
 /* Requests with a deadly part that may be sent after the fifth crash; see
  * BUDGET in the users' rules. */
 #define SENT_AFTER_FIFTH_MAX 3
