Limit the time that a confirmed part explains to its evidence

What callers saw: nothing yet; found while the evaluation was read again. A node that starts would refuse one of several parts only. Cause: a confirmed part explained all servers that ended until it was confirmed. A node that starts confirms it when it hears of it, long after, and then takes the evidence against a later part as explained. Change: the explained time ends after the crash that made the evidence sufficient and the time for it to settle.

--- a/src/node/quarantine_evaluate.c
+++ b/src/node/quarantine_evaluate.c
@@ -1,7 +1,8 @@
 #include "quarantine_priv.h"
 
 /*
- * Collects the times in which confirmed parts explain why servers ended.
+ * Collects the times in which confirmed parts explain why servers ended. A node
+ * that has started confirms them later than the others.
  */
 static void
 collect_explained(struct quarantine *quarantine)
@@ -15,7 +16,11 @@
 		const struct quarantine_entry *entry = value;
 		struct quarantine_span span = {
 		    entry->row.crashes[0].at - QUARANTINE_SAME_MOMENT_USEC,
-		    entry->confirmed_at + QUARANTINE_EXPLAINED_USEC};
+		    MIN(entry->confirmed_at,
+			quarantine_row_proved_at(&entry->row) +
+			    QUARANTINE_SETTLE_USEC +
+			    QUARANTINE_CONFIRM_DELAY_USEC) +
+			QUARANTINE_EXPLAINED_USEC};
 
 		if (entry->state == QUARANTINE_CONFIRMED)
 			g_array_append_val(quarantine->explained, span);
--- a/src/node/quarantine_priv.h
+++ b/src/node/quarantine_priv.h
@@ -60,6 +60,7 @@
     struct quarantine_row *, const struct quarantine_crash *);
 void quarantine_row_drop(struct quarantine_row *, int64_t until);
 int64_t quarantine_row_last_at(const struct quarantine_row *);
+int64_t quarantine_row_proved_at(const struct quarantine_row *);
 bool quarantine_row_includes(
     const struct quarantine_row *, const struct quarantine_row *other);
 uint32_t quarantine_row_moments(const struct quarantine_row *);
--- a/src/node/quarantine_row.c
+++ b/src/node/quarantine_row.c
@@ -93,6 +93,27 @@
 	return summarize(row, explained).unexplained;
 }
 
+/*
+ * Returns the number of servers that must have ended.
+ */
+static uint32_t
+needed_crashes(const struct quarantine_row *row)
+{
+	return row->sound_at == 0 ? QUARANTINE_CONFIRM_CRASHES
+				  : QUARANTINE_CONFIRM_KNOWN_CRASHES;
+}
+
+/*
+ * Returns the time from which the evidence in a row may have been sufficient.
+ */
+int64_t
+quarantine_row_proved_at(const struct quarantine_row *row)
+{
+	uint32_t last = MIN(needed_crashes(row), row->crash_count);
+
+	return last == 0 ? 0 : row->crashes[last - 1].at;
+}
+
 /*
  * Returns whether the evidence in a row is sufficient.
  */
@@ -101,10 +122,8 @@
     const struct quarantine_row *row, const GArray *explained)
 {
 	struct summary sum = summarize(row, explained);
-	uint32_t needed = row->sound_at == 0 ? QUARANTINE_CONFIRM_CRASHES
-					     : QUARANTINE_CONFIRM_KNOWN_CRASHES;
 
-	return sum.moments >= needed &&
+	return sum.moments >= needed_crashes(row) &&
 	    sum.requests >= QUARANTINE_CONFIRM_REQUESTS &&
 	    sum.unexplained >= QUARANTINE_CONFIRM_UNEXPLAINED;
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -306,6 +306,35 @@
 }
 END_TEST
 
+/* Guards against a node that starts and takes the evidence against one part for
+ * an explanation of all that happened until it heard of it. */
+START_TEST(node_that_starts_learns_all_confirmed_parts)
+{
+	const uint64_t parts[] = {1, 2};
+	struct quarantine_row rows[QUARANTINE_ROWS_MAX];
+	struct quarantine *quarantine = quarantine_new(NULL, NULL);
+	struct quarantine *started = quarantine_new(NULL, NULL);
+	int64_t now = SIM_START_USEC;
+	size_t count;
+
+	for (uint32_t i = 0; i < 2; i++) {
+		now = crash_servers(
+		    quarantine, &parts[i], 1, 10 * (i + 1), 4, now);
+		now += 5 * SIM_SECOND_USEC;
+		quarantine_tick(quarantine, now);
+	}
+	ck_assert_uint_eq(
+	    quarantine_count(quarantine, QUARANTINE_CONFIRMED), 2);
+	count = quarantine_fill(quarantine, 0, now, rows, QUARANTINE_ROWS_MAX);
+	quarantine_merge(started, rows, count, now);
+	quarantine_tick(started, now + SIM_SECOND_USEC);
+	quarantine_tick(started, now + 2 * SIM_SECOND_USEC);
+	ck_assert_uint_eq(quarantine_count(started, QUARANTINE_CONFIRMED), 2);
+	quarantine_free(started);
+	quarantine_free(quarantine);
+}
+END_TEST
+
 /* Guards against malformed reports of a peer. */
 START_TEST(malformed_rows_are_accepted_without_harm)
 {
@@ -339,4 +368,5 @@
     part_is_released_when_it_comes_through_or_servers_answer,
     confirmed_part_is_tried_again_rarely, evidence_lapses,
     made_up_parts_do_not_displace_evidence,
+    node_that_starts_learns_all_confirmed_parts,
     malformed_rows_are_accepted_without_harm)
