Read the change again: log of parts apart, ages limited, comments

Cause: node.c grew by the log of suspected parts. The age of a time in a report wrapped after 49.7 days, so that a part which came through long ago would have seemed to have just done so, and evidence against it been dropped. Two comments needed a second reading. Change: quarantine_log has the log lines; ages are limited to what a report holds; both comments reworded.

--- a/src/node/gossip_report.c
+++ b/src/node/gossip_report.c
@@ -48,12 +48,15 @@
 }
 
 /*
- * Returns the age of a time in milliseconds plus 1; 0: the time is not known.
+ * Returns the age of a time in milliseconds plus 1, limited to what a report
+ * can hold; 0: the time is not known.
  */
 static uint32_t
 age_msec(int64_t at, int64_t now)
 {
-	return at == 0 ? 0 : (uint32_t)((now - at) / LOOP_USEC_PER_MSEC + 1);
+	int64_t age = (now - at) / LOOP_USEC_PER_MSEC;
+
+	return at == 0 ? 0 : (uint32_t)MIN(age, (int64_t)UINT32_MAX - 1) + 1;
 }
 
 /*
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -585,37 +585,6 @@
 		    node->store_cache, after, revision, items, count);
 }
 
-/*
- * Logs that a part of prompts has come under suspicion, is confirmed to end
- * servers, or is released, with the evidence.
- */
-static void
-on_part_changed(const struct quarantine_row *row, enum quarantine_state state,
-    const char *reason, void *arg)
-{
-	const struct node *node = arg;
-	int64_t now = loop_now(node->loop);
-	enum log_event event = state == QUARANTINE_CLEAR ? EV_PART_RELEASED
-	    : state == QUARANTINE_CONFIRMED		 ? EV_PART_CONFIRMED
-							 : EV_PART_SUSPECTED;
-	char part[QUARANTINE_PART_TEXT_SIZE];
-	uint32_t last = row->crash_count > 0 ? row->crash_count - 1 : 0;
-
-	quarantine_format_part(row->part, part);
-	slog_event(event, "{s:s, s:s, s:i, s:I, s:I, s:i}", "part", part,
-	    "reason", reason, "servers", (int)row->crash_count, "first_ms",
-	    row->crash_count > 0
-		? (json_int_t)((now - row->crashes[0].at) / LOOP_USEC_PER_MSEC)
-		: (json_int_t)-1,
-	    "last_ms",
-	    row->crash_count > 0 ? (json_int_t)((now - row->crashes[last].at) /
-				       LOOP_USEC_PER_MSEC)
-				 : (json_int_t)-1,
-	    "trials", (int)row->trials);
-}
-
-static const struct quarantine_ops quarantine_ops = {on_part_changed};
-
 static const struct gossip_ops gossip_ops = {
     get_proof, on_peer_proof, on_peer_changes};
 
@@ -641,7 +610,7 @@
 	enum status status;
 
 	node->pool = pool_new();
-	node->quarantine = quarantine_new(&quarantine_ops, node);
+	node->quarantine = quarantine_new(&quarantine_log_ops, node->loop);
 	gossip.quarantine = node->quarantine;
 	status = loop_timer_create(
 	    node->loop, on_config_timer, node, &node->config_timer);
--- a/src/node/quarantine.h
+++ b/src/node/quarantine.h
@@ -17,8 +17,8 @@
  * A sound part, also one that many requests share, comes through again soon,
  * which clears it; a part that ends servers never does. A part is therefore
  * judged by the servers that ended since it last came through, and one that has
- * come through before needs more of them. What ends while a part is deadly that
- * has been confirmed is not sufficient evidence against others.
+ * come through before needs more of them. Servers that ended while a confirmed
+ * part was the cause are not sufficient evidence against others.
  *
  * All nodes exchange their evidence in rows of bounded size. Rows may be merged
  * in any order and any number of times. Times in them are as exact as the
@@ -131,6 +131,9 @@
 
 struct quarantine;
 
+/* Logs the changes; arg is the struct loop whose time is used. */
+extern const struct quarantine_ops quarantine_log_ops;
+
 struct quarantine *quarantine_new(const struct quarantine_ops *, void *arg);
 void quarantine_free(struct quarantine *);
 bool quarantine_note_sound(
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -585,8 +585,8 @@
 END_TEST
 
 /*
- * Returns whether the node's log has a line, after which it has written what it
- * refuses to the store.
+ * Returns whether the node has logged that it wrote what it refuses to the
+ * store.
  */
 static bool
 parts_are_stored(void *arg)
