Read the parts of a prompt also beside spaces and malformed entries

What callers saw: nothing yet. Requests whose header has a space after a comma, as lists in headers may, or one malformed entry, would end servers as before the quarantine: none of their parts was read. Cause: one entry that cannot be read made the adapter ignore the whole header, and spaces around an entry counted as malformed. Ruled out: refusing such headers, which servers may accept.

--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -107,6 +107,7 @@
 void h1_header_at(
     const struct h1_conn *, size_t, struct lstr *name, struct lstr *value);
 bool h1_find_header(const struct h1_conn *, const char *, struct lstr *value);
+bool h1_list_next(struct lstr *rest, struct lstr *entry);
 bool h1_list_contains_token(struct lstr list, struct lstr token);
 
 #endif
--- a/src/node/h1_message.c
+++ b/src/node/h1_message.c
@@ -148,6 +148,35 @@
 	return false;
 }
 
+/*
+ * Takes the next entry from a comma-separated list, without the spaces and tabs
+ * around it. Returns false at the end; after the last entry, rest->data is
+ * NULL.
+ */
+bool
+h1_list_next(struct lstr *rest, struct lstr *entry)
+{
+	const char *comma;
+
+	if (rest->data == NULL)
+		return false;
+	comma = rest->len == 0 ? NULL : memchr(rest->data, ',', rest->len);
+	*entry = *rest;
+	if (comma != NULL)
+		entry->len = (size_t)(comma - rest->data);
+	*rest = comma == NULL
+	    ? (struct lstr){NULL, 0}
+	    : lstr_make(comma + 1, rest->len - entry->len - 1);
+	while (
+	    entry->len > 0 && (entry->data[0] == ' ' || entry->data[0] == '\t'))
+		*entry = lstr_make(entry->data + 1, entry->len - 1);
+	while (entry->len > 0 &&
+	    (entry->data[entry->len - 1] == ' ' ||
+		entry->data[entry->len - 1] == '\t'))
+		entry->len--;
+	return true;
+}
+
 /*
  * Returns whether a comma-separated list, such as the value of Connection,
  * contains a token, ignoring case.
@@ -155,25 +184,12 @@
 bool
 h1_list_contains_token(struct lstr list, struct lstr token)
 {
-	size_t at = 0;
-
-	while (at < list.len) {
-		size_t end = at;
-		size_t last;
-
-		while (end < list.len && list.data[end] != ',')
-			end++;
-		last = end;
-		while (at < last &&
-		    (list.data[at] == ' ' || list.data[at] == '\t'))
-			at++;
-		while (last > at &&
-		    (list.data[last - 1] == ' ' || list.data[last - 1] == '\t'))
-			last--;
-		if (last - at == token.len &&
-		    strncasecmp(list.data + at, token.data, token.len) == 0)
+	struct lstr entry;
+
+	while (h1_list_next(&list, &entry)) {
+		if (entry.len == token.len &&
+		    strncasecmp(entry.data, token.data, token.len) == 0)
 			return true;
-		at = end + 1;
 	}
 	return false;
 }
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -574,6 +574,12 @@
 		ck_assert_uint_eq(send_prompt(&w, id, "ab:10,77:30"), 200);
 		ck_assert_uint_eq(fake_platform_run_count(w.platform, id), 1);
 	}
+	ck_assert_uint_eq(
+	    send_prompt(&w, "spaces", "ab:10, " FAKE_DEADLY_PART ":10\t, 9:1"),
+	    400);
+	ck_assert_uint_eq(
+	    send_prompt(&w, "malformed", "zz,:," FAKE_DEADLY_PART ":10,9:1"),
+	    400);
 	log = node_read_log(&w);
 	ck_assert_ptr_nonnull(
 	    strstr(log, "\"name\":\"part-confirmed\",\"part\":\"dead\""));
