Count an unframed answer without events as evidence against its prompt

What callers saw: an empty 200 that looks complete, when a server ends after the head of an answer that has neither a length nor chunks; requests with the same part would go on to end servers. Cause: the end of a process closes its connections in order, which is also how an unframed answer ends. Such an answer counted as complete, and as proof that the parts of its prompt are sound, which dropped all evidence against them. Change: an unframed stream that ends before its first event, or within one, is broken off like one whose connection ended. One that ends after a single event is complete, as the platform says, but proves nothing about its prompt. Ruled out: holding one event against the prompt as well, since short answers of one event exist; zero events of a resumed stream as complete, which would end streams early without a sign.

--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -255,6 +255,7 @@
 void gateway_stream_start(struct gateway_request *);
 void gateway_stream_head(struct gateway_request *);
 void gateway_stream_body(struct gateway_request *, struct lstr);
+bool gateway_stream_is_broken_off(const struct gateway_request *);
 void gateway_stream_complete(struct gateway_request *);
 void gateway_stream_tick(struct gateway_request *, int64_t now);
 void gateway_stream_expire(struct gateway_service *, int64_t now);
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -240,26 +240,6 @@
 		gateway_plain_body(request, bytes);
 }
 
-/*
- * Handles the end of a response.
- */
-static void
-on_complete(struct h1_conn *conn, void *arg)
-{
-	struct gateway_request *request = arg;
-
-	if (request->attempt.skipping) {
-		request->attempt.skipping = false;
-		request->attempt.received_bytes = 0;
-		h1_skip_response(conn);
-		return;
-	}
-	if (request->service->engine != NULL)
-		gateway_stream_complete(request);
-	else
-		gateway_plain_complete(request);
-}
-
 /*
  * Logs that the connection to a server ended before its answer was complete.
  */
@@ -306,6 +286,29 @@
 		     : "connection ended before the answer");
 }
 
+/*
+ * Handles the end of a response.
+ */
+static void
+on_complete(struct h1_conn *conn, void *arg)
+{
+	struct gateway_request *request = arg;
+
+	if (request->attempt.skipping) {
+		request->attempt.skipping = false;
+		request->attempt.received_bytes = 0;
+		h1_skip_response(conn);
+		return;
+	}
+	if (request->service->engine != NULL &&
+	    gateway_stream_is_broken_off(request))
+		on_ended(conn, STATUS_CLOSED, arg);
+	else if (request->service->engine != NULL)
+		gateway_stream_complete(request);
+	else
+		gateway_plain_complete(request);
+}
+
 static const struct h1_ops server_ops = {
     NULL, on_connected, on_head, on_body, on_complete, on_ended};
 
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -633,6 +633,20 @@
 		gateway_attempt_failed(request, false, fault);
 }
 
+/*
+ * Returns whether a response that ended with its connection was broken off:
+ * within an event, or before any.
+ */
+bool
+gateway_stream_is_broken_off(const struct gateway_request *request)
+{
+	const struct gateway_attempt *attempt = &request->attempt;
+
+	return h1_ended_by_close(attempt->conn) &&
+	    attempt->response.status == HTTP_OK &&
+	    (attempt->sse.pending.len > 0 || attempt->events == 0);
+}
+
 /*
  * Handles a complete response: ends the request or handles the engine's error.
  */
@@ -659,7 +673,8 @@
 		return;
 	}
 	pool_note_result(attempt->server, true);
-	if (attempt->events < QUARANTINE_SOUND_EVENTS)
+	if (attempt->events < QUARANTINE_SOUND_EVENTS &&
+	    !h1_ended_by_close(attempt->conn))
 		gateway_quarantine_note_sound(request);
 	gateway->counts.done++;
 	if (request->chunked)
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -467,6 +467,7 @@
 			return;
 		if (conn->complete) {
 			conn->not_reusable = true;
+			conn->ended_by_close = true;
 			conn->ops->complete(conn, conn->arg);
 			if (conn->is_closed)
 				return;
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -100,6 +100,7 @@
 bool h1_keep_alive(const struct h1_conn *);
 bool h1_is_http10(const struct h1_conn *);
 int64_t h1_content_length(const struct h1_conn *);
+bool h1_ended_by_close(const struct h1_conn *);
 bool h1_is_reusable(const struct h1_conn *);
 enum h1_fault h1_fault(const struct h1_conn *);
 int64_t h1_head_started_at(const struct h1_conn *);
--- a/src/node/h1_message.c
+++ b/src/node/h1_message.c
@@ -88,6 +88,16 @@
 	    h1_keep_alive(conn);
 }
 
+/*
+ * Client: returns whether the response had neither a length nor chunks, so that
+ * its end may also be that of the server.
+ */
+bool
+h1_ended_by_close(const struct h1_conn *conn)
+{
+	return conn->ended_by_close;
+}
+
 /*
  * Returns why the request could not be read.
  */
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -67,6 +67,8 @@
 	bool complete;
 	/* Client: the peer sent bytes after the response or closed. */
 	bool not_reusable;
+	/* Client: the response had no length and ended with the connection. */
+	bool ended_by_close;
 	/* h1_close_gracefully() was called: the remaining output is sent and
 	 * input is discarded. */
 	bool lingering;
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -39,6 +39,8 @@
 	 * part FAKE_DEADLY_PART in its prompt, and comes back after a while.
 	 */
 	FAKE_DEADLY,
+	/* The same; its responses have neither a length nor chunks. */
+	FAKE_DEADLY_UNFRAMED,
 	/*
 	 * Responses have neither a length nor chunks and end with their
 	 * connection. Engine: after the last event, within the given event, or
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -724,12 +724,16 @@
 	server_call->streaming = true;
 	platform->streams++;
 	server_call->next = (unsigned int)last + 1;
-	server_call->deadly = platform->engine_fault == FAKE_DEADLY &&
+	server_call->deadly =
+	    (platform->engine_fault == FAKE_DEADLY ||
+		platform->engine_fault == FAKE_DEADLY_UNFRAMED) &&
 	    h1_find_header(conn, "Prefix-Hash", &value) &&
 	    memmem(value.data, value.len, FAKE_DEADLY_PART ":",
 		strlen(FAKE_DEADLY_PART ":")) != NULL;
-	server_call->unframed = platform->engine_fault >= FAKE_UNFRAMED &&
-	    platform->engine_fault <= FAKE_UNFRAMED_RESET;
+	server_call->unframed =
+	    platform->engine_fault == FAKE_DEADLY_UNFRAMED ||
+	    (platform->engine_fault >= FAKE_UNFRAMED &&
+		platform->engine_fault <= FAKE_UNFRAMED_RESET);
 	lstr_buf_printf(&out,
 	    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s.%s\r\n"
 	    "Content-Type: text/event-stream\r\n%s\r\n\r\n",
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -531,12 +531,12 @@
  * how many reach the engines.
  */
 static void
-send_until_refused(struct node_fixture *w)
+send_until_refused(struct node_fixture *w, enum fake_fault fault)
 {
 	unsigned int sent = 0;
 	unsigned int status = 0;
 
-	fake_platform_set_engine_fault(w->platform, FAKE_DEADLY, 1);
+	fake_platform_set_engine_fault(w->platform, fault, 1);
 	for (int i = 0; i < DEADLY_REQUESTS && status != 400; i++) {
 		char id[32];
 		char prompt[64];
@@ -565,7 +565,7 @@
 	char *log;
 
 	node_fixture_start(&w);
-	send_until_refused(&w);
+	send_until_refused(&w, FAKE_DEADLY);
 	node_wait_until_serving(&w);
 	for (int i = 0; i < EVENTS; i++) {
 		char id[32];
@@ -590,6 +590,23 @@
 }
 END_TEST
 
+/*
+ * Guards against an engine whose end looks like the end of an answer without
+ * length, which would clear the part that ended it.
+ */
+START_TEST(unframed_answer_without_events_is_evidence)
+{
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	send_until_refused(&w, FAKE_DEADLY_UNFRAMED);
+	node_wait_until_serving(&w);
+	ck_assert_uint_eq(send_prompt(&w, "sound", "ab:10,77:30"), 200);
+	ck_assert_uint_eq(fake_platform_run_count(w.platform, "sound"), 1);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /*
  * Returns whether the node has logged that it wrote what it refuses to the
  * store.
@@ -615,7 +632,7 @@
 	struct node_fixture w;
 
 	node_fixture_start(&w);
-	send_until_refused(&w);
+	send_until_refused(&w, FAKE_DEADLY);
 	ck_assert(harness_wait(w.loop, parts_are_stored, &w));
 	kill(w.pid, SIGKILL);
 	waitpid(w.pid, NULL, 0);
@@ -991,6 +1008,7 @@
     metrics_match_the_documentation, stream_survives_an_unresponsive_engine,
     stream_continues_after_a_partial_event,
     requests_with_a_part_that_ends_engines_are_refused,
+    unframed_answer_without_events_is_evidence,
     refused_part_is_known_after_all_nodes_were_killed,
     malformed_prompts_are_passed_on, unframed_streams_are_complete_or_resumed,
     unframed_plain_answers_are_complete_or_failed,
