--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -253,7 +253,25 @@
 }
 END_TEST
 
+/* Guards against an entry that is lost, or a list that never ends, when entries
+ * are empty or have spaces around them. */
+START_TEST(list_entries_are_split)
+{
+	static const char *const expected[] = {"a b", "", "c", ""};
+	struct lstr rest = lstr_from(" a b\t,, c ,");
+	struct lstr entry;
+
+	for (size_t i = 0; i < 4; i++) {
+		ck_assert(h1_list_next(&rest, &entry));
+		ck_assert(lstr_equal_c(entry, expected[i]));
+		ck_assert((rest.data == NULL) == (i == 3));
+	}
+	ck_assert(!h1_list_next(&rest, &entry));
+}
+END_TEST
+
 HARNESS_MAIN("h1", failed_write_is_reported_later,
     reset_does_not_complete_response, close_completes_response_without_length,
     interim_response_and_extra_bytes_are_ignored,
-    response_after_skipped_one_is_read, tokens_are_found_in_header_lists)
+    response_after_skipped_one_is_read, tokens_are_found_in_header_lists,
+    list_entries_are_split)
