Count servers that end at one moment once when a part explains them

What callers saw: 400 for sound requests that share the first part with requests that end servers. Cause: a confirmed part explains the servers that ended until its evidence was sufficient and a time to settle. That time was taken from the third crash in its row, also if two of the three belong to one moment, which count once. In the logs servers ended at 0, 6, 212, 2051, 2257 and 2464 ms: the explained time ended at 2062 ms, so the last two counted against the first part of the prompt as well. Class: two places count the same evidence differently. Change: quarantine_row_proved_at() counts moments, as the decision does. Result: servers_that_end_at_one_moment_count_once fails before (2 parts confirmed) and passes; test_quarantine 15 checks passed.

--- a/src/node/quarantine_row.c
+++ b/src/node/quarantine_row.c
@@ -104,14 +104,27 @@
 }
 
 /*
- * Returns the time from which the evidence in a row may have been sufficient.
+ * Returns the time from which the evidence in a row may have been sufficient:
+ * that of the last moment that was needed, or the last one known; 0: no server
+ * has ended.
  */
 int64_t
 quarantine_row_proved_at(const struct quarantine_row *row)
 {
-	uint32_t last = MIN(needed_crashes(row), row->crash_count);
+	uint32_t moments = 0;
+	int64_t last = 0;
 
-	return last == 0 ? 0 : row->crashes[last - 1].at;
+	for (uint32_t i = 0;
+	     i < row->crash_count && moments < needed_crashes(row); i++) {
+		if (row->crashes[i].alive ||
+		    (moments > 0 &&
+			row->crashes[i].at - last <
+			    QUARANTINE_SAME_MOMENT_USEC))
+			continue;
+		last = row->crashes[i].at;
+		moments++;
+	}
+	return last;
 }
 
 /*
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -391,6 +391,29 @@
 }
 END_TEST
 
+/* Guards against a refused sound part when two servers end at one moment, so
+ * that the part that ends them is confirmed later than its crashes are counted.
+ */
+START_TEST(servers_that_end_at_one_moment_count_once)
+{
+	static const int64_t at_msec[] = {0, 6, 212, 2051, 2257, 2464};
+	const uint64_t parts[] = {1, 2};
+	struct quarantine *quarantine = quarantine_new(NULL, NULL);
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(at_msec); i++)
+		quarantine_note_crash(quarantine, parts, 2, i + 1, i,
+		    SIM_START_USEC + at_msec[i] * SIM_SECOND_USEC / 1000);
+	for (int64_t i = 50; i <= 80; i++)
+		quarantine_tick(
+		    quarantine, SIM_START_USEC + i * SIM_SECOND_USEC / 20);
+	ck_assert_uint_eq(
+	    quarantine_count(quarantine, QUARANTINE_CONFIRMED), 1);
+	ck_assert_uint_eq(
+	    *quarantine_find_cause(quarantine, parts, 2), parts[1]);
+	quarantine_free(quarantine);
+}
+END_TEST
+
 /* Guards against malformed reports of a peer. */
 START_TEST(malformed_rows_are_accepted_without_harm)
 {
@@ -425,4 +448,5 @@
     confirmed_part_is_tried_again_rarely, evidence_lapses,
     made_up_parts_do_not_displace_evidence,
     node_that_starts_learns_all_confirmed_parts,
+    servers_that_end_at_one_moment_count_once,
     malformed_rows_are_accepted_without_harm)
