review: a revoked key works at a node that starts after a restore

A process that starts right after the store has come back from an older copy takes the old configuration for proved and accepts a key that was taken away.

--- a/review/common/standin.c
+++ b/review/common/standin.c
@@ -379,6 +379,14 @@
 	int64_t ends_at;
 } leases[1024];
 static int lease_count;
+/* Rises with each restore; stated in all answers. */
+static int era = 1;
+static bool away;
+static struct entry copy_keys[KEYS_MAX];
+static int copy_key_count;
+static uint64_t copy_revision;
+static struct lease copy_leases[1024];
+static int copy_lease_count;
 
 static struct entry *
 find_key(const char *key)
@@ -482,8 +490,10 @@
 	char *text = base64(value);
 
 	pthread_mutex_lock(&store_lock);
-	revision++;
-	apply(key, text, 0);
+	if (!away) {
+		revision++;
+		apply(key, text, 0);
+	}
 	pthread_mutex_unlock(&store_lock);
 	free(text);
 }
@@ -497,13 +507,57 @@
 	pthread_mutex_unlock(&store_lock);
 }
 
+void
+store_copy(void)
+{
+	pthread_mutex_lock(&store_lock);
+	memcpy(copy_keys, keys, sizeof(keys));
+	copy_key_count = key_count;
+	copy_revision = revision;
+	memcpy(copy_leases, leases, sizeof(leases));
+	copy_lease_count = lease_count;
+	pthread_mutex_unlock(&store_lock);
+}
+
+void
+store_take_away(void)
+{
+	pthread_mutex_lock(&store_lock);
+	away = true;
+	pthread_cond_broadcast(&store_changed);
+	pthread_mutex_unlock(&store_lock);
+}
+
+void
+store_restore(void)
+{
+	int kept = 0;
+
+	pthread_mutex_lock(&store_lock);
+	memcpy(keys, copy_keys, sizeof(keys));
+	key_count = copy_key_count;
+	revision = copy_revision;
+	memcpy(leases, copy_leases, sizeof(leases));
+	lease_count = copy_lease_count;
+	for (int i = 0; i < lease_count; i++) {
+		if (leases[i].ends_at != 0)
+			leases[i].ends_at = now_ms() + leases[i].ttl;
+	}
+	while (kept < history_count && history[kept].revision <= revision)
+		kept++;
+	history_count = kept;
+	era++;
+	away = false;
+	pthread_mutex_unlock(&store_lock);
+}
+
 static void
 respond(struct http *h, int status, const char *body, size_t len)
 {
 	send_text(h->fd,
 	    "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-	    "Content-Length: %zu\r\n\r\n",
-	    status, len);
+	    "Store-Era: %d\r\nContent-Length: %zu\r\n\r\n",
+	    status, era, len);
 	send_all(h->fd, body, len);
 }
 
@@ -707,11 +761,25 @@
 		until.tv_nsec -= 1000000000;
 	}
 	pthread_mutex_lock(&store_lock);
-	while (revision <= after) {
+	if (after > revision) {
+		pthread_mutex_unlock(&store_lock);
+		fclose(f);
+		free(out);
+		respond(h, 410, "{}", 2);
+		return;
+	}
+	while (revision <= after && !away) {
 		if (pthread_cond_timedwait(
 			&store_changed, &store_lock, &until) != 0)
 			break;
 	}
+	if (away) {
+		pthread_mutex_unlock(&store_lock);
+		fclose(f);
+		free(out);
+		shutdown(h->fd, SHUT_RDWR);
+		return;
+	}
 	fprintf(f, "{\"events\":[");
 	for (int i = 0; i < history_count; i++) {
 		if (history[i].revision <= after ||
@@ -791,7 +859,11 @@
 	struct message m;
 
 	(void)arg;
-	while (http_read_head(h, &m) && http_read_body(h, &m)) {
+	while (!away && http_read_head(h, &m) && http_read_body(h, &m)) {
+		if (away) {
+			free(m.body);
+			return;
+		}
 		if (strncmp(m.head, "GET /kv-range", 13) == 0)
 			handle_range(h, m.head);
 		else if (strncmp(m.head, "GET /kv-watch", 13) == 0)
--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -64,6 +64,11 @@
 /* Writes a key as the operator or a replica would; value is plain text. */
 void store_put(const char *key, const char *value);
 void store_remove(const char *key);
+/* Keeps a copy of the store; takes it away, so that all channels to it are
+ * closed; and brings it back from the copy, in the next era. */
+void store_copy(void);
+void store_take_away(void);
+void store_restore(void);
 
 /* A node process, started with the command of the deploy file. */
 struct node {
