--- a/review/common/standin.c
+++ b/review/common/standin.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -936,6 +937,8 @@
 	if (node->pid == 0) {
 		int fd = open(node->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+		/* The node ends with this process, also if that is killed. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, 1);
 		dup2(fd, 2);
 		setenv("CHESTNUTHOIST_NODE_FILE", node->settings, 1);
