Late requests of a stopping node end before its process

Cause: after 2.5 s a request was accepted if 1.6 times its expected duration fitted into the rest of the grace period. The estimate is right at the median.

Change: drain, a pure module, accepts late requests only if their time limit passes before the process exits; such a request is answered whatever its servers do. All others are refused at once, with the time at which a node is expected to serve. To keep the cost low for callers when no other node serves, a node that has answered everything exits at once, lookups give the address of the node that began to stop last, and no refusal of a stopping node sends its caller back to a node that refuses again.

Why this works: what is accepted late has a hard limit before the exit, which no estimate enters.

--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,8 @@
 	    $(CHECK_LIBS)
 
 $(BUILD)/tests/test_node $(BUILD)/tests/test_node_restored \
-	$(BUILD)/tests/test_node_leaving $(BUILD)/tests/test_node_answers: \
+	$(BUILD)/tests/test_node_leaving $(BUILD)/tests/test_node_answers \
+	$(BUILD)/tests/test_node_stopping: \
 	tests/fakes/platform_model.c
 
 SOAK_SRC = tests/soak/soak.c tests/soak/proxy.c tests/fakes/platform_model.c
--- a/src/node/admit.c
+++ b/src/node/admit.c
@@ -140,18 +140,6 @@
 	    (double)server_left_usec;
 }
 
-/*
- * Returns true if a draining node still accepts a request. since_usec is the
- * time since it started to drain, left_usec the time until the process ends,
- * and work_usec the expected duration of the request.
- */
-bool
-admit_while_draining(int64_t since_usec, int64_t left_usec, int64_t work_usec)
-{
-	return since_usec <= ADMIT_DRAIN_ACCEPT_USEC ||
-	    !admit_outlasts(work_usec, left_usec);
-}
-
 /*
  * Decides what to do after a failed attempt.
  */
--- a/src/node/admit.h
+++ b/src/node/admit.h
@@ -109,16 +109,9 @@
 int64_t admit_hold_until(
     int64_t arrived_at, int64_t started_at, int64_t caller_timeout_usec);
 
-/* Time after a node starts to drain during which every request is still
- * accepted, because callers learn only gradually that the node is stopping. */
-#define ADMIT_DRAIN_ACCEPT_USEC ((int64_t)2500000)
-/* After that, a request is accepted only if it ends in time even when it takes
- * this many times as long as expected. */
+/* Allowance for expected times that are too short. */
 #define ADMIT_RUNTIME_FACTOR 1.6
 
-bool admit_while_draining(
-    int64_t since_usec, int64_t left_usec, int64_t work_usec);
-
 /* Whether work may outlast a draining server. A request is moved
  * only if its expected remaining time, multiplied by ADMIT_RUNTIME_FACTOR,
  * does not end before the server does. */
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -140,42 +140,33 @@
 }
 
 /*
- * Starts draining: responses ask callers to close their connections, and new
- * requests that would not finish before end_at are refused.
- */
-void
-gateway_drain(struct gateway *gateway, int64_t end_at)
-{
-	gateway->draining = true;
-	gateway->drain_started_at = gateway_now(gateway);
-	gateway->drain_ends_at = end_at;
-}
-
-/*
- * Returns whether a request with the given expected duration may still be
- * started; false only while draining, for requests not yet sent to a server.
+ * Returns whether a request with the given expected duration may still be sent
+ * to a server; false only while the node is stopping, for requests that have
+ * not been sent.
  */
 bool
-gateway_can_start(const struct gateway_request *request, int64_t work_usec)
+gateway_can_start(struct gateway_request *request, int64_t expected_usec)
 {
 	const struct gateway *gateway = request->gateway;
-	int64_t now = gateway_now(gateway);
+	const struct drain_request late = {expected_usec, request->timeout_at};
 
-	return !gateway->draining || request->attempts.count > 0 ||
-	    admit_while_draining(now - gateway->drain_started_at,
-		gateway->drain_ends_at - now, work_usec);
+	request->expected_usec = expected_usec;
+	return request->attempts.count > 0 ||
+	    drain_accepts(gateway->config.drain, &late, gateway_now(gateway));
 }
 
 /*
- * Refuses a request that cannot finish before the process exits.
+ * Refuses a request that may not finish before the process exits.
  */
 void
 gateway_refuse_draining(struct gateway_request *request)
 {
+	struct gateway *gateway = request->gateway;
+
 	gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
 	    admit_retry_after(ADMIT_RETRY_MIN_USEC,
-		request->deadline - request->arrived_at,
-		g_rand_double(request->gateway->rand)),
+		request->deadline - gateway_now(gateway),
+		g_rand_double(gateway->rand)),
 	    "node is stopping");
 }
 
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -3,6 +3,7 @@
 
 #include "adapter.h"
 #include "config_proof.h"
+#include "drain.h"
 #include "gossip.h"
 #include "store_cache.h"
 #include "pool.h"
@@ -22,6 +23,8 @@
 	const struct store_cache *store_cache;
 	const struct config_proof *config_proof;
 	struct quarantine *quarantine;
+	/* The shutdown of the node. */
+	const struct drain *drain;
 	const char *place;
 	uint32_t seed;
 	/* API keys are accepted only while the configuration was confirmed
@@ -63,7 +66,6 @@
 /* Starts the requests that were held until the store has been read. */
 void gateway_release_held(struct gateway *);
 void gateway_set_config(struct gateway *, struct fleet_config *);
-void gateway_drain(struct gateway *, int64_t end_at);
 size_t gateway_count_active(const struct gateway *);
 size_t gateway_count_waiting(const struct gateway *);
 void gateway_tick(struct gateway *);
--- a/src/node/gateway_plain.c
+++ b/src/node/gateway_plain.c
@@ -20,7 +20,7 @@
 	GPtrArray *servers;
 	struct pool_server *server;
 
-	if (!gateway_can_start(request, request->route->timeout_usec)) {
+	if (!gateway_can_start(request, 0)) {
 		gateway_refuse_draining(request);
 		return;
 	}
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -139,6 +139,8 @@
 	int64_t started_at;
 	/* Expected time from the start to the first event on the last path. */
 	int64_t first_usec;
+	/* Expected duration when it was last to be sent; 0: not known. */
+	int64_t expected_usec;
 	struct gateway_attempt attempt;
 	struct attempts attempts;
 	bool may_have_run;
@@ -196,10 +198,6 @@
 	/* quarantine_confirmations() when the requests were last checked. */
 	uint64_t confirmations;
 	int64_t created_at;
-	bool draining;
-	/* When draining started and when the process exits. */
-	int64_t drain_started_at;
-	int64_t drain_ends_at;
 	bool dispatching;
 	struct gateway_counts counts;
 };
@@ -235,7 +233,7 @@
 void gateway_attempt_failed(
     struct gateway_request *, bool not_run, const char *reason);
 bool gateway_attempt_give_up(struct gateway_request *, const char *reason);
-bool gateway_can_start(const struct gateway_request *, int64_t work_usec);
+bool gateway_can_start(struct gateway_request *, int64_t expected_usec);
 void gateway_refuse_draining(struct gateway_request *);
 bool gateway_consume_retry(struct gateway_request *);
 
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -97,7 +97,7 @@
 	if (caller == NULL)
 		return;
 	h1_set_data(caller, NULL);
-	if (gateway->draining || !h1_keep_alive(caller) ||
+	if (drain_is_active(gateway->config.drain) || !h1_keep_alive(caller) ||
 	    h1_fault(caller) != H1_FAULT_NONE)
 		h1_close_gracefully(caller);
 	else
@@ -114,7 +114,8 @@
 	struct lstr_buf text = {0};
 	struct h1_conn *caller = request->caller;
 
-	close = close || request->gateway->draining || !h1_keep_alive(caller);
+	close = close || drain_is_active(request->gateway->config.drain) ||
+	    !h1_keep_alive(caller);
 	request->gateway->config.adapter->encode_refusal(
 	    status, lstr_from(request->id), retry_usec, close, reason, &text);
 	h1_write(caller, lstr_buf_view(&text));
@@ -131,7 +132,28 @@
 }
 
 /*
- * Refuses a request that no server has run.
+ * Returns the time in microseconds after which the caller of a refused request
+ * is to retry. While this node is stopping, it is not to return to a node that
+ * refuses it again.
+ */
+static int64_t
+retry_while_stopping(const struct gateway_request *request, int64_t retry_usec)
+{
+	const struct gateway *gateway = request->gateway;
+	const struct drain_request late = {
+	    request->expected_usec, request->timeout_at};
+	struct drain_peers peers;
+
+	if (retry_usec == 0 || !drain_is_active(gateway->config.drain))
+		return retry_usec;
+	peers = gossip_drain_peers(gateway->config.gossip);
+	return drain_retry_usec(gateway->config.drain, &peers, &late,
+	    gateway_now(gateway), retry_usec, g_rand_double(gateway->rand));
+}
+
+/*
+ * Refuses a request that no server has run; retry_usec 0: the caller is not
+ * told when to retry.
  */
 void
 gateway_refuse_request(struct gateway_request *request, unsigned int status,
@@ -140,6 +162,7 @@
 	struct gateway *gateway = request->gateway;
 	int64_t now = gateway_now(gateway);
 
+	retry_usec = retry_while_stopping(request, retry_usec);
 	gateway->counts.refused++;
 	slog_event(EV_REQUEST_REFUSED,
 	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:s}",
@@ -211,7 +234,8 @@
 gateway_send_response(struct gateway_request *request, const char *outcome)
 {
 	struct gateway *gateway = request->gateway;
-	bool close = gateway->draining || !h1_keep_alive(request->caller);
+	bool close = drain_is_active(gateway->config.drain) ||
+	    !h1_keep_alive(request->caller);
 	struct lstr_buf text = {0};
 
 	gateway->config.adapter->encode_response(
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -565,7 +565,8 @@
 	struct gateway *gateway = request->gateway;
 	struct gateway_attempt *attempt = &request->attempt;
 	struct lstr_buf text = {0};
-	bool close = gateway->draining || !h1_keep_alive(request->caller);
+	bool close = drain_is_active(gateway->config.drain) ||
+	    !h1_keep_alive(request->caller);
 
 	if (attempt->response.status != HTTP_OK) {
 		gateway_clear_response(request);
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -211,6 +211,8 @@
 	peer->sequence = report->sequence;
 	peer->heard_at = now;
 	peer->silent = false;
+	if (report->leaving && !peer->leaving)
+		peer->leaving_since = now;
 	peer->leaving = report->leaving;
 	peer->suspended = report->suspended;
 	apply_proof(gossip, report);
@@ -426,6 +428,7 @@
 gossip_leave(struct gossip *gossip)
 {
 	gossip->leaving = true;
+	gossip->leaving_since = loop_now(gossip->loop);
 	gossip->sent_at = 0;
 	gossip_tick(gossip);
 }
--- a/src/node/gossip.h
+++ b/src/node/gossip.h
@@ -1,6 +1,7 @@
 #ifndef CH_GOSSIP_H
 #define CH_GOSSIP_H
 
+#include "drain.h"
 #include "kv.h"
 #include "pool.h"
 #include "quarantine.h"
@@ -106,6 +107,8 @@
 uint32_t gossip_live_count(const struct gossip *);
 /* Number of other live nodes that accept connections. */
 uint32_t gossip_serving_count(const struct gossip *);
+/* Which of the other live nodes serve and which are stopping. */
+struct drain_peers gossip_drain_peers(const struct gossip *);
 /* Whether nodes rely on the watches of others, and whether others rely on that
  * of this node. */
 bool gossip_shares_watches(const struct gossip *);
--- a/src/node/gossip_fleet.c
+++ b/src/node/gossip_fleet.c
@@ -61,6 +61,33 @@
 	return count;
 }
 
+/*
+ * Returns which of the other live nodes serve, and when those that are stopping
+ * began to.
+ */
+struct drain_peers
+gossip_drain_peers(const struct gossip *gossip)
+{
+	struct drain_peers peers = {.serving = gossip_serving_count(gossip)};
+	int64_t now = loop_now(gossip->loop);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+		int64_t since = peer->leaving_since;
+
+		if (!peer->leaving || !gossip_peer_is_live(gossip, peer, now))
+			continue;
+		if (peers.first_stopping_at == 0 ||
+		    since < peers.first_stopping_at)
+			peers.first_stopping_at = since;
+		peers.last_stopping_at = MAX(peers.last_stopping_at, since);
+	}
+	return peers;
+}
+
 /*
  * Returns the position of this node among the live nodes, sorted by name.
  */
@@ -177,11 +204,39 @@
 	}
 }
 
+/*
+ * Returns the address of the node, this one or a live peer, that was the last
+ * to begin to stop: it accepts requests for longest.
+ */
+static char *
+last_stopping_address(const struct gossip *gossip)
+{
+	char *address = (char *)gossip->config.front;
+	int64_t now = loop_now(gossip->loop);
+	int64_t last = gossip->leaving_since;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (!peer->leaving || peer->leaving_since <= last ||
+		    !gossip_peer_is_live(gossip, peer, now))
+			continue;
+		last = peer->leaving_since;
+		address = peer->front;
+	}
+	return address;
+}
+
 /*
  * Collects node addresses for a caller: those of its data centre if enough
  * nodes are live there, since traffic between data centres is expensive;
  * otherwise all. Suspended nodes, which cannot check API keys because the store
- * is unreachable, are included only if there are no others.
+ * is unreachable, are included only if there are no others. If all nodes are
+ * stopping, callers get the one that accepts requests for longest; it refuses
+ * later ones with the time at which a node is back.
  */
 void
 gossip_addresses(const struct gossip *gossip, const char *place, GPtrArray *out)
@@ -195,5 +250,5 @@
 	if (out->len == 0)
 		add_addresses(gossip, NULL, true, out);
 	if (out->len == 0)
-		g_ptr_array_add(out, (char *)gossip->config.front);
+		g_ptr_array_add(out, last_stopping_address(gossip));
 }
--- a/src/node/gossip_priv.h
+++ b/src/node/gossip_priv.h
@@ -35,6 +35,8 @@
 	/* Its entry in the store has been removed. */
 	bool unlisted;
 	bool leaving;
+	/* When it first reported that it is leaving. */
+	int64_t leaving_since;
 	bool suspended;
 	bool silent;
 	/* struct peer_use of the last report. */
@@ -58,6 +60,7 @@
 	uint32_t hash;
 	int64_t started_at;
 	bool leaving;
+	int64_t leaving_since;
 	/* Callers are temporarily not directed to this node. */
 	bool suspended;
 	/* The sums of the use by peers must be updated. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -16,12 +16,6 @@
 /* Short compared with the pauses allowed between events of a stream. */
 #define TICK_USEC (20 * LOOP_USEC_PER_MSEC)
 #define SWEEP_USEC (250 * LOOP_USEC_PER_MSEC)
-/* A draining node still accepts connections for this long. By then callers have
- * repeated the address lookup; those that cache a response for longer try
- * another address. */
-#define DRAIN_ACCEPT_USEC ADMIT_DRAIN_ACCEPT_USEC
-/* A draining node exits this long before it would be killed. */
-#define GRACE_MARGIN_USEC (400 * LOOP_USEC_PER_MSEC)
 /* Time to live of the node's entry in the store. Its neighbours detect a crash
  * by silence; in a large fleet the other nodes give its address to callers
  * until the entry expires. */
@@ -41,36 +35,24 @@
 #define BYTES_PER_MB ((size_t)1000 * 1000)
 
 /*
- * Returns the time at which a draining node exits at the latest.
- */
-static int64_t
-drain_deadline(const struct node *node)
-{
-	return node->draining_since +
-	    (int64_t)(node->settings.grace_s * (double)LOOP_USEC_PER_SEC) -
-	    GRACE_MARGIN_USEC;
-}
-
-/*
- * Stops a draining node once its requests are complete, or at the drain
- * deadline. It stops accepting connections once callers have had time to learn
- * the addresses of other nodes; if no other node serves, it accepts connections
- * until the deadline.
+ * Stops a draining node once its requests are complete, or when the grace
+ * period ends. It stops accepting connections once callers have had time to
+ * learn the addresses of other nodes; if no other node serves, it accepts them
+ * until it exits, in order to refuse them.
  */
 static void
 check_drained(struct node *node)
 {
 	int64_t now = loop_now(node->loop);
-	bool accept_period_over =
-	    now - node->draining_since >= DRAIN_ACCEPT_USEC;
+	bool accepts = now < node->drain.accept_until;
 
-	if (accept_period_over && !node->front_stopped &&
+	if (!accepts && !node->front_stopped &&
 	    gossip_serving_count(node->gossip) > 0) {
 		node->front_stopped = true;
 		h1_listener_stop(node->front);
 	}
-	if ((node->front_stopped && gateway_count_active(node->gateway) == 0) ||
-	    now >= drain_deadline(node))
+	if ((!accepts && gateway_count_active(node->gateway) == 0) ||
+	    now >= node->drain.answer_by)
 		loop_stop(node->loop);
 }
 
@@ -172,7 +154,7 @@
 		h1_listener_check_timeouts(node->lookup);
 	}
 	slog_flush();
-	if (node->draining_since != 0)
+	if (drain_is_active(&node->drain))
 		check_drained(node);
 }
 
@@ -185,13 +167,13 @@
 {
 	struct node *node = arg;
 
-	if (node->draining_since != 0)
+	if (drain_is_active(&node->drain))
 		return;
-	node->draining_since = loop_now(node->loop);
+	drain_start(&node->drain, loop_now(node->loop),
+	    (int64_t)(node->settings.grace_s * (double)LOOP_USEC_PER_SEC));
 	slog_event(EV_NODE_DRAINING, "{s:i, s:i}", "active",
 	    (int)gateway_count_active(node->gateway), "connections",
 	    (int)h1_listener_count(node->front));
-	gateway_drain(node->gateway, drain_deadline(node));
 	gossip_leave(node->gossip);
 	planner_resign(node->planner);
 	lease_key_release(node->entry);
@@ -418,6 +400,7 @@
 	    .store_cache = node->store_cache,
 	    .config_proof = &node->config_proof,
 	    .quarantine = node->quarantine,
+	    .drain = &node->drain,
 	    .place = settings->place,
 	    .seed = (uint32_t)node->boot ^ pool_hash(lstr_from(settings->node)),
 	    .proof_max_usec = max_proof_age(node),
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -17,7 +17,7 @@
 static bool
 is_ready(const struct node *node)
 {
-	return node->draining_since == 0 && node->fleet != NULL &&
+	return !drain_is_active(&node->drain) && node->fleet != NULL &&
 	    store_cache_is_synced(node->store_cache);
 }
 
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -2,6 +2,7 @@
 #define CH_NODE_PRIV_H
 
 #include "departures.h"
+#include "drain.h"
 #include "gateway.h"
 #include "node.h"
 #include "planner.h"
@@ -44,8 +45,7 @@
 	int64_t last_sweep_at;
 	/* store_cache_restore_count() when it was last checked. */
 	uint64_t restores;
-	/* When SIGTERM was received; 0: not yet. */
-	int64_t draining_since;
+	struct drain drain;
 	/* The node no longer accepts connections from callers. */
 	bool front_stopped;
 	/* Start time of the process; identifies it, and is larger after each
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -21,7 +21,7 @@
 	FAKE_NONE,
 	/*
 	 * Engine: sends nothing from the given event on, not even responses to
-	 * queries.
+	 * queries. Plain: runs the request and sends nothing.
 	 */
 	FAKE_UNRESPONSIVE,
 	/*
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -1333,6 +1333,8 @@
 		return;
 	}
 	count_run(platform, server_call->id);
+	if (fault == FAKE_UNRESPONSIVE)
+		return;
 	if (fault == FAKE_UNPROVED_REFUSAL) {
 		respond_unproved_refusal(server_call);
 		return;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -239,16 +239,6 @@
 }
 END_TEST
 
-/* Guards against accepting work that a stopping node could not complete. */
-START_TEST(draining_node_accepts_work_that_ends_in_time)
-{
-	ck_assert(admit_while_draining(0, 7000000, 9000000));
-	ck_assert(admit_while_draining(4000000, 3000000, 100000));
-	ck_assert(!admit_while_draining(4000000, 3000000, 2500000));
-	ck_assert(!admit_while_draining(7000000, 100000, 80000));
-}
-END_TEST
-
 /* Simulates a server that shuts down under load: only streams that would not
  * end in time move to other servers, so that not all of them move at once. */
 START_TEST(only_long_streams_move_off_a_draining_server)
@@ -275,5 +265,4 @@
     retry_times_are_jittered_and_in_time,
     unwanted_requests_are_refused_until_their_time, no_wait_beyond_abandonment,
     failure_action_matches_known_outcome,
-    draining_node_accepts_work_that_ends_in_time,
     only_long_streams_move_off_a_draining_server)
--- /dev/null
+++ b/tests/test_node_stopping.c
@@ -0,0 +1,189 @@
+#include "node_fixture.h"
+
+#define EVENTS 12
+#define CALLS_MAX 120
+#define SEND_USEC (100 * LOOP_USEC_PER_MSEC)
+/* Streams take about 3 s, many times as long as the node expects. */
+#define EVENT_USEC (250 * LOOP_USEC_PER_MSEC)
+
+/* A caller's request that is sent while the node stops. */
+struct late_call {
+	struct node_call call;
+	char id[16];
+	int64_t sent_at;
+};
+
+static struct late_call calls[CALLS_MAX];
+static unsigned int call_count;
+
+/*
+ * Returns whether the node has ended, and reaps it.
+ */
+static bool
+has_ended(struct node_fixture *w)
+{
+	int status;
+
+	if (w->pid == 0)
+		return true;
+	if (waitpid(w->pid, &status, WNOHANG) != w->pid)
+		return false;
+	ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	w->pid = 0;
+	return true;
+}
+
+/*
+ * Sends a request that is kept in calls.
+ */
+static void
+send_late(struct node_fixture *w, const char *method, const char *path,
+    const char *more)
+{
+	struct late_call *late = &calls[call_count];
+
+	ck_assert_uint_lt(call_count, CALLS_MAX);
+	snprintf(late->id, sizeof(late->id), "late-%u", call_count++);
+	late->sent_at = loop_now(w->loop);
+	node_call_send(w, &late->call, w->front,
+	    node_request(method, path, late->id, NODE_KEY, 20000, more));
+}
+
+/*
+ * Sends the next of a series of streams; every other one may run only once.
+ */
+static void
+send_stream(struct node_fixture *w)
+{
+	send_late(w, "POST",
+	    call_count % 2 == 0 ? "/write/draft" : "/once/draft",
+	    "Model: m\r\nToken-Usage: 40,80\r\nPrefix-Hash: ab:40\r\n"
+	    "Content-Length: 2\r\n\r\nhi");
+}
+
+/*
+ * Sends the next of a series of requests to the plain service; every other one
+ * may run only once.
+ */
+static void
+send_plain(struct node_fixture *w)
+{
+	if (call_count % 2 == 0)
+		send_late(w, "GET", "/look/1", "");
+	else
+		send_late(w, "POST", "/order/1", "Content-Length: 0\r\n");
+}
+
+/*
+ * Sends SIGTERM to the node and requests until it has ended; returns when it
+ * ended.
+ */
+static int64_t
+stop_under_load(struct node_fixture *w, void (*send)(struct node_fixture *))
+{
+	int64_t started_at = loop_now(w->loop);
+	int64_t next_at = started_at;
+	int64_t ended_at;
+
+	call_count = 0;
+	kill(w->pid, SIGTERM);
+	while (!has_ended(w)) {
+		ck_assert_int_lt(
+		    loop_now(w->loop) - started_at, HARNESS_DEADLINE_USEC);
+		if (loop_now(w->loop) >= next_at) {
+			next_at += SEND_USEC;
+			send(w);
+		}
+		loop_run_once(
+		    w->loop, loop_now(w->loop) + 5 * LOOP_USEC_PER_MSEC);
+	}
+	ended_at = loop_now(w->loop);
+	for (unsigned int i = 0; i < call_count; i++)
+		node_call_wait(w, &calls[i].call);
+	return ended_at;
+}
+
+/*
+ * Checks that a request which the node has read was answered completely.
+ */
+static void
+check_answered(const struct node_fixture *w, const struct late_call *late)
+{
+	unsigned int runs = fake_platform_run_count(w->platform, late->id);
+
+	if (late->call.status == 0) {
+		ck_assert_msg(
+		    runs == 0, "%s ran and was not answered", late->id);
+		return;
+	}
+	ck_assert_msg(late->call.complete, "%s was cut off", late->id);
+	if (late->call.status == 503)
+		ck_assert_uint_eq(runs, 0);
+}
+
+/*
+ * Checks that the caller of a refused request is not to return before the node
+ * has ended.
+ */
+static void
+check_retry_time(const struct late_call *late, int64_t ended_at)
+{
+	double retry_after = strtod(late->call.retry_after, NULL);
+
+	if (late->call.status == 503)
+		ck_assert_int_ge(late->sent_at +
+			(int64_t)(retry_after * (double)LOOP_USEC_PER_SEC),
+		    ended_at);
+}
+
+/*
+ * Checks all requests and frees their bodies. Returns how many were served.
+ */
+static unsigned int
+check_calls(const struct node_fixture *w, int64_t ended_at)
+{
+	unsigned int served = 0;
+
+	for (unsigned int i = 0; i < call_count; i++)
+		check_answered(w, &calls[i]);
+	for (unsigned int i = 0; i < call_count; i++) {
+		check_retry_time(&calls[i], ended_at);
+		served += calls[i].call.status == 200;
+		lstr_buf_free(&calls[i].call.body);
+	}
+	return served;
+}
+
+/* Guards against streams that a stopping node takes late in its grace period
+ * and cuts off when it exits (review/1). */
+START_TEST(late_streams_are_complete_or_refused)
+{
+	struct node_fixture w;
+	int64_t ended_at;
+
+	node_fixture_start(&w);
+	fake_platform_set_event_interval(w.platform, EVENT_USEC);
+	ended_at = stop_under_load(&w, send_stream);
+	ck_assert_uint_ge(check_calls(&w, ended_at), 10);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against requests, among them ones that may run only once, that are
+ * taken late in the grace period and get no answer because their server is
+ * silent. */
+START_TEST(late_requests_to_a_silent_server_are_answered)
+{
+	struct node_fixture w;
+	int64_t ended_at;
+
+	node_fixture_start(&w);
+	fake_platform_set_plain_fault(w.platform, FAKE_UNRESPONSIVE);
+	ended_at = stop_under_load(&w, send_plain);
+	check_calls(&w, ended_at);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+HARNESS_MAIN("node_stopping", late_streams_are_complete_or_refused,
+    late_requests_to_a_silent_server_are_answered)
