Responses are delivered before their connection or the node ends

Cause: "queued" was taken for "delivered" when a connection closes gracefully, when a stopping node exits, and when it closes connections without a request.

Change: the linger time of a connection counts from the last output that its peer accepted, up to 30 s; a stopping node exits when nothing is left to send or the grace period ends; connections with output are closed gracefully.

Why this works: each of the three places now waits for the output itself.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -154,6 +154,20 @@
 		conn->ops->ended(conn, status, conn->arg);
 }
 
+/*
+ * Extends the timeouts of a connection whose peer has accepted output.
+ */
+static void
+note_sent(struct h1_conn *conn)
+{
+	int64_t now = loop_now(conn->h1->loop);
+
+	conn->idle_since = now;
+	if (conn->lingering)
+		loop_timer_set(
+		    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
+}
+
 /*
  * Sends as much of the output as the socket accepts without blocking.
  */
@@ -170,6 +184,7 @@
 
 		if (n > 0) {
 			lstr_buf_consume(&conn->out, (size_t)n);
+			note_sent(conn);
 			continue;
 		}
 		if (n < 0 && errno == EINTR)
@@ -783,8 +798,8 @@
 
 /*
  * Server: sends the remaining output and shuts down writing. The connection is
- * closed when the peer closes, or after H1_LINGER_USEC, so that a reset does
- * not destroy the response.
+ * closed when the peer closes, or when it has accepted no output for
+ * H1_LINGER_USEC, so that a reset does not destroy the response.
  */
 void
 h1_close_gracefully(struct h1_conn *conn)
@@ -794,6 +809,7 @@
 	conn->lingering = true;
 	if (conn->write_failed)
 		return;
+	conn->linger_until = loop_now(conn->h1->loop) + H1_LINGER_MAX_USEC;
 	loop_timer_set(conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
 	flush_output(conn);
 }
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -18,8 +18,10 @@
 struct h1_conn;
 struct h1_listener;
 
-/* Time for which a connection may stay open to deliver its last response. */
+/* A connection that is being closed stays open for this long after its peer
+ * last accepted output, and for this long in all. */
 #define H1_LINGER_USEC (1 * LOOP_USEC_PER_SEC)
+#define H1_LINGER_MAX_USEC (30 * LOOP_USEC_PER_SEC)
 /* Unsent output per connection; h1_write() fails beyond it. */
 #define H1_OUTPUT_MAX_BYTES ((size_t)8 * 1024 * 1024)
 
@@ -78,6 +80,7 @@
 size_t h1_listener_count(const struct h1_listener *);
 void h1_listener_check_timeouts(struct h1_listener *);
 void h1_listener_stop(struct h1_listener *);
+bool h1_listener_has_output(const struct h1_listener *);
 
 enum status h1_connect(struct h1 *, const struct sockaddr_in *,
     int64_t deadline, const struct h1_ops *, void *, struct h1_conn **);
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -135,7 +135,7 @@
 
 /*
  * Stops accepting connections and closes idle ones; requests in progress are
- * still served.
+ * still served, and responses are delivered.
  */
 void
 h1_listener_stop(struct h1_listener *listener)
@@ -150,12 +150,30 @@
 	for (struct h1_conn *conn = listener->conns; conn != NULL;
 	     conn = next) {
 		next = conn->next;
-		if (!conn->busy && !conn->lingering &&
-		    conn->head_started_at == 0)
+		if (conn->busy || conn->lingering || conn->head_started_at != 0)
+			continue;
+		if (conn->out.len > 0)
+			h1_close_gracefully(conn);
+		else
 			h1_close(conn);
 	}
 }
 
+/*
+ * Returns whether a connection of a listener has output that has not been
+ * sent.
+ */
+bool
+h1_listener_has_output(const struct h1_listener *listener)
+{
+	for (const struct h1_conn *conn = listener->conns; conn != NULL;
+	     conn = conn->next) {
+		if (conn->out.len > 0 && !conn->write_failed)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Closes connections that exceed the idle timeout and reports a request whose
  * head exceeds the head timeout. The owner calls it several times a second.
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -72,6 +72,7 @@
 	/* h1_close_gracefully() was called: the remaining output is sent and
 	 * input is discarded. */
 	bool lingering;
+	int64_t linger_until;
 	bool is_closed;
 	/* Writing failed; the owner is notified in the next round of the
 	 * loop. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -35,7 +35,7 @@
 #define BYTES_PER_MB ((size_t)1000 * 1000)
 
 /*
- * Stops a draining node once its requests are complete, or when the grace
+ * Stops a draining node once its responses are delivered, or when the grace
  * period ends. It stops accepting connections once callers have had time to
  * learn the addresses of other nodes; if no other node serves, it accepts them
  * until it exits, in order to refuse them.
@@ -51,8 +51,9 @@
 		node->front_stopped = true;
 		h1_listener_stop(node->front);
 	}
-	if ((!accepts && gateway_count_active(node->gateway) == 0) ||
-	    now >= node->drain.answer_by)
+	if ((!accepts && gateway_count_active(node->gateway) == 0 &&
+		!h1_listener_has_output(node->front)) ||
+	    now >= node->drain.exit_by)
 		loop_stop(node->loop);
 }
 
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -124,6 +124,8 @@
 void fake_platform_set_engine_fault(
     struct fake_platform *, enum fake_fault, unsigned int event);
 void fake_platform_set_plain_fault(struct fake_platform *, enum fake_fault);
+/* Sets the length of the plain servers' responses. */
+void fake_platform_set_plain_length(struct fake_platform *, size_t bytes);
 /* All engines fall silent until then and go on. */
 void fake_platform_pause_engines(struct fake_platform *, int64_t until);
 /* Sets the interval between events. */
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -139,6 +139,7 @@
 	enum fake_fault engine_fault;
 	unsigned int fault_event;
 	enum fake_fault plain_fault;
+	char *plain_body;
 	/* Kind of the responses without end, and the bytes sent in them. */
 	enum fake_fault endless;
 	size_t endless_bytes;
@@ -1222,10 +1223,10 @@
 respond_plain(
     struct server_call *server_call, unsigned int status, const char *id)
 {
-	static const char body[] = "a whole answer";
+	const char *body = server_call->server->platform->plain_body;
 	struct lstr_buf out = {0};
 	struct fake_platform *platform = server_call->server->platform;
-	size_t sent = sizeof(body) - 1;
+	size_t sent = strlen(body);
 
 	if (platform->plain_fault == FAKE_TRUNCATED ||
 	    platform->plain_fault == FAKE_UNFRAMED_RESET)
@@ -1235,13 +1236,23 @@
 	    status, id, server_call->server->id,
 	    server_headers(server_call->server));
 	if (platform->plain_fault < FAKE_UNFRAMED)
-		lstr_buf_printf(
-		    &out, "Content-Length: %zu\r\n", sizeof(body) - 1);
-	lstr_buf_printf(&out, "\r\n%.*s", (int)sent, body);
+		lstr_buf_printf(&out, "Content-Length: %zu\r\n", strlen(body));
+	lstr_buf_append(&out, lstr_from("\r\n"));
+	lstr_buf_append(&out, lstr_make(body, sent));
 	h1_write(server_call->conn, lstr_buf_view(&out));
 	lstr_buf_free(&out);
 }
 
+/*
+ * Sets the length of the plain servers' responses.
+ */
+void
+fake_platform_set_plain_length(struct fake_platform *platform, size_t bytes)
+{
+	g_free(platform->plain_body);
+	platform->plain_body = g_strnfill(bytes, 'x');
+}
+
 /*
  * Writes the next bytes of a response without end.
  */
@@ -1708,6 +1719,7 @@
 	platform->limits = (struct h1_limits){
 	    HEAD_MAX_BYTES, IDLE_TIMEOUT_USEC, IDLE_TIMEOUT_USEC};
 	platform->event_interval_usec = EVENT_INTERVAL_USEC;
+	platform->plain_body = g_strdup("a whole answer");
 	platform->items =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
 	platform->leases = g_hash_table_new_full(
@@ -1772,6 +1784,7 @@
 	g_string_free(platform->added_routes, TRUE);
 	g_hash_table_destroy(platform->runs);
 	g_hash_table_destroy(platform->used_conns);
+	g_free(platform->plain_body);
 	g_free(platform);
 }
 
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -7,6 +7,9 @@
 
 #include "h1.h"
 
+/* More than a socket buffers. */
+#define LONG_RESPONSE_BYTES ((size_t)7 * 1024 * 1024)
+
 /* A client connection whose peer is a plain socket driven by the test. */
 struct fixture {
 	struct loop *loop;
@@ -171,6 +174,39 @@
 }
 END_TEST
 
+/*
+ * Guards against cutting off a long response a fixed time after it was queued
+ * although its peer goes on reading.
+ */
+START_TEST(graceful_close_delivers_to_a_slow_peer)
+{
+	static char bytes[LONG_RESPONSE_BYTES];
+	static char chunk[16 * 1024];
+	struct fixture f;
+	size_t received = 0;
+	int64_t deadline;
+	ssize_t n = 1;
+
+	fixture_start(&f);
+	ck_assert_int_eq(
+	    h1_write(f.conn, lstr_make(bytes, sizeof(bytes))), STATUS_OK);
+	h1_close_gracefully(f.conn);
+	deadline = loop_now(f.loop) + HARNESS_DEADLINE_USEC;
+	while (n != 0) {
+		int64_t until = loop_now(f.loop) + 10 * LOOP_USEC_PER_MSEC;
+
+		ck_assert_int_lt(until, deadline);
+		n = recv(f.peer, chunk, sizeof(chunk), MSG_DONTWAIT);
+		received += n > 0 ? (size_t)n : 0;
+		while (loop_now(f.loop) < until)
+			loop_run_once(f.loop, until);
+	}
+	ck_assert_uint_eq(received, sizeof(bytes));
+	close(f.peer);
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against treating a response without a length as complete when the
  * connection is reset. */
 START_TEST(reset_does_not_complete_response)
@@ -270,8 +306,9 @@
 }
 END_TEST
 
-HARNESS_MAIN("h1", failed_write_is_reported_later,
-    reset_does_not_complete_response, close_completes_response_without_length,
+HARNESS_MAIN("h1", graceful_close_delivers_to_a_slow_peer,
+    failed_write_is_reported_later, reset_does_not_complete_response,
+    close_completes_response_without_length,
     interim_response_and_extra_bytes_are_ignored,
     response_after_skipped_one_is_read, tokens_are_found_in_header_lists,
     list_entries_are_split)
--- a/tests/test_node_stopping.c
+++ b/tests/test_node_stopping.c
@@ -1,3 +1,5 @@
+#include <errno.h>
+
 #include "node_fixture.h"
 
 #define EVENTS 12
@@ -6,6 +8,10 @@
 /* Streams take about 3 s, many times as long as the node expects. */
 #define EVENT_USEC (250 * LOOP_USEC_PER_MSEC)
 
+/* A long answer, of which a caller reads SLOW_READ_BYTES each 10 ms. */
+#define LONG_ANSWER_BYTES ((size_t)6 * 1024 * 1024)
+#define SLOW_READ_BYTES ((size_t)24 * 1024)
+
 /* A caller's request that is sent while the node stops. */
 struct late_call {
 	struct node_call call;
@@ -20,8 +26,9 @@
  * Returns whether the node has ended, and reaps it.
  */
 static bool
-has_ended(struct node_fixture *w)
+node_has_ended(void *arg)
 {
+	struct node_fixture *w = arg;
 	int status;
 
 	if (w->pid == 0)
@@ -87,7 +94,7 @@
 
 	call_count = 0;
 	kill(w->pid, SIGTERM);
-	while (!has_ended(w)) {
+	while (!node_has_ended(w)) {
 		ck_assert_int_lt(
 		    loop_now(w->loop) - started_at, HARNESS_DEADLINE_USEC);
 		if (loop_now(w->loop) >= next_at) {
@@ -185,5 +192,76 @@
 }
 END_TEST
 
+/*
+ * Sends a request to the plain service on a new blocking connection with a
+ * small receive buffer, and returns the socket.
+ */
+static int
+send_from_slow_caller(const struct node_fixture *w)
+{
+	struct sockaddr_in address = loopback_own(w->front);
+	const char *text =
+	    node_request("GET", "/look/1", "slow", NODE_KEY, 20000, "");
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int size = 64 * 1024;
+
+	ck_assert_int_ge(fd, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(
+	    send(fd, text, strlen(text), 0), (ssize_t)strlen(text));
+	return fd;
+}
+
+/*
+ * Reads from a socket slowly until its connection ends, and returns the number
+ * of bytes.
+ */
+static size_t
+read_slowly(struct node_fixture *w, int fd)
+{
+	static char bytes[SLOW_READ_BYTES];
+	int64_t deadline = loop_now(w->loop) + HARNESS_DEADLINE_USEC;
+	size_t received = 0;
+	bool open = true;
+
+	while (open) {
+		int64_t until = loop_now(w->loop) + 10 * LOOP_USEC_PER_MSEC;
+		ssize_t n;
+
+		ck_assert_int_lt(until, deadline);
+		n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		open = n > 0 || (n < 0 && errno == EAGAIN);
+		received += n > 0 ? (size_t)n : 0;
+		while (loop_now(w->loop) < until)
+			loop_run_once(w->loop, until);
+	}
+	return received;
+}
+
+/* Guards against a node that exits, or closes the connection, while a caller
+ * still reads its answer. */
+START_TEST(long_answers_are_delivered_to_slow_callers)
+{
+	struct node_fixture w;
+	int slow;
+	int stuck;
+
+	node_fixture_start(&w);
+	fake_platform_set_plain_length(w.platform, LONG_ANSWER_BYTES);
+	kill(w.pid, SIGTERM);
+	slow = send_from_slow_caller(&w);
+	stuck = send_from_slow_caller(&w);
+	ck_assert_uint_gt(read_slowly(&w, slow), LONG_ANSWER_BYTES);
+	/* A caller that does not read at all does not keep the node. */
+	ck_assert(harness_wait(w.loop, node_has_ended, &w));
+	close(slow);
+	close(stuck);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("node_stopping", late_streams_are_complete_or_refused,
-    late_requests_to_a_silent_server_are_answered)
+    late_requests_to_a_silent_server_are_answered,
+    long_answers_are_delivered_to_slow_callers)
