Open requests are answered before a stopping node exits

Callers saw: a closed connection, without a response, for a request whose server had not answered, or whose body had not arrived completely, when the grace period of a stopping node ended.

Cause: the node stopped its loop with whatever was still running.

Change: shortly before the end it answers every request that has no response yet, 503 if it has not run and 502 if it may have, delivers these responses and exits. Deadlines of a request are set when its head arrives, so that a request whose body is incomplete is refused with a valid Retry-After.

Evidence: open_requests_are_answered_before_the_node_exits gets no status before; 502 and 503 now.

Why this works: both statuses are known without the servers, and the node exits later than it answers.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -170,6 +170,29 @@
 	    "node is stopping");
 }
 
+/*
+ * Ends the requests of a stopping node that have no response yet: refuses those
+ * that have not run, among them those that have not been read completely, and
+ * fails the others.
+ */
+void
+gateway_answer_rest(struct gateway *gateway)
+{
+	for (guint i = 0; i < gateway->requests->len; i++) {
+		struct gateway_request *request =
+		    g_ptr_array_index(gateway->requests, i);
+
+		if (request->state == GATEWAY_ENDED ||
+		    request->response_started)
+			continue;
+		if (request->state == GATEWAY_SENT || request->may_have_run)
+			gateway_fail_request(request, HTTP_STATUS_BAD_GATEWAY,
+			    "node is stopping");
+		else
+			gateway_refuse_draining(request);
+	}
+}
+
 /*
  * Returns the number of requests that have not ended.
  */
@@ -236,6 +259,23 @@
 	return service;
 }
 
+/*
+ * Sets the caller's deadline and the time limit of a request.
+ */
+static void
+set_deadlines(struct gateway_request *request)
+{
+	int64_t caller_timeout = request->info.caller_timeout_usec;
+
+	if (caller_timeout <= 0)
+		caller_timeout = GATEWAY_CALLER_TIMEOUT_DEFAULT_USEC;
+	request->deadline = request->arrived_at + caller_timeout;
+	request->timeout_at = request->deadline;
+	if (request->route != NULL && request->route->timeout_usec > 0)
+		request->timeout_at = MIN(request->deadline,
+		    request->arrived_at + request->route->timeout_usec);
+}
+
 /*
  * Creates a request when its head has been received.
  */
@@ -254,6 +294,7 @@
 	len = MIN(request->info.id.len, (size_t)ADAPTER_ID_MAX_BYTES);
 	memcpy(request->id, request->info.id.data, len);
 	request->last_event = request->info.last_event;
+	set_deadlines(request);
 	g_ptr_array_add(gateway->requests, request);
 	h1_set_data(conn, request);
 	gateway->counts.taken++;
@@ -402,23 +443,6 @@
 	return MIN(priority, SCHED_CLASSES - 1);
 }
 
-/*
- * Sets the caller's deadline and the time limit of a request.
- */
-static void
-set_deadlines(struct gateway_request *request)
-{
-	int64_t caller_timeout = request->info.caller_timeout_usec;
-
-	if (caller_timeout <= 0)
-		caller_timeout = GATEWAY_CALLER_TIMEOUT_DEFAULT_USEC;
-	request->deadline = request->arrived_at + caller_timeout;
-	request->timeout_at = request->deadline;
-	if (request->route != NULL && request->route->timeout_usec > 0)
-		request->timeout_at = MIN(request->deadline,
-		    request->arrived_at + request->route->timeout_usec);
-}
-
 /*
  * Refuses a request because the node has not read a configuration yet.
  */
@@ -491,7 +515,6 @@
 	if (request == NULL)
 		return;
 	request->state = GATEWAY_WAITING;
-	set_deadlines(request);
 	if (!store_cache_is_synced(gateway->config.store_cache))
 		request->held_until =
 		    admit_hold_until(request->arrived_at, gateway->created_at,
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -66,6 +66,8 @@
 /* Starts the requests that were held until the store has been read. */
 void gateway_release_held(struct gateway *);
 void gateway_set_config(struct gateway *, struct fleet_config *);
+/* Answers the requests of a stopping node that have no response yet. */
+void gateway_answer_rest(struct gateway *);
 size_t gateway_count_active(const struct gateway *);
 size_t gateway_count_waiting(const struct gateway *);
 void gateway_tick(struct gateway *);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -51,6 +51,8 @@
 		node->front_stopped = true;
 		h1_listener_stop(node->front);
 	}
+	if (now >= node->drain.answer_by)
+		gateway_answer_rest(node->gateway);
 	if ((!accepts && gateway_count_active(node->gateway) == 0 &&
 		!h1_listener_has_output(node->front)) ||
 	    now >= node->drain.exit_by)
--- a/tests/test_node_stopping.c
+++ b/tests/test_node_stopping.c
@@ -262,6 +262,40 @@
 }
 END_TEST
 
+/* Guards against connections that are closed without an answer at the end of
+ * the grace period: of requests at silent servers, and of unfinished ones. */
+START_TEST(open_requests_are_answered_before_the_node_exits)
+{
+	struct node_fixture w;
+	struct node_call sent;
+	struct node_call unfinished;
+
+	node_fixture_start(&w);
+	fake_platform_pause_engines(
+	    w.platform, loop_now(w.loop) + HARNESS_DEADLINE_USEC);
+	node_call_send(&w, &sent, w.front,
+	    node_request("POST", "/once/draft", "sent", NODE_KEY, 20000,
+		"Model: m\r\nToken-Usage: 40,80\r\nPrefix-Hash: ab:40\r\n"
+		"Content-Length: 2\r\n\r\nhi"));
+	node_call_send(&w, &unfinished, w.front,
+	    node_request("POST", "/order/1", "unfinished", NODE_KEY, 20000,
+		"Content-Length: 10\r\n\r\nhalf"));
+	kill(w.pid, SIGTERM);
+	node_call_wait(&w, &sent);
+	node_call_wait(&w, &unfinished);
+	ck_assert_uint_eq(sent.status, 502);
+	ck_assert(sent.complete);
+	ck_assert_uint_eq(unfinished.status, 503);
+	ck_assert(unfinished.complete);
+	ck_assert(strtod(unfinished.retry_after, NULL) > 0);
+	ck_assert(harness_wait(w.loop, node_has_ended, &w));
+	lstr_buf_free(&sent.body);
+	lstr_buf_free(&unfinished.body);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("node_stopping", late_streams_are_complete_or_refused,
     late_requests_to_a_silent_server_are_answered,
-    long_answers_are_delivered_to_slow_callers)
+    long_answers_are_delivered_to_slow_callers,
+    open_requests_are_answered_before_the_node_exits)
