A refused attempt late in a planned stop is not repeated at any price

Callers would see: a stream that was accepted early in the grace period and refused by its server late in it, is sent once more and cut off.

Cause: every request that had been sent before was exempt from the rule for late requests, also one that certainly had not run.

Change: only a request that may have run is exempt, since it cannot be refused. One that has not run is treated like a new one.

Evidence: refused_attempt_is_repeated_only_if_it_ends_in_time, on the pure decision; before, the exemption was made outside of it by the number of sends.

Why this works: the refusal is true, and its Retry-After names a node that accepts the request.

--- a/src/node/drain.c
+++ b/src/node/drain.c
@@ -21,13 +21,14 @@
 }
 
 /*
- * Returns whether a request that has not been sent to a server is accepted.
+ * Returns whether a request is sent to a server, or else refused.
  */
 bool
 drain_accepts(
     const struct drain *drain, const struct drain_request *request, int64_t now)
 {
-	if (!drain_is_active(drain) || request->timeout_at <= drain->answer_by)
+	if (!drain_is_active(drain) || request->may_have_run ||
+	    request->timeout_at <= drain->answer_by)
 		return true;
 	return now < drain->accept_until &&
 	    now + request->expected_usec <= drain->answer_by;
--- a/src/node/drain.h
+++ b/src/node/drain.h
@@ -44,12 +44,14 @@
 	int64_t exit_by;
 };
 
-/* A request that has not been sent to a server. */
+/* A request that is to be sent to a server. */
 struct drain_request {
 	/* Expected duration in microseconds; 0: not known, and short. */
 	int64_t expected_usec;
 	/* When the caller or the route's time limit ends it. */
 	int64_t timeout_at;
+	/* It may have run, so it cannot be refused. */
+	bool may_have_run;
 };
 
 /* Where else callers may go. The times are those at which the live peers that
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -142,17 +142,18 @@
 /*
  * Returns whether a request with the given expected duration may still be sent
  * to a server; false only while the node is stopping, for requests that have
- * not been sent.
+ * not run.
  */
 bool
 gateway_can_start(struct gateway_request *request, int64_t expected_usec)
 {
 	const struct gateway *gateway = request->gateway;
-	const struct drain_request late = {expected_usec, request->timeout_at};
+	const struct drain_request late = {expected_usec, request->timeout_at,
+	    request->may_have_run || request->response_started};
 
 	request->expected_usec = expected_usec;
-	return request->attempts.count > 0 ||
-	    drain_accepts(gateway->config.drain, &late, gateway_now(gateway));
+	return drain_accepts(
+	    gateway->config.drain, &late, gateway_now(gateway));
 }
 
 /*
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -141,7 +141,7 @@
 {
 	const struct gateway *gateway = request->gateway;
 	const struct drain_request late = {
-	    request->expected_usec, request->timeout_at};
+	    request->expected_usec, request->timeout_at, false};
 	struct drain_peers peers;
 
 	if (retry_usec == 0 || !drain_is_active(gateway->config.drain))
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -89,7 +89,7 @@
 START_TEST(early_requests_are_accepted_if_they_are_expected_to_end)
 {
 	struct drain drain = {0};
-	struct drain_request request = {3000000, 1 + 20000000};
+	struct drain_request request = {3000000, 1 + 20000000, false};
 
 	ck_assert(!drain_is_active(&drain));
 	ck_assert(drain_accepts(&drain, &request, 1));
@@ -99,13 +99,28 @@
 	ck_assert(!drain_accepts(&drain, &request, drain.accept_until));
 	request.expected_usec = 9000000;
 	ck_assert(!drain_accepts(&drain, &request, 1));
-	request = (struct drain_request){9000000, drain.answer_by};
+	request = (struct drain_request){9000000, drain.answer_by, false};
 	ck_assert(drain_accepts(&drain, &request, drain.answer_by - 1));
 	request.timeout_at++;
 	ck_assert(!drain_accepts(&drain, &request, drain.answer_by - 1));
 }
 END_TEST
 
+/* Guards against sending a request once more late in the grace period because
+ * it was accepted before: if its server has refused it, it has not run. */
+START_TEST(refused_attempt_is_repeated_only_if_it_ends_in_time)
+{
+	struct drain drain = {0};
+	struct drain_request request = {1000000, 1 + 20000000, false};
+
+	drain_start(&drain, 1, GRACE_USEC);
+	ck_assert(drain_accepts(&drain, &request, drain.accept_until - 1));
+	ck_assert(!drain_accepts(&drain, &request, drain.accept_until + 1));
+	request.may_have_run = true;
+	ck_assert(drain_accepts(&drain, &request, drain.accept_until + 1));
+}
+END_TEST
+
 /*
  * Simulates nodes that are stopped one after the other, with a request each
  * 10 ms whose time limit is later than their exit. Returns how many refused
@@ -136,7 +151,8 @@
 		    at == last ? nodes[NODES - 2].started_at
 			       : last->started_at};
 		struct drain_request request = {
-		    g_rand_int_range(rand, 100000, 4000000), now + 20000000};
+		    g_rand_int_range(rand, 100000, 4000000), now + 20000000,
+		    false};
 		int64_t back;
 
 		if (drain_accepts(at, &request, now))
@@ -176,7 +192,7 @@
 {
 	struct drain drain = {0};
 	struct drain_peers peers = {1, 0, 0};
-	struct drain_request request = {1000000, 20000000};
+	struct drain_request request = {1000000, 20000000, false};
 
 	drain_start(&drain, 1, GRACE_USEC);
 	ck_assert_int_le(drain_retry_usec(&drain, &peers, &request, 3000000,
@@ -197,5 +213,6 @@
 
 HARNESS_MAIN("drain", late_requests_end_before_the_process,
     early_requests_are_accepted_if_they_are_expected_to_end,
+    refused_attempt_is_repeated_only_if_it_ends_in_time,
     refused_callers_return_when_a_node_serves,
     refused_callers_return_soon_if_other_nodes_serve)
