Test signals and suspensions in the grace period

Callers saw, before drain_start() stored the times of a shutdown: a stream that a stopping node had accepted was cut off when a shorter grace period was loaded.

Cause: the end was computed from the settings at each tick.

--- a/tests/test_node_stopping.c
+++ b/tests/test_node_stopping.c
@@ -12,6 +12,9 @@
 #define LONG_ANSWER_BYTES ((size_t)6 * 1024 * 1024)
 #define SLOW_READ_BYTES ((size_t)24 * 1024)
 
+/* Longer than the grace period of 8 s. */
+#define SUSPENDED_USEC (9 * LOOP_USEC_PER_SEC)
+
 /* A caller's request that is sent while the node stops. */
 struct late_call {
 	struct node_call call;
@@ -295,7 +298,103 @@
 }
 END_TEST
 
+/*
+ * Sets the grace period in the settings file of the node.
+ */
+static void
+set_grace(const struct node_fixture *w, int seconds)
+{
+	char *text = NULL;
+	char *end;
+	FILE *file;
+
+	ck_assert(g_file_get_contents(w->settings_path, &text, NULL, NULL));
+	end = strstr(text, "\"grace_s\":8");
+	ck_assert_ptr_nonnull(end);
+	file = fopen(w->settings_path, "w");
+	ck_assert_ptr_nonnull(file);
+	fprintf(file, "%.*s\"grace_s\":%d%s", (int)(end - text), text, seconds,
+	    end + strlen("\"grace_s\":8"));
+	fclose(file);
+	g_free(text);
+}
+
+/* Guards against signals in the grace period that end requests which were
+ * accepted before: a reload with a shorter period, and further SIGTERMs. */
+START_TEST(signals_in_the_grace_period_do_not_shorten_it)
+{
+	struct node_fixture w;
+	struct node_call call;
+
+	node_fixture_start(&w);
+	fake_platform_set_event_interval(w.platform, EVENT_USEC);
+	node_start_stream(&w, &call, "long");
+	kill(w.pid, SIGTERM);
+	set_grace(&w, 1);
+	kill(w.pid, SIGHUP);
+	kill(w.pid, SIGTERM);
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 200);
+	ck_assert(call.complete);
+	ck_assert(harness_wait(w.loop, node_has_ended, &w));
+	lstr_buf_free(&call.body);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/*
+ * Waits until the node says that it is not ready: it has received SIGTERM.
+ */
+static void
+wait_until_not_ready(struct node_fixture *w)
+{
+	struct node_call ready;
+
+	do {
+		node_call_send(w, &ready, w->ready,
+		    "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+		node_call_wait(w, &ready);
+		lstr_buf_free(&ready.body);
+	} while (ready.status != 503);
+}
+
+/* Guards against a node that was suspended in its grace period and goes on
+ * after the end of it with requests that it has not read before. */
+START_TEST(node_suspended_past_its_grace_period_starts_nothing)
+{
+	struct node_fixture w;
+	int64_t suspended_at;
+
+	node_fixture_start(&w);
+	call_count = 0;
+	kill(w.pid, SIGTERM);
+	wait_until_not_ready(&w);
+	kill(w.pid, SIGSTOP);
+	suspended_at = loop_now(w.loop);
+	while (loop_now(w.loop) < suspended_at + SUSPENDED_USEC) {
+		if (call_count < 10) {
+			send_stream(&w);
+			send_plain(&w);
+		}
+		loop_run_once(
+		    w.loop, loop_now(w.loop) + 5 * LOOP_USEC_PER_MSEC);
+	}
+	kill(w.pid, SIGCONT);
+	ck_assert(harness_wait(w.loop, node_has_ended, &w));
+	for (unsigned int i = 0; i < call_count; i++) {
+		node_call_wait(&w, &calls[i].call);
+		check_answered(&w, &calls[i]);
+		ck_assert_uint_eq(
+		    fake_platform_run_count(w.platform, calls[i].id), 0);
+		lstr_buf_free(&calls[i].call.body);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("node_stopping", late_streams_are_complete_or_refused,
     late_requests_to_a_silent_server_are_answered,
     long_answers_are_delivered_to_slow_callers,
-    open_requests_are_answered_before_the_node_exits)
+    open_requests_are_answered_before_the_node_exits,
+    signals_in_the_grace_period_do_not_shorten_it,
+    node_suspended_past_its_grace_period_starts_nothing)
