A response that ends within its head is an error in fetch

Here every caller of fetch was affected: engines, plain services, the key-value store (an empty value, or a list without entries), the instance list, chestnuthoistctl.

Cause: libcurl 7.88.1 reports success with the status and an empty body if the connection closes after a whole line of the head.

Change: fetch notes the empty line that ends the head of the final response and fails a call without it.

Evidence: response_cut_at_any_byte_is_an_error fails before with 17 bytes of "HTTP/1.1 200 OK" and passes, with a length, chunks, a trailer, after a 100, unframed, on new and reused connections. test_h1 has the same for the node's own parser and found no fault there.

Why this works: no response is complete without the end of its head, whatever follows.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -8,6 +8,8 @@
 
 #define IDLE_CONNECTIONS_MAX 512L
 #define CONNECT_TIMEOUT_MS 2000L
+/* Responses with a lower status are interim. */
+#define HTTP_FINAL_MIN 200
 #define RESPONSE_MAX_DEFAULT_BYTES ((size_t)8 * 1024 * 1024)
 
 struct fetch {
@@ -31,6 +33,8 @@
 	int64_t progress_deadline;
 	/* Bytes received since the deadline was last moved. */
 	size_t progress_bytes;
+	/* The empty line after the head of the final response has arrived. */
+	bool head_done;
 	bool timed_out;
 	bool too_large;
 	bool in_data_callback;
@@ -68,6 +72,8 @@
 		return status_set(STATUS_FULL, "answer is too large");
 	if (call->timed_out || code == CURLE_OPERATION_TIMEDOUT)
 		return status_set(STATUS_TIMEOUT, "deadline passed");
+	if (code == CURLE_OK && !call->head_done)
+		return status_set(STATUS_IO, "answer ends within its head");
 	if (code == CURLE_OK)
 		return STATUS_OK;
 	if (code == CURLE_COULDNT_CONNECT)
@@ -242,6 +248,26 @@
 	loop_timer_set(call->timer, deadline);
 }
 
+/*
+ * Called by libcurl with each complete line of a head or trailer. libcurl
+ * reports success for a response that ends within its head.
+ */
+static size_t
+on_head_line(char *data, size_t size, size_t count, void *arg)
+{
+	struct fetch_call *call = arg;
+	struct lstr line = lstr_make(data, size * count);
+	long status = 0;
+
+	if (lstr_starts_with(line, "HTTP/")) {
+		call->head_done = false;
+	} else if (line.len > 0 && (*data == '\r' || *data == '\n')) {
+		curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+		call->head_done = status >= HTTP_FINAL_MIN;
+	}
+	return line.len;
+}
+
 /*
  * Called by libcurl with bytes of a response body. Returning fewer bytes than
  * given makes libcurl abort the call.
@@ -322,6 +348,8 @@
 
 	curl_easy_setopt(easy, CURLOPT_URL, request->url);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_head_line);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -306,9 +306,61 @@
 }
 END_TEST
 
-HARNESS_MAIN("h1", graceful_close_delivers_to_a_slow_peer,
-    failed_write_is_reported_later, reset_does_not_complete_response,
-    close_completes_response_without_length,
+/*
+ * Sends the first bytes of a response from the peer, closes, and returns
+ * whether the client takes them for a response. skip: another response comes
+ * first and is skipped.
+ */
+static bool
+cut_response_completes(const char *text, size_t len, bool skip)
+{
+	struct fixture f;
+	bool completes;
+
+	fixture_start(&f);
+	f.skip_first = skip;
+	if (skip)
+		peer_send(
+		    &f, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+	ck_assert_int_eq(send(f.peer, text, len, MSG_NOSIGNAL), (ssize_t)len);
+	close(f.peer);
+	ck_assert(harness_wait(f.loop, has_ended, &f));
+	completes = f.complete > 0;
+	fixture_stop(&f);
+	return completes;
+}
+
+/* Guards against taking a response for complete whose server closed in the
+ * middle of its head, body or trailer. */
+START_TEST(response_cut_at_any_byte_does_not_complete)
+{
+	static const char *const responses[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-More: y\r\n\r\nhello",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello"
+	    "\r\n0\r\nX-Trailer: y\r\n\r\n",
+	    "HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n"
+	    "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+	    /* The connection ends the body of this one. */
+	    "HTTP/1.1 200 OK\r\nX-More: y\r\n\r\n"};
+
+	for (size_t i = 0; i < 2 * sizeof(responses) / sizeof(*responses);
+	     i++) {
+		const char *text = responses[i / 2];
+		bool skip = i % 2 == 1;
+
+		for (size_t len = 0; len < strlen(text); len++)
+			ck_assert_msg(!cut_response_completes(text, len, skip),
+			    "%zu bytes of '%s' are taken for a response", len,
+			    text);
+	}
+	ck_assert(
+	    cut_response_completes(responses[3], strlen(responses[3]), false));
+}
+END_TEST
+
+HARNESS_MAIN("h1", response_cut_at_any_byte_does_not_complete,
+    graceful_close_delivers_to_a_slow_peer, failed_write_is_reported_later,
+    reset_does_not_complete_response, close_completes_response_without_length,
     interim_response_and_extra_bytes_are_ignored,
     response_after_skipped_one_is_read, tokens_are_found_in_header_lists,
     list_entries_are_split)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,9 @@
 #include "harness.h"
 
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "fetch.h"
 #include "httpd.h"
@@ -309,9 +312,164 @@
 }
 END_TEST
 
-HARNESS_MAIN("http", aborted_response_is_an_error,
-    disconnected_client_is_detected, server_stops_with_a_request_open,
-    echo_returns_the_body, deferred_stream_arrives_complete,
-    large_body_is_refused, deadline_ends_the_call,
-    call_does_not_end_while_its_response_arrives,
+/* A server that sends the first bytes of a response and closes. */
+struct raw_server {
+	struct fixture fixture;
+	int listener;
+	/* The open connection; -1: none. */
+	int peer;
+};
+
+/*
+ * Starts the client and a listening socket.
+ */
+static void
+raw_start(struct raw_server *raw)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+	struct fixture *f = &raw->fixture;
+
+	memset(raw, 0, sizeof(*raw));
+	raw->peer = -1;
+	raw->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	ck_assert_int_eq(
+	    bind(raw->listener, (struct sockaddr *)&address, sizeof(address)),
+	    0);
+	ck_assert_int_eq(listen(raw->listener, 4), 0);
+	getsockname(raw->listener, (struct sockaddr *)&address, &len);
+	snprintf(f->url, sizeof(f->url), "http://127.0.0.1:%u/",
+	    (unsigned int)ntohs(address.sin_port));
+	ck_assert_int_eq(loop_create(&f->loop), STATUS_OK);
+	ck_assert_int_eq(fetch_create(f->loop, &f->fetch), STATUS_OK);
+}
+
+/*
+ * Accepts a connection unless one is open, and returns whether the request has
+ * been read.
+ */
+static bool
+raw_has_request(void *arg)
+{
+	struct raw_server *raw = arg;
+	char bytes[1024];
+
+	if (raw->peer < 0)
+		raw->peer = accept4(raw->listener, NULL, NULL, SOCK_NONBLOCK);
+	return raw->peer >= 0 && recv(raw->peer, bytes, sizeof(bytes), 0) > 0;
+}
+
+/*
+ * Sends a response, and closes the connection unless it is kept.
+ */
+static void
+raw_respond(struct raw_server *raw, struct lstr response, bool keep)
+{
+	ck_assert_int_eq(
+	    send(raw->peer, response.data, response.len, MSG_NOSIGNAL),
+	    (ssize_t)response.len);
+	if (keep)
+		return;
+	close(raw->peer);
+	raw->peer = -1;
+}
+
+/*
+ * Makes a call that is answered with some bytes and returns its status. libcurl
+ * repeats a call whose reused connection is closed within the first line.
+ */
+static enum status
+raw_call(struct raw_server *raw, struct lstr response, bool keep)
+{
+	struct fixture *f = &raw->fixture;
+	struct fetch_request request = {.method = "GET",
+	    .url = f->url,
+	    .deadline = loop_now(f->loop) + HARNESS_DEADLINE_USEC};
+
+	f->done = false;
+	ck_assert_int_eq(
+	    fetch_start(f->fetch, &request, &client_ops, f, NULL), STATUS_OK);
+	while (!f->done) {
+		if (raw_has_request(raw))
+			raw_respond(raw, response, keep);
+		loop_run_once(f->loop, loop_now(f->loop) + LOOP_USEC_PER_MSEC);
+	}
+	return f->status;
+}
+
+/*
+ * Frees the client and closes the sockets.
+ */
+static void
+raw_stop(struct raw_server *raw)
+{
+	fetch_destroy(raw->fixture.fetch);
+	loop_destroy(raw->fixture.loop);
+	lstr_buf_free(&raw->fixture.body);
+	if (raw->peer >= 0)
+		close(raw->peer);
+	close(raw->listener);
+}
+
+/* Guards against taking a response for complete whose server closed in the
+ * middle of its head, body or trailer; libcurl alone reports success. */
+START_TEST(response_cut_at_any_byte_is_an_error)
+{
+	static const char whole[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+	static const struct {
+		const char *text;
+		/* The connection ends the body, so only the head is cut. */
+		bool unframed;
+		/* Bytes at the end that libcurl does not wait for: the last
+		 * line feed after the last chunk. */
+		size_t optional;
+	} responses[] = {
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-More: y\r\n\r\nhello",
+		false, 0},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello"
+	     "\r\n0\r\nX-Trailer: y\r\n\r\n",
+		false, 1},
+	    {"HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n"
+	     "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+		false, 0},
+	    {"HTTP/1.1 200 OK\r\nX-More: y\r\n\r\n", true, 0}};
+	struct raw_server raw;
+
+	raw_start(&raw);
+	for (size_t i = 0; i < 2 * sizeof(responses) / sizeof(*responses);
+	     i++) {
+		const char *text = responses[i / 2].text;
+		bool reused = i % 2 == 1;
+
+		size_t cuts = strlen(text) - responses[i / 2].optional;
+
+		for (size_t len = reused; len < cuts; len++) {
+			if (reused)
+				ck_assert_int_eq(
+				    raw_call(&raw, lstr_from(whole), true),
+				    STATUS_OK);
+			ck_assert_msg(raw_call(&raw, lstr_make(text, len),
+					  false) != STATUS_OK,
+			    "%zu bytes of '%s' are taken for a response, "
+			    "reused %d",
+			    len, text, reused);
+		}
+		ck_assert_int_eq(
+		    raw_call(&raw, lstr_from(text), !responses[i / 2].unframed),
+		    STATUS_OK);
+		if (raw.peer >= 0)
+			close(raw.peer);
+		raw.peer = -1;
+	}
+	raw_stop(&raw);
+}
+END_TEST
+
+HARNESS_MAIN("http", response_cut_at_any_byte_is_an_error,
+    aborted_response_is_an_error, disconnected_client_is_detected,
+    server_stops_with_a_request_open, echo_returns_the_body,
+    deferred_stream_arrives_complete, large_body_is_refused,
+    deadline_ends_the_call, call_does_not_end_while_its_response_arrives,
     trickling_response_ends_at_the_deadline, refused_connection_was_not_sent)
