A call of the node ends when its answer is too large

Operators would see: processor time spent on report queries and orders while faulty servers send bytes without end, until the deadline of each call.

Cause: backend_call dropped what exceeded its limit and read on. Memory was bounded, processor time was not.

Change: such a call ends with STATUS_FULL and its connection is closed.

Why this works: the decision is taken at the first byte beyond the limit.

--- a/src/node/backend_call.c
+++ b/src/node/backend_call.c
@@ -2,7 +2,7 @@
 
 #include "backend_call.h"
 
-/* Limit of the response body; chunks that would exceed it are discarded. */
+/* Limit of the response body; a server that sends more is faulty. */
 #define RESPONSE_MAX_BYTES ((size_t)256 * 1024)
 
 struct backend_call {
@@ -48,8 +48,8 @@
 }
 
 /*
- * Appends a chunk of the response body; a chunk that would exceed the size
- * limit is discarded.
+ * Appends a chunk of the response body. Ends the call if the body is too large:
+ * a faulty server sends bytes until its connection is closed.
  */
 static void
 on_body(struct h1_conn *conn, struct lstr bytes, void *arg)
@@ -57,8 +57,10 @@
 	struct backend_call *backend_call = arg;
 
 	(void)conn;
-	if (backend_call->body.len + bytes.len <= RESPONSE_MAX_BYTES)
-		lstr_buf_append(&backend_call->body, bytes);
+	if (backend_call->body.len + bytes.len > RESPONSE_MAX_BYTES ||
+	    lstr_buf_append(&backend_call->body, bytes) != STATUS_OK)
+		finish(backend_call,
+		    status_set(STATUS_FULL, "answer without end"));
 }
 
 /*
--- a/src/node/backend_call.h
+++ b/src/node/backend_call.h
@@ -7,7 +7,8 @@
  * orders and report queries. Each uses a connection of its own. */
 
 struct backend_call_result {
-	/* STATUS_OK if a complete response was received. */
+	/* STATUS_OK if a complete response was received, STATUS_FULL if it was
+	 * too large. */
 	enum status status;
 	unsigned int http_status;
 	struct lstr body;
