Heads and error responses without end are cut

Operators would see: processor time spent on the head of an answer, or on the error response of an engine, while a faulty server sends it without end.

Cause: fetch left the size of heads to libcurl, which reads about 2 MB, and engine_http dropped what exceeded its limit of error bodies and read on until the deadline.

Change: fetch ends a call with STATUS_FULL when its heads, also those of interim responses, exceed 64 KB; engine_http when an error body exceeds its limit.

Evidence: head_without_end_is_cut and error_response_without_end_is_cut fail before (the calls ended with STATUS_IO) and pass.

Why this works: the decision is taken at the first byte beyond the limit.

--- a/src/engine_http.c
+++ b/src/engine_http.c
@@ -185,8 +185,13 @@
 
 	if (fetch_http_status(fetch_call) != HTTP_OK) {
 		if (call->error_body.len + bytes.len <=
-		    CONTROL_RESPONSE_MAX_BYTES)
+		    CONTROL_RESPONSE_MAX_BYTES) {
 			lstr_buf_append(&call->error_body, bytes);
+			return;
+		}
+		call->failure =
+		    status_set(STATUS_FULL, "error response is too large");
+		loop_timer_set(call->timer, 0);
 		return;
 	}
 	if (call->failure == STATUS_OK)
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -10,6 +10,8 @@
 #define CONNECT_TIMEOUT_MS 2000L
 /* Responses with a lower status are interim. */
 #define HTTP_FINAL_MIN 200
+/* Limit of the heads of a call, interim responses included. */
+#define HEADS_MAX_BYTES ((size_t)64 * 1024)
 #define RESPONSE_MAX_DEFAULT_BYTES ((size_t)8 * 1024 * 1024)
 
 struct fetch {
@@ -35,6 +37,7 @@
 	size_t progress_bytes;
 	/* The empty line after the head of the final response has arrived. */
 	bool head_done;
+	size_t head_bytes;
 	bool timed_out;
 	bool too_large;
 	bool in_data_callback;
@@ -249,8 +252,9 @@
 }
 
 /*
- * Called by libcurl with each complete line of a head or trailer. libcurl
- * reports success for a response that ends within its head.
+ * Called by libcurl with each complete line of a head or trailer. Returning
+ * fewer bytes than given makes libcurl abort the call. libcurl reports success
+ * for a response that ends within its head.
  */
 static size_t
 on_head_line(char *data, size_t size, size_t count, void *arg)
@@ -259,6 +263,11 @@
 	struct lstr line = lstr_make(data, size * count);
 	long status = 0;
 
+	call->head_bytes += line.len;
+	if (call->head_bytes > HEADS_MAX_BYTES) {
+		call->too_large = true;
+		return 0;
+	}
 	if (lstr_starts_with(line, "HTTP/")) {
 		call->head_done = false;
 	} else if (line.len > 0 && (*data == '\r' || *data == '\n')) {
--- a/tests/test_engine_http.c
+++ b/tests/test_engine_http.c
@@ -388,6 +388,21 @@
 }
 END_TEST
 
+/* Guards against reading the body of an error response for as long as a faulty
+ * engine sends it. */
+START_TEST(error_response_without_end_is_cut)
+{
+	static char body[256 * 1024];
+	struct fixture f;
+
+	memset(body, 'x', sizeof(body) - 1);
+	run_attempt(&f, 503, body);
+	ck_assert_int_eq(f.end.status, STATUS_FULL);
+	ck_assert(f.end.maybe_run);
+	fixture_destroy(&f);
+}
+END_TEST
+
 /* Guards against the result "nothing ran" for errors that do not imply it. */
 START_TEST(other_errors_may_have_run)
 {
@@ -553,8 +568,9 @@
 HARNESS_MAIN("engine_http", attempt_is_sent_completely,
     token_is_read_completely, malformed_lines_end_the_call,
     overlong_line_ends_the_call, stream_without_last_is_not_ok,
-    aborted_stream_is_not_ok, leaving_engine_ran_nothing,
-    other_errors_may_have_run, refused_connection_ran_nothing,
-    timeout_may_have_run, cancel_from_token_callback_reaches_every_stage,
+    aborted_stream_is_not_ok, error_response_without_end_is_cut,
+    leaving_engine_ran_nothing, other_errors_may_have_run,
+    refused_connection_ran_nothing, timeout_may_have_run,
+    cancel_from_token_callback_reaches_every_stage,
     cancel_of_silent_call_reaches_every_stage, load_is_read,
     plain_response_arrives, plain_failures_tell_whether_it_ran)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -9,6 +9,9 @@
 #include "httpd.h"
 
 #define BODY_MAX_BYTES 1024
+/* Bytes that a server may send before its connection is closed: what the
+ * client reads and what sockets buffer. */
+#define SENT_MAX_BYTES ((size_t)8 * 1024 * 1024)
 
 /*
  * A server and a client on one event loop, and the results they have received.
@@ -376,11 +379,10 @@
 }
 
 /*
- * Makes a call that is answered with some bytes and returns its status. libcurl
- * repeats a call whose reused connection is closed within the first line.
+ * Starts a call to the server.
  */
-static enum status
-raw_call(struct raw_server *raw, struct lstr response, bool keep)
+static void
+raw_start_call(struct raw_server *raw)
 {
 	struct fixture *f = &raw->fixture;
 	struct fetch_request request = {.method = "GET",
@@ -390,6 +392,18 @@
 	f->done = false;
 	ck_assert_int_eq(
 	    fetch_start(f->fetch, &request, &client_ops, f, NULL), STATUS_OK);
+}
+
+/*
+ * Makes a call that is answered with some bytes and returns its status. libcurl
+ * repeats a call whose reused connection is closed within the first line.
+ */
+static enum status
+raw_call(struct raw_server *raw, struct lstr response, bool keep)
+{
+	struct fixture *f = &raw->fixture;
+
+	raw_start_call(raw);
 	while (!f->done) {
 		if (raw_has_request(raw))
 			raw_respond(raw, response, keep);
@@ -467,9 +481,48 @@
 }
 END_TEST
 
-HARNESS_MAIN("http", response_cut_at_any_byte_is_an_error,
-    aborted_response_is_an_error, disconnected_client_is_detected,
-    server_stops_with_a_request_open, echo_returns_the_body,
-    deferred_stream_arrives_complete, large_body_is_refused,
-    deadline_ends_the_call, call_does_not_end_while_its_response_arrives,
+/* Guards against reading heads, also of interim responses, for as long as a
+ * faulty server sends them. */
+START_TEST(head_without_end_is_cut)
+{
+	static const char *const starts[] = {
+	    "HTTP/1.1 200 OK\r\n", "HTTP/1.1 102 Processing\r\n\r\n"};
+	static const char *const lines[] = {
+	    "X-More: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n",
+	    "HTTP/1.1 102 Processing\r\nX-More: yyyyyyyyyyyyyyyyy\r\n\r\n"};
+
+	for (size_t i = 0; i < sizeof(lines) / sizeof(*lines); i++) {
+		struct raw_server raw;
+		struct lstr_buf text = {0};
+		size_t sent = 0;
+
+		raw_start(&raw);
+		for (int n = 0; n < 1000; n++)
+			lstr_buf_append(&text, lstr_from(lines[i]));
+		raw_start_call(&raw);
+		ck_assert(
+		    harness_wait(raw.fixture.loop, raw_has_request, &raw));
+		send(raw.peer, starts[i], strlen(starts[i]), MSG_NOSIGNAL);
+		while (!raw.fixture.done) {
+			ssize_t n =
+			    send(raw.peer, text.data, text.len, MSG_NOSIGNAL);
+
+			sent += n > 0 ? (size_t)n : 0;
+			ck_assert_uint_le(sent, SENT_MAX_BYTES);
+			loop_run_once(raw.fixture.loop,
+			    loop_now(raw.fixture.loop) + LOOP_USEC_PER_MSEC);
+		}
+		ck_assert_int_eq(raw.fixture.status, STATUS_FULL);
+		lstr_buf_free(&text);
+		raw_stop(&raw);
+	}
+}
+END_TEST
+
+HARNESS_MAIN("http", head_without_end_is_cut,
+    response_cut_at_any_byte_is_an_error, aborted_response_is_an_error,
+    disconnected_client_is_detected, server_stops_with_a_request_open,
+    echo_returns_the_body, deferred_stream_arrives_complete,
+    large_body_is_refused, deadline_ends_the_call,
+    call_does_not_end_while_its_response_arrives,
     trickling_response_ends_at_the_deadline, refused_connection_was_not_sent)
