Soak of planned stops of the last nodes

Change: tests/soak/stops stops two or three nodes of three, at once or in turn, again and again, with reloads and further SIGTERMs, under callers that keep their connections until the process is gone.

--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,13 @@
 	@echo "  LD $@"
 	@$(CC) $(ALL_CFLAGS) -o $@ $(SOAK_SRC) $(LIB) $(PKG_LIBS) $(CHECK_LIBS)
 
+STOPS_SRC = tests/soak/stops.c tests/fakes/platform_model.c
+
+$(BUILD)/tests/soak/stops: $(STOPS_SRC) $(LIB)
+	@mkdir -p $(@D)
+	@echo "  LD $@"
+	@$(CC) $(ALL_CFLAGS) -o $@ $(STOPS_SRC) $(LIB) $(PKG_LIBS) $(CHECK_LIBS)
+
 $(BUILD)/fakes/%: tests/fakes/%.c $(LIB)
 	@mkdir -p $(@D)
 	@echo "  LD $@"
@@ -141,7 +148,7 @@
 # Runs the randomized fault soak: seeds that failed before, then SOAK_SEEDS.
 soak: setup
 	@$(MAKE) --no-print-directory $(BUILD)/tests/soak/soak \
-	    $(BUILD)/chestnuthoist-node
+	    $(BUILD)/tests/soak/stops $(BUILD)/chestnuthoist-node
 	@BUILD=$(BUILD) tests/soak/run $(SOAK_SEEDS)
 
 # Measures throughput, shares and cost against the computed bound; takes less
