An entry without all fields names no server

Cause: an entry was used if it had an identifier, service, zone, state and address. It took over its address from the sound server, and a missing start time looked like a restart.

--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -113,6 +113,8 @@
 void fake_platform_rewrite(struct fake_platform *);
 /* The store does not state its era, like that of an older platform. */
 void fake_platform_hide_era(struct fake_platform *);
+/* Writes entries of another writer with the addresses of the servers. */
+void fake_platform_put_odd_entries(struct fake_platform *);
 /* All servers write their entries, unchanged, which raises the revision. */
 void fake_platform_touch_servers(struct fake_platform *);
 /* Grants a lease that another process renews. */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -392,6 +392,36 @@
 }
 END_TEST
 
+/* Guards against an entry of another writer, which lacks a field, that takes
+ * the place of the server whose address it has: the server would not be used,
+ * and requests could run on more servers than their route allows. */
+START_TEST(entry_of_another_writer_replaces_no_server)
+{
+	struct node_fixture w;
+	int64_t until;
+
+	node_fixture_start(&w);
+	fake_platform_put_odd_entries(w.platform);
+	until = loop_now(w.loop) + 2 * LOOP_USEC_PER_SEC;
+	for (int i = 0; loop_now(w.loop) < until; i++) {
+		struct node_call call;
+		char id[16];
+
+		snprintf(id, sizeof(id), "s%d", i);
+		node_start_stream(&w, &call, id);
+		node_call_wait(&w, &call);
+		ck_assert_uint_eq(call.status, 200);
+		ck_assert(call.complete);
+		lstr_buf_free(&call.body);
+		snprintf(id, sizeof(id), "o%d", i);
+		node_call_plain(&w, &call, "POST", "/order/1", id, NODE_KEY);
+		ck_assert_uint_eq(call.status, 200);
+		lstr_buf_free(&call.body);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against streams that are broken off while all servers are silent for a
  * second. */
 START_TEST(streams_outlast_a_silence_of_all_engines)
@@ -1061,6 +1091,7 @@
     refused_part_is_known_after_all_nodes_were_killed,
     malformed_prompts_are_passed_on, unframed_streams_are_complete_or_resumed,
     unframed_plain_answers_are_complete_or_failed,
+    entry_of_another_writer_replaces_no_server,
     request_runs_on_no_more_servers_than_its_route_allows,
     streams_outlast_a_silence_of_all_engines,
     stream_is_rerouted_around_an_unresponsive_engine,
