test_h1: do not close a connection that has ended

Connections that are closed gracefully end without a callback, so the test drops its pointer and waits for the end.

--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -203,6 +203,11 @@
 	}
 	ck_assert_uint_eq(received, sizeof(bytes));
 	close(f.peer);
+	/* The connection ends without a callback. */
+	f.conn = NULL;
+	deadline = loop_now(f.loop) + 2 * H1_LINGER_USEC;
+	while (loop_now(f.loop) < deadline)
+		loop_run_once(f.loop, deadline);
 	fixture_stop(&f);
 }
 END_TEST
