Plain answers of more than 8 MB are sent

Cause: gateway_send_response() wrote an answer of up to 16 MB at once, and ignored that h1_write() refuses more than 8 MB.

Change: the output limit of a connection applies once output is unsent. If a write fails all the same, the connection is reset.

Evidence: largest_plain_answer_is_delivered, 7 to 15 MB, fails before and passes.

Why this works: the limit is meant for peers that do not read; whether one does is known only when something is unsent.

--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -234,19 +234,27 @@
 gateway_send_response(struct gateway_request *request, const char *outcome)
 {
 	struct gateway *gateway = request->gateway;
-	bool close = drain_is_active(gateway->config.drain) ||
-	    !h1_keep_alive(request->caller);
+	struct h1_conn *caller = request->caller;
+	bool close =
+	    drain_is_active(gateway->config.drain) || !h1_keep_alive(caller);
 	struct lstr_buf text = {0};
+	bool sent;
 
 	gateway->config.adapter->encode_response(
 	    request->attempt.conn, false, close, &text);
 	lstr_buf_printf(
 	    &text, "Content-Length: %zu\r\n\r\n", request->response.len);
 	lstr_buf_append(&text, lstr_buf_view(&request->response));
-	h1_write(request->caller, lstr_buf_view(&text));
+	sent = h1_write(caller, lstr_buf_view(&text)) == STATUS_OK;
 	lstr_buf_free(&text);
 	gateway_attempt_end(request, true);
-	gateway_end_request(request, outcome);
+	if (sent) {
+		gateway_end_request(request, outcome);
+		return;
+	}
+	/* The caller has left, or has not read its former responses. */
+	gateway_cancel_request(request);
+	h1_reset(caller);
 }
 
 /*
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -206,9 +206,10 @@
 }
 
 /*
- * Queues bytes and sends what the socket accepts. Returns STATUS_FULL if more
- * than H1_OUTPUT_MAX_BYTES would be unsent; the peer does not read and the
- * connection should be closed.
+ * Queues bytes and sends what the socket accepts. Returns STATUS_FULL if output
+ * is unsent and would become more than H1_OUTPUT_MAX_BYTES; the peer does not
+ * read and the connection should be closed. A response that is written at once
+ * may be larger.
  */
 enum status
 h1_write(struct h1_conn *conn, struct lstr bytes)
@@ -217,7 +218,8 @@
 
 	if (conn->is_closed || conn->write_failed)
 		return status_set(STATUS_CLOSED, "connection is closed");
-	if (conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
+	if (conn->out.len > 0 &&
+	    conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
 		return status_set(STATUS_FULL, "peer does not read");
 	status = lstr_buf_append(&conn->out, bytes);
 	if (status == STATUS_OK)
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -22,7 +22,8 @@
  * last accepted output, and for this long in all. */
 #define H1_LINGER_USEC (1 * LOOP_USEC_PER_SEC)
 #define H1_LINGER_MAX_USEC (30 * LOOP_USEC_PER_SEC)
-/* Unsent output per connection; h1_write() fails beyond it. */
+/* Unsent output of several writes per connection; h1_write() fails beyond
+ * it. */
 #define H1_OUTPUT_MAX_BYTES ((size_t)8 * 1024 * 1024)
 
 /*
--- a/tests/test_node_answers.c
+++ b/tests/test_node_answers.c
@@ -108,6 +108,31 @@
 }
 END_TEST
 
-HARNESS_MAIN("node_answers", repeated_refusal_is_not_one_of_the_next_request,
+/* Guards against an answer that is logged as sent and never written because it
+ * is larger than the output limit of a connection. */
+START_TEST(largest_plain_answer_is_delivered)
+{
+	struct node_fixture w;
+	struct node_call call;
+
+	node_fixture_start(&w);
+	for (size_t megabytes = 7; megabytes < 16; megabytes += 2) {
+		char id[16];
+
+		fake_platform_set_plain_length(
+		    w.platform, megabytes * 1024 * 1024);
+		snprintf(id, sizeof(id), "large-%zu", megabytes);
+		node_call_plain(&w, &call, "GET", "/look/1", id, NODE_KEY);
+		ck_assert(call.complete);
+		ck_assert_uint_eq(call.status, 200);
+		ck_assert_uint_eq(call.body.len, megabytes * 1024 * 1024 + 1);
+		lstr_buf_free(&call.body);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
+HARNESS_MAIN("node_answers", largest_plain_answer_is_delivered,
+    repeated_refusal_is_not_one_of_the_next_request,
     refusal_without_statement_is_not_passed_on,
     wrong_continuation_breaks_the_stream)
