--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -233,8 +233,13 @@
 void gateway_attempt_failed(
     struct gateway_request *, bool not_run, const char *reason);
 bool gateway_attempt_give_up(struct gateway_request *, const char *reason);
+
+/* Requests of a node that is stopping. */
 bool gateway_can_start(struct gateway_request *, int64_t expected_usec);
 void gateway_refuse_draining(struct gateway_request *);
+int64_t gateway_retry_while_draining(
+    const struct gateway_request *, int64_t retry_usec);
+
 bool gateway_consume_retry(struct gateway_request *);
 
 /* Parts of prompts that end servers; see quarantine.h. */
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -131,26 +131,6 @@
 	gateway_end_request(request, NULL);
 }
 
-/*
- * Returns the time in microseconds after which the caller of a refused request
- * is to retry. While this node is stopping, it is not to return to a node that
- * refuses it again.
- */
-static int64_t
-retry_while_stopping(const struct gateway_request *request, int64_t retry_usec)
-{
-	const struct gateway *gateway = request->gateway;
-	const struct drain_request late = {
-	    request->expected_usec, request->timeout_at, false};
-	struct drain_peers peers;
-
-	if (retry_usec == 0 || !drain_is_active(gateway->config.drain))
-		return retry_usec;
-	peers = gossip_drain_peers(gateway->config.gossip);
-	return drain_retry_usec(gateway->config.drain, &peers, &late,
-	    gateway_now(gateway), retry_usec, g_rand_double(gateway->rand));
-}
-
 /*
  * Refuses a request that no server has run; retry_usec 0: the caller is not
  * told when to retry.
@@ -162,7 +142,7 @@
 	struct gateway *gateway = request->gateway;
 	int64_t now = gateway_now(gateway);
 
-	retry_usec = retry_while_stopping(request, retry_usec);
+	retry_usec = gateway_retry_while_draining(request, retry_usec);
 	gateway->counts.refused++;
 	slog_event(EV_REQUEST_REFUSED,
 	    "{s:s, s:i, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:s}",
