fuzz_entry: sound entries with all fields

make fuzz failed on: fuzz_entry aborts before its first input, because the entries of its sound servers lack fields that the adapter requires since "An entry without all fields names no server".

--- a/tests/fuzz/fuzz_entry.c
+++ b/tests/fuzz/fuzz_entry.c
@@ -62,6 +62,7 @@
 		snprintf(text, sizeof(text),
 		    "{\"service\":\"writer\",\"address\":\"10.0.0.%d:80\","
 		    "\"zone\":\"here\",\"kind\":\"card\",\"slots\":8,"
+		    "\"version\":\"v1\",\"coldRemainingMs\":0,\"sequence\":1,"
 		    "\"state\":\"ready\",\"born\":1700000000000,"
 		    "\"layers\":[{\"source\":0,\"target\":8,\"version\":1}]}",
 		    i + 1);
