--- a/Makefile
+++ b/Makefile
@@ -15,14 +15,16 @@
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 # http-parser has no pkg-config file.
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm
-DIRS = -iquote src -iquote src/node -iquote platform -iquote proto
+DIRS = -iquote src -iquote src/node -iquote src/node/decisions -iquote platform \
+	-iquote proto
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 ALL_CFLAGS = $(CFLAGS_BASE) $(PKG_CFLAGS) $(SANITIZE) $(CFLAGS) $(DIRS) -MMD -MP
 
 MAINS = $(wildcard src/*_main.c)
 BINS = $(patsubst $(BUILD)/chestnuthoist-ctl,$(BUILD)/chestnuthoistctl,\
 	$(MAINS:src/%_main.c=$(BUILD)/chestnuthoist-%))
-LIB_SRC = $(filter-out $(MAINS),$(wildcard src/*.c src/node/*.c platform/*.c))
+LIB_SRC = $(filter-out $(MAINS),$(wildcard src/*.c src/node/*.c \
+	src/node/decisions/*.c platform/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/proto/chestnuthoist.pb-c.o
 LIB = $(BUILD)/libchestnuthoist.a
 TEST_SRC = $(wildcard tests/test_*.c)
@@ -39,9 +41,10 @@
 FUZZ_RUNS ?= 200000
 FUZZ_SEED ?= 1
 STYLE_SRC = $(wildcard src/*.c src/*.h src/node/*.c src/node/*.h \
+	src/node/decisions/*.c src/node/decisions/*.h \
 	platform/*.c platform/*.h tests/*.c tests/*.h tests/fakes/*.c \
 	tests/fakes/*.h tests/soak/*.c tests/soak/*.h tests/fuzz/*.c tests/fuzz/*.h bench/*.c bench/*.h)
-LINT_SRC = $(wildcard src/*.c src/node/*.c platform/*.c tests/*.c tests/fakes/*.c tests/soak/*.c tests/fuzz/*.c \
+LINT_SRC = $(wildcard src/*.c src/node/*.c src/node/decisions/*.c platform/*.c tests/*.c tests/fakes/*.c tests/soak/*.c tests/fuzz/*.c \
 	bench/*.c)
 
 .PHONY: all setup proto check test sanitize demo faults soak bench model fuzz lint format tidy clean
@@ -181,7 +184,8 @@
 
 tidy: $(TIDY)
 
-$(BUILD)/tidy/%.ok: %.c .clang-tidy $(wildcard src/*.h src/node/*.h platform/*.h)
+$(BUILD)/tidy/%.ok: %.c .clang-tidy $(wildcard src/*.h src/node/*.h \
+	src/node/decisions/*.h platform/*.h)
 	@mkdir -p $(@D)
 	@echo "  TIDY $<"
 	@clang-tidy --quiet $< -- -std=gnu11 -D_GNU_SOURCE $(DIRS) \
