Room for waiting urgent work, classes by organisation and route, late returns

Cause: organisations have the same priority, so routes of unlike urgency were served alike; a less urgent request starts at once at a node where nothing waits while urgent ones wait elsewhere; refused callers return within the burst that refused them and are refused for good. Change: urgency (class from both priorities), demand (arrivals, use and waiting by class, exchanged in the reports), headroom (room kept free for what waits), returns (refused callers return after the overload); a caller that has returned waits longer, behind work that can be in time. Pure tests pass.

--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -1447,6 +1447,51 @@
   assert(message->base.descriptor == &ch__node_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ch__service_demand__init
+                     (Ch__ServiceDemand         *message)
+{
+  static const Ch__ServiceDemand init_value = CH__SERVICE_DEMAND__INIT;
+  *message = init_value;
+}
+size_t ch__service_demand__get_packed_size
+                     (const Ch__ServiceDemand *message)
+{
+  assert(message->base.descriptor == &ch__service_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ch__service_demand__pack
+                     (const Ch__ServiceDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ch__service_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ch__service_demand__pack_to_buffer
+                     (const Ch__ServiceDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ch__service_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ch__ServiceDemand *
+       ch__service_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ch__ServiceDemand *)
+     protobuf_c_message_unpack (&ch__service_demand__descriptor,
+                                allocator, len, data);
+}
+void   ch__service_demand__free_unpacked
+                     (Ch__ServiceDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ch__service_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ch__part_evidence__init
                      (Ch__PartEvidence         *message)
 {
@@ -4676,7 +4721,7 @@
   (ProtobufCMessageInit) ch__server_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor ch__node_report__field_descriptors[17] =
 {
   {
     "node",
@@ -4870,6 +4915,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ch__NodeReport, n_demand),
+    offsetof(Ch__NodeReport, demand),
+    &ch__service_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ch__node_report__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -4877,6 +4934,7 @@
   11,   /* field[11] = changes */
   12,   /* field[12] = complete_revision */
   6,   /* field[6] = config_revision */
+  16,   /* field[16] = demand */
   8,   /* field[8] = heard_peer */
   9,   /* field[9] = heard_sequence */
   3,   /* field[3] = leaving */
@@ -4892,7 +4950,7 @@
 static const ProtobufCIntRange ch__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor ch__node_report__descriptor =
 {
@@ -4902,13 +4960,90 @@
   "Ch__NodeReport",
   "ch",
   sizeof(Ch__NodeReport),
-  16,
+  17,
   ch__node_report__field_descriptors,
   ch__node_report__field_indices_by_name,
   1,  ch__node_report__number_ranges,
   (ProtobufCMessageInit) ch__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ch__service_demand__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServiceDemand, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_per_sec",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ch__ServiceDemand, n_tokens_per_sec),
+    offsetof(Ch__ServiceDemand, tokens_per_sec),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_in_use",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ch__ServiceDemand, n_tokens_in_use),
+    offsetof(Ch__ServiceDemand, tokens_in_use),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_waiting",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ch__ServiceDemand, n_tokens_waiting),
+    offsetof(Ch__ServiceDemand, tokens_waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ch__service_demand__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  2,   /* field[2] = tokens_in_use */
+  1,   /* field[1] = tokens_per_sec */
+  3,   /* field[3] = tokens_waiting */
+};
+static const ProtobufCIntRange ch__service_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ch__service_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ch.ServiceDemand",
+  "ServiceDemand",
+  "Ch__ServiceDemand",
+  "ch",
+  sizeof(Ch__ServiceDemand),
+  4,
+  ch__service_demand__field_descriptors,
+  ch__service_demand__field_indices_by_name,
+  1,  ch__service_demand__number_ranges,
+  (ProtobufCMessageInit) ch__service_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ch__part_evidence__field_descriptors[9] =
 {
   {
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -47,6 +47,7 @@
 typedef struct Ch__Frame Ch__Frame;
 typedef struct Ch__ServerUse Ch__ServerUse;
 typedef struct Ch__NodeReport Ch__NodeReport;
+typedef struct Ch__ServiceDemand Ch__ServiceDemand;
 typedef struct Ch__PartEvidence Ch__PartEvidence;
 typedef struct Ch__StoreChanges Ch__StoreChanges;
 typedef struct Ch__StoreItem Ch__StoreItem;
@@ -769,10 +770,41 @@
    * Era of the store that all these revisions belong to; 0: not known.
    */
   uint64_t store_era;
+  /*
+   * Demand for the engines of each service at the sender.
+   */
+  size_t n_demand;
+  Ch__ServiceDemand **demand;
 };
 #define CH__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0, 0,NULL, 0, 0,NULL }
+
+
+/*
+ * Demand for the engines of one service, by priority class from 0.
+ */
+struct  Ch__ServiceDemand
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the service's name.
+   */
+  uint32_t service;
+  /*
+   * Tokens of the requests that arrive in a second, of those at servers, and of
+   * those that wait for room.
+   */
+  size_t n_tokens_per_sec;
+  uint32_t *tokens_per_sec;
+  size_t n_tokens_in_use;
+  uint32_t *tokens_in_use;
+  size_t n_tokens_waiting;
+  uint32_t *tokens_waiting;
+};
+#define CH__SERVICE_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ch__service_demand__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -1454,6 +1486,25 @@
 void   ch__node_report__free_unpacked
                      (Ch__NodeReport *message,
                       ProtobufCAllocator *allocator);
+/* Ch__ServiceDemand methods */
+void   ch__service_demand__init
+                     (Ch__ServiceDemand         *message);
+size_t ch__service_demand__get_packed_size
+                     (const Ch__ServiceDemand   *message);
+size_t ch__service_demand__pack
+                     (const Ch__ServiceDemand   *message,
+                      uint8_t             *out);
+size_t ch__service_demand__pack_to_buffer
+                     (const Ch__ServiceDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Ch__ServiceDemand *
+       ch__service_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ch__service_demand__free_unpacked
+                     (Ch__ServiceDemand *message,
+                      ProtobufCAllocator *allocator);
 /* Ch__PartEvidence methods */
 void   ch__part_evidence__init
                      (Ch__PartEvidence         *message);
@@ -1609,6 +1660,9 @@
 typedef void (*Ch__NodeReport_Closure)
                  (const Ch__NodeReport *message,
                   void *closure_data);
+typedef void (*Ch__ServiceDemand_Closure)
+                 (const Ch__ServiceDemand *message,
+                  void *closure_data);
 typedef void (*Ch__PartEvidence_Closure)
                  (const Ch__PartEvidence *message,
                   void *closure_data);
@@ -1662,6 +1716,7 @@
 extern const ProtobufCMessageDescriptor ch__frame__descriptor;
 extern const ProtobufCMessageDescriptor ch__server_use__descriptor;
 extern const ProtobufCMessageDescriptor ch__node_report__descriptor;
+extern const ProtobufCMessageDescriptor ch__service_demand__descriptor;
 extern const ProtobufCMessageDescriptor ch__part_evidence__descriptor;
 extern const ProtobufCMessageDescriptor ch__store_changes__descriptor;
 extern const ProtobufCMessageDescriptor ch__store_item__descriptor;
--- a/src/node/decisions/admit.c
+++ b/src/node/decisions/admit.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "admit.h"
+#include "returns.h"
 
 /* The jitter multiplies the retry time by a factor between these. */
 #define JITTER_MIN 0.8
@@ -40,7 +41,8 @@
 /*
  * Returns the time in microseconds after which the caller of a request without
  * a path is to retry: when the layers of failed servers are expected to be held
- * again, spread over some time, or else when running requests have ended.
+ * again, spread over some time, when the overload of its class is expected to
+ * have passed, or else when running requests have ended.
  */
 int64_t
 admit_retry_without_capacity(const struct admit_request *request)
@@ -52,6 +54,9 @@
 	    (int64_t)((double)request->caller_timeout_usec * ADMIT_RETRY_SHARE);
 	int64_t recovery = ADMIT_RECOVERY_USEC - request->failed_since_usec;
 
+	delay = MAX(delay,
+	    returns_after_overload(request->load, delay_max, request->jitter));
+
 	if (request->wanted_usec > 0)
 		return MAX(delay,
 		    admit_retry_when_wanted(
@@ -87,7 +92,7 @@
 	int64_t wait_until_abandoned = request->abandon_usec - needed;
 	int64_t wait_max = request->objective_usec - needed;
 
-	if (request->already_started)
+	if (request->already_started || request->has_returned)
 		wait_max = wait_until_abandoned;
 	else if (wait_max < ADMIT_LATE_WAIT_USEC)
 		wait_max = ADMIT_LATE_WAIT_USEC;
--- a/src/node/decisions/admit.h
+++ b/src/node/decisions/admit.h
@@ -74,6 +74,12 @@
 	/* The request was sent to a server before, so its response may have
 	 * started. */
 	bool already_started;
+	/* The caller was refused before and has waited: its objective has
+	 * passed, and another refusal is final. */
+	bool has_returned;
+	/* Expected use of the engines by its class and the more urgent ones as
+	 * a multiple of their memory; 0: not known. */
+	double load;
 	/* Time since servers of this data centre failed; negative: none failed
 	 * lately. */
 	int64_t failed_since_usec;
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -126,6 +126,38 @@
 	return &gateway->counts;
 }
 
+/*
+ * Computes the priority classes of a configuration.
+ */
+static void
+set_urgency(struct urgency *urgency, const struct fleet_config *config)
+{
+	struct urgency_priorities priorities = {0, 0};
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < config->organisations->len; i++) {
+		const struct fleet_organisation *organisation =
+		    g_ptr_array_index(config->organisations, i);
+
+		if (organisation->has_priority)
+			urgency_add(
+			    &priorities.organisations, organisation->priority);
+	}
+	g_hash_table_iter_init(&iter, config->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GPtrArray *routes = value;
+
+		for (guint i = 0; i < routes->len; i++) {
+			const struct fleet_route *route =
+			    g_ptr_array_index(routes, i);
+
+			urgency_add(&priorities.routes, route->priority);
+		}
+	}
+	urgency_init(urgency, &priorities);
+}
+
 /*
  * Replaces the configuration; the gateway takes over the caller's reference.
  */
@@ -134,6 +166,7 @@
 {
 	fleet_config_unref(gateway->fleet);
 	gateway->fleet = config;
+	set_urgency(&gateway->urgency, config);
 	gateway->limits.head_max_bytes = config->limits.head_max_bytes;
 	gateway->limits.head_timeout_usec = config->limits.head_timeout_usec;
 	gateway->limits.idle_timeout_usec = config->limits.idle_timeout_usec;
@@ -375,18 +408,25 @@
 }
 
 /*
- * Returns the priority class of a request: that of its organisation if set,
- * else that of its route.
+ * Returns the priority class of a request; see urgency.h. A generation whose
+ * caller has returned is late already, and leaves the room to those that can
+ * still be answered in time.
  */
 static uint32_t
 priority_class(const struct gateway_request *request)
 {
-	uint32_t priority = request->route->priority;
-
-	if (request->organisation != NULL &&
-	    request->organisation->has_priority)
-		priority = request->organisation->priority;
-	return MIN(priority, SCHED_CLASSES - 1);
+	const struct fleet_organisation *organisation = request->organisation;
+	bool has_priority = organisation != NULL && organisation->has_priority;
+	uint32_t class = urgency_class(&request->gateway->urgency,
+	    has_priority
+		? (int)MIN(organisation->priority, URGENCY_PRIORITY_MAX)
+		: URGENCY_NONE,
+	    request->route->priority);
+
+	if (request->route->kind == FLEET_STREAM &&
+	    gateway_has_returned(request))
+		return SCHED_CLASSES - 1;
+	return MIN(class, SCHED_CLASSES - 1u);
 }
 
 /*
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -71,6 +71,8 @@
 size_t gateway_count_active(const struct gateway *);
 size_t gateway_count_waiting(const struct gateway *);
 void gateway_tick(struct gateway *);
+/* Demand at this node for its report. */
+size_t gateway_get_demand(struct gateway *, struct gossip_demand *, size_t max);
 void gateway_close_idle_connections(struct gateway *, struct pool_server *);
 const struct gateway_counts *gateway_counts(const struct gateway *);
 
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -5,11 +5,13 @@
 #include "attempts.h"
 #include "backend_call.h"
 #include "gateway.h"
+#include "headroom.h"
 #include "metric.h"
 #include "retry_share.h"
 #include "sched.h"
 #include "slog.h"
 #include "sse.h"
+#include "urgency.h"
 
 /* Timeout for connecting to a server; a live server accepts within
  * milliseconds. */
@@ -179,12 +181,19 @@
 	 * centres, and when that budget was last updated. */
 	double link_budget_bytes;
 	int64_t link_updated_at;
+	/* Demand at this node, and the state of the service at all nodes with
+	 * the time at which it was computed; 0: never. */
+	struct demand demand;
+	struct headroom headroom;
+	int64_t headroom_at;
 };
 
 struct gateway {
 	struct gateway_config config;
 	struct h1_limits limits;
 	struct fleet_config *fleet;
+	/* Priority classes of the configuration in force. */
+	struct urgency urgency;
 	/* struct gateway_request; gateway_tick() frees those that have ended.
 	 */
 	GPtrArray *requests;
@@ -270,6 +279,13 @@
 int64_t gateway_stream_retry_usec(struct gateway_request *);
 void gateway_stream_dispatch(struct gateway *);
 
+/* Demand for the engines; see demand.h and headroom.h. */
+void gateway_note_arrival(const struct gateway_request *);
+void gateway_note_use(const struct gateway_request *, int sign);
+bool gateway_has_returned(const struct gateway_request *);
+const struct headroom *gateway_headroom(struct gateway *,
+    const struct fleet_service *, const struct path_server *, size_t);
+
 /* Reroutes: servers after the first one of a path are replaced while the
  * first server keeps the request. */
 bool gateway_reroute(struct gateway_request *, const char *reason);
--- a/src/node/gateway_reroute.c
+++ b/src/node/gateway_reroute.c
@@ -218,11 +218,12 @@
 {
 	const struct gateway_attempt *attempt = &request->attempt;
 	const struct fleet_engine *engine = request->service->engine;
-	struct path_demand demand = {request->info.prompt_tokens
+	struct path_demand demand = {
+	    .prompt_tokens = request->info.prompt_tokens
 		? request->info.prompt_tokens
 		: engine->usual_prompt_tokens,
-	    gateway_estimate_output(request), request->gateway->config.place,
-	    false};
+	    .output_tokens = gateway_estimate_output(request),
+	    .zone = request->gateway->config.place};
 	double *link_budget = gateway_link_budget(request);
 	enum status status =
 	    path_repair(engine, rows, count, &demand, old, repaired);
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -197,6 +197,7 @@
 	gateway_reroute_detach(attempt);
 	if (attempt->server != NULL) {
 		gateway_add_load(attempt, -1);
+		gateway_note_use(request, -1);
 		if (attempt->conn != NULL && reusable &&
 		    h1_is_reusable(attempt->conn) &&
 		    attempt->server->avoid_until != INT64_MAX &&
@@ -457,6 +458,7 @@
 	attempt->sent_at = gateway_now(request->gateway);
 	attempt->last_progress_at = attempt->sent_at;
 	gateway_add_load(attempt, 1);
+	gateway_note_use(request, 1);
 	if (!open_connection(request, server)) {
 		slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:s}", "server",
 		    server->info.id, "evidence", "connect", "status",
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -96,13 +96,20 @@
 {
 	struct gateway *gateway = request->gateway;
 	const struct fleet_engine *engine = request->service->engine;
-	struct path_demand demand = {request->info.prompt_tokens,
-	    gateway_estimate_output(request), gateway->config.place, false};
+	struct path_demand demand = {
+	    .prompt_tokens = request->info.prompt_tokens,
+	    .output_tokens = gateway_estimate_output(request),
+	    .zone = gateway->config.place};
 	double *link_budget = gateway_link_budget(request);
 	enum status status;
 
 	if (demand.prompt_tokens == 0)
 		demand.prompt_tokens = engine->usual_prompt_tokens;
+	/* A request that was sent before keeps its precedence. */
+	if (request->attempts.count == 0)
+		demand.reserved_share = headroom_reserved_share(
+		    gateway_headroom(gateway, request->service, rows, count),
+		    request->priority);
 	request->attempt.tokens =
 	    (int64_t)demand.prompt_tokens + demand.output_tokens;
 	status = path_find(engine, rows, count, &demand, path);
@@ -275,6 +282,10 @@
 	    .wanted_usec = gateway_wanted_usec(request),
 	    .may_have_run = request->may_have_run || request->response_started,
 	    .already_started = request->attempts.count > 0,
+	    .has_returned = gateway_has_returned(request),
+	    .load = headroom_load(
+		&gateway_service(gateway, request->service->name)->headroom,
+		request->priority),
 	    .failed_since_usec = failed_at ? now - failed_at : -1,
 	    .jitter = g_rand_double(gateway->rand)};
 }
@@ -294,8 +305,11 @@
 	    g_new0(struct path_server, MAX(servers->len, 1u));
 	size_t count = pool_path_table(
 	    servers, engine, gateway_now(gateway), rows, SERVERS_MAX);
-	struct path_demand demand = {request->info.prompt_tokens,
-	    gateway_estimate_output(request), gateway->config.place, may_cross};
+	struct path_demand demand = {
+	    .prompt_tokens = request->info.prompt_tokens,
+	    .output_tokens = gateway_estimate_output(request),
+	    .zone = gateway->config.place,
+	    .may_cross = may_cross};
 	struct path path = {.count = 0};
 	enum status status = path_find(engine, rows, count, &demand, &path);
 
@@ -391,6 +405,8 @@
 	if (first && !gateway_quarantine_admit(request))
 		return;
 
+	if (first)
+		gateway_note_arrival(request);
 	/* A request that was sent before precedes those not yet started. */
 	if (!first || sched_count(service->queue) == 0)
 		status = start_on_path(request);
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -76,6 +76,30 @@
 		    now);
 }
 
+/*
+ * Records the demand at a peer.
+ */
+static void
+apply_demand(struct peer *peer, const Ch__NodeReport *report)
+{
+	peer->demand_count = 0;
+	for (size_t i = 0; i < report->n_demand && i < GOSSIP_DEMANDS_MAX;
+	     i++) {
+		const Ch__ServiceDemand *from = report->demand[i];
+		struct gossip_demand *to = &peer->demands[peer->demand_count++];
+
+		memset(to, 0, sizeof(*to));
+		to->service = from->service;
+		for (size_t k = 0; k < DEMAND_CLASSES &&
+		     k < from->n_tokens_per_sec && k < from->n_tokens_in_use;
+		     k++)
+			to->total.classes[k] = (struct demand_class){
+			    from->tokens_per_sec[k], from->tokens_in_use[k],
+			    k < from->n_tokens_waiting ? from->tokens_waiting[k]
+						       : 0};
+	}
+}
+
 /*
  * Returns the time that is a reported age ago; see struct quarantine_row.
  */
@@ -222,6 +246,7 @@
 	g_array_set_size(peer->uses, 0);
 	for (size_t i = 0; i < report->n_servers; i++)
 		apply_use(gossip, peer, report->servers[i], now);
+	apply_demand(peer, report);
 	apply_evidence(gossip, report, now);
 	gossip->sums_stale = true;
 }
@@ -494,15 +519,17 @@
 	pool_clear_peers_use(gossip->pool);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
+		struct peer *peer = value;
 		const struct place_count *count;
 		double scale;
 
+		peer->scale = 0;
 		if (peer->uses_at == 0 ||
 		    now - peer->uses_at > POOL_PEER_USE_USEC)
 			continue;
 		count = g_hash_table_lookup(places, peer->place);
 		scale = MAX((double)count->live / count->heard, 1);
+		peer->scale = scale;
 		for (guint i = 0; i < peer->uses->len; i++) {
 			const struct peer_use *use =
 			    &g_array_index(peer->uses, struct peer_use, i);
@@ -516,6 +543,31 @@
 	g_hash_table_destroy(places);
 }
 
+/*
+ * Adds the demand for a service at the other nodes, scaled like their use of
+ * the servers, to a total.
+ */
+void
+gossip_add_demand(
+    const struct gossip *gossip, uint32_t service, struct demand_total *total)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		for (uint32_t i = 0; peer->scale > 0 && i < peer->demand_count;
+		     i++) {
+			const struct gossip_demand *demand = &peer->demands[i];
+
+			if (demand->service == service)
+				demand_sum(total, &demand->total, peer->scale);
+		}
+	}
+}
+
 /*
  * Logs peers that are no longer live and drops those without an entry.
  */
--- a/src/node/gossip.h
+++ b/src/node/gossip.h
@@ -1,6 +1,7 @@
 #ifndef CH_GOSSIP_H
 #define CH_GOSSIP_H
 
+#include "demand.h"
 #include "drain.h"
 #include "kv.h"
 #include "pool.h"
@@ -43,6 +44,8 @@
 #define GOSSIP_CHANGES_MAX_BYTES 8192
 /* Key prefix of the entries of nodes in the store. */
 #define GOSSIP_PREFIX "chestnuthoist/node/"
+/* Most services whose demand a report contains. */
+#define GOSSIP_DEMANDS_MAX 8
 /* Most addresses in one lookup response to callers. */
 #define GOSSIP_ADDRESSES_MAX 64
 
@@ -61,6 +64,13 @@
 	int64_t proved_at;
 };
 
+/* Demand for the engines of a service at one node. */
+struct gossip_demand {
+	/* pool_hash() of the service's name. */
+	uint32_t service;
+	struct demand_total total;
+};
+
 struct gossip_ops {
 	/* Returns this node's own proof. */
 	void (*get_proof)(struct gossip_proof *, void *arg);
@@ -71,6 +81,9 @@
 	void (*changes_received)(struct store_position after,
 	    struct store_position, const struct kv_item *, size_t count,
 	    void *arg);
+	/* Fills in the demand at this node and returns the number of rows; may
+	 * be NULL. */
+	size_t (*get_demand)(struct gossip_demand *, size_t max, void *arg);
 };
 
 struct gossip_config {
@@ -103,6 +116,9 @@
 void gossip_send_changes(struct gossip *, struct store_position after,
     struct store_position, const struct kv_item *, size_t count);
 void gossip_tick(struct gossip *);
+/* Adds the demand for a service at the other nodes. */
+void gossip_add_demand(
+    const struct gossip *, uint32_t service, struct demand_total *);
 /* Number of live nodes, including this one. */
 uint32_t gossip_live_count(const struct gossip *);
 /* Number of other live nodes that accept connections. */
--- a/src/node/gossip_priv.h
+++ b/src/node/gossip_priv.h
@@ -41,6 +41,11 @@
 	bool silent;
 	/* struct peer_use of the last report. */
 	GArray *uses;
+	/* Demand at the peer, from its last report. */
+	struct gossip_demand demands[GOSSIP_DEMANDS_MAX];
+	uint32_t demand_count;
+	/* Number of nodes for which its reports stand; see sum_uses(). */
+	double scale;
 };
 
 struct gossip {
--- a/src/node/gossip_report.c
+++ b/src/node/gossip_report.c
@@ -90,6 +90,63 @@
 	to->depth = from->depth;
 }
 
+/* Storage of the demand in one report. */
+struct demand_rows {
+	Ch__ServiceDemand rows[GOSSIP_DEMANDS_MAX];
+	Ch__ServiceDemand *pointers[GOSSIP_DEMANDS_MAX];
+	uint32_t tokens_per_sec[GOSSIP_DEMANDS_MAX][DEMAND_CLASSES];
+	uint32_t tokens_in_use[GOSSIP_DEMANDS_MAX][DEMAND_CLASSES];
+	uint32_t tokens_waiting[GOSSIP_DEMANDS_MAX][DEMAND_CLASSES];
+};
+
+/*
+ * Fills the demand at this node. Classes after the last one with any demand are
+ * left out.
+ */
+static void
+fill_demand(const struct gossip *gossip, Ch__NodeReport *report,
+    struct demand_rows *out)
+{
+	struct gossip_demand demands[GOSSIP_DEMANDS_MAX];
+	size_t count = 0;
+
+	if (gossip->config.ops->get_demand != NULL)
+		count = gossip->config.ops->get_demand(
+		    demands, GOSSIP_DEMANDS_MAX, gossip->config.arg);
+	for (size_t i = 0; i < count; i++) {
+		Ch__ServiceDemand *row = &out->rows[i];
+		size_t classes = 0;
+		size_t waiting = 0;
+
+		ch__service_demand__init(row);
+		row->service = demands[i].service;
+		row->tokens_per_sec = out->tokens_per_sec[i];
+		row->tokens_in_use = out->tokens_in_use[i];
+		row->tokens_waiting = out->tokens_waiting[i];
+		for (size_t k = 0; k < DEMAND_CLASSES; k++) {
+			const struct demand_class *class =
+			    &demands[i].total.classes[k];
+
+			row->tokens_per_sec[k] =
+			    (uint32_t)MAX(class->tokens_per_sec, 0);
+			row->tokens_in_use[k] =
+			    (uint32_t)MAX(class->tokens_in_use, 0);
+			row->tokens_waiting[k] =
+			    (uint32_t)MAX(class->tokens_waiting, 0);
+			if (row->tokens_per_sec[k] + row->tokens_in_use[k] > 0)
+				classes = k + 1;
+			if (row->tokens_waiting[k] > 0)
+				waiting = k + 1;
+		}
+		row->n_tokens_per_sec = classes;
+		row->n_tokens_in_use = classes;
+		row->n_tokens_waiting = waiting;
+		out->pointers[i] = row;
+	}
+	report->n_demand = count;
+	report->demand = out->pointers;
+}
+
 /*
  * Fills the fields that all reports have in common.
  */
@@ -282,6 +339,7 @@
 	Ch__PartEvidence parts[QUARANTINE_ROWS_MAX];
 	Ch__PartEvidence *part_pointers[QUARANTINE_ROWS_MAX];
 	uint32_t arrays[QUARANTINE_ROWS_MAX][3 * QUARANTINE_CRASHES_MAX];
+	struct demand_rows demands;
 	Ch__ServerUse *rows;
 	Ch__ServerUse **pointers;
 	uint8_t *bytes;
@@ -297,6 +355,7 @@
 	gossip->sent_times[gossip->sequence % GOSSIP_SENT_TIMES_MAX] = now;
 	fill_head(gossip, &report);
 	fill_report(gossip, &report, rows, pointers, now);
+	fill_demand(gossip, &report, &demands);
 	report.n_parts = quarantine_fill(gossip->config.quarantine,
 	    gossip->sequence, now, evidence, QUARANTINE_ROWS_MAX);
 	report.parts = part_pointers;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -310,8 +310,21 @@
 		    node->store_cache, after, position, items, count);
 }
 
+/*
+ * Provides, for the peers, the demand at this node.
+ */
+static size_t
+get_demand(struct gossip_demand *rows, size_t max, void *arg)
+{
+	const struct node *node = arg;
+
+	return node->gateway != NULL
+	    ? gateway_get_demand(node->gateway, rows, max)
+	    : 0;
+}
+
 static const struct gossip_ops gossip_ops = {
-    get_proof, on_peer_proof, on_peer_changes};
+    get_proof, on_peer_proof, on_peer_changes, get_demand};
 
 /*
  * Creates the modules that communicate with the store and with other nodes.
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -121,7 +121,8 @@
 	     search->boundaries[to] <= server->layer_to;
 	     to++) {
 		uint32_t layers = search->boundaries[to] - start;
-		double pressure = path_memory_pressure(server, tokens, layers);
+		double pressure = path_memory_pressure(
+		    server, tokens, layers, search->demand->reserved_share);
 		double cost;
 
 		if (pressure < 0)
@@ -197,7 +198,8 @@
 		const struct path_stage *stage = &path->stages[i];
 
 		if (path_memory_pressure(&search->servers[stage->server],
-			tokens, stage->layer_to - stage->layer_from) < 0)
+			tokens, stage->layer_to - stage->layer_from,
+			search->demand->reserved_share) < 0)
 			return false;
 	}
 	return true;
--- a/src/node/path.h
+++ b/src/node/path.h
@@ -67,6 +67,8 @@
 	const char *zone;
 	/* The path may cross between data centres. */
 	bool may_cross;
+	/* Share of each server's memory that the path must leave free. */
+	double reserved_share;
 };
 
 struct path_stage {
--- a/src/node/path_cost.c
+++ b/src/node/path_cost.c
@@ -70,16 +70,17 @@
 
 /*
  * Returns the factor by which memory use increases the cost of a server with
- * the request added, or a negative number if the request does not fit.
+ * the request added, or a negative number if the request does not fit beside
+ * the share that is reserved for others.
  */
 double
-path_memory_pressure(
-    const struct path_server *server, int64_t tokens, uint32_t layers)
+path_memory_pressure(const struct path_server *server, int64_t tokens,
+    uint32_t layers, double reserved_share)
 {
 	double limit = (double)server->memory * PATH_MEMORY_SHARE;
 	double share = ((double)server->used + (double)tokens * layers) / limit;
 
-	if (limit <= 0 || share > 1)
+	if (limit <= 0 || share > 1 - reserved_share)
 		return -1;
 	if (share <= PRESSURE_SHARE_MIN)
 		return 1;
--- a/src/node/path_priv.h
+++ b/src/node/path_priv.h
@@ -50,8 +50,8 @@
 /* The cost model. */
 double path_step_usec(
     const struct path_search *, uint32_t index, double context);
-double path_memory_pressure(
-    const struct path_server *, int64_t tokens, uint32_t layers);
+double path_memory_pressure(const struct path_server *, int64_t tokens,
+    uint32_t layers, double reserved_share);
 double path_prefill_delay_usec(const struct path_search *);
 double path_crossing_usec(
     const struct path_search *, const char *from, const char *to);
--- a/src/sched.c
+++ b/src/sched.c
@@ -204,6 +204,16 @@
 	return sched->classes[priority].count;
 }
 
+/*
+ * Returns the total cost of the entries in one class.
+ */
+int64_t
+sched_class_cost(const struct sched *sched, uint32_t priority)
+{
+	assert(priority < SCHED_CLASSES);
+	return sched->classes[priority].cost;
+}
+
 /*
  * Returns the first key of a tree, or NULL when it is empty.
  */
--- a/src/sched.h
+++ b/src/sched.h
@@ -43,6 +43,7 @@
 void sched_destroy(struct sched *);
 size_t sched_count(const struct sched *);
 size_t sched_class_count(const struct sched *, uint32_t priority);
+int64_t sched_class_cost(const struct sched *, uint32_t priority);
 enum status sched_push(
     struct sched *, const struct sched_request *, struct sched_entry **);
 bool sched_peek(const struct sched *, void **data);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -63,7 +63,7 @@
 	    LSTR_ARG(items[count - 1].key));
 }
 
-static const struct gossip_ops ops = {get_proof, on_proof, on_changes};
+static const struct gossip_ops ops = {get_proof, on_proof, on_changes, NULL};
 
 /*
  * Creates the nodes and makes them known to each other.
--- a/tests/test_layout.c
+++ b/tests/test_layout.c
@@ -114,7 +114,7 @@
 START_TEST(new_large_card_takes_over_from_small_ones)
 {
 	const struct path_demand demand = {
-	    ENGINE_PROMPT, ENGINE_OUTPUT, "a", false};
+	    ENGINE_PROMPT, ENGINE_OUTPUT, "a", false, 0};
 	struct engine_fixture w;
 	struct path before;
 	struct path after;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -5,7 +5,7 @@
 #define ROUNDS 300
 
 static const struct path_demand usual = {
-    ENGINE_PROMPT, ENGINE_OUTPUT, "a", false};
+    ENGINE_PROMPT, ENGINE_OUTPUT, "a", false, 0};
 
 /* Guards against paths that skip, repeat or misplace layers, or use unusable
  * servers, under random server states. */
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -212,7 +212,7 @@
 	memset(proof, 0, sizeof(*proof));
 }
 
-static const struct gossip_ops gossip_ops = {get_proof, NULL, NULL};
+static const struct gossip_ops gossip_ops = {get_proof, NULL, NULL, NULL};
 
 /*
  * Adds the server, as if it had started again without layers: the planner then
