Definite findings about ended servers count at all nodes

Also, a third of all new callers state a time limit a little below that of the route and were taken for returned ones. Change: findings (definite evidence with its age in the reports, refuted by a later answer); overdue streams through an ended server are moved at once; a server that refuses to take over a stream is left out without being told as ended; callers count as returned below 0.8 of the route's limit.

--- a/proto/chestnuthoist.pb-c.c
+++ b/proto/chestnuthoist.pb-c.c
@@ -4565,7 +4565,7 @@
   (ProtobufCMessageInit) ch__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ch__server_use__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ch__server_use__field_descriptors[11] =
 {
   {
     "server",
@@ -4675,6 +4675,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "found_msec",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ch__ServerUse, found_msec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "leaving",
     20,
@@ -4693,18 +4705,19 @@
   4,   /* field[4] = avoid_msec */
   7,   /* field[7] = born */
   3,   /* field[3] = first_active */
+  9,   /* field[9] = found_msec */
   8,   /* field[8] = full_msec */
   5,   /* field[5] = layer_from */
   6,   /* field[6] = layer_to */
-  9,   /* field[9] = leaving */
+  10,   /* field[10] = leaving */
   1,   /* field[1] = memory */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange ch__server_use__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 9 },
-  { 0, 10 }
+  { 20, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ch__server_use__descriptor =
 {
@@ -4714,7 +4727,7 @@
   "Ch__ServerUse",
   "ch",
   sizeof(Ch__ServerUse),
-  10,
+  11,
   ch__server_use__field_descriptors,
   ch__server_use__field_indices_by_name,
   2,  ch__server_use__number_ranges,
--- a/proto/chestnuthoist.pb-c.h
+++ b/proto/chestnuthoist.pb-c.h
@@ -701,6 +701,11 @@
    * from it for this long.
    */
   uint32_t full_msec;
+  /*
+   * How long ago the sender found definite evidence that the process that
+   * started at born has failed, plus 1; 0: it has none.
+   */
+  uint32_t found_msec;
   /*
    * The process that started at born stated that it is leaving.
    */
@@ -708,7 +713,7 @@
 };
 #define CH__SERVER_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ch__server_use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/node/gateway_demand.c
+++ b/src/node/gateway_demand.c
@@ -11,8 +11,9 @@
 #define HEADROOM_USEC (100 * LOOP_USEC_PER_MSEC)
 /* A caller that has less than this part of its route's time limit left was
  * refused before and has waited. One that returns at once has more, and is
- * treated like a new one. */
-#define RETURNED_TIME_SHARE 0.9
+ * treated like a new one, as are new callers whose limit is a little shorter
+ * than that of the route. */
+#define RETURNED_TIME_SHARE 0.8
 
 G_STATIC_ASSERT((unsigned int)DEMAND_CLASSES == SCHED_CLASSES);
 
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -290,6 +290,7 @@
  * first server keeps the request. */
 bool gateway_reroute(struct gateway_request *, const char *reason);
 void gateway_reroute_detach(struct gateway_attempt *);
+bool gateway_reroute_ended(struct gateway_request *, int64_t now);
 void gateway_reroute_draining(struct gateway_request *, int64_t now);
 void gateway_add_load(const struct gateway_attempt *, int sign);
 void gateway_format_path(
--- a/src/node/gateway_reroute.c
+++ b/src/node/gateway_reroute.c
@@ -98,8 +98,8 @@
 	    : pool_find_address(gateway->config.pool, lstr_from(address));
 
 	if (server != NULL)
-		gateway_avoid_server(
-		    gateway, server, POOL_FAULTY, "cannot take over a stream");
+		gateway_avoid_server(gateway, server, POOL_REFUSING,
+		    "cannot take over a stream");
 	g_free(address);
 }
 
@@ -355,6 +355,38 @@
 	return reroute_stream(request, reason, true);
 }
 
+/*
+ * Moves a stream whose next event is overdue if a server of its path after the
+ * first one has ended, by the evidence of this node or a peer. Returns whether
+ * it was moved.
+ */
+bool
+gateway_reroute_ended(struct gateway_request *request, int64_t now)
+{
+	struct gateway_attempt *attempt = &request->attempt;
+	int64_t expected = request->last_event_at > attempt->sent_at
+	    ? attempt->event_usec
+	    : attempt->first_usec;
+	bool ended = false;
+
+	if (attempt->reroute_not_before > now ||
+	    now - attempt->last_progress_at < findings_pause_usec(expected))
+		return false;
+	for (uint32_t i = 1; i < attempt->stage_count && !ended; i++)
+		ended = pool_has_ended(attempt->stages[i].server, now);
+	if (!ended)
+		return false;
+	if (gateway_reroute(request, "a server of the path has ended"))
+		return true;
+	if (gateway_attempt_give_up(
+		request, "a server of the path has ended")) {
+		request->gateway->counts.resumed++;
+		return true;
+	}
+	attempt->reroute_not_before = now + GATEWAY_GIVE_UP_USEC;
+	return false;
+}
+
 /*
  * Reroutes a stream that would outlast a draining or removed server of its
  * path.
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -802,7 +802,7 @@
 	int64_t limit;
 
 	gateway_reroute_draining(request, now);
-	if (attempt->reroute != NULL)
+	if (attempt->reroute != NULL || gateway_reroute_ended(request, now))
 		return;
 	if (attempt->server->avoid_until > now &&
 	    pause > GATEWAY_STALL_MIN_USEC / 2 &&
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -41,6 +41,17 @@
 	g_free(peer);
 }
 
+/*
+ * Returns the time that is a reported age ago; see struct quarantine_row.
+ */
+static int64_t
+time_of_age(uint32_t age_msec, int64_t now)
+{
+	return age_msec == 0
+	    ? 0
+	    : MAX(now - (int64_t)(age_msec - 1) * LOOP_USEC_PER_MSEC, 1);
+}
+
 /*
  * Records what a peer reports about one server.
  */
@@ -51,6 +62,9 @@
 	struct peer_use use = {from->server,
 	    {(int64_t)from->memory, from->active, from->first_active}};
 	struct pool_server *server = pool_find_hash(gossip->pool, from->server);
+	bool definite = server != NULL && from->found_msec > 0 &&
+	    from->born == (uint64_t)server->info.born;
+	struct finding finding = {definite, time_of_age(from->found_msec, now)};
 
 	g_array_append_val(peer->uses, use);
 	if (server != NULL && from->layer_to > from->layer_from &&
@@ -68,8 +82,8 @@
 		    MIN((int64_t)from->full_msec * LOOP_USEC_PER_MSEC,
 			POOL_FULL_USEC);
 	if (server != NULL && from->avoid_msec > 0)
-		pool_note_peer_avoids(server,
-		    gossip_peer_hash(peer->name, peer->boot),
+		pool_note_peer_finding(server,
+		    gossip_peer_hash(peer->name, peer->boot), &finding,
 		    now +
 			MIN((int64_t)from->avoid_msec * LOOP_USEC_PER_MSEC,
 			    POOL_AVOID_USEC),
@@ -100,17 +114,6 @@
 	}
 }
 
-/*
- * Returns the time that is a reported age ago; see struct quarantine_row.
- */
-static int64_t
-time_of_age(uint32_t age_msec, int64_t now)
-{
-	return age_msec == 0
-	    ? 0
-	    : MAX(now - (int64_t)(age_msec - 1) * LOOP_USEC_PER_MSEC, 1);
-}
-
 /*
  * Decodes a peer's evidence against a part of prompts.
  */
--- a/src/node/gossip_report.c
+++ b/src/node/gossip_report.c
@@ -7,6 +7,18 @@
 /* Peers avoid a failing server for the time of two report intervals. */
 #define AVOID_REPORTED_MSEC (2 * GOSSIP_SEND_USEC / LOOP_USEC_PER_MSEC)
 
+/*
+ * Returns the age of a time in milliseconds plus 1, limited to what a report
+ * can hold; 0: the time is not known.
+ */
+static uint32_t
+age_msec(int64_t at, int64_t now)
+{
+	int64_t age = (now - at) / LOOP_USEC_PER_MSEC;
+
+	return at == 0 ? 0 : (uint32_t)MIN(age, (int64_t)UINT32_MAX - 1) + 1;
+}
+
 /*
  * Fills the report with this node's use of each server.
  */
@@ -34,6 +46,7 @@
 		row->first_active = server->own.first_active;
 		if (server->failing_since != 0)
 			row->avoid_msec = AVOID_REPORTED_MSEC;
+		row->found_msec = age_msec(pool_found_at(server), now);
 		if (server->full_until > now)
 			row->full_msec = (uint32_t)((server->full_until - now) /
 			    LOOP_USEC_PER_MSEC);
@@ -42,7 +55,8 @@
 			row->layer_to = server->info.layer_to;
 		}
 		row->leaving = server->leaving;
-		if (server->confirm_until > now || server->leaving)
+		if (server->confirm_until > now || server->leaving ||
+		    row->found_msec != 0)
 			row->born = (uint64_t)server->info.born;
 		pointers[n++] = row;
 	}
@@ -50,18 +64,6 @@
 	report->servers = pointers;
 }
 
-/*
- * Returns the age of a time in milliseconds plus 1, limited to what a report
- * can hold; 0: the time is not known.
- */
-static uint32_t
-age_msec(int64_t at, int64_t now)
-{
-	int64_t age = (now - at) / LOOP_USEC_PER_MSEC;
-
-	return at == 0 ? 0 : (uint32_t)MIN(age, (int64_t)UINT32_MAX - 1) + 1;
-}
-
 /*
  * Fills one row of evidence against a part of prompts. The arrays have room for
  * all its crashes.
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -408,6 +408,10 @@
 {
 	int64_t span = POOL_AVOID_USEC;
 
+	if (server->failing_since == 0)
+		server->found_at = 0;
+	if (evidence == POOL_FAULTY && server->found_at == 0)
+		server->found_at = now;
 	if (server->avoid_until > now) {
 		server->evidence = MAX(server->evidence, evidence);
 		return false;
@@ -530,24 +534,64 @@
 }
 
 /*
- * Records that a peer avoids a server, unless this node saw it work recently.
+ * Records that a peer avoids a server until a given time, unless this node does
+ * not believe its finding.
  */
 void
-pool_note_peer_avoids(
-    struct pool_server *server, uint32_t peer, int64_t until, int64_t now)
+pool_note_peer_finding(struct pool_server *server, uint32_t peer,
+    const struct finding *finding, int64_t until, int64_t now)
 {
-	if (now - server->worked_at <= POOL_OWN_EVIDENCE_USEC)
+	if (!findings_believe(finding, server->worked_at, now))
 		return;
 	if (server->peer_avoid_until <= now) {
 		server->peer_failing_since = now;
 		server->peer_failing_hash = peer;
 		server->peers_agree = false;
+		server->peer_definite = false;
 	}
+	server->peer_definite = server->peer_definite || finding->definite;
 	server->peers_agree =
 	    server->peers_agree || server->peer_failing_hash != peer;
 	server->peer_avoid_until = until;
 }
 
+/*
+ * Records that a peer avoids a server without definite evidence.
+ */
+void
+pool_note_peer_avoids(
+    struct pool_server *server, uint32_t peer, int64_t until, int64_t now)
+{
+	const struct finding finding = {false, now};
+
+	pool_note_peer_finding(server, peer, &finding, until, now);
+}
+
+/*
+ * Returns when this node found definite evidence that a server has failed; 0:
+ * it has none, or the server has worked since: one that only lacked memory is
+ * named by other servers as well.
+ */
+int64_t
+pool_found_at(const struct pool_server *server)
+{
+	return server->failing_since != 0 &&
+		server->worked_at <= server->found_at + FINDINGS_DELAY_USEC
+	    ? server->found_at
+	    : 0;
+}
+
+/*
+ * Returns whether there is definite evidence, of this node or a peer, that a
+ * server has failed.
+ */
+bool
+pool_has_ended(const struct pool_server *server, int64_t now)
+{
+	return pool_found_at(server) != 0 ||
+	    (server->peer_definite && server->peer_avoid_until > now);
+}
+
 /*
  * Returns since when a server fails for this node or, as two peers report
  * independently, for others; 0: it does not. A single peer may be the one that
@@ -623,6 +667,7 @@
 {
 	server->worked_at = now;
 	server->peer_avoid_until = 0;
+	server->peer_definite = false;
 	server->connection_lost = false;
 	if (server->avoid_until != INT64_MAX && refutes(sign, server->evidence))
 		server->avoid_until = MIN(server->avoid_until, now);
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "adapter.h"
+#include "findings.h"
 #include "path.h"
 
 /*
@@ -37,7 +38,7 @@
 #define POOL_FAILURE_MEMORY_USEC (6 * LOOP_USEC_PER_SEC)
 /* A peer's report that a server fails is ignored if this node saw the server
  * work within this time: it may be the peer that is disconnected. */
-#define POOL_OWN_EVIDENCE_USEC (500 * LOOP_USEC_PER_MSEC)
+#define POOL_OWN_EVIDENCE_USEC FINDINGS_OWN_USEC
 /* After a node has seen which layers a server holds, it confirms them to its
  * peers for this long. */
 #define POOL_CONFIRM_USEC (3 * LOOP_USEC_PER_SEC)
@@ -62,6 +63,9 @@
 	/* Work that runs through it makes no progress, although it may answer;
 	 * progress ends the exclusion. */
 	POOL_STALLED,
+	/* It refused work that runs on elsewhere; nothing shows that its
+	 * process has failed. */
+	POOL_REFUSING,
 	/* It or another server has shown that it cannot serve. */
 	POOL_FAULTY
 };
@@ -111,11 +115,15 @@
 	bool connection_lost;
 	/* Time of the first failure since it last worked; 0: none. */
 	int64_t failing_since;
+	/* When this node found definite evidence of it; 0: none. */
+	int64_t found_at;
 	/* Until then this node confirms the layers to its peers. */
 	int64_t confirm_until;
 	/* A peer reported that the server fails; when the first of these
 	 * reports came that followed each other, and the hash of its peer. */
 	int64_t peer_avoid_until;
+	/* The peer's evidence is definite; see findings.h. */
+	bool peer_definite;
 	int64_t peer_failing_since;
 	uint32_t peer_failing_hash;
 	/* Two peers report that the server fails. */
@@ -184,6 +192,10 @@
     const struct pool *, struct pool_server *);
 uint32_t pool_hash(struct lstr);
 
+void pool_note_peer_finding(struct pool_server *, uint32_t peer,
+    const struct finding *, int64_t until, int64_t now);
+int64_t pool_found_at(const struct pool_server *);
+bool pool_has_ended(const struct pool_server *, int64_t now);
 void pool_note_peer_avoids(
     struct pool_server *, uint32_t peer, int64_t until, int64_t now);
 int64_t pool_failing_since(const struct pool_server *, int64_t now);
