A node that starts after a restore of the store waits for a proof

Cause: a node that starts within the second after the store came back from an older copy took its first list as a proof, since it had seen no other era, and accepted a key that had been revoked.

Change: the planner writes the settled era to the key chestnuthoist/era, once per era and after it has proved its configuration in that era. If a node's first list states a lower settled era than the header of the response, proofs count only after STORE_CACHE_REWRITE_USEC, as at nodes that ran throughout. Without the key, or with the same era, the first list is a proof as before.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -152,6 +152,8 @@
 		    gossip_live_count(node->gossip) * ENTRY_SPREAD_USEC);
 		quarantine_store_tick(
 		    node->quarantine_store, planner_is_leader(node->planner));
+		settled_era_tick(node->settled_era,
+		    planner_is_leader(node->planner), node_proved_era(node));
 		h1_listener_check_timeouts(node->front);
 		h1_listener_check_timeouts(node->ready);
 		h1_listener_check_timeouts(node->lookup);
@@ -363,6 +365,7 @@
 		    node->loop, &gossip, node->pool, &node->gossip);
 	node->quarantine_store =
 	    quarantine_store_new(node->loop, node->kv, node->quarantine);
+	node->settled_era = settled_era_new(node->loop, node->kv);
 	planner.kv = node->kv;
 	planner.gossip = node->gossip;
 	planner.pool = node->pool;
@@ -530,6 +533,7 @@
 	store_cache_destroy(node->store_cache);
 	gossip_destroy(node->gossip);
 	quarantine_store_free(node->quarantine_store);
+	settled_era_free(node->settled_era);
 	quarantine_free(node->quarantine);
 	pool_free(node->pool);
 	departures_free(node->departures);
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -7,6 +7,7 @@
 #include "node.h"
 #include "planner.h"
 #include "quarantine_store.h"
+#include "settled_era.h"
 
 struct node {
 	struct node_options options;
@@ -21,6 +22,7 @@
 	struct departures *departures;
 	struct quarantine *quarantine;
 	struct quarantine_store *quarantine_store;
+	struct settled_era *settled_era;
 	struct gossip *gossip;
 	struct lease_key *entry;
 	struct planner *planner;
@@ -54,6 +56,7 @@
 };
 
 int64_t node_config_proved_at(const struct node *);
+uint64_t node_proved_era(const struct node *);
 
 /* Handling of the store's keys; see node_store.c. The argument of the callbacks
  * is the node. */
--- a/src/node/node_store.c
+++ b/src/node/node_store.c
@@ -21,6 +21,20 @@
 		  store_cache_proved_at(node->store_cache));
 }
 
+/*
+ * Returns the era of the store in which the configuration in force has been
+ * proved; 0: none. While the configuration is older than one that the store has
+ * lost, it has no proof of the copy's age.
+ */
+uint64_t
+node_proved_era(const struct node *node)
+{
+	return node_config_proved_at(node) ==
+		store_cache_proved_at(node->store_cache)
+	    ? store_cache_proved_era(node->store_cache)
+	    : 0;
+}
+
 /*
  * Decodes a configuration that was received from the store and applies it,
  * unless it is older than the one in force.
@@ -286,6 +300,9 @@
 		planner_note_holder(node->planner, value, position);
 	else if (lstr_equal_c(key, QUARANTINE_STORE_KEY))
 		quarantine_store_read(node->quarantine_store, value, position);
+	else if (lstr_equal_c(key, SETTLED_ERA_KEY))
+		store_cache_note_settled_era(node->store_cache,
+		    settled_era_read(node->settled_era, value, position));
 }
 
 /*
@@ -342,6 +359,9 @@
 	else if (lstr_equal_c(key, QUARANTINE_STORE_KEY))
 		quarantine_store_read(node->quarantine_store, lstr_make("", 0),
 		    (struct store_position){0, 0});
+	else if (lstr_equal_c(key, SETTLED_ERA_KEY))
+		settled_era_read(node->settled_era, lstr_make("", 0),
+		    (struct store_position){0, 0});
 }
 
 /*
--- a/src/node/store_cache.c
+++ b/src/node/store_cache.c
@@ -41,6 +41,9 @@
 	 * have, and only what was proved since then counts; 0: not yet. */
 	bool restoring;
 	int64_t proofs_from;
+	/* Settled era that the listed keys state, if they state one. */
+	uint64_t settled_era;
+	bool states_settled_era;
 	/* It is known to have lost some. */
 	bool lists_old_copy;
 	/* Highest era that a peer has told since the last response. */
@@ -431,6 +434,28 @@
 		store_cache->proved_at = proved_at;
 }
 
+/*
+ * Handles the first list of a process. If the store has come back from an older
+ * copy and no node has settled its era yet, the list may lack the operator's
+ * latest configuration, although this process has seen no other era.
+ */
+static void
+check_first_list(struct store_cache *store_cache)
+{
+	int64_t now = loop_now(store_cache->loop);
+
+	if (!store_cache->states_settled_era ||
+	    store_cache->settled_era >= store_cache->complete.era)
+		return;
+	store_cache->proofs_from =
+	    MAX(store_cache->proofs_from, now + STORE_CACHE_REWRITE_USEC);
+	slog_event(EV_ERA_UNSETTLED, "{s:I, s:I, s:I}", "settled",
+	    (json_int_t)store_cache->settled_era, "era",
+	    (json_int_t)store_cache->complete.era, "proofs_in_ms",
+	    (json_int_t)((store_cache->proofs_from - now) /
+		LOOP_USEC_PER_MSEC));
+}
+
 /*
  * Completes a list. The watch continues from the position of the first page,
  * because the pages are not read atomically.
@@ -449,6 +474,8 @@
 	store_cache->newest =
 	    store_position_max(store_cache->newest, store_cache->list_position);
 	advance(store_cache, store_cache->list_position);
+	if (first)
+		check_first_list(store_cache);
 	note_proof(store_cache, store_cache->list_sent_at);
 	store_cache->synced = true;
 	slog_event(EV_STORE_SYNCED, "{s:I, s:I, s:i, s:i}", "era",
@@ -844,6 +871,30 @@
 	next_call(store_cache);
 }
 
+/*
+ * Notes the settled era that a key of the store states.
+ */
+void
+store_cache_note_settled_era(struct store_cache *store_cache, uint64_t era)
+{
+	store_cache->settled_era = era;
+	store_cache->states_settled_era = true;
+}
+
+/*
+ * Returns the era of the store if the copy has been proved in it since the
+ * operator had time to write lost configurations again; otherwise 0.
+ */
+uint64_t
+store_cache_proved_era(const struct store_cache *store_cache)
+{
+	return store_cache->synced && !store_cache->restoring &&
+		store_cache->proved_at != 0 &&
+		store_cache->proved_at >= store_cache->proofs_from
+	    ? store_cache->complete.era
+	    : 0;
+}
+
 /*
  * Returns the latest time at which the copy is proved to have been current;
  * 0: never.
--- a/src/node/store_cache.h
+++ b/src/node/store_cache.h
@@ -121,6 +121,12 @@
 /* Fetches missing changes at once, because a peer has a newer configuration. */
 void store_cache_fetch_now(struct store_cache *);
 void store_cache_tick(struct store_cache *);
+/* Notes the settled era that a key of the store states. If it is lower than the
+ * era of the first list, proofs count only after STORE_CACHE_REWRITE_USEC. */
+void store_cache_note_settled_era(struct store_cache *, uint64_t era);
+/* Era of the store in which the copy has been proved, after the time to write
+ * lost configurations again; 0: not proved in it yet, or no era stated. */
+uint64_t store_cache_proved_era(const struct store_cache *);
 /* Latest time at which the copy is proved to have been current; 0: never. */
 int64_t store_cache_proved_at(const struct store_cache *);
 /* When the last outage of the store ended, or when it was seen to have come
--- a/tests/config_sim.h
+++ b/tests/config_sim.h
@@ -15,13 +15,16 @@
  * watchers hand over to other nodes, nodes that stall, are cut off or start
  * again, and configurations that are decoded some time after they arrived.
  * The store may also come back from a copy that is some seconds old; lost
- * configurations and servers' entries are then written again.
+ * configurations and servers' entries are then written again. One key has the
+ * settled era, which nodes write once they have proved their copy in it.
  * Checks that the configuration in force at a node is never older than its
  * proof.
  */
 #define SIM_NODES 6
 #define SIM_WATCHERS 2
-#define SIM_KEYS 7
+#define SIM_KEYS 8
+/* Keys that the operator and the servers write. */
+#define SIM_WRITTEN_KEYS 7
 #define SIM_PAGE 3
 #define SIM_STEP_USEC ((int64_t)2000)
 #define SIM_HISTORY_MAX 8192
@@ -30,6 +33,7 @@
 #define SIM_VERSIONS_MAX 1024
 #define SIM_PROOF_EVERY_USEC ((int64_t)200000)
 #define SIM_CONFIG_KEY 2
+#define SIM_SETTLED_KEY 7
 /* A server reports to the store, which raises the revision. */
 #define SIM_REPORT_EVERY_STEPS 5
 /* Age of the copies and time out of touch without an era. */
@@ -40,7 +44,7 @@
 
 static const char *const sim_keys[SIM_KEYS] = {"chestnuthoist/node/a",
     "chestnuthoist/node/b", "op/config", "servers/a", "servers/b", "servers/c",
-    "servers/d"};
+    "servers/d", "settled"};
 
 /* Whether the store comes back from an older copy now and then. */
 enum sim_restores {
@@ -136,9 +140,11 @@
 	unsigned int pending;
 	struct store_position pending_position;
 	int64_t apply_at;
-	/* A process that starts while lost configurations are not written again
-	 * cannot know of those up to this version. */
+	/* Without an era, a process that starts while lost configurations are
+	 * not written again cannot know of those up to this version. */
 	unsigned int unknown;
+	/* The settled era in the copy. */
+	uint64_t settled;
 	/* The keys that the node knows; revision 0: not there. */
 	struct store_position known[SIM_KEYS];
 	int64_t stalled_until;
@@ -368,7 +374,8 @@
 	sim->rewritten_at = at + SIM_STEP_USEC;
 	for (int i = 0; i < SIM_KEYS; i++) {
 		sim->changed_at[i] = sim->away_until;
-		if (i != SIM_CONFIG_KEY && before[i] > sim->revision)
+		if (i != SIM_CONFIG_KEY && i != SIM_SETTLED_KEY &&
+		    before[i] > sim->revision)
 			sim->rewrites[sim->rewrite_count++] =
 			    (struct sim_rewrite){sim->away_until +
 				    sim_between(sim, 0, 2 * LOOP_USEC_PER_SEC),
@@ -516,7 +523,8 @@
 			sim->revision++;
 		kv->result.revision = sim->revision;
 		kv->result.era = sim->era;
-		if (kv->node->in_force == 0 && sim->now < sim->rewritten_at)
+		if (sim->restores == SIM_RESTORES_WITHOUT_ERA &&
+		    kv->node->in_force == 0 && sim->now < sim->rewritten_at)
 			kv->node->unknown = sim->config_version;
 		if (kv->kind == KV_LIST)
 			sim_answer_list(sim, kv);
@@ -572,6 +580,11 @@
 	int64_t version = 0;
 
 	node->known[sim_key_index(key)] = position;
+	if (lstr_equal_c(key, sim_keys[SIM_SETTLED_KEY])) {
+		ck_assert_int_eq(lstr_to_int64(value, &version), STATUS_OK);
+		node->settled = (uint64_t)version;
+		store_cache_note_settled_era(node->copy, node->settled);
+	}
 	if (!lstr_equal_c(key, sim_keys[SIM_CONFIG_KEY]))
 		return;
 	ck_assert_int_eq(lstr_to_int64(value, &version), STATUS_OK);
@@ -701,6 +714,7 @@
 	memset(&node->proof, 0, sizeof(node->proof));
 	node->in_force = 0;
 	node->unknown = 0;
+	node->settled = 0;
 	node->pending = 0;
 	memset(node->known, 0, sizeof(node->known));
 	memset(&node->kv, 0, sizeof(node->kv));
@@ -741,6 +755,26 @@
 	}
 }
 
+/*
+ * Writes the settled era if a node has proved its configuration in a later one
+ * than the key has.
+ */
+static void
+sim_settle_era(struct sim *sim, const struct sim_node *node)
+{
+	int64_t proved_at = store_cache_proved_at(node->copy);
+	uint64_t era = store_cache_proved_era(node->copy);
+
+	if (era != sim->era || era <= node->settled ||
+	    config_proof_at(&node->proof, proved_at) != proved_at ||
+	    sim->now < MAX(sim->away_until, sim->store_down_until) ||
+	    sim->now < node->cut_until ||
+	    node->known[SIM_SETTLED_KEY].revision !=
+		sim->versions[SIM_SETTLED_KEY])
+		return;
+	sim_write_version(sim, SIM_SETTLED_KEY, false, (unsigned int)era);
+}
+
 static void
 sim_node_step(struct sim *sim, struct sim_node *node)
 {
@@ -766,6 +800,7 @@
 	if (node->pending != 0 && sim->now >= node->apply_at) {
 		sim_apply_config(node);
 	}
+	sim_settle_era(sim, node);
 	if (sim_is_watcher(node) && sim->now >= node->next_proof_at)
 		sim_send_proofs(sim, node);
 	proved_at =
@@ -794,11 +829,12 @@
 sim_disturb(struct sim *sim)
 {
 	if (sim_chance(sim, 0.004))
-		sim_write(sim, g_rand_int_range(sim->rand, 0, SIM_KEYS), false);
+		sim_write(sim, g_rand_int_range(sim->rand, 0, SIM_WRITTEN_KEYS),
+		    false);
 	if (sim_chance(sim, 0.0015))
 		sim_write(sim, SIM_CONFIG_KEY, false);
 	if (sim_chance(sim, 0.001))
-		sim_write(sim, SIM_KEYS - 1, true);
+		sim_write(sim, SIM_WRITTEN_KEYS - 1, true);
 	if (sim->calm)
 		return;
 	if (sim->restores != SIM_NO_RESTORES &&
@@ -844,8 +880,11 @@
 	sim->era = restores == SIM_RESTORES_WITH_ERA ? 1 : 0;
 	sim->rand = g_rand_new_with_seed(seed);
 	sim->now = LOOP_USEC_PER_SEC;
-	for (int i = 0; i < SIM_KEYS; i++)
+	for (int i = 0; i < SIM_WRITTEN_KEYS; i++)
 		sim_write(sim, i, false);
+	if (sim->era != 0)
+		sim_write_version(
+		    sim, SIM_SETTLED_KEY, false, (unsigned int)sim->era);
 	for (int i = 0; i < SIM_NODES; i++) {
 		sim->nodes[i].sim = sim;
 		sim->nodes[i].index = i;
--- a/tests/test_node_restored.c
+++ b/tests/test_node_restored.c
@@ -444,7 +444,121 @@
 }
 END_TEST
 
+/*
+ * Kills the node, so that it starts again without what it knew.
+ */
+static void
+kill_node(struct node_fixture *w)
+{
+	kill(w->pid, SIGKILL);
+	waitpid(w->pid, NULL, 0);
+	w->pid = 0;
+}
+
+/* Guards against a key that works again at a node which starts after the store
+ * has come back from a copy that contains the key, before the operator has
+ * written the later configurations again. */
+START_TEST(key_removed_before_a_restore_stays_refused_by_a_node_that_starts)
+{
+	struct node_fixture w;
+	struct node_call call;
+	unsigned int refused = 0;
+	int64_t until;
+
+	start(&w, true);
+	fake_platform_copy_store(w.platform);
+	fake_platform_configure(w.platform, 2, NODE_KEY);
+	fake_platform_configure(w.platform, 3, SECOND_KEY);
+	wait_for_status(&w, "/look/1", NODE_KEY, 401);
+	kill_node(&w);
+	fake_platform_restore_store(w.platform);
+	node_spawn(&w);
+	until = loop_now(w.loop) + NODE_REVOKE_MS * LOOP_USEC_PER_MSEC;
+	while (loop_now(w.loop) < until) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "starting-%u", refused);
+		node_call_plain(&w, &call, "GET", "/look/1", id, NODE_KEY);
+		lstr_buf_free(&call.body);
+		/* 0: the node does not listen yet. */
+		ck_assert_msg(call.status == 0 || call.status == 401 ||
+			call.status == 503,
+		    "status %u", call.status);
+		if (call.status == 503)
+			ck_assert_str_ne(call.retry_after, "");
+		refused += call.status != 0;
+		run_for(&w, 10 * LOOP_USEC_PER_MSEC);
+	}
+	ck_assert_uint_gt(refused, 0);
+	ck_assert_uint_eq(status_of(&w, "/look/1", NODE_KEY), 401);
+	ck_assert_uint_eq(status_of(&w, "/look/1", SECOND_KEY), 200);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/*
+ * Waits until the node has written that an era is settled.
+ */
+static void
+wait_for_settled_era(struct node_fixture *w, int era)
+{
+	int64_t deadline = loop_now(w->loop) + HARNESS_DEADLINE_USEC;
+	char *wanted = g_strdup_printf("\"settled\":%d", era);
+	bool found = false;
+
+	while (!found) {
+		char *log = node_read_log(w);
+		char **lines = g_strsplit(log, "\n", -1);
+
+		for (char **line = lines; *line != NULL; line++)
+			found = found ||
+			    (strstr(*line, "era-settled") != NULL &&
+				strstr(*line, wanted) != NULL);
+		g_strfreev(lines);
+		g_free(log);
+		ck_assert_int_lt(loop_now(w->loop), deadline);
+		run_for(w, 10 * LOOP_USEC_PER_MSEC);
+	}
+	g_free(wanted);
+}
+
+/*
+ * Starts a node again and checks that it accepts a key in its first answer.
+ */
+static void
+check_first_answer(struct node_fixture *w)
+{
+	unsigned int status;
+
+	kill_node(w);
+	node_spawn(w);
+	do {
+		run_for(w, 10 * LOOP_USEC_PER_MSEC);
+		status = status_of(w, "/look/1", NODE_KEY);
+	} while (status == 0);
+	ck_assert_uint_eq(status, 200);
+}
+
+/* Guards against a normal start that is delayed like one after a restore: while
+ * the era stays the same, and once a later one has been settled. */
+START_TEST(node_that_starts_without_a_restore_accepts_keys_at_once)
+{
+	struct node_fixture w;
+
+	start(&w, true);
+	check_first_answer(&w);
+	ck_assert(has_key_within(&w, ENTRY_KEY, HARNESS_DEADLINE_USEC));
+	fake_platform_copy_store(w.platform);
+	fake_platform_restore_store(w.platform);
+	wait_for_settled_era(&w, 2);
+	check_first_answer(&w);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("node_restored", store_that_states_its_era_no_more_is_followed,
+    key_removed_before_a_restore_stays_refused_by_a_node_that_starts,
+    node_that_starts_without_a_restore_accepts_keys_at_once,
     route_added_after_a_restore_is_served_in_time,
     route_added_after_a_restore_is_served_without_an_era,
     key_removed_after_a_restore_is_refused_in_time,
--- a/tests/test_store_cache.c
+++ b/tests/test_store_cache.c
@@ -189,13 +189,11 @@
 }
 
 /*
- * Creates a cache that has listed two keys.
+ * Creates a cache that has sent its first list.
  */
 static void
-start(struct fixture *w)
+create(struct fixture *w)
 {
-	struct kv_item items[] = {item("a", 5, false), item("b", 7, false)};
-
 	memset(w, 0, sizeof(*w));
 	ck_assert_int_eq(loop_create(&w->loop), STATUS_OK);
 	w->store.base.vtable = &store_vtable;
@@ -205,6 +203,17 @@
 	    STATUS_OK);
 	wait_for_call(w, KV_LIST);
 	w->listed_at = w->store.sent_at;
+}
+
+/*
+ * Creates a cache that has listed two keys.
+ */
+static void
+start(struct fixture *w)
+{
+	struct kv_item items[] = {item("a", 5, false), item("b", 7, false)};
+
+	create(w);
 	respond(w, STATUS_OK, 10, items, 2);
 	ck_assert_uint_eq(w->recorded.changed, 2);
 }
@@ -585,6 +594,69 @@
 }
 END_TEST
 
+/* Guards against a proof by the first list of a process, or by one of a peer,
+ * while the listed keys state that the era of the store is not settled. */
+START_TEST(first_list_of_an_unsettled_era_proves_nothing)
+{
+	struct kv_item items[] = {item("a", 5, false)};
+	struct fixture w;
+	int64_t synced_at;
+
+	create(&w);
+	w.store.era = 4;
+	store_cache_note_settled_era(w.store_cache, 3);
+	synced_at = loop_now(w.loop);
+	respond(&w, STATUS_OK, 8, items, 1);
+	ck_assert(store_cache_is_synced(w.store_cache));
+	ck_assert_int_eq(store_cache_proved_at(w.store_cache), 0);
+	ck_assert_uint_eq(store_cache_proved_era(w.store_cache), 0);
+	store_cache_note_peer_proof(
+	    w.store_cache, at(4, 8), at(4, 8), synced_at, true);
+	ck_assert_int_eq(store_cache_proved_at(w.store_cache), 0);
+	answer_until(&w, synced_at + STORE_CACHE_REWRITE_USEC, 9);
+	ck_assert_int_eq(store_cache_proved_at(w.store_cache), 0);
+	respond(&w, STATUS_OK, 9, NULL, 0);
+	if (store_cache_proved_at(w.store_cache) == 0) {
+		wait_for_call(&w, KV_WATCH);
+		respond(&w, STATUS_OK, 9, NULL, 0);
+	}
+	ck_assert_int_ge(store_cache_proved_at(w.store_cache),
+	    synced_at + STORE_CACHE_REWRITE_USEC);
+	ck_assert_uint_eq(store_cache_proved_era(w.store_cache), 4);
+	stop(&w);
+}
+END_TEST
+
+/* Guards against a start that is delayed although the era is settled, or the
+ * store has no key that states one, or does not state its era. */
+START_TEST(first_list_of_a_settled_era_is_a_proof)
+{
+	static const struct {
+		uint64_t era;
+		uint64_t settled;
+		bool stated;
+	} cases[] = {{4, 4, true}, {4, 5, true}, {4, 0, false}, {0, 3, true}};
+	struct kv_item items[] = {item("a", 5, false)};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture w;
+
+		create(&w);
+		w.store.era = cases[i].era;
+		if (cases[i].stated)
+			store_cache_note_settled_era(
+			    w.store_cache, cases[i].settled);
+		respond(&w, STATUS_OK, 8, items, 1);
+		ck_assert_int_gt(store_cache_proved_at(w.store_cache), 0);
+		ck_assert_int_le(
+		    store_cache_proved_at(w.store_cache), w.listed_at);
+		ck_assert_uint_eq(
+		    store_cache_proved_era(w.store_cache), cases[i].era);
+		stop(&w);
+	}
+}
+END_TEST
+
 /* Guards against a late response of the lost history that takes effect. */
 START_TEST(response_of_a_lower_era_changes_nothing)
 {
@@ -682,7 +754,10 @@
 END_TEST
 
 HARNESS_MAIN("store_cache", watch_after_a_list_of_several_pages_is_no_restore,
-    restored_store_replaces_the_copy, response_of_a_lower_era_changes_nothing,
+    restored_store_replaces_the_copy,
+    first_list_of_an_unsettled_era_proves_nothing,
+    first_list_of_a_settled_era_is_a_proof,
+    response_of_a_lower_era_changes_nothing,
     peers_of_another_era_prove_and_change_nothing, restores_are_counted,
     early_empty_response_is_not_followed_at_once,
     changes_of_a_peer_need_no_call, missing_changes_are_fetched_after_a_while,
