--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -140,6 +140,8 @@
 		    LOOP_USEC_PER_MSEC},
 	    {"store_restores_total",
 		(int64_t)store_cache_restore_count(node->store_cache)},
+	    {"store_settled_era",
+		(int64_t)settled_era_stored(node->settled_era)},
 	    {"servers", (int64_t)g_hash_table_size(node->pool->by_id)},
 	    {"nodes_live", (int64_t)gossip_live_count(node->gossip)},
 	};
--- a/src/node/settled_era.c
+++ b/src/node/settled_era.c
@@ -57,6 +57,15 @@
 	return settled->stored;
 }
 
+/*
+ * Returns the era in the key; 0: there is none.
+ */
+uint64_t
+settled_era_stored(const struct settled_era *settled)
+{
+	return settled->stored;
+}
+
 /*
  * Handles the response to a write. After a conflict the key is read by the
  * watch of the store, and written with its version if its era is still lower.
--- a/src/node/settled_era.h
+++ b/src/node/settled_era.h
@@ -27,6 +27,8 @@
  * Revision 0: the key was removed. */
 uint64_t settled_era_read(
     struct settled_era *, struct lstr value, struct store_position);
+/* The era in the key; 0: there is none. */
+uint64_t settled_era_stored(const struct settled_era *);
 /* Writes the key if this node is the planner and the era that it has settled is
  * higher than the one in the key; era 0: it has settled none. */
 void settled_era_tick(struct settled_era *, bool is_planner, uint64_t era);
--- a/tests/test_settled_era.c
+++ b/tests/test_settled_era.c
@@ -111,7 +111,9 @@
 	ck_assert_uint_eq(w.memory.writes, 1);
 	ck_assert_uint_eq(w.memory.version, 0);
 	ck_assert_uint_eq(written_era(&w), 3);
+	ck_assert_uint_eq(settled_era_stored(w.settled), 0);
 	answer(&w, STATUS_OK, 3, 41);
+	ck_assert_uint_eq(settled_era_stored(w.settled), 3);
 	loop_run_once(w.loop, loop_now(w.loop) + SETTLED_ERA_PAUSE_USEC);
 	settled_era_tick(w.settled, true, 3);
 	ck_assert_uint_eq(w.memory.writes, 1);
