sched: list of the queue, and entries taken before their turn

Cause: the queue gave out only its first entry, so whoever serves it could not pass over one that does not fit. Change: sched_list() gives the entries in the order of service, sched_take() removes any of them as served. An entry taken before its turn is charged to its organisation; the virtual time does not advance past flows that still wait.

--- a/src/sched.c
+++ b/src/sched.c
@@ -398,14 +398,16 @@
 
 /*
  * Advances the virtual time and the tags of a flow after one of its entries
- * was dispatched.
+ * was dispatched. An entry that was dispatched before its turn does not advance
+ * the virtual time: the flows that precede it have not been served yet.
  */
 static void
 advance_tags(struct sched *sched, struct flow *flow, int64_t cost)
 {
 	struct class *class = &sched->classes[flow->class];
 
-	class->virtual_now = flow->start;
+	if (tree_first(class->active) == flow)
+		class->virtual_now = flow->start;
 	flow->finish = flow->start + cost * VIRTUAL_SCALE / flow->weight;
 	if (g_tree_nnodes(flow->entries) == 0) {
 		deactivate(sched, flow);
@@ -468,6 +470,50 @@
 	return true;
 }
 
+/*
+ * Stores the data of up to max entries in the order of service: by class, in it
+ * by the start tag of the organisation, and of each organisation by deadline.
+ * Returns their number.
+ */
+size_t
+sched_list(const struct sched *sched, void **data, size_t max)
+{
+	size_t count = 0;
+
+	for (int i = 0; i < SCHED_CLASSES; i++) {
+		GTreeNode *at = g_tree_node_first(sched->classes[i].active);
+
+		for (; at != NULL; at = g_tree_node_next(at)) {
+			const struct flow *flow = g_tree_node_key(at);
+			GTreeNode *node = g_tree_node_first(flow->entries);
+
+			for (; node != NULL; node = g_tree_node_next(node)) {
+				const struct sched_entry *entry =
+				    g_tree_node_key(node);
+
+				if (count == max)
+					return count;
+				data[count++] = entry->data;
+			}
+		}
+	}
+	return count;
+}
+
+/*
+ * Removes an entry to serve it, whether or not it is the next one. The cost is
+ * charged to its organisation as by sched_pop().
+ */
+void
+sched_take(struct sched *sched, struct sched_entry *entry)
+{
+	struct flow *flow = entry->flow;
+
+	unlink_entry(sched, entry);
+	advance_tags(sched, flow, entry->cost);
+	free(entry);
+}
+
 /*
  * Removes an entry without serving it. The tags of its organisation do not
  * advance.
--- a/src/sched.h
+++ b/src/sched.h
@@ -48,6 +48,8 @@
     struct sched *, const struct sched_request *, struct sched_entry **);
 bool sched_peek(const struct sched *, void **data);
 bool sched_pop(struct sched *, void **data, Ch__RecordReason *);
+size_t sched_list(const struct sched *, void **data, size_t max);
+void sched_take(struct sched *, struct sched_entry *);
 void sched_cancel(struct sched *, struct sched_entry *);
 bool sched_expire(struct sched *, int64_t now, void **data);
 int64_t sched_next_expiry(const struct sched *);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -349,8 +349,120 @@
 }
 END_TEST
 
+/*
+ * Guards against a listing in another order than that of service, and against
+ * one that exceeds the table.
+ */
+START_TEST(list_is_in_order_of_service)
+{
+	struct sched *sched = make_queue(QUEUE_MAX);
+	Ch__RecordReason reason;
+	void *data[5] = {NULL};
+	static char guard;
+
+	ck_assert_uint_eq(sched_list(sched, data, 5), 0);
+	push(sched, "b", 1, 10, 1, 30, "4");
+	push(sched, "a", 1, 10, 1, 40, "5");
+	push(sched, "b", 1, 10, 1, 20, "3");
+	push(sched, "a", 0, 10, 1, 90, "2");
+	push(sched, "a", 0, 10, 1, 10, "1");
+	ck_assert_uint_eq(sched_list(sched, data, 5), 5);
+	for (int i = 0; i < 5; i++) {
+		const char digit[] = {(char)('1' + i), '\0'};
+
+		ck_assert_str_eq(data[i], digit);
+	}
+	data[2] = &guard;
+	ck_assert_uint_eq(sched_list(sched, data, 2), 2);
+	ck_assert_ptr_eq(data[2], &guard);
+	ck_assert_str_eq(pop(sched, &reason), "1");
+	ck_assert_uint_eq(sched_list(sched, data, 5), 4);
+	ck_assert_str_eq(data[0], "2");
+	sched_destroy(sched);
+}
+END_TEST
+
+/*
+ * Guards against an organisation that is served for nothing when its entries
+ * are taken before their turn, and against a virtual time that runs backwards
+ * afterwards: of two organisations that come later, the second would be served
+ * first.
+ */
+START_TEST(entry_taken_before_its_turn_is_charged)
+{
+	struct sched *sched = make_queue(QUEUE_MAX);
+	struct sched_entry *entries[5];
+	Ch__RecordReason reason;
+
+	push(sched, "a", 0, 1, 100, 1000, "a1");
+	push(sched, "a", 0, 1, 100, 1000, "a2");
+	for (int i = 0; i < 5; i++)
+		entries[i] = push(sched, "b", 0, 1, 30, 1000 + i, "b");
+	for (int i = 0; i < 4; i++)
+		sched_take(sched, entries[3 - i]);
+	ck_assert_uint_eq(sched_count(sched), 3);
+	push(sched, "c", 0, 1, 10, 1000, "c");
+	ck_assert_str_eq(pop(sched, &reason), "a1");
+	push(sched, "d", 0, 1, 10, 1000, "d");
+	ck_assert_str_eq(pop(sched, &reason), "c");
+	ck_assert_str_eq(pop(sched, &reason), "d");
+	/* b has been served 120, a 100. */
+	ck_assert_str_eq(pop(sched, &reason), "a2");
+	ck_assert_str_eq(pop(sched, &reason), "b");
+	ck_assert_str_eq(pop(sched, &reason), "");
+	sched_destroy(sched);
+}
+END_TEST
+
+/*
+ * Guards against lost or duplicated entries, and wrong totals, when random
+ * entries are taken.
+ */
+START_TEST(entries_taken_at_random_are_gone)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct sched *sched = make_queue(64);
+	struct sched_entry *entries[64] = {0};
+	size_t expected_count = 0;
+	int64_t expected_cost = 0;
+
+	for (int turn = 0; turn < 20000; turn++) {
+		int slot = g_rand_int_range(rand, 0, 64);
+		int64_t cost = 0;
+		void *data[64];
+		size_t count;
+		char name[8];
+
+		snprintf(name, sizeof(name), "o%d", slot % 5);
+		if (entries[slot] == NULL) {
+			entries[slot] =
+			    push(sched, name, (uint32_t)slot % 8, 1, slot + 1,
+				g_rand_int_range(rand, 1, 200), &entries[slot]);
+			expected_count++;
+			expected_cost += slot + 1;
+		} else {
+			sched_take(sched, entries[slot]);
+			entries[slot] = NULL;
+			expected_count--;
+			expected_cost -= slot + 1;
+		}
+		count = sched_list(sched, data, 64);
+		ck_assert_uint_eq(count, expected_count);
+		ck_assert_uint_eq(sched_count(sched), expected_count);
+		for (size_t i = 0; i < count; i++)
+			ck_assert_ptr_nonnull(*(struct sched_entry **)data[i]);
+		for (uint32_t i = 0; i < SCHED_CLASSES; i++)
+			cost += sched_class_cost(sched, i);
+		ck_assert_int_eq(cost, expected_cost);
+	}
+	sched_destroy(sched);
+	g_rand_free(rand);
+}
+END_TEST
+
 HARNESS_MAIN("sched", higher_class_is_first, earliest_deadline_is_first,
     full_queue_refuses, request_past_deadline_expires, shares_follow_weights,
     idle_organisation_gains_no_credit,
     intermittent_organisation_gains_no_credit, random_operations_keep_entries,
-    expected_wait_counts_work_ahead)
+    expected_wait_counts_work_ahead, list_is_in_order_of_service,
+    entry_taken_before_its_turn_is_charged, entries_taken_at_random_are_gone)
