waiting: order in which queued requests are searched for

Cause: a long prompt that finds no path stops the round, so short ones behind it expire beside free memory; if they always overtake, long ones starve; in a lasting shortage long ones reach the head too late to get memory at all. Change: pure module. Entries that find no path are overtaken for three quarters of their wait, then nothing behind them starts; at most 4 searches without result in a round, none for what needs as much and may use no more; while the largest tenth of a class is served less than 0.6 times as often as the class, a large request is first in the turn of its organisation.

--- a/src/node/decisions/waiting.c
+++ b/src/node/decisions/waiting.c
@@ -4,6 +4,10 @@
 
 /* Number of ranks in the order of a class; see rank(). */
 #define RANKS 3
+/* Part of the requests that counts as large, and the relative step in which the
+ * limit between them and the others follows their sizes. */
+#define LARGE_PART 0.1
+#define LARGE_STEP 0.1
 #define HISTORY_KEEP (1 - 1.0 / WAITING_HISTORY)
 
 /*
@@ -14,38 +18,36 @@
 waiting_note_left(struct waiting_history *history, uint32_t priority,
     int64_t need, bool started)
 {
-	uint32_t i = MIN(priority, WAITING_CLASSES - 1u);
-	double part = started ? 1 : 0;
+	struct waiting_class *class =
+	    &history->classes[MIN(priority, WAITING_CLASSES - 1u)];
+	bool large = (double)need > class->large_need;
 
-	history->classes[i].requests =
-	    history->classes[i].requests * HISTORY_KEEP + 1;
-	history->classes[i].tokens =
-	    history->classes[i].tokens * HISTORY_KEEP + (double)need;
-	history->classes[i].started_requests =
-	    history->classes[i].started_requests * HISTORY_KEEP + part;
-	history->classes[i].started_tokens =
-	    history->classes[i].started_tokens * HISTORY_KEEP +
-	    part * (double)need;
+	if (class->requests <= 0)
+		class->large_need = (double)need;
+	class->requests = class->requests * HISTORY_KEEP + 1;
+	class->started = class->started * HISTORY_KEEP + started;
+	class->large_requests = class->large_requests * HISTORY_KEEP + large;
+	class->large_started =
+	    class->large_started * HISTORY_KEEP + (large && started);
+	/* In balance if one request in ten is larger. */
+	class->large_need *= large ? 1 + LARGE_STEP * (1 - LARGE_PART)
+				   : 1 - LARGE_STEP * LARGE_PART;
 }
 
 /*
- * Returns the need above which a request of a class is large and precedes the
- * others of its organisation, or INT64_MAX while the large ones are served
- * about as often as the others.
+ * Returns the need above which a request of a class precedes the others of its
+ * organisation, or INT64_MAX while the largest ones are served often enough.
  */
 static int64_t
 preferred_need(const struct waiting_history *history, uint32_t priority)
 {
-	uint32_t i = MIN(priority, WAITING_CLASSES - 1u);
-	double requests = history->classes[i].requests;
-	double tokens = history->classes[i].tokens;
+	const struct waiting_class *class =
+	    &history->classes[MIN(priority, WAITING_CLASSES - 1u)];
 
-	if (requests <= 0 ||
-	    history->classes[i].started_tokens * requests >=
-		WAITING_LARGE_SHARE * history->classes[i].started_requests *
-		    tokens)
+	if (class->large_started * class->requests >=
+	    WAITING_LARGE_RATIO * class->started * class->large_requests)
 		return INT64_MAX;
-	return (int64_t)(tokens / requests);
+	return (int64_t) class->large_need;
 }
 
 /*
@@ -145,8 +147,8 @@
 }
 
 /*
- * Looks for the next entry to search a path for in one class. Returns true if
- * the round looks no further; *found is then that entry, or WAITING_NONE.
+ * Looks for the next entry to search a path for in one class and stores it, or
+ * WAITING_NONE. Returns whether the round may look at less urgent classes.
  */
 static bool
 next_in_class(const struct waiting_round *round,
@@ -157,6 +159,7 @@
 	size_t first = find_first(round, entries, begin, end);
 	bool last = round->miss_count + 1 == WAITING_MISSES_MAX;
 
+	*found = WAITING_NONE;
 	for (size_t k = 0; k < RANKS * count; k++) {
 		size_t i = begin + k % count;
 		const struct waiting_entry *entry = &entries[i];
@@ -165,21 +168,20 @@
 			continue;
 		if (!is_hopeless(round, entry) &&
 		    (*found == WAITING_NONE ||
-			entry->need < entries[*found].need)) {
+			entry->need < entries[*found].need))
 			*found = i;
-			if (!last)
-				return true;
-		}
-		if (is_overdue(entry, round->now))
-			return true;
+		if (is_overdue(entry, round->now) ||
+		    (*found != WAITING_NONE && !last))
+			return false;
 	}
-	return false;
+	return *found == WAITING_NONE;
 }
 
 /*
  * Returns the entry for which to search a path next, or WAITING_NONE when the
  * round has ended. The last search that a round may make without result is for
- * the smallest entry, so that one which fits is found.
+ * the smallest entry of the most urgent class that may still have one, so that
+ * an entry of it which fits is found.
  */
 size_t
 waiting_next(const struct waiting_round *round,
@@ -192,7 +194,7 @@
 		return WAITING_NONE;
 	for (size_t begin = 0; begin < count; begin = end) {
 		end = class_end(entries, count, begin);
-		if (next_in_class(round, entries, begin, end, &found))
+		if (!next_in_class(round, entries, begin, end, &found))
 			break;
 	}
 	return found;
--- a/src/node/decisions/waiting.h
+++ b/src/node/decisions/waiting.h
@@ -32,11 +32,10 @@
  * memory becomes free for it; those that arrive with it or later do not expire
  * meanwhile. */
 #define WAITING_OVERTAKE_SHARE 0.75
-/* Large requests are served less often than others if the part of the demanded
- * tokens that is served is below this share of the part of the requests. If a
- * tenth of the requests needs ten times as much, that is the case when it is
- * served less than 0.66 times as often as the others. */
-#define WAITING_LARGE_SHARE 0.85
+/* The largest tenth of a class is to be served at least half as often as the
+ * class; below this ratio large requests come first. The margin covers the time
+ * in which the averages follow. */
+#define WAITING_LARGE_RATIO 0.6
 /* Number of requests over which these parts are averaged. */
 #define WAITING_HISTORY 256
 #define WAITING_CLASSES 8
@@ -60,15 +59,19 @@
 	bool overtaken;
 };
 
-/* The requests of each class that started or left without having started, and
- * their tokens, averaged. */
+/* The requests of each class that started, or left without having started,
+ * averaged. */
+struct waiting_class {
+	double requests;
+	double started;
+	/* Need above which a request is one of the largest tenth. */
+	double large_need;
+	double large_requests;
+	double large_started;
+};
+
 struct waiting_history {
-	struct {
-		double requests;
-		double tokens;
-		double started_requests;
-		double started_tokens;
-	} classes[WAITING_CLASSES];
+	struct waiting_class classes[WAITING_CLASSES];
 };
 
 /* One round of searches, in which memory is only taken. */
