node: queued requests that fit overtake, urgent ones get places in a full queue

Cause: dispatch stopped at the first entry without a path; a full queue refused new requests of any class; entries whose wait had ended were searched for once more when a stream ended before the tick. A more urgent new request displaces the least urgent entry never sent, which is refused with 503 and a retry time after the new one is queued.

--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -50,6 +50,9 @@
 	uint64_t failed;
 	uint64_t cancelled;
 	uint64_t queued;
+	uint64_t overtaking;
+	uint64_t displaced;
+	uint64_t queue_full;
 	uint64_t retried;
 	uint64_t resumed;
 	uint64_t rerouted;
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -12,6 +12,7 @@
 #include "slog.h"
 #include "sse.h"
 #include "urgency.h"
+#include "waiting.h"
 
 /* Timeout for connecting to a server; a live server accepts within
  * milliseconds. */
@@ -137,6 +138,10 @@
 	int64_t held_until;
 	struct sched_entry *queue_entry;
 	int64_t queued_at;
+	/* When its maximum wait passes, and whether smaller requests started
+	 * before it when it was first in its class. */
+	int64_t queue_deadline;
+	bool overtaken;
 	/* When the request was first sent to a server. */
 	int64_t started_at;
 	/* Expected time from the start to the first event on the last path. */
@@ -173,6 +178,7 @@
 	char *name;
 	struct sched *queue;
 	struct retry_share retries;
+	struct waiting_history waiting;
 	/* Moving rate of tokens of started requests, used to estimate queue
 	 * waits. */
 	double started_tokens_per_sec;
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -345,9 +345,122 @@
 	    : admit_retry_without_capacity(&load);
 }
 
+/*
+ * Returns the memory that a request needs, in tokens.
+ */
+static int64_t
+needed_tokens(const struct gateway_request *request)
+{
+	uint32_t prompt = request->info.prompt_tokens;
+
+	if (prompt == 0)
+		prompt = request->service->engine->usual_prompt_tokens;
+	return (int64_t)prompt + gateway_estimate_output(request);
+}
+
+/*
+ * Records that a request starts, or that it leaves the queue without having
+ * started, for the order of waiting.h. Only the first start counts.
+ */
+static void
+note_left(const struct gateway_request *request, bool started)
+{
+	struct gateway_service *service =
+	    gateway_service(request->gateway, request->service->name);
+
+	waiting_note_left(&service->waiting, request->priority,
+	    needed_tokens(request), started);
+}
+
+/* The queue of a service as a table, in the order of service. */
+struct queue_table {
+	struct gateway_request *requests[GATEWAY_QUEUE_MAX];
+	struct waiting_entry entries[GATEWAY_QUEUE_MAX];
+	size_t count;
+};
+
+/*
+ * Describes the queue of a service for waiting.h. The reserved shares are those
+ * with which find_path() searches.
+ */
+static void
+list_queue(const struct gateway_service *service, struct queue_table *table)
+{
+	void *data[GATEWAY_QUEUE_MAX];
+
+	table->count = sched_list(service->queue, data, GATEWAY_QUEUE_MAX);
+	for (size_t i = 0; i < table->count; i++) {
+		struct gateway_request *request = data[i];
+		bool sent = request->attempts.count > 0;
+
+		table->requests[i] = request;
+		table->entries[i] =
+		    (struct waiting_entry){.priority = request->priority,
+			.organisation = request->organisation,
+			.need = needed_tokens(request),
+			.reserved_share = sent
+			    ? 0
+			    : headroom_reserved_share(
+				  &service->headroom, request->priority),
+			.queued_at = request->queued_at,
+			.deadline = request->queue_deadline,
+			.sent = sent,
+			.overtaken = request->overtaken};
+	}
+}
+
+/*
+ * Removes the least urgent entry of a full queue to make room for a request of
+ * a more urgent class. Returns the removed request, which was never sent and is
+ * to be refused, or NULL if there is none.
+ */
+static struct gateway_request *
+displace(struct gateway_service *service, const struct gateway_request *request)
+{
+	struct queue_table *table;
+	struct gateway_request *displaced = NULL;
+	size_t index;
+
+	if (sched_count(service->queue) < GATEWAY_QUEUE_MAX)
+		return NULL;
+	table = g_new(struct queue_table, 1);
+	list_queue(service, table);
+	index = waiting_find_displaced(
+	    table->entries, table->count, request->priority);
+	if (index != WAITING_NONE) {
+		displaced = table->requests[index];
+		sched_cancel(service->queue, displaced->queue_entry);
+		displaced->queue_entry = NULL;
+	}
+	g_free(table);
+	return displaced;
+}
+
+/*
+ * Refuses a request whose place in the queue a more urgent one has taken.
+ */
+static void
+refuse_displaced(
+    struct gateway_request *request, const struct gateway_request *by)
+{
+	struct gateway *gateway = request->gateway;
+	int64_t now = gateway_now(gateway);
+	struct admit_request load = describe_load(request, now);
+
+	note_left(request, false);
+	gateway->counts.displaced++;
+	slog_event(EV_REQUEST_DISPLACED, "{s:s, s:s, s:i, s:i, s:I}", "id",
+	    request->id, "by", by->id, "priority", (int)request->priority,
+	    "by_priority", (int)by->priority, "waited_ms",
+	    (json_int_t)((now - request->queued_at) / LOOP_USEC_PER_MSEC));
+	refuse_or_fail(request, admit_retry_without_capacity(&load),
+	    "a more urgent request takes its place in the full queue");
+}
+
 /*
  * Queues a request that no path can accept now, or refuses it if the wait
- * would be too long.
+ * would be too long or the queue is full. In a full queue it takes the place of
+ * a less urgent request that was never sent.
  */
 static void
 queue_or_refuse(struct gateway_request *request, enum status path_status)
@@ -358,6 +471,7 @@
 	int64_t now = gateway_now(gateway);
 	struct admit_request load = describe_load(request, now);
 	struct admit_decision decision = admit_decide(&load);
+	struct gateway_request *displaced;
 	struct sched_request entry = {
 	    .organisation = lstr_from(
 		request->organisation ? request->organisation->name : ""),
@@ -369,9 +483,7 @@
 	    .data = request};
 
 	entry.deadline = now + decision.wait_usec;
-	if (decision.choice == ADMIT_REFUSE ||
-	    sched_push(service->queue, &entry, &request->queue_entry) !=
-		STATUS_OK) {
+	if (decision.choice == ADMIT_REFUSE) {
 		refuse_or_fail(request, decision.retry_usec,
 		    load.wanted_usec > 0 ? "servers want no requests"
 			: path_status == STATUS_NOT_FOUND
@@ -379,13 +491,28 @@
 			: "no path has room");
 		return;
 	}
-	request->state = GATEWAY_WAITING;
-	request->queued_at = now;
-	gateway->counts.queued++;
-	slog_event(EV_REQUEST_QUEUED, "{s:s, s:s, s:I, s:i}", "id", request->id,
-	    "reason", status_name(path_status), "expected_wait_ms",
-	    (json_int_t)(load.expected_wait_usec / LOOP_USEC_PER_MSEC),
-	    "waiting", (int)sched_count(service->queue));
+	displaced = displace(service, request);
+	if (sched_push(service->queue, &entry, &request->queue_entry) ==
+	    STATUS_OK) {
+		request->state = GATEWAY_WAITING;
+		request->queued_at = now;
+		request->queue_deadline = entry.deadline;
+		request->overtaken = false;
+		gateway->counts.queued++;
+		slog_event(EV_REQUEST_QUEUED, "{s:s, s:s, s:I, s:i}", "id",
+		    request->id, "reason", status_name(path_status),
+		    "expected_wait_ms",
+		    (json_int_t)(load.expected_wait_usec / LOOP_USEC_PER_MSEC),
+		    "waiting", (int)sched_count(service->queue));
+	} else {
+		gateway->counts.queue_full++;
+		refuse_or_fail(request, admit_retry_without_capacity(&load),
+		    "the queue is full");
+	}
+	/* Its connection may pass on the next request at once, which must not
+	 * find the place free. */
+	if (displaced != NULL)
+		refuse_displaced(displaced, request);
 }
 
 /*
@@ -418,6 +545,8 @@
 		queue_or_refuse(request, status);
 		return;
 	}
+	if (first)
+		note_left(request, true);
 	record_start(service, request->attempt.tokens, gateway_now(gateway));
 	log_started(request, first ? "room at arrival" : "after a failure");
 }
@@ -450,33 +579,70 @@
 }
 
 /*
- * Starts queued requests of a service in order until no path has capacity for
- * the next one.
+ * Removes a request from the queue that has been sent, and records what it has
+ * overtaken.
  */
 static void
-dispatch_service(struct gateway *gateway, struct gateway_service *service)
+note_dispatched(struct gateway_service *service,
+    const struct waiting_round *round, struct queue_table *table, size_t index)
 {
-	void *data;
-	Ch__RecordReason reason;
-
-	while (sched_peek(service->queue, &data)) {
-		struct gateway_request *request = data;
-		enum status status = start_on_path(request);
+	struct gateway_request *request = table->requests[index];
+	struct gateway *gateway = request->gateway;
+	bool overtakes =
+	    waiting_note_start(round, table->entries, table->count, index);
+
+	for (size_t i = 0; i < table->count; i++)
+		table->requests[i]->overtaken = table->entries[i].overtaken;
+	sched_take(service->queue, request->queue_entry);
+	request->queue_entry = NULL;
+	if (!table->entries[index].sent)
+		note_left(request, true);
+	record_start(service, request->attempt.tokens, gateway_now(gateway));
+	if (overtakes)
+		gateway->counts.overtaking++;
+	log_started(request,
+	    overtakes	    ? "fits, unlike entries before it"
+		: index > 0 ? "passed over before, or large"
+			    : "first in its class and share");
+}
 
-		if (status == STATUS_DENIED) {
-			gateway_refuse_draining(request);
-			continue;
-		}
-		if (status != STATUS_OK) {
-			refuse_unwanted(gateway, service);
-			return;
+/*
+ * Starts the queued requests of a service that fit, in the order of waiting.h,
+ * until a round of searches has ended.
+ */
+static void
+dispatch_service(struct gateway *gateway, struct gateway_service *service)
+{
+	enum status status = STATUS_OK;
+	struct waiting_round round;
+	struct queue_table table;
+	bool missed = false;
+	size_t index;
+
+	gateway_stream_expire(service, gateway_now(gateway));
+	if (sched_count(service->queue) == 0)
+		return;
+	waiting_round_begin(&round, &service->waiting, gateway_now(gateway));
+	list_queue(service, &table);
+	/* Without a holder of some layer, no request has a path. */
+	while (status != STATUS_NOT_FOUND) {
+		index = waiting_next(&round, table.entries, table.count);
+		if (index == WAITING_NONE)
+			break;
+		status = start_on_path(table.requests[index]);
+		if (status == STATUS_OK) {
+			note_dispatched(service, &round, &table, index);
+			list_queue(service, &table);
+		} else if (status == STATUS_DENIED) {
+			gateway_refuse_draining(table.requests[index]);
+			list_queue(service, &table);
+		} else {
+			waiting_note_miss(&round, &table.entries[index]);
+			missed = true;
 		}
-		sched_pop(service->queue, &data, &reason);
-		request->queue_entry = NULL;
-		record_start(
-		    service, request->attempt.tokens, gateway_now(gateway));
-		log_started(request, "first in its class and share");
 	}
+	if (missed)
+		refuse_unwanted(gateway, service);
 }
 
 /*
@@ -510,6 +676,8 @@
 		struct admit_request load = describe_load(request, now);
 
 		request->queue_entry = NULL;
+		if (request->attempts.count == 0)
+			note_left(request, false);
 		refuse_or_fail(request, admit_retry_without_capacity(&load),
 		    "no path had room in time");
 	}
