Tests of a node under many third-party clients

Cause: the memory that callers make a node hold is only partly counted, and the number of connections has no limit, so many clients can use up the memory or the descriptors of a process, or the memory for request bodies.

Change: tests/test_clients.c starts the real process with memory_mb 64 and, in one test, a soft limit of 400 descriptors. It checks that the process is alive, that VmHWM and the open descriptors stay under these bounds, and that an ordinary request is answered. The fake platform gets settable limits of heads and bodies and a route with a time limit of 20 s. Under AddressSanitizer only the bound on memory is not checked.

--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -99,6 +99,11 @@
     struct fake_platform *, int version, const char *key);
 /* Adds the idempotent route /NAME/ to all later configurations. */
 void fake_platform_add_route(struct fake_platform *, const char *name);
+/* The same for a non-idempotent one with a time limit of 20 s. */
+void fake_platform_add_long_route(struct fake_platform *, const char *name);
+/* Sets the limits of callers' heads and bodies in all later configurations. */
+void fake_platform_set_request_limits(
+    struct fake_platform *, size_t head_max, size_t body_max);
 /* Keeps a copy of the store's items, leases and revision. */
 void fake_platform_copy_store(struct fake_platform *);
 /*
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -20,7 +20,9 @@
 #define START_TIME_MSEC 1700000000000
 #define EVENT_INTERVAL_USEC (5 * LOOP_USEC_PER_MSEC)
 #define IDLE_TIMEOUT_USEC (60 * LOOP_USEC_PER_SEC)
-#define HEAD_MAX_BYTES 65536
+#define HEAD_MAX_BYTES 262144
+#define CALLER_HEAD_MAX_BYTES 4096
+#define CALLER_BODY_MAX_BYTES 10000
 #define ENGINE_DOWN_USEC (2 * LOOP_USEC_PER_SEC)
 #define ENDLESS_BYTES 16384
 /* The operator and the servers write to a restored store with this pause. */
@@ -129,6 +131,9 @@
 	unsigned int era;
 	bool hides_era;
 	GString *added_routes;
+	/* Limits of callers' requests in later configurations. */
+	size_t caller_head_max;
+	size_t caller_body_max;
 	GArray *changes;
 	GPtrArray *watchers;
 	GPtrArray *server_calls;
@@ -1246,6 +1251,17 @@
 	lstr_buf_free(&out);
 }
 
+/*
+ * Sets the limits of callers' requests in later configurations.
+ */
+void
+fake_platform_set_request_limits(
+    struct fake_platform *platform, size_t head_max, size_t body_max)
+{
+	platform->caller_head_max = head_max;
+	platform->caller_body_max = body_max;
+}
+
 /*
  * Sets the length of the plain servers' responses.
  */
@@ -1774,6 +1790,8 @@
 	platform->leases = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, lease_free);
 	platform->configurations = g_ptr_array_new_with_free_func(g_free);
+	platform->caller_head_max = CALLER_HEAD_MAX_BYTES;
+	platform->caller_body_max = CALLER_BODY_MAX_BYTES;
 	platform->added_routes = g_string_new(NULL);
 	platform->era = 1;
 	platform->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
@@ -1876,11 +1894,12 @@
 	    "\"layers\":8,\"layerMb\":100,\"activationBytes\":1000,"
 	    "\"interZoneMbps\":1000,\"kinds\":[{\"name\":\"card\","
 	    "\"sizeMb\":900,\"pace\":1.0,\"readFactor\":1.0}]}}],"
-	    "\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":10000,"
+	    "\"limits\":{\"maxHeaderBytes\":%zu,\"maxBodyBytes\":%zu,"
 	    "\"headerTimeoutMs\":1000,\"idleTimeoutMs\":5000},"
 	    "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"],"
 	    "\"priority\":1}]}",
-	    version, platform->added_routes->str, key);
+	    version, platform->added_routes->str, platform->caller_head_max,
+	    platform->caller_body_max, key);
 
 	fake_platform_rewrite(platform);
 	store_put(platform, "op/config", text, 0);
@@ -1899,6 +1918,21 @@
 	    name, name);
 }
 
+/*
+ * Adds a non-idempotent route with a time limit of 20 s to all later
+ * configurations.
+ */
+void
+fake_platform_add_long_route(struct fake_platform *platform, const char *name)
+{
+	g_string_append_printf(platform->added_routes,
+	    ",{\"name\":\"%s\",\"host\":\"models.example\","
+	    "\"prefix\":\"/%s/\",\"kind\":\"non_idempotent\","
+	    "\"timeoutMs\":20000,\"targetLatencyMs\":150,\"priority\":2,"
+	    "\"service\":\"ledger\",\"maxAttempts\":1}",
+	    name, name);
+}
+
 void
 fake_platform_set_store_silent(
     struct fake_platform *platform, bool store_silent)
--- /dev/null
+++ b/tests/test_clients.c
@@ -0,0 +1,516 @@
+#include <errno.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include <dirent.h>
+
+#include "node_fixture.h"
+
+/* Memory of the machine on which the node is told to run, and the limits of
+ * callers' requests. */
+#define MEMORY_MB 64
+#define BYTES_PER_MB ((size_t)1000 * 1000)
+#define HEAD_MAX_BYTES ((size_t)64 * 1024)
+#define BODY_MAX_BYTES ((size_t)1024 * 1024)
+/* Descriptors of the node, of which it reserves 200 for files. */
+#define DESCRIPTORS 400
+/* Each load holds several times the memory or descriptors of the node. */
+#define LARGE_BODY_CLIENTS 60
+#define MEDIUM_BODY_CLIENTS 300
+#define BODY_CLIENTS 500
+#define HEAD_CLIENTS 1500
+#define SILENT_CLIENTS 900
+#define UNREAD_CLIENTS 60
+#define UNREAD_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
+#define SMALL_CHUNK_BYTES 500
+#define ORDINARY_BODY_BYTES 8192
+/* A client that cannot write for this many rounds of the loop sends no more. */
+#define BLOCKED_ROUNDS_MAX 200
+#define ORDINARY_ATTEMPTS 3
+
+static int sockets[HEAD_CLIENTS];
+static unsigned int socket_count;
+
+/*
+ * Runs the loop of the platform and of the ordinary callers for some rounds.
+ */
+static void
+run_rounds(struct node_fixture *w, int rounds)
+{
+	for (int i = 0; i < rounds; i++)
+		loop_run_once(w->loop, loop_now(w->loop) + LOOP_USEC_PER_MSEC);
+}
+
+/*
+ * Adds memory_mb to the settings file of the node.
+ */
+static void
+set_memory(const struct node_fixture *w)
+{
+	char *text = NULL;
+	FILE *file;
+
+	ck_assert(g_file_get_contents(w->settings_path, &text, NULL, NULL));
+	file = fopen(w->settings_path, "w");
+	ck_assert_ptr_nonnull(file);
+	fprintf(file, "{\"memory_mb\":%d,%s", MEMORY_MB, text + 1);
+	fclose(file);
+	g_free(text);
+}
+
+/*
+ * Starts the platform and a node with limited memory. descriptors: soft limit
+ * of the node's descriptors; 0: that of this process.
+ */
+static void
+start_limited_node(struct node_fixture *w, rlim_t descriptors)
+{
+	struct rlimit saved;
+	struct rlimit limited;
+
+	socket_count = 0;
+	node_fixture_prepare(w);
+	fake_platform_set_request_limits(
+	    w->platform, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	fake_platform_add_long_route(w->platform, "long");
+	fake_platform_configure(w->platform, 2, NODE_KEY);
+	set_memory(w);
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &saved), 0);
+	limited = saved;
+	if (descriptors != 0)
+		limited.rlim_cur = descriptors;
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limited), 0);
+	node_spawn(w);
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &saved), 0);
+	node_wait_until_serving(w);
+}
+
+/*
+ * Connects a client to the node. Its receive buffer is small, so that answers
+ * that it does not read stay with the node.
+ */
+static int
+connect_client(struct node_fixture *w)
+{
+	struct sockaddr_in address = loopback_own(w->front);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int size = 4096;
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_uint_lt(socket_count, G_N_ELEMENTS(sockets));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	ck_assert_int_eq(fcntl(fd, F_SETFL, O_NONBLOCK), 0);
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0)
+		ck_assert_int_eq(errno, EINPROGRESS);
+	sockets[socket_count++] = fd;
+	return fd;
+}
+
+/*
+ * Sends bytes while the platform runs. Returns false if the node has closed the
+ * connection or does not read.
+ */
+static bool
+send_bytes(struct node_fixture *w, int fd, const char *bytes, size_t len)
+{
+	int blocked = 0;
+
+	while (len > 0 && blocked < BLOCKED_ROUNDS_MAX) {
+		ssize_t n = send(fd, bytes, len, MSG_NOSIGNAL);
+
+		if (n > 0) {
+			bytes += n;
+			len -= (size_t)n;
+			blocked = 0;
+		} else if (n < 0 && errno == EAGAIN) {
+			blocked++;
+			run_rounds(w, 1);
+		} else {
+			return false;
+		}
+	}
+	return len == 0;
+}
+
+/*
+ * Sends a text while the platform runs.
+ */
+static void
+send_text(struct node_fixture *w, int fd, const char *text)
+{
+	send_bytes(w, fd, text, strlen(text));
+}
+
+/*
+ * Closes all clients' connections.
+ */
+static void
+close_clients(void)
+{
+	while (socket_count > 0)
+		close(sockets[--socket_count]);
+}
+
+/*
+ * Returns a value in bytes from /proc/PID/status of the node, such as the
+ * highest memory that it has used.
+ */
+static size_t
+node_status_bytes(const struct node_fixture *w, const char *name)
+{
+	char path[64];
+	char line[256];
+	size_t kilobytes = 0;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%ld/status", (long)w->pid);
+	file = fopen(path, "r");
+	ck_assert_ptr_nonnull(file);
+	while (fgets(line, sizeof(line), file) != NULL) {
+		if (strncmp(line, name, strlen(name)) == 0)
+			kilobytes = strtoul(line + strlen(name), NULL, 10);
+	}
+	fclose(file);
+	return kilobytes * 1024;
+}
+
+/*
+ * Returns the number of open descriptors of the node.
+ */
+static unsigned int
+node_descriptor_count(const struct node_fixture *w)
+{
+	char path[64];
+	unsigned int count = 0;
+	const struct dirent *entry;
+	DIR *dir;
+
+	snprintf(path, sizeof(path), "/proc/%ld/fd", (long)w->pid);
+	dir = opendir(path);
+	ck_assert_ptr_nonnull(dir);
+	while ((entry = readdir(dir)) != NULL)
+		count += entry->d_name[0] != '.';
+	closedir(dir);
+	return count;
+}
+
+/*
+ * Checks that the node is alive and within its memory and descriptors. The
+ * bound on memory is not checked under AddressSanitizer, whose allocator
+ * retains freed memory.
+ */
+static void
+check_bounds(const struct node_fixture *w, unsigned int descriptors)
+{
+	size_t peak;
+	int status;
+
+	ck_assert_msg(waitpid(w->pid, &status, WNOHANG) == 0,
+	    "the node has ended with status %d", status);
+	peak = node_status_bytes(w, "VmHWM:");
+	ck_assert_uint_gt(peak, 0);
+#ifndef __SANITIZE_ADDRESS__
+	ck_assert_msg(peak < MEMORY_MB * BYTES_PER_MB,
+	    "the node has used %zu bytes of memory", peak);
+#endif
+	if (descriptors != 0)
+		ck_assert_uint_lt(node_descriptor_count(w), descriptors);
+}
+
+/*
+ * Checks that an ordinary request with a body is answered. It is sent
+ * again if that fails, since a busy machine may exceed its time limit.
+ */
+static void
+check_ordinary_request(struct node_fixture *w)
+{
+	struct node_call call = {0};
+	char *body = g_strnfill(ORDINARY_BODY_BYTES, 'o');
+
+	for (int i = 0; i < ORDINARY_ATTEMPTS && call.status != 200; i++) {
+		char headers[64];
+		char id[32];
+
+		lstr_buf_free(&call.body);
+		snprintf(id, sizeof(id), "ordinary-%d", i);
+		snprintf(headers, sizeof(headers), "Content-Length: %zu\r\n",
+		    strlen(body));
+		node_call_send(w, &call, w->front,
+		    node_request(
+			"POST", "/order/1", id, NODE_KEY, 2000, headers));
+		h1_write(call.conn, lstr_from(body));
+		node_call_wait(w, &call);
+	}
+	ck_assert_msg(call.status == 200,
+	    "the ordinary request was answered with %u", call.status);
+	lstr_buf_free(&call.body);
+	g_free(body);
+}
+
+/*
+ * Returns the body length of a client. The lengths decrease, so that smaller
+ * bodies take the memory that is too little for another large one.
+ */
+static size_t
+body_length(unsigned int client)
+{
+	if (client < LARGE_BODY_CLIENTS)
+		return BODY_MAX_BYTES;
+	return client < LARGE_BODY_CLIENTS + MEDIUM_BODY_CLIENTS
+	    ? BODY_MAX_BYTES / 16
+	    : BODY_MAX_BYTES / 256;
+}
+
+/*
+ * Each client sends a request with a body, except for the last bytes of it.
+ * more: further header lines.
+ */
+static void
+send_bodies(
+    struct node_fixture *w, const char *path, const char *more, size_t missing)
+{
+	char *bytes = g_strnfill(BODY_MAX_BYTES, 'x');
+
+	for (unsigned int i = 0; i < BODY_CLIENTS; i++) {
+		int fd = connect_client(w);
+		char headers[256];
+		char id[32];
+
+		snprintf(id, sizeof(id), "client-%u", i);
+		snprintf(headers, sizeof(headers), "%sContent-Length: %zu\r\n",
+		    more, body_length(i));
+		send_text(w, fd,
+		    node_request("POST", path, id, NODE_KEY, 20000, headers));
+		send_bytes(w, fd, bytes, body_length(i) - missing);
+		run_rounds(w, 1);
+	}
+	run_rounds(w, 50);
+	g_free(bytes);
+}
+
+/* Guards against stalled bodies that use up the memory for bodies, so that
+ * every other request with a body is refused. */
+START_TEST(bodies_that_stop_short)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, 0);
+	send_bodies(&w, "/order/1", "", 1);
+	check_bounds(&w, 0);
+	check_ordinary_request(&w);
+	check_bounds(&w, 0);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* The same with bodies in small chunks, whose length is not known before. */
+START_TEST(chunked_bodies_that_stop_short)
+{
+	struct node_fixture w;
+	struct lstr_buf chunks = {0};
+	char *bytes = g_strnfill(SMALL_CHUNK_BYTES, 'x');
+
+	for (size_t len = 0; len + SMALL_CHUNK_BYTES <= BODY_MAX_BYTES;
+	     len += SMALL_CHUNK_BYTES)
+		lstr_buf_printf(&chunks, "%x\r\n%s\r\n",
+		    (unsigned int)SMALL_CHUNK_BYTES, bytes);
+	start_limited_node(&w, 0);
+	for (unsigned int i = 0; i < BODY_CLIENTS; i++) {
+		int fd = connect_client(&w);
+		char id[32];
+
+		snprintf(id, sizeof(id), "client-%u", i);
+		send_text(&w, fd,
+		    node_request("POST", "/order/1", id, NODE_KEY, 20000,
+			"Transfer-Encoding: chunked\r\n"));
+		send_bytes(
+		    &w, fd, chunks.data, MIN(chunks.len, body_length(i)) - 1);
+		run_rounds(&w, 1);
+	}
+	run_rounds(&w, 50);
+	check_bounds(&w, 0);
+	check_ordinary_request(&w);
+	check_bounds(&w, 0);
+	close_clients();
+	lstr_buf_free(&chunks);
+	g_free(bytes);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against heads that are not counted: together they exceed the memory
+ * of the machine. */
+START_TEST(heads_that_stop_short)
+{
+	struct node_fixture w;
+	char *bytes = g_strnfill(HEAD_MAX_BYTES - 1024, 'x');
+
+	start_limited_node(&w, 0);
+	for (unsigned int i = 0; i < HEAD_CLIENTS; i++) {
+		int fd = connect_client(&w);
+
+		send_text(&w, fd, "POST /order/1 HTTP/1.1\r\nX-Long: ");
+		send_bytes(&w, fd, bytes, strlen(bytes));
+	}
+	run_rounds(&w, 50);
+	check_bounds(&w, 0);
+	check_ordinary_request(&w);
+	check_bounds(&w, 0);
+	close_clients();
+	g_free(bytes);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against connections without limit: silent ones use up the descriptors,
+ * and the node can neither accept callers nor connect to servers. Of each six
+ * clients one closes and one resets its connection. */
+START_TEST(silent_connections_and_early_leavers)
+{
+	const struct linger reset = {.l_onoff = 1};
+	struct node_fixture w;
+
+	start_limited_node(&w, DESCRIPTORS);
+	for (unsigned int i = 0; i < SILENT_CLIENTS; i++) {
+		int fd = connect_client(&w);
+
+		if (i % 3 == 0)
+			send_text(&w, fd, "POST /order/1 HTTP/1.1\r\nX-");
+		run_rounds(&w, 1);
+		if (i % 6 > 1)
+			continue;
+		if (i % 6 == 1)
+			setsockopt(
+			    fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(fd);
+		socket_count--;
+	}
+	run_rounds(&w, 50);
+	check_bounds(&w, DESCRIPTORS);
+	check_ordinary_request(&w);
+	check_bounds(&w, DESCRIPTORS);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against whole bodies that wait for servers which do not answer: they
+ * use up the memory for bodies, and all other requests with one are refused. */
+START_TEST(whole_bodies_that_wait_for_slow_servers)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, 0);
+	fake_platform_set_plain_fault(w.platform, FAKE_UNRESPONSIVE);
+	send_bodies(&w, "/long/1", "", 0);
+	check_bounds(&w, 0);
+	fake_platform_set_plain_fault(w.platform, FAKE_NONE);
+	check_ordinary_request(&w);
+	check_bounds(&w, 0);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against answers that are not counted once they are ready: those that
+ * nobody reads exceed the memory of the machine together. */
+START_TEST(answers_that_nobody_reads)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, 0);
+	fake_platform_set_plain_length(w.platform, UNREAD_ANSWER_BYTES);
+	for (unsigned int i = 0; i < UNREAD_CLIENTS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "unread-%u", i);
+		send_text(&w, connect_client(&w),
+		    node_request("GET", "/look/1", id, NODE_KEY, 20000, ""));
+		run_rounds(&w, 20);
+	}
+	check_bounds(&w, 0);
+	fake_platform_set_plain_length(w.platform, 100);
+	check_ordinary_request(&w);
+	check_bounds(&w, 0);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against limits that a single caller within the configured limits
+ * reaches: the largest head and the largest body are served. */
+START_TEST(largest_request_is_served)
+{
+	struct node_fixture w;
+	struct node_call call;
+	struct lstr_buf text = {0};
+	char *head = g_strnfill(HEAD_MAX_BYTES - 1024, 'h');
+	char *body = g_strnfill(BODY_MAX_BYTES, 'b');
+
+	start_limited_node(&w, 0);
+	lstr_buf_printf(&text,
+	    "POST /order/1 HTTP/1.1\r\nHost: models.example\r\n"
+	    "Attempt-Id: largest\r\nDeadline-Ms: 20000\r\n"
+	    "Authorization: Token %s\r\nX-Long: %s\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    NODE_KEY, head, BODY_MAX_BYTES, body);
+	lstr_buf_append(&text, lstr_make("", 1));
+	node_call_send(&w, &call, w.front, text.data);
+	node_call_wait(&w, &call);
+	ck_assert_uint_eq(call.status, 200);
+	check_bounds(&w, 0);
+	lstr_buf_free(&call.body);
+	lstr_buf_free(&text);
+	g_free(head);
+	g_free(body);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against limits on progress that a slow but steady sender reaches, and
+ * against closing a connection that is idle for less than the idle limit, which
+ * is 5 s. */
+START_TEST(slow_sender_and_idle_connection_are_served)
+{
+	struct node_fixture w;
+	char text[4] = "";
+	char status[16] = "";
+	size_t received = 0;
+	int64_t until;
+	int fd;
+
+	start_limited_node(&w, 0);
+	fd = connect_client(&w);
+	until = loop_now(w.loop) + 4 * LOOP_USEC_PER_SEC;
+	while (loop_now(w.loop) < until)
+		run_rounds(&w, 1);
+	send_text(&w, fd,
+	    node_request("POST", "/order/1", "slow", NODE_KEY, 20000,
+		"Content-Length: 20\r\n"));
+	for (int i = 0; i < 20; i++) {
+		until = loop_now(w.loop) + 100 * LOOP_USEC_PER_MSEC;
+		while (loop_now(w.loop) < until)
+			run_rounds(&w, 1);
+		ck_assert(send_bytes(&w, fd, "x", 1));
+	}
+	until = loop_now(w.loop) + HARNESS_DEADLINE_USEC;
+	while (received < strlen("HTTP/1.1 200") && loop_now(w.loop) < until) {
+		ssize_t n = recv(fd, text, 1, 0);
+
+		if (n > 0)
+			status[received++] = text[0];
+		ck_assert(n > 0 || (n < 0 && errno == EAGAIN));
+		if (n < 0)
+			run_rounds(&w, 1);
+	}
+	ck_assert_str_eq(status, "HTTP/1.1 200");
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+HARNESS_MAIN("clients", bodies_that_stop_short, chunked_bodies_that_stop_short,
+    heads_that_stop_short, silent_connections_and_early_leavers,
+    whole_bodies_that_wait_for_slow_servers, answers_that_nobody_reads,
+    largest_request_is_served, slow_sender_and_idle_connection_are_served)
