Limits on the memory and connections of callers

Cause: request bodies were counted by their length and everything else that callers make a node hold was not counted; accepted connections had no limit, and a body that stalled was never closed.

Change: one account counts the allocated bytes of connections, requests, bodies with the copy made for sending, and responses; its limit is half of memory_mb. Each listener has a limit of connections that is derived from the limit of descriptors (new setting "descriptors", default: the soft limit). When one of them is full, the pure module intake chooses which idle or unfinished connections give way; an unfinished body is refused with 503 and Retry-After. A body without progress for the idle limit gets 408. Large messages are handed over to a connection instead of being copied, buffers of known length are not doubled beyond it, and large allocations are returned to the system when freed. Idle connections to servers are limited, and a lack of descriptors no longer counts against the server. New metrics, the event callers-dropped, at most one a second, docs, and a design note.

--- a/src/loop.c
+++ b/src/loop.c
@@ -16,7 +16,6 @@
 
 #include "loop.h"
 
-#define WATCH_MAX 65536
 #define SIGNAL_MAX 65
 #define IDLE_POLL_USEC (LOOP_USEC_PER_SEC)
 
@@ -118,7 +117,7 @@
 		free(loop);
 		return status_set(STATUS_NO_MEMORY, "event loop pool");
 	}
-	if (apr_pollset_create(&loop->pollset, WATCH_MAX, loop->pool, 0) !=
+	if (apr_pollset_create(&loop->pollset, LOOP_WATCH_MAX, loop->pool, 0) !=
 	    APR_SUCCESS) {
 		apr_pool_destroy(loop->pool);
 		free(loop);
--- a/src/loop.h
+++ b/src/loop.h
@@ -12,6 +12,8 @@
 #define LOOP_WRITE 2u
 
 #define LOOP_USEC_PER_MSEC ((int64_t)1000)
+/* Most descriptors that are watched at a time. */
+#define LOOP_WATCH_MAX 65536
 #define LOOP_USEC_PER_SEC ((int64_t)1000000)
 
 struct loop;
--- a/src/lstr.c
+++ b/src/lstr.c
@@ -134,6 +134,34 @@
 	return STATUS_OK;
 }
 
+/*
+ * Enlarges the allocation so that the contents may grow to a size without
+ * another one. On STATUS_NO_MEMORY the buffer is unchanged.
+ */
+enum status
+lstr_buf_reserve(struct lstr_buf *buf, size_t size)
+{
+	size_t offset = (size_t)(buf->data - buf->base);
+	char *base;
+
+	if (offset + size <= buf->size)
+		return STATUS_OK;
+	if (offset > 0) {
+		memmove(buf->base, buf->data, buf->len);
+		buf->data = buf->base;
+	}
+	if (size <= buf->size)
+		return STATUS_OK;
+	base = realloc(buf->base, size);
+	if (base == NULL)
+		return status_set(
+		    STATUS_NO_MEMORY, "buffer of %zu bytes", size);
+	buf->base = base;
+	buf->data = base;
+	buf->size = size;
+	return STATUS_OK;
+}
+
 /*
  * Appends a copy of a string. On STATUS_NO_MEMORY the buffer is unchanged.
  */
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -12,6 +12,11 @@
 /* Retry-After for callers while this node cannot confirm that its keys are
  * current: about the time after which a lookup returns nodes that can. */
 #define UNCONFIRMED_CONFIG_RETRY_USEC (1 * LOOP_USEC_PER_SEC)
+/* Memory of a request besides its buffers: the record, and the connection to
+ * its server with that one's APR pool of 8 KB. */
+#define REQUEST_BYTES (sizeof(struct gateway_request) + 10240)
+/* First allocation for a body. */
+#define BODY_GROW_BYTES ((size_t)1024)
 
 /*
  * Returns the event loop's current time in microseconds.
@@ -54,13 +59,26 @@
 {
 	struct gateway_request *request = data;
 
-	request->gateway->body_bytes -= request->body.len;
-	request->gateway->response_bytes -= request->response.len;
 	lstr_buf_free(&request->body);
 	lstr_buf_free(&request->response);
 	sse_free(&request->attempt.sse);
+	account_set(request->gateway->config.account, &request->held, 0);
 	fleet_config_unref(request->config);
-	g_free(request);
+	free(request);
+}
+
+/*
+ * Updates the account after a change of the buffers of a request. The body is
+ * counted twice: a copy is made when it is sent.
+ */
+void
+gateway_account(struct gateway_request *request)
+{
+	account_set(request->gateway->config.account, &request->held,
+	    REQUEST_BYTES + 2 * request->body.size + request->response.size +
+		request->attempt.sse.pending.size);
+	if (request->caller != NULL)
+		h1_set_owner_bytes(request->caller, request->held);
 }
 
 /*
@@ -76,7 +94,8 @@
 	gateway->created_at = loop_now(config->loop);
 	gateway->limits = (struct h1_limits){HEAD_MAX_DEFAULT_BYTES,
 	    HEAD_TIMEOUT_DEFAULT_USEC, IDLE_TIMEOUT_DEFAULT_USEC};
-	gateway->requests = g_ptr_array_new();
+	/* Not enlarged later, since that ends the process without memory. */
+	gateway->requests = g_ptr_array_sized_new((guint)config->requests_max);
 	gateway->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	gateway->rand = g_rand_new_with_seed(config->seed);
@@ -255,6 +274,28 @@
 		    request->arrived_at + request->route->timeout_usec);
 }
 
+/*
+ * Refuses a request for which no record can be created, and closes its
+ * connection.
+ */
+static void
+refuse_without_record(struct gateway *gateway, struct h1_conn *conn)
+{
+	struct adapter_request info;
+	struct lstr_buf text = {0};
+
+	gateway->config.adapter->parse_caller_request(conn, &info);
+	gateway->counts.refused++;
+	gateway->counts.no_memory++;
+	gateway->config.adapter->encode_refusal(HTTP_STATUS_SERVICE_UNAVAILABLE,
+	    lstr_make(
+		info.id.data, MIN(info.id.len, (size_t)ADAPTER_ID_MAX_BYTES)),
+	    ADMIT_RETRY_MIN_USEC, true, "no memory for the request", &text);
+	h1_write(conn, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	h1_close_gracefully(conn);
+}
+
 /*
  * Creates a request when its head has been received.
  */
@@ -262,9 +303,19 @@
 on_head(struct h1_conn *conn, void *arg)
 {
 	struct gateway *gateway = arg;
-	struct gateway_request *request = g_new0(struct gateway_request, 1);
+	struct gateway_request *request = NULL;
 	size_t len;
 
+	h1_set_data(conn, NULL);
+	h1_set_owner_bytes(conn, 0);
+	if (gateway->requests->len < gateway->config.requests_max &&
+	    h1_admit(conn, REQUEST_BYTES))
+		request = calloc(1, sizeof(*request));
+	if (request == NULL) {
+		refuse_without_record(gateway, conn);
+		return;
+	}
+
 	request->gateway = gateway;
 	request->caller = conn;
 	request->state = GATEWAY_READING;
@@ -276,6 +327,7 @@
 	set_deadlines(request);
 	g_ptr_array_add(gateway->requests, request);
 	h1_set_data(conn, request);
+	gateway_account(request);
 	gateway->counts.taken++;
 	if (h1_content_length(conn) >
 	    (gateway->fleet ? (int64_t)gateway->fleet->limits.body_max_bytes
@@ -305,14 +357,34 @@
 		    0, "body exceeds the limit");
 		return;
 	}
-	if (gateway->body_bytes + bytes.len >
-		gateway->config.bodies_max_bytes ||
+	if (h1_content_length(conn) > 0)
+		max = MIN(max, (size_t)h1_content_length(conn));
+	if (h1_grow(conn, &request->body,
+		request->body.size == 0
+		    ? MAX(bytes.len, MIN(max, BODY_GROW_BYTES))
+		    : bytes.len,
+		max, true) != STATUS_OK ||
 	    lstr_buf_append(&request->body, bytes) != STATUS_OK) {
-		gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
-		    ADMIT_RETRY_MIN_USEC, "no memory for the body");
+		gateway_refuse_for_memory(request);
 		return;
 	}
-	gateway->body_bytes += bytes.len;
+	gateway_account(request);
+}
+
+/*
+ * Refuses a request whose body is incomplete, so that its connection and its
+ * memory serve others.
+ */
+void
+gateway_refuse_unfinished(struct h1_conn *conn, void *arg)
+{
+	struct gateway_request *request = h1_data(conn);
+
+	(void)arg;
+	if (request == NULL || request->state != GATEWAY_READING)
+		h1_close(conn);
+	else
+		gateway_refuse_for_memory(request);
 }
 
 /*
@@ -326,6 +398,7 @@
 	struct gateway_request *request = h1_data(conn);
 	unsigned int status = HTTP_STATUS_BAD_REQUEST;
 	const char *reason = "not valid HTTP/1.1";
+	int64_t retry_usec = 0;
 
 	if (h1_fault(conn) == H1_FAULT_HEAD_TOO_LARGE) {
 		status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -333,17 +406,26 @@
 	} else if (h1_fault(conn) == H1_FAULT_HEAD_TIMEOUT) {
 		status = HTTP_STATUS_REQUEST_TIMEOUT;
 		reason = "header took too long";
+	} else if (h1_fault(conn) == H1_FAULT_BODY_TIMEOUT) {
+		status = HTTP_STATUS_REQUEST_TIMEOUT;
+		reason = "body took too long";
+	} else if (h1_fault(conn) == H1_FAULT_NO_MEMORY) {
+		status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+		reason = "no memory for the header";
+		retry_usec = ADMIT_RETRY_MIN_USEC;
+		gateway->counts.no_memory++;
 	}
 	gateway->counts.refused++;
-	slog_event(EV_REQUEST_REFUSED, "{s:s, s:i, s:s}", "id", "", "status",
-	    (int)status, "reason", reason);
+	if (h1_fault(conn) != H1_FAULT_NO_MEMORY)
+		slog_event(EV_REQUEST_REFUSED, "{s:s, s:i, s:s}", "id", "",
+		    "status", (int)status, "reason", reason);
 	if (request != NULL) {
 		request->caller = NULL;
 		gateway_end_request(request, NULL);
 		h1_set_data(conn, NULL);
 	}
 	gateway->config.adapter->encode_refusal(
-	    status, lstr_make("", 0), 0, true, reason, &text);
+	    status, lstr_make("", 0), retry_usec, true, reason, &text);
 	h1_write(conn, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	h1_close_gracefully(conn);
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -38,8 +38,12 @@
 	double retry_slack;
 	int64_t retry_window_usec;
 	double retry_ratio;
-	/* Limit of the memory for all buffered request bodies. */
-	size_t bodies_max_bytes;
+	/* Memory that callers make the process hold. */
+	struct account *account;
+	/* Most requests at a time, including those that have just ended. */
+	size_t requests_max;
+	/* Most idle connections to servers. */
+	size_t idle_max;
 };
 
 /* Counters since the start, served as metrics. */
@@ -57,11 +61,15 @@
 	uint64_t no_proof;
 	uint64_t stray_answers;
 	uint64_t quarantined;
+	/* Refused for lack of memory for callers. */
+	uint64_t no_memory;
 };
 
 enum status gateway_create(const struct gateway_config *, struct gateway **);
 void gateway_destroy(struct gateway *);
 const struct h1_ops *gateway_ops(void);
+/* Refuses a request whose body is incomplete; see h1_listener_set_max(). */
+void gateway_refuse_unfinished(struct h1_conn *, void *gateway);
 const struct h1_limits *gateway_limits(const struct gateway *);
 /* Starts the requests that were held until the store has been read. */
 void gateway_release_held(struct gateway *);
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -165,6 +165,8 @@
 	int64_t last_event_at;
 	int64_t longest_gap;
 	struct lstr_buf response;
+	/* Memory in the account. */
+	size_t held;
 	/* Sequence number of the start among all requests of this process. */
 	uint64_t start_sequence;
 };
@@ -200,9 +202,8 @@
 	/* By name: struct gateway_service. */
 	GHashTable *services;
 	GRand *rand;
-	/* Memory used by request bodies and by buffered responses. */
-	size_t body_bytes;
-	size_t response_bytes;
+	/* Idle connections to servers. */
+	size_t idle_count;
 	uint64_t start_sequence;
 	/* quarantine_confirmations() when the requests were last checked. */
 	uint64_t confirmations;
@@ -214,10 +215,13 @@
 int64_t gateway_now(const struct gateway *);
 int64_t gateway_config_proved_at(const struct gateway *);
 struct gateway_service *gateway_service(struct gateway *, const char *);
+/* Updates the account after a change of the buffers of a request. */
+void gateway_account(struct gateway_request *);
 /* Responses. Each function ends the request, which stays allocated until
  * the next gateway_tick(). */
 void gateway_refuse_request(struct gateway_request *, unsigned int status,
     int64_t retry_usec, const char *reason);
+void gateway_refuse_for_memory(struct gateway_request *);
 void gateway_fail_request(
     struct gateway_request *, unsigned int status, const char *reason);
 void gateway_abort_response(struct gateway_request *, const char *reason);
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -94,9 +94,13 @@
 		log_outcome(request, outcome);
 	request->state = GATEWAY_ENDED;
 	request->caller = NULL;
+	lstr_buf_free(&request->body);
+	lstr_buf_free(&request->response);
+	gateway_account(request);
 	if (caller == NULL)
 		return;
 	h1_set_data(caller, NULL);
+	h1_set_owner_bytes(caller, 0);
 	if (drain_is_active(gateway->config.drain) || !h1_keep_alive(caller) ||
 	    h1_fault(caller) != H1_FAULT_NONE)
 		h1_close_gracefully(caller);
@@ -123,6 +127,7 @@
 	if (close && request->state == GATEWAY_READING) {
 		/* The rest of the request body is not read. */
 		h1_set_data(caller, NULL);
+		h1_set_owner_bytes(caller, 0);
 		request->caller = NULL;
 		gateway_end_request(request, NULL);
 		h1_close_gracefully(caller);
@@ -168,6 +173,26 @@
 	    request->state == GATEWAY_READING);
 }
 
+/*
+ * Refuses a request whose body is incomplete for lack of memory, and closes its
+ * connection. Many clients may cause this at once, so the requests are counted
+ * and reported together; see EV_CALLERS_DROPPED.
+ */
+void
+gateway_refuse_for_memory(struct gateway_request *request)
+{
+	struct gateway *gateway = request->gateway;
+
+	gateway->counts.refused++;
+	gateway->counts.no_memory++;
+	respond_with_error(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+	    gateway_retry_while_draining(request,
+		admit_retry_after(ADMIT_RETRY_MIN_USEC,
+		    request->deadline - gateway_now(gateway),
+		    g_rand_double(gateway->rand))),
+	    "no memory for the body", true);
+}
+
 /*
  * Fails a request that a server may have run.
  */
@@ -224,8 +249,13 @@
 	    request->attempt.conn, false, close, &text);
 	lstr_buf_printf(
 	    &text, "Content-Length: %zu\r\n\r\n", request->response.len);
-	lstr_buf_append(&text, lstr_buf_view(&request->response));
-	sent = h1_write(caller, lstr_buf_view(&text)) == STATUS_OK;
+	sent = lstr_buf_reserve(&text, text.len + request->response.len) ==
+		STATUS_OK &&
+	    lstr_buf_append(&text, lstr_buf_view(&request->response)) ==
+		STATUS_OK;
+	lstr_buf_free(&request->response);
+	gateway_account(request);
+	sent = sent && h1_write_buf(caller, &text) == STATUS_OK;
 	lstr_buf_free(&text);
 	gateway_attempt_end(request, true);
 	if (sent) {
@@ -270,16 +300,19 @@
 bool
 gateway_buffer_response(struct gateway_request *request, struct lstr bytes)
 {
-	struct gateway *gateway = request->gateway;
+	int64_t length = h1_content_length(request->attempt.conn);
+	size_t max = length > 0
+	    ? MIN((size_t)length, GATEWAY_RESPONSE_MAX_BYTES)
+	    : GATEWAY_RESPONSE_MAX_BYTES;
 
 	if (request->response.len + bytes.len > GATEWAY_RESPONSE_MAX_BYTES ||
-	    gateway->response_bytes + bytes.len >
-		gateway->config.bodies_max_bytes ||
+	    h1_grow(request->caller, &request->response, bytes.len, max,
+		false) != STATUS_OK ||
 	    lstr_buf_append(&request->response, bytes) != STATUS_OK) {
 		gateway_attempt_failed(request, false, "answer is too large");
 		return false;
 	}
-	gateway->response_bytes += bytes.len;
+	gateway_account(request);
 	return true;
 }
 
@@ -289,6 +322,6 @@
 void
 gateway_clear_response(struct gateway_request *request)
 {
-	request->gateway->response_bytes -= request->response.len;
-	lstr_buf_clear(&request->response);
+	lstr_buf_free(&request->response);
+	gateway_account(request);
 }
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -6,10 +6,14 @@
 #include "gateway_priv.h"
 #include "notice.h"
 
+/* Space for what is added to the head of a request that is passed on. */
+#define FORWARD_HEAD_EXTRA_BYTES ((size_t)4096)
+
 /* An idle keep-alive connection to a server. */
 struct idle_conn {
 	struct h1_conn *conn;
 	struct pool_server *server;
+	struct gateway *gateway;
 	int64_t expires_at;
 };
 
@@ -20,6 +24,7 @@
 idle_drop(struct idle_conn *idle)
 {
 	g_queue_remove(&idle->server->idle, idle);
+	idle->gateway->idle_count--;
 	h1_close(idle->conn);
 	free(idle);
 }
@@ -69,12 +74,16 @@
 	    attempt->response.keep_alive_usec > GATEWAY_IDLE_MARGIN_USEC
 	    ? attempt->response.keep_alive_usec - GATEWAY_IDLE_MARGIN_USEC
 	    : GATEWAY_IDLE_DEFAULT_USEC;
-	struct idle_conn *idle = calloc(1, sizeof(*idle));
+	struct idle_conn *idle = NULL;
 
+	if (gateway->idle_count < gateway->config.idle_max)
+		idle = calloc(1, sizeof(*idle));
 	if (idle == NULL) {
 		h1_close(attempt->conn);
 		return;
 	}
+	gateway->idle_count++;
+	idle->gateway = gateway;
 	idle->conn = attempt->conn;
 	idle->server = attempt->server;
 	idle->expires_at = gateway_now(gateway) + keep;
@@ -103,6 +112,7 @@
 			continue;
 		}
 		g_queue_pop_tail(&server->idle);
+		gateway->idle_count--;
 		conn = idle->conn;
 		free(idle);
 		return conn;
@@ -389,12 +399,13 @@
 }
 
 /*
- * Opens or reuses the connection of an attempt. A request that may run only
+ * Opens or reuses the connection of an attempt. Returns STATUS_FULL or
+ * STATUS_NO_MEMORY if the process lacks a resource. A request that may run only
  * once always uses a new one: a reused connection may close without showing
  * whether the request has run. So does a request that is sent again, since an
  * earlier refusal of it would carry its identifier.
  */
-static bool
+static enum status
 open_connection(struct gateway_request *request, struct pool_server *server)
 {
 	struct gateway *gateway = request->gateway;
@@ -405,19 +416,19 @@
 		if (attempt->conn != NULL) {
 			attempt->reused = true;
 			h1_set_owner(attempt->conn, &server_ops, request);
-			return true;
+			return STATUS_OK;
 		}
 	}
 	attempt->connecting = true;
 	return h1_connect(gateway->config.h1, &server->info.address,
-		   gateway_now(gateway) + GATEWAY_CONNECT_USEC, &server_ops,
-		   request, &attempt->conn) == STATUS_OK;
+	    gateway_now(gateway) + GATEWAY_CONNECT_USEC, &server_ops, request,
+	    &attempt->conn);
 }
 
 /*
  * Serializes the request for the attempt's server.
  */
-static void
+static enum status
 format_request(const struct gateway_request *request, struct lstr_buf *out)
 {
 	const struct gateway_attempt *attempt = &request->attempt;
@@ -440,7 +451,12 @@
 		stages[i] = (struct adapter_stage){
 		    attempt->stages[i].server->info.address_text,
 		    attempt->stages[i].layer_from, attempt->stages[i].layer_to};
-	request->gateway->config.adapter->encode_forward(
+	if (request->body.len > 0 &&
+	    lstr_buf_reserve(out,
+		request->body.len + request->gateway->limits.head_max_bytes +
+		    FORWARD_HEAD_EXTRA_BYTES) != STATUS_OK)
+		return STATUS_NO_MEMORY;
+	return request->gateway->config.adapter->encode_forward(
 	    request->caller, &forward, out);
 }
 
@@ -453,13 +469,27 @@
 {
 	struct gateway_attempt *attempt = &request->attempt;
 	struct lstr_buf text = {0};
+	enum status status;
 
 	attempt->server = server;
 	attempt->sent_at = gateway_now(request->gateway);
 	attempt->last_progress_at = attempt->sent_at;
 	gateway_add_load(attempt, 1);
 	gateway_note_use(request, 1);
-	if (!open_connection(request, server)) {
+	if (format_request(request, &text) != STATUS_OK) {
+		lstr_buf_free(&text);
+		gateway_attempt_end(request, false);
+		return false;
+	}
+	status = open_connection(request, server);
+	if (status == STATUS_FULL || status == STATUS_NO_MEMORY) {
+		/* The server is not at fault. */
+		lstr_buf_free(&text);
+		gateway_attempt_end(request, false);
+		return false;
+	}
+	if (status != STATUS_OK) {
+		lstr_buf_free(&text);
 		slog_event(EV_SERVER_AVOIDED, "{s:s, s:s, s:s}", "server",
 		    server->info.id, "evidence", "connect", "status",
 		    status_message());
@@ -471,11 +501,9 @@
 	if (request->attempts.count == 0)
 		request->started_at = attempt->sent_at;
 	attempts_add(&request->attempts, server);
-	format_request(request, &text);
 	h1_expect_response(
 	    attempt->conn, lstr_equal_c(h1_method(request->caller), "HEAD"));
-	h1_write(attempt->conn, lstr_buf_view(&text));
-	lstr_buf_free(&text);
+	h1_write_buf(attempt->conn, &text);
 	return true;
 }
 
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -693,6 +693,7 @@
 		gateway_attempt_failed(request, false, "event is too large");
 		return;
 	}
+	gateway_account(request);
 	while (fault == NULL && sse_next(&attempt->sse, &event)) {
 		if (event.has_id && event.id <= request->last_event)
 			continue;
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -13,10 +13,13 @@
 #include "h1_priv.h"
 
 #define READ_BYTES ((size_t)32 * 1024)
+/* A larger output buffer is freed once it is empty. */
+#define OUTPUT_KEPT_BYTES ((size_t)16 * 1024)
 /* Input buffered while a response is in progress; the rest stays in the socket
  * buffer. */
 #define PENDING_INPUT_MAX_BYTES ((size_t)64 * 1024)
 #define HEADERS_MAX 128
+#define HEAD_GROW_BYTES ((size_t)256)
 /* A connection fails if sent bytes stay unacknowledged for this long. */
 #define USER_TIMEOUT_MS 3000
 #define KEEPALIVE_IDLE_S 2
@@ -42,10 +45,7 @@
 		struct h1_conn *conn = h1->closed;
 
 		h1->closed = conn->next;
-		lstr_buf_free(&conn->head_text);
-		lstr_buf_free(&conn->pending_input);
-		lstr_buf_free(&conn->out);
-		free(conn->headers);
+		h1_free_buffers(conn);
 		free(conn);
 	}
 }
@@ -168,6 +168,18 @@
 		    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
 }
 
+/*
+ * Fails a connection whose output cannot be delivered. The callback is
+ * deferred: the caller of h1_write() still uses the connection.
+ */
+static void
+fail_write(struct h1_conn *conn)
+{
+	conn->write_failed = true;
+	loop_watch_set(conn->watch, 0);
+	loop_timer_set(conn->timer, 0);
+}
+
 /*
  * Sends as much of the output as the socket accepts without blocking.
  */
@@ -191,13 +203,13 @@
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			break;
-		/* Defer the callback: the caller of h1_write() still uses the
-		 * connection. */
-		conn->write_failed = true;
-		loop_watch_set(conn->watch, 0);
-		loop_timer_set(conn->timer, 0);
+		fail_write(conn);
 		return;
 	}
+	if (conn->out.len == 0 && conn->out.size > OUTPUT_KEPT_BYTES) {
+		lstr_buf_free(&conn->out);
+		h1_account(conn);
+	}
 	if (conn->out.len > 0 || conn->connecting)
 		wanted |= LOOP_WRITE;
 	else if (conn->lingering)
@@ -206,10 +218,28 @@
 }
 
 /*
- * Queues bytes and sends what the socket accepts. Returns STATUS_FULL if output
- * is unsent and would become more than H1_OUTPUT_MAX_BYTES; the peer does not
- * read and the connection should be closed. A response that is written at once
- * may be larger.
+ * Sends what the socket accepts if no output is queued, and returns the rest.
+ * An error is found again when the rest is sent.
+ */
+static struct lstr
+send_directly(struct h1_conn *conn, struct lstr bytes)
+{
+	ssize_t n = -1;
+
+	if (conn->out.len == 0 && !conn->connecting && bytes.len > 0)
+		n = send(conn->fd, bytes.data, bytes.len, MSG_NOSIGNAL);
+	if (n <= 0)
+		return bytes;
+	note_sent(conn);
+	return lstr_make(bytes.data + n, bytes.len - (size_t)n);
+}
+
+/*
+ * Sends what the socket accepts and queues the rest. Returns STATUS_FULL if
+ * output is unsent and would become more than H1_OUTPUT_MAX_BYTES; the peer
+ * does not read and the connection should be closed. A response that is written
+ * at once may be larger. If the rest does not fit into the memory for callers,
+ * the connection fails.
  */
 enum status
 h1_write(struct h1_conn *conn, struct lstr bytes)
@@ -221,9 +251,39 @@
 	if (conn->out.len > 0 &&
 	    conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
 		return status_set(STATUS_FULL, "peer does not read");
-	status = lstr_buf_append(&conn->out, bytes);
+	bytes = send_directly(conn, bytes);
+	status = conn->listener == NULL
+	    ? STATUS_OK
+	    : h1_grow(conn, &conn->out, bytes.len, H1_OUTPUT_MAX_BYTES, false);
+	if (status == STATUS_OK)
+		status = lstr_buf_append(&conn->out, bytes);
+	h1_account(conn);
 	if (status == STATUS_OK)
 		flush_output(conn);
+	else
+		fail_write(conn);
+	return status;
+}
+
+/*
+ * The same for the contents of a buffer, which is emptied. Its memory is used
+ * for the output if there is none yet, so that large messages are not copied.
+ */
+enum status
+h1_write_buf(struct h1_conn *conn, struct lstr_buf *buf)
+{
+	enum status status = STATUS_OK;
+
+	if (conn->is_closed || conn->write_failed || conn->out.len > 0) {
+		status = h1_write(conn, lstr_buf_view(buf));
+		lstr_buf_free(buf);
+		return status;
+	}
+	lstr_buf_free(&conn->out);
+	conn->out = *buf;
+	memset(buf, 0, sizeof(*buf));
+	h1_account(conn);
+	flush_output(conn);
 	return status;
 }
 
@@ -267,8 +327,15 @@
 	}
 	if (span->len == 0)
 		span->offset = (uint32_t)conn->head_text.len;
-	if (lstr_buf_append(&conn->head_text, lstr_make(at, len)) != STATUS_OK)
+	if (h1_grow(conn, &conn->head_text,
+		conn->head_text.size == 0 ? MAX(len, HEAD_GROW_BYTES) : len,
+		max, false) != STATUS_OK ||
+	    lstr_buf_append(&conn->head_text, lstr_make(at, len)) !=
+		STATUS_OK) {
+		conn->fault = H1_FAULT_NO_MEMORY;
 		return 1;
+	}
+	h1_account(conn);
 	span->len += (uint32_t)len;
 	return 0;
 }
@@ -316,10 +383,13 @@
 			struct header *larger =
 			    realloc(conn->headers, capacity * sizeof(*larger));
 
-			if (larger == NULL)
+			if (larger == NULL) {
+				conn->fault = H1_FAULT_NO_MEMORY;
 				return 1;
+			}
 			conn->headers = larger;
 			conn->header_capacity = capacity;
+			h1_account(conn);
 		}
 		conn->headers[conn->header_count] = (struct header){0};
 		conn->header_count++;
@@ -445,9 +515,14 @@
 		return;
 	if (conn->complete) {
 		http_parser_pause(&conn->parser, 0);
-		if (used < bytes.len)
-			lstr_buf_append(&conn->pending_input,
-			    lstr_make(bytes.data + used, bytes.len - used));
+		if (used < bytes.len &&
+		    lstr_buf_append(&conn->pending_input,
+			lstr_make(bytes.data + used, bytes.len - used)) !=
+			STATUS_OK) {
+			close_and_notify(conn, STATUS_NO_MEMORY);
+			return;
+		}
+		h1_account(conn);
 		conn->busy = conn->listener != NULL;
 		conn->idle_since = loop_now(conn->h1->loop);
 		conn->not_reusable =
@@ -472,6 +547,8 @@
 	if (conn->listener != NULL && conn->busy) {
 		if (lstr_buf_append(&conn->pending_input, bytes) != STATUS_OK)
 			close_and_notify(conn, STATUS_NO_MEMORY);
+		else
+			h1_account(conn);
 		return;
 	}
 	if (conn->listener == NULL && !conn->busy) {
@@ -482,6 +559,7 @@
 	}
 	if (conn->listener != NULL && conn->head_started_at == 0)
 		conn->head_started_at = loop_now(conn->h1->loop);
+	conn->idle_since = loop_now(conn->h1->loop);
 	parse(conn, bytes);
 }
 
@@ -519,7 +597,8 @@
 	ssize_t n;
 
 	if (conn->busy && conn->listener != NULL &&
-	    conn->pending_input.len >= PENDING_INPUT_MAX_BYTES) {
+	    (conn->pending_input.len >= PENDING_INPUT_MAX_BYTES ||
+		(conn->pending_input.len > 0 && !h1_admit(conn, READ_BYTES)))) {
 		loop_watch_set(conn->watch, conn->out.len > 0 ? LOOP_WRITE : 0);
 		return;
 	}
@@ -679,6 +758,7 @@
 	}
 	set_socket_options(fd);
 	conn->idle_since = loop_now(h1->loop);
+	h1_account(conn);
 	return conn;
 }
 
@@ -754,6 +834,7 @@
 		return;
 	conn->busy = false;
 	conn->complete = false;
+	conn->head_done = false;
 	conn->head_started_at = 0;
 	conn->idle_since = loop_now(conn->h1->loop);
 	loop_watch_set(
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <netinet/in.h>
 
+#include "account.h"
 #include "loop.h"
 #include "lstr.h"
 
@@ -51,7 +52,11 @@
 	H1_FAULT_NONE = 0,
 	H1_FAULT_MALFORMED,
 	H1_FAULT_HEAD_TOO_LARGE,
-	H1_FAULT_HEAD_TIMEOUT
+	H1_FAULT_HEAD_TIMEOUT,
+	/* The body made no progress within the idle timeout. */
+	H1_FAULT_BODY_TIMEOUT,
+	/* The head does not fit into the memory for callers. */
+	H1_FAULT_NO_MEMORY
 };
 
 /* Limits of a listener. They are read at each use, so changes take effect
@@ -67,16 +72,23 @@
 	uint64_t connected;
 	uint64_t connect_failures;
 	uint64_t protocol_errors;
+	/* Connections closed to make room for others, and those closed when
+	 * accepted because there was none. */
+	uint64_t connections_dropped;
+	uint64_t connections_refused;
 };
 
 enum status h1_create(struct loop *, struct h1 **);
 void h1_destroy(struct h1 *);
+void h1_set_account(struct h1 *, struct account *);
 const struct h1_counts *h1_counts(const struct h1 *);
 
 enum status h1_listen(struct h1 *, const char *, uint16_t,
     const struct h1_limits *, const struct h1_ops *, void *,
     struct h1_listener **);
 void h1_listener_destroy(struct h1_listener *);
+void h1_listener_set_max(struct h1_listener *, size_t max,
+    void (*refuse)(struct h1_conn *, void *arg));
 uint16_t h1_listener_port(const struct h1_listener *);
 size_t h1_listener_count(const struct h1_listener *);
 void h1_listener_check_timeouts(struct h1_listener *);
@@ -90,6 +102,11 @@
 void h1_set_data(struct h1_conn *, void *);
 void *h1_data(const struct h1_conn *);
 enum status h1_write(struct h1_conn *, struct lstr);
+enum status h1_write_buf(struct h1_conn *, struct lstr_buf *);
+bool h1_admit(struct h1_conn *, size_t more);
+enum status h1_grow(
+    struct h1_conn *, struct lstr_buf *, size_t len, size_t max, bool copy);
+void h1_set_owner_bytes(struct h1_conn *, size_t bytes);
 void h1_read_next_request(struct h1_conn *);
 void h1_expect_response(struct h1_conn *, bool head_only);
 void h1_skip_response(struct h1_conn *);
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -11,6 +11,22 @@
 /* Connections accepted per round of the loop, so that established connections
  * are served in between. */
 #define ACCEPT_BATCH 32
+/* Requests whose timeout is reported in one check. */
+#define TIMEOUT_BATCH 64
+
+/*
+ * Stops accepting for a while if a resource is used up: the socket would be
+ * ready all the time.
+ */
+static void
+pause_accepting(struct h1_listener *listener, int error)
+{
+	if (error != EMFILE && error != ENFILE && error != ENOBUFS &&
+	    error != ENOMEM)
+		return;
+	listener->paused = true;
+	loop_watch_set(listener->watch, 0);
+}
 
 /*
  * Accepts pending connections, up to ACCEPT_BATCH.
@@ -26,8 +42,15 @@
 		int fd = accept4(
 		    listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-		if (fd < 0)
+		if (fd < 0) {
+			pause_accepting(listener, errno);
 			return;
+		}
+		if (!h1_listener_make_room(listener)) {
+			listener->h1->counts.connections_refused++;
+			close(fd);
+			continue;
+		}
 		conn =
 		    h1_conn_create(listener->h1, fd, LOOP_READ, HTTP_REQUEST);
 		if (conn == NULL)
@@ -41,6 +64,12 @@
 		listener->conns = conn;
 		listener->count++;
 		listener->h1->counts.accepted++;
+		h1_account(conn);
+		if (!h1_admit(conn, 0)) {
+			listener->h1->counts.connections_refused++;
+			h1_close(conn);
+			continue;
+		}
 		if (conn->ops->accepted != NULL)
 			conn->ops->accepted(conn, conn->arg);
 	}
@@ -87,6 +116,8 @@
 	    listener, &listener->watch);
 	if (status != STATUS_OK)
 		goto fail;
+	listener->next = h1->listeners;
+	h1->listeners = listener;
 	*out = listener;
 	return STATUS_OK;
 fail:
@@ -130,6 +161,13 @@
 	while (listener->conns != NULL)
 		h1_close(listener->conns);
 	h1_listener_stop(listener);
+	for (struct h1_listener **at = &listener->h1->listeners; *at != NULL;
+	     at = &(*at)->next) {
+		if (*at == listener) {
+			*at = listener->next;
+			break;
+		}
+	}
 	free(listener);
 }
 
@@ -175,8 +213,48 @@
 }
 
 /*
- * Closes connections that exceed the idle timeout and reports a request whose
- * head exceeds the head timeout. The owner calls it several times a second.
+ * Returns which timeout the request that a connection receives has exceeded.
+ */
+static enum h1_fault
+find_timeout(const struct h1_conn *conn, int64_t now)
+{
+	const struct h1_limits *limits = conn->listener->limits;
+
+	if (conn->busy || conn->lingering || conn->head_started_at == 0)
+		return H1_FAULT_NONE;
+	if (!conn->head_done)
+		return now - conn->head_started_at >= limits->head_timeout_usec
+		    ? H1_FAULT_HEAD_TIMEOUT
+		    : H1_FAULT_NONE;
+	return now - conn->idle_since >= limits->idle_timeout_usec
+	    ? H1_FAULT_BODY_TIMEOUT
+	    : H1_FAULT_NONE;
+}
+
+/*
+ * Reports the first request that exceeds a timeout. Returns false if there is
+ * none.
+ */
+static bool
+report_timeout(struct h1_listener *listener, int64_t now)
+{
+	for (struct h1_conn *conn = listener->conns; conn != NULL;
+	     conn = conn->next) {
+		enum h1_fault fault = find_timeout(conn, now);
+
+		if (fault == H1_FAULT_NONE)
+			continue;
+		conn->fault = fault;
+		h1_protocol_error(conn);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Closes connections that exceed the idle timeout and reports requests whose
+ * head exceeds the head timeout, or whose body makes no progress within the
+ * idle timeout. The owner calls it several times a second.
  */
 void
 h1_listener_check_timeouts(struct h1_listener *listener)
@@ -184,24 +262,23 @@
 	int64_t now = loop_now(listener->h1->loop);
 	struct h1_conn *next;
 
+	if (listener->paused && listener->watch != NULL) {
+		listener->paused = false;
+		loop_watch_set(listener->watch, LOOP_READ);
+	}
 	for (struct h1_conn *conn = listener->conns; conn != NULL;
 	     conn = next) {
 		next = conn->next;
-		if (conn->busy || conn->lingering)
-			continue;
-		if (conn->head_started_at != 0) {
-			if (!conn->head_done &&
-			    now - conn->head_started_at >=
-				listener->limits->head_timeout_usec) {
-				conn->fault = H1_FAULT_HEAD_TIMEOUT;
-				h1_protocol_error(conn);
-				/* The owner may have closed any connection, so
-				 * next may be invalid. */
-				return;
-			}
-		} else if (now - conn->idle_since >=
-		    listener->limits->idle_timeout_usec) {
+		if (!conn->busy && !conn->lingering &&
+		    conn->head_started_at == 0 &&
+		    now - conn->idle_since >=
+			listener->limits->idle_timeout_usec)
 			h1_close(conn);
-		}
+	}
+	/* The owner may close any connection, so the search starts anew after
+	 * each report. */
+	for (int i = 0; i < TIMEOUT_BATCH; i++) {
+		if (!report_timeout(listener, now))
+			return;
 	}
 }
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -11,6 +11,11 @@
 	/* Closed connections; the reaper frees them outside of callbacks. */
 	struct h1_conn *closed;
 	struct loop_timer *reaper;
+	struct h1_listener *listeners;
+	/* Memory of the connections; NULL: it has no limit. */
+	struct account *account;
+	/* Connections are giving way; nothing else is refused meanwhile. */
+	bool making_room;
 };
 
 struct h1_listener {
@@ -22,6 +27,12 @@
 	void *arg;
 	struct h1_conn *conns;
 	size_t count;
+	/* Most connections; 0: no limit. */
+	size_t max;
+	void (*refuse)(struct h1_conn *, void *arg);
+	/* Accepting failed; it is tried again at the next check of timeouts. */
+	bool paused;
+	struct h1_listener *next;
 };
 
 /* A range of bytes in h1_conn.head_text. */
@@ -83,10 +94,16 @@
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
 	struct lstr_buf out;
+	/* Memory in the account, and that which the owner holds for it. */
+	size_t held;
+	size_t owner_bytes;
 };
 
 struct h1_conn *h1_conn_create(
     struct h1 *, int, unsigned int, enum http_parser_type);
 void h1_protocol_error(struct h1_conn *);
+void h1_account(struct h1_conn *);
+void h1_free_buffers(struct h1_conn *);
+bool h1_listener_make_room(struct h1_listener *);
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -30,9 +30,6 @@
  * PROOF_MARGIN_SHARE of it. */
 #define PROOF_MARGIN_USEC (1250 * LOOP_USEC_PER_MSEC)
 #define PROOF_MARGIN_SHARE 0.4
-/* Share of the memory that request bodies may use. */
-#define BODIES_MEMORY_SHARE 0.25
-#define BYTES_PER_MB ((size_t)1000 * 1000)
 
 /*
  * Stops a draining node once its responses are delivered, or when the grace
@@ -155,6 +152,9 @@
 		h1_listener_check_timeouts(node->front);
 		h1_listener_check_timeouts(node->ready);
 		h1_listener_check_timeouts(node->lookup);
+		if (node->metrics != NULL)
+			h1_listener_check_timeouts(node->metrics);
+		node_report_callers(node);
 	}
 	slog_flush();
 	if (drain_is_active(&node->drain))
@@ -251,6 +251,8 @@
 		status = h1_listen(node->h1, node->settings.ip,
 		    node->options.metrics_port, limits, &node_metrics_ops, node,
 		    &node->metrics);
+	if (status == STATUS_OK)
+		node_set_listener_limits(node);
 	return status;
 }
 
@@ -425,8 +427,9 @@
 	    .retry_ratio = settings->retry_ratio,
 	    .retry_window_usec =
 		(int64_t)(settings->retry_window_s * (double)LOOP_USEC_PER_SEC),
-	    .bodies_max_bytes = (size_t)((double)settings->memory_mb *
-		BODIES_MEMORY_SHARE * (double)BYTES_PER_MB)};
+	    .account = &node->account,
+	    .requests_max = node->caller_limits.requests,
+	    .idle_max = node->caller_limits.idle};
 	char *key = g_strconcat(GOSSIP_PREFIX, settings->node, NULL);
 	struct lease_key_config entry = {.key = key,
 	    .value = gossip_entry(node->gossip),
@@ -465,6 +468,8 @@
 		    "%s#%" G_GUINT64_FORMAT, node->settings.node, node->boot);
 		status = h1_create(node->loop, &node->h1);
 	}
+	if (status == STATUS_OK)
+		node_init_caller_limits(node);
 	if (status == STATUS_OK)
 		status = fetch_create(node->loop, &node->fetch);
 	if (status == STATUS_OK)
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -8,6 +8,25 @@
 #include "planner.h"
 #include "quarantine_store.h"
 
+/* Limits of callers' connections, derived from the limit of descriptors. */
+struct caller_limits {
+	int64_t descriptors;
+	size_t front;
+	/* For each of the node's own services. */
+	size_t service;
+	/* Records of requests, and idle connections to servers. */
+	size_t requests;
+	size_t idle;
+};
+
+/* Values of the counters at the last EV_CALLERS_DROPPED event. */
+struct caller_report {
+	uint64_t connections;
+	uint64_t requests;
+	uint64_t refused;
+	int64_t at;
+};
+
 struct node {
 	struct node_options options;
 	struct node_settings settings;
@@ -25,6 +44,11 @@
 	struct lease_key *entry;
 	struct planner *planner;
 	struct gateway *gateway;
+	/* Memory that callers make the process hold, and limits of their
+	 * connections. */
+	struct account account;
+	struct caller_limits caller_limits;
+	struct caller_report caller_report;
 	struct h1_listener *front;
 	struct h1_listener *ready;
 	struct h1_listener *lookup;
@@ -68,4 +92,9 @@
 extern const struct h1_ops node_ready_ops;
 extern const struct h1_ops node_metrics_ops;
 
+/* Limits of callers; see node_callers.c. */
+void node_init_caller_limits(struct node *);
+void node_set_listener_limits(struct node *);
+void node_report_callers(struct node *);
+
 #endif
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -17,6 +17,9 @@
 #define SECONDS_MAX 3600
 #define RETRY_SLACK_MAX 1000000
 #define MEMORY_MAX_MB 1048576
+/* Fewer leave too few for callers beside the reserved ones. */
+#define DESCRIPTORS_MIN 256
+#define DESCRIPTORS_MAX 1048576
 
 enum field_kind {
 	FIELD_STRING,
@@ -67,6 +70,8 @@
 	0.1, SECONDS_MAX, false, false},
     {"memory_mb", FIELD_BOUND, OFFSET(memory_mb), 16, MEMORY_MAX_MB, false,
 	true},
+    {"descriptors", FIELD_INTEGER, OFFSET(descriptors), DESCRIPTORS_MIN,
+	DESCRIPTORS_MAX, false, true},
 };
 
 /*
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -39,6 +39,8 @@
 	/* Longest time for which callers may cache an address response. */
 	double address_validity_max_s;
 	int64_t memory_mb;
+	/* Limit of the process's descriptors; 0: the kernel's soft limit. */
+	int64_t descriptors;
 };
 
 enum status node_settings_read(const char *path, struct node_settings *);
--- /dev/null
+++ b/tests/test_h1_limits.c
@@ -0,0 +1,272 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "h1.h"
+
+#define CLIENTS 40
+#define CONNECTIONS_MAX 10
+#define ACCOUNT_BYTES ((size_t)400 * 1000)
+#define HEAD_BYTES ((size_t)30 * 1000)
+#define IDLE_USEC (600 * LOOP_USEC_PER_MSEC)
+
+/* A listener with limits, whose clients are plain sockets. */
+struct fixture {
+	struct loop *loop;
+	struct h1 *h1;
+	struct h1_listener *listener;
+	struct h1_limits limits;
+	struct account account;
+	int sockets[CLIENTS];
+	unsigned int count;
+	unsigned int refused;
+	unsigned int complete;
+	enum h1_fault fault;
+};
+
+/*
+ * Ignores the head; the request is handled when it is complete.
+ */
+static void
+on_head(struct h1_conn *conn, void *arg)
+{
+	(void)conn;
+	(void)arg;
+}
+
+static void
+on_body(struct h1_conn *conn, struct lstr bytes, void *arg)
+{
+	(void)conn;
+	(void)bytes;
+	(void)arg;
+}
+
+static void
+on_complete(struct h1_conn *conn, void *arg)
+{
+	struct fixture *f = arg;
+
+	f->complete++;
+	f->fault = h1_fault(conn);
+	h1_close_gracefully(conn);
+}
+
+static void
+on_ended(struct h1_conn *conn, enum status status, void *arg)
+{
+	(void)conn;
+	(void)status;
+	(void)arg;
+}
+
+static const struct h1_ops ops = {
+    NULL, NULL, on_head, on_body, on_complete, on_ended};
+
+/*
+ * Closes the connection of an unfinished request that gives way.
+ */
+static void
+refuse(struct h1_conn *conn, void *arg)
+{
+	((struct fixture *)arg)->refused++;
+	h1_write(
+	    conn, lstr_from("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"));
+	h1_close_gracefully(conn);
+}
+
+/*
+ * Starts a listener with an account and a limit of connections; 0: none.
+ */
+static void
+fixture_start(struct fixture *f, size_t max)
+{
+	memset(f, 0, sizeof(*f));
+	f->limits = (struct h1_limits){
+	    2 * HEAD_BYTES, HARNESS_DEADLINE_USEC, IDLE_USEC};
+	account_init(&f->account, ACCOUNT_BYTES);
+	ck_assert_int_eq(loop_create(&f->loop), STATUS_OK);
+	ck_assert_int_eq(h1_create(f->loop, &f->h1), STATUS_OK);
+	h1_set_account(f->h1, &f->account);
+	ck_assert_int_eq(
+	    h1_listen(f->h1, "127.0.0.1", 0, &f->limits, &ops, f, &f->listener),
+	    STATUS_OK);
+	h1_listener_set_max(f->listener, max, refuse);
+}
+
+/*
+ * Closes all connections and checks that the account is empty.
+ */
+static void
+fixture_stop(struct fixture *f)
+{
+	for (unsigned int i = 0; i < f->count; i++)
+		close(f->sockets[i]);
+	h1_listener_destroy(f->listener);
+	h1_destroy(f->h1);
+	ck_assert_uint_eq(f->account.held, 0);
+	loop_destroy(f->loop);
+}
+
+/*
+ * Runs the loop for a time.
+ */
+static void
+run_for(struct fixture *f, int64_t usec)
+{
+	int64_t until = loop_now(f->loop) + usec;
+
+	do {
+		loop_run_once(f->loop, until);
+	} while (loop_now(f->loop) < until);
+}
+
+/*
+ * Connects a client, which sends a text, and lets the listener read it.
+ */
+static int
+add_client(struct fixture *f, const char *text)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons(h1_listener_port(f->listener)),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+	f->sockets[f->count++] = fd;
+	run_for(f, 10 * LOOP_USEC_PER_MSEC);
+	return fd;
+}
+
+/*
+ * Returns whether a client's connection is open.
+ */
+static bool
+is_open(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) < 0 &&
+	    errno == EAGAIN;
+}
+
+/* Guards against a listener that exceeds its limit of connections, or closes
+ * the newest one, so that clients which stay shut out all others. */
+START_TEST(oldest_connections_give_way_at_the_limit)
+{
+	struct fixture f;
+	int last = -1;
+
+	fixture_start(&f, CONNECTIONS_MAX);
+	for (unsigned int i = 0; i < CLIENTS; i++) {
+		last = add_client(&f, i % 2 == 0 ? "" : "GET / HT");
+		ck_assert_uint_le(
+		    h1_listener_count(f.listener), CONNECTIONS_MAX);
+	}
+	ck_assert(is_open(last));
+	ck_assert(!is_open(f.sockets[0]));
+	ck_assert_uint_eq(
+	    h1_counts(f.h1)->connections_dropped, CLIENTS - CONNECTIONS_MAX);
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against an unfinished request that is closed without an answer. */
+START_TEST(unfinished_bodies_are_refused_before_they_are_closed)
+{
+	struct fixture f;
+	char status[13] = "";
+
+	fixture_start(&f, 1);
+	add_client(&f, "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nx");
+	add_client(&f, "");
+	ck_assert_uint_eq(f.refused, 1);
+	ck_assert_int_eq(recv(f.sockets[0], status, sizeof(status) - 1, 0),
+	    (ssize_t)sizeof(status) - 1);
+	ck_assert_str_eq(status, "HTTP/1.1 503");
+	ck_assert(is_open(f.sockets[1]));
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against complete requests that give way, and against a new connection
+ * that is accepted although nothing can. */
+START_TEST(complete_requests_do_not_give_way)
+{
+	static const struct h1_ops waiting_ops = {
+	    NULL, NULL, on_head, on_body, on_head, on_ended};
+	struct fixture f;
+
+	fixture_start(&f, 0);
+	h1_listener_destroy(f.listener);
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits,
+			     &waiting_ops, &f, &f.listener),
+	    STATUS_OK);
+	h1_listener_set_max(f.listener, 1, refuse);
+	add_client(&f, "GET / HTTP/1.1\r\n\r\n");
+	add_client(&f, "");
+	ck_assert(is_open(f.sockets[0]));
+	ck_assert(!is_open(f.sockets[1]));
+	ck_assert_uint_eq(h1_counts(f.h1)->connections_refused, 1);
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against heads that exceed the account. */
+START_TEST(heads_stay_within_the_account)
+{
+	struct fixture f;
+	char *bytes = g_strnfill(HEAD_BYTES, 'h');
+	char *text = g_strconcat("GET / HTTP/1.1\r\nX-Long: ", bytes, NULL);
+
+	fixture_start(&f, 0);
+	for (unsigned int i = 0; i < CLIENTS; i++) {
+		add_client(&f, text);
+		ck_assert_uint_le(f.account.held, ACCOUNT_BYTES);
+	}
+	ck_assert_uint_gt(h1_counts(f.h1)->connections_dropped, 0);
+	ck_assert(is_open(f.sockets[CLIENTS - 1]));
+	g_free(text);
+	g_free(bytes);
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against stalled bodies that are never closed, and against closing one
+ * that makes progress for longer than the idle limit. */
+START_TEST(stalled_bodies_are_reported_and_slow_ones_are_not)
+{
+	struct fixture f;
+	int fd;
+
+	fixture_start(&f, 0);
+	fd = add_client(&f, "POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\nx");
+	for (int i = 0; i < 8; i++) {
+		run_for(&f, IDLE_USEC / 4);
+		ck_assert_int_eq(send(fd, "x", 1, MSG_NOSIGNAL), 1);
+		run_for(&f, 10 * LOOP_USEC_PER_MSEC);
+		h1_listener_check_timeouts(f.listener);
+	}
+	ck_assert_uint_eq(f.complete, 0);
+	run_for(&f, IDLE_USEC);
+	h1_listener_check_timeouts(f.listener);
+	ck_assert_uint_eq(f.complete, 1);
+	ck_assert_int_eq(f.fault, H1_FAULT_BODY_TIMEOUT);
+	fixture_stop(&f);
+}
+END_TEST
+
+HARNESS_MAIN("h1_limits", oldest_connections_give_way_at_the_limit,
+    unfinished_bodies_are_refused_before_they_are_closed,
+    complete_requests_do_not_give_way, heads_stay_within_the_account,
+    stalled_bodies_are_reported_and_slow_ones_are_not)
