Event loop without allocations that end the process

Cause: timers were kept in a GTree and watches in GArrays, whose allocations end the process when memory runs out. A caller's connection sets a timer when it is closed after an answer, and adds a watch when it is accepted.

Change: timers are kept in a binary heap that has room for all timers that exist, so that setting one cannot fail; free slots of watches are linked, and creating a watch or timer returns STATUS_NO_MEMORY. The order is the same as before: by time, then in the order in which they were set.

--- a/src/loop.c
+++ b/src/loop.c
@@ -17,6 +17,8 @@
 #include "loop.h"
 
 #define SIGNAL_MAX 65
+#define CAPACITY_MIN 64
+#define NO_SLOT UINT32_MAX
 #define IDLE_POLL_USEC (LOOP_USEC_PER_SEC)
 
 struct loop_watch {
@@ -35,6 +37,8 @@
 	void *arg;
 	int64_t at;
 	uint64_t sequence;
+	/* Its position among the timers that are set. */
+	size_t position;
 	bool set;
 };
 
@@ -45,6 +49,12 @@
 struct watch_slot {
 	struct loop_watch *watch;
 	uint32_t generation;
+	/* Index of the next free slot, if this one is free. */
+	uint32_t next_free;
+};
+
+struct heap_entry {
+	struct loop_timer *timer;
 };
 
 struct signal_handler {
@@ -55,9 +65,17 @@
 struct loop {
 	apr_pool_t *pool;
 	apr_pollset_t *pollset;
-	GArray *slots;
-	GArray *free_slots;
-	GTree *timers;
+	/* Free slots are linked; NO_SLOT: the end. */
+	struct watch_slot *slots;
+	uint32_t slot_count;
+	uint32_t slot_capacity;
+	uint32_t first_free;
+	/* Binary heap of the timers that are set. It has room for all that
+	 * exist, so that setting one cannot fail. */
+	struct heap_entry *heap;
+	size_t heap_count;
+	size_t heap_capacity;
+	size_t timer_count;
 	uint64_t timer_sequence;
 	int64_t wall_offset;
 	bool running;
@@ -82,20 +100,87 @@
 }
 
 /*
- * Compares timers by expiry time, then by the order in which they were set.
+ * Returns whether a timer expires before another one; of two with the same
+ * time, the one that was set first.
  */
-static gint
-compare_timers(gconstpointer a, gconstpointer b, gpointer data)
+static bool
+expires_before(const struct loop_timer *a, const struct loop_timer *b)
 {
-	const struct loop_timer *x = a;
-	const struct loop_timer *y = b;
-
-	(void)data;
-	if (x->at != y->at)
-		return x->at < y->at ? -1 : 1;
-	if (x->sequence != y->sequence)
-		return x->sequence < y->sequence ? -1 : 1;
-	return 0;
+	return a->at != b->at ? a->at < b->at : a->sequence < b->sequence;
+}
+
+/*
+ * Moves a timer up from a free position of the heap until its parent expires
+ * before it.
+ */
+static void
+heap_sift_up(struct loop *loop, struct loop_timer *timer, size_t position)
+{
+	while (position > 0) {
+		struct loop_timer *parent =
+		    loop->heap[(position - 1) / 2].timer;
+
+		if (expires_before(parent, timer))
+			break;
+		loop->heap[position].timer = parent;
+		parent->position = position;
+		position = (position - 1) / 2;
+	}
+	loop->heap[position].timer = timer;
+	timer->position = position;
+}
+
+/*
+ * Moves a timer down from a free position of the heap until it expires before
+ * its children.
+ */
+static void
+heap_sift_down(struct loop *loop, struct loop_timer *timer, size_t position)
+{
+	for (;;) {
+		size_t child = 2 * position + 1;
+
+		if (child >= loop->heap_count)
+			break;
+		if (child + 1 < loop->heap_count &&
+		    expires_before(
+			loop->heap[child + 1].timer, loop->heap[child].timer))
+			child++;
+		if (expires_before(timer, loop->heap[child].timer))
+			break;
+		loop->heap[position] = loop->heap[child];
+		loop->heap[position].timer->position = position;
+		position = child;
+	}
+	loop->heap[position].timer = timer;
+	timer->position = position;
+}
+
+/*
+ * Removes a timer from the heap.
+ */
+static void
+heap_remove(struct loop *loop, const struct loop_timer *timer)
+{
+	size_t position = timer->position;
+	struct loop_timer *last = loop->heap[--loop->heap_count].timer;
+
+	if (last == timer)
+		return;
+	if (position > 0 &&
+	    expires_before(last, loop->heap[(position - 1) / 2].timer))
+		heap_sift_up(loop, last, position);
+	else
+		heap_sift_down(loop, last, position);
+}
+
+/*
+ * Returns the timer that expires first; NULL: none is set.
+ */
+static struct loop_timer *
+first_timer(const struct loop *loop)
+{
+	return loop->heap_count > 0 ? loop->heap[0].timer : NULL;
 }
 
 /*
@@ -123,9 +208,7 @@
 		free(loop);
 		return status_set(STATUS_IO, "pollset cannot be created");
 	}
-	loop->slots = g_array_new(FALSE, TRUE, sizeof(struct watch_slot));
-	loop->free_slots = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	loop->timers = g_tree_new_full(compare_timers, NULL, NULL, NULL);
+	loop->first_free = NO_SLOT;
 	loop->wall_offset = apr_time_now() - boottime_now();
 	*out = loop;
 	return STATUS_OK;
@@ -145,9 +228,8 @@
 		close(loop->signal_pipe[1]);
 		signal_write_fd = -1;
 	}
-	g_tree_destroy(loop->timers);
-	g_array_free(loop->slots, TRUE);
-	g_array_free(loop->free_slots, TRUE);
+	free(loop->heap);
+	free(loop->slots);
 	apr_pollset_destroy(loop->pollset);
 	apr_pool_destroy(loop->pool);
 	free(loop);
@@ -174,35 +256,56 @@
 }
 
 /*
- * Allocates a slot for a watch and returns its index.
+ * Allocates a slot for a watch and returns its index, or NO_SLOT if memory runs
+ * out.
  */
 static uint32_t
 slot_allocate(struct loop *loop, struct loop_watch *watch)
 {
-	struct watch_slot slot = {watch, 0};
-	uint32_t index;
+	uint32_t index = loop->first_free;
 
-	if (loop->free_slots->len > 0) {
-		index = g_array_index(
-		    loop->free_slots, uint32_t, loop->free_slots->len - 1);
-		g_array_set_size(loop->free_slots, loop->free_slots->len - 1);
-		g_array_index(loop->slots, struct watch_slot, index).watch =
-		    watch;
+	if (index != NO_SLOT) {
+		loop->first_free = loop->slots[index].next_free;
+		loop->slots[index].watch = watch;
 		return index;
 	}
-	index = loop->slots->len;
-	g_array_append_val(loop->slots, slot);
+	if (loop->slot_count == loop->slot_capacity) {
+		uint32_t capacity =
+		    MAX(loop->slot_capacity * 2, (uint32_t)CAPACITY_MIN);
+		struct watch_slot *larger =
+		    realloc(loop->slots, capacity * sizeof(*larger));
+
+		if (larger == NULL)
+			return NO_SLOT;
+		loop->slots = larger;
+		loop->slot_capacity = capacity;
+	}
+	index = loop->slot_count++;
+	loop->slots[index] = (struct watch_slot){watch, 0, NO_SLOT};
 	return index;
 }
 
+/*
+ * Frees the slot of a watch.
+ */
+static void
+slot_free(struct loop *loop, uint32_t index)
+{
+	struct watch_slot *slot = &loop->slots[index];
+
+	slot->watch = NULL;
+	slot->generation++;
+	slot->next_free = loop->first_free;
+	loop->first_free = index;
+}
+
 /*
  * Packs the index and generation of a watch into the pollset's client pointer.
  */
 static void *
 slot_reference(struct loop *loop, uint32_t index)
 {
-	uint64_t generation =
-	    g_array_index(loop->slots, struct watch_slot, index).generation;
+	uint64_t generation = loop->slots[index].generation;
 
 	return (void *)(uintptr_t)(generation << 32 | index);
 }
@@ -253,6 +356,11 @@
 	watch->fn = fn;
 	watch->arg = arg;
 	watch->index = slot_allocate(loop, watch);
+	if (watch->index == NO_SLOT) {
+		apr_pool_destroy(watch->pool);
+		free(watch);
+		return status_set(STATUS_NO_MEMORY, "watch slot");
+	}
 	watch->descriptor.p = watch->pool;
 	watch->descriptor.desc_type = APR_POLL_SOCKET;
 	watch->descriptor.desc.s = sock;
@@ -289,17 +397,13 @@
 loop_watch_destroy(struct loop_watch *watch)
 {
 	struct loop *loop;
-	struct watch_slot *slot;
 
 	if (watch == NULL)
 		return;
 	loop = watch->loop;
 	if (watch->events != 0)
 		apr_pollset_remove(loop->pollset, &watch->descriptor);
-	slot = &g_array_index(loop->slots, struct watch_slot, watch->index);
-	slot->watch = NULL;
-	slot->generation++;
-	g_array_append_val(loop->free_slots, watch->index);
+	slot_free(loop, watch->index);
 	apr_pool_destroy(watch->pool);
 	free(watch);
 }
@@ -315,6 +419,20 @@
 
 	if (timer == NULL)
 		return status_set(STATUS_NO_MEMORY, "timer");
+	if (loop->timer_count == loop->heap_capacity) {
+		size_t capacity =
+		    MAX(loop->heap_capacity * 2, (size_t)CAPACITY_MIN);
+		struct heap_entry *larger =
+		    realloc(loop->heap, capacity * sizeof(*larger));
+
+		if (larger == NULL) {
+			free(timer);
+			return status_set(STATUS_NO_MEMORY, "timers");
+		}
+		loop->heap = larger;
+		loop->heap_capacity = capacity;
+	}
+	loop->timer_count++;
 	timer->loop = loop;
 	timer->fn = fn;
 	timer->arg = arg;
@@ -333,7 +451,7 @@
 	timer->at = at;
 	timer->sequence = timer->loop->timer_sequence++;
 	timer->set = true;
-	g_tree_insert(timer->loop->timers, timer, timer);
+	heap_sift_up(timer->loop, timer, timer->loop->heap_count++);
 }
 
 /*
@@ -344,7 +462,7 @@
 {
 	if (!timer->set)
 		return;
-	g_tree_remove(timer->loop->timers, timer);
+	heap_remove(timer->loop, timer);
 	timer->set = false;
 }
 
@@ -367,6 +485,7 @@
 	if (timer == NULL)
 		return;
 	loop_timer_clear(timer);
+	timer->loop->timer_count--;
 	free(timer);
 }
 
@@ -381,13 +500,10 @@
 	uint64_t sequence = loop->timer_sequence;
 
 	for (;;) {
-		GTreeNode *node = g_tree_node_first(loop->timers);
-		struct loop_timer *timer;
+		struct loop_timer *timer = first_timer(loop);
 
-		if (node == NULL)
-			return;
-		timer = g_tree_node_key(node);
-		if (timer->at > now || timer->sequence >= sequence)
+		if (timer == NULL || timer->at > now ||
+		    timer->sequence >= sequence)
 			return;
 		loop_timer_clear(timer);
 		timer->fn(timer->arg);
@@ -402,8 +518,7 @@
 {
 	uint64_t reference = (uint64_t)(uintptr_t)event->client_data;
 	uint32_t index = (uint32_t)reference;
-	struct watch_slot *slot =
-	    &g_array_index(loop->slots, struct watch_slot, index);
+	const struct watch_slot *slot = &loop->slots[index];
 	unsigned int events = 0;
 
 	if (slot->watch == NULL ||
@@ -424,18 +539,14 @@
 void
 loop_run_once(struct loop *loop, int64_t until)
 {
-	GTreeNode *node = g_tree_node_first(loop->timers);
+	const struct loop_timer *timer = first_timer(loop);
 	const apr_pollfd_t *events = NULL;
 	apr_int32_t count = 0;
 	int64_t at = until;
 	int64_t wait;
 
-	if (node != NULL) {
-		struct loop_timer *timer = g_tree_node_key(node);
-
-		if (timer->at < at)
-			at = timer->at;
-	}
+	if (timer != NULL && timer->at < at)
+		at = timer->at;
 	wait = at - loop_now(loop);
 	if (wait < 0)
 		wait = 0;
