Ordinary callers beside many complete requests

Cause: in a trial with 800 clients that send requests ahead without reading the answers, all memory was held by complete requests and by input that followed them. Only unfinished requests can give way, so an ordinary caller's request was cut off while it arrived, or its connection was closed when accepted.

Change: for memory, a connection that holds at most 64 KB does not give way in its first 250 ms. While memory is short, input that follows a request stays in the socket. A connection is closed without an answer only if the account exceeds its limit by an eighth; otherwise the request is refused with 503. Idle connections to servers use at most a sixteenth of the account.

--- a/src/node/account.c
+++ b/src/node/account.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "account.h"
+#include "intake.h"
 
 /* Share of the limit that large connections may use. */
 #define LARGE_SHARE 0.75
@@ -36,7 +37,7 @@
 size_t
 account_missing(const struct account *account, size_t holding, size_t more)
 {
-	size_t limit = holding + more > ACCOUNT_SMALL_BYTES
+	size_t limit = holding + more > INTAKE_SMALL_BYTES
 	    ? account->large_limit
 	    : account->limit;
 	size_t needed = account->held + more;
--- a/src/node/account.h
+++ b/src/node/account.h
@@ -12,16 +12,13 @@
 	size_t held;
 	/* Highest value of held. */
 	size_t peak;
-	/* Limit for connections with little memory, and the lower one for all
-	 * others, so that ordinary requests are served while large ones fill
-	 * their part. */
+	/* Limit for connections with little memory (INTAKE_SMALL_BYTES), and
+	 * the lower one for all others, so that ordinary requests are served
+	 * while large ones fill their part. */
 	size_t limit;
 	size_t large_limit;
 };
 
-/* A connection with its request that holds more than this is a large one. */
-#define ACCOUNT_SMALL_BYTES ((size_t)64 * 1024)
-
 void account_init(struct account *, size_t limit);
 void account_set(struct account *, size_t *share, size_t bytes);
 size_t account_missing(const struct account *, size_t holding, size_t more);
--- a/src/node/decisions/intake.c
+++ b/src/node/decisions/intake.c
@@ -65,6 +65,9 @@
 
 	if (wait < 0)
 		return;
+	if (intake->need == INTAKE_MEMORY && wait < INTAKE_YOUNG_USEC &&
+	    candidate->bytes <= INTAKE_SMALL_BYTES)
+		return;
 	if (intake->need == INTAKE_MEMORY)
 		score *= (double)candidate->bytes;
 	if (intake->count == intake->max &&
--- a/src/node/decisions/intake.h
+++ b/src/node/decisions/intake.h
@@ -19,6 +19,11 @@
 /* A connection with unread output gives way only if its peer has accepted none
  * for this long. */
 #define INTAKE_UNREAD_USEC 1000000
+/* For memory, a connection that holds no more than this gives way only after
+ * this time: it is that of an ordinary caller, whose request needs a few round
+ * trips, and releases little. */
+#define INTAKE_SMALL_BYTES ((size_t)64 * 1024)
+#define INTAKE_YOUNG_USEC 250000
 
 enum intake_kind {
 	/* No request has begun since the connection was accepted or the last
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -13,6 +13,9 @@
 #include "h1_priv.h"
 
 #define READ_BYTES ((size_t)32 * 1024)
+/* The same while memory is short: what follows a message is kept until that is
+ * answered, and many callers may send requests ahead. */
+#define READ_SHORT_BYTES ((size_t)4 * 1024)
 /* A larger output buffer is freed once it is empty. */
 #define OUTPUT_KEPT_BYTES ((size_t)16 * 1024)
 /* Input buffered while a response is in progress; the rest stays in the socket
@@ -588,7 +591,7 @@
 
 /*
  * Reads from the socket. Stops watching for input while the buffer for pending
- * input is full.
+ * input is full, or memory is short: the rest stays in the socket.
  */
 static void
 read_socket(struct h1_conn *conn)
@@ -598,11 +601,14 @@
 
 	if (conn->busy && conn->listener != NULL &&
 	    (conn->pending_input.len >= PENDING_INPUT_MAX_BYTES ||
-		(conn->pending_input.len > 0 && !h1_admit(conn, READ_BYTES)))) {
+		(conn->pending_input.len > 0 && h1_is_short(conn)))) {
 		loop_watch_set(conn->watch, conn->out.len > 0 ? LOOP_WRITE : 0);
 		return;
 	}
-	n = recv(conn->fd, bytes, sizeof(bytes), 0);
+	n = recv(conn->fd, bytes,
+	    conn->listener != NULL && h1_is_short(conn) ? READ_SHORT_BYTES
+							: sizeof(bytes),
+	    0);
 	if (n > 0)
 		handle_input(conn, lstr_make(bytes, (size_t)n));
 	else if (n == 0)
--- a/src/node/h1_intake.c
+++ b/src/node/h1_intake.c
@@ -8,6 +8,9 @@
 /* Memory of a connection besides its buffers: the structure, its timer and its
  * watch, whose APR pool takes one block of 8 KB. */
 #define CONN_BYTES (sizeof(struct h1_conn) + 8192 + 512)
+/* Connections beyond the limit of the account are accepted up to this fraction
+ * of it, so that their requests are refused with an answer. */
+#define ANSWER_ROOM_SHARE 8
 /* When memory is short, this fraction of the account is released in addition,
  * so that the next allocation need not search again. */
 #define EXTRA_ROOM_SHARE 64
@@ -215,6 +218,31 @@
 	return account_missing(account, holding, more) == 0;
 }
 
+/*
+ * Returns whether a connection for which there is no room may stay, so that its
+ * request is refused with an answer instead of being cut off.
+ */
+bool
+h1_may_answer(const struct h1_conn *conn)
+{
+	const struct account *account = conn->h1->account;
+
+	return account->held <=
+	    account->limit + account->limit / ANSWER_ROOM_SHARE;
+}
+
+/*
+ * Returns whether more than half of the memory for large connections is used,
+ * so that callers' input that can wait is not buffered.
+ */
+bool
+h1_is_short(const struct h1_conn *conn)
+{
+	const struct account *account = conn->h1->account;
+
+	return account != NULL && account->held > account->large_limit / 2;
+}
+
 /*
  * Enlarges a buffer of a connection or of its owner by doubling, but not beyond
  * max unless needed. Returns STATUS_FULL if the account does not admit it.
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -65,7 +65,7 @@
 		listener->count++;
 		listener->h1->counts.accepted++;
 		h1_account(conn);
-		if (!h1_admit(conn, 0)) {
+		if (!h1_admit(conn, 0) && !h1_may_answer(conn)) {
 			listener->h1->counts.connections_refused++;
 			h1_close(conn);
 			continue;
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -103,6 +103,8 @@
     struct h1 *, int, unsigned int, enum http_parser_type);
 void h1_protocol_error(struct h1_conn *);
 void h1_account(struct h1_conn *);
+bool h1_may_answer(const struct h1_conn *);
+bool h1_is_short(const struct h1_conn *);
 void h1_free_buffers(struct h1_conn *);
 bool h1_listener_make_room(struct h1_listener *);
 
--- a/src/node/node_callers.c
+++ b/src/node/node_callers.c
@@ -22,8 +22,11 @@
 #define SERVICE_MAX 256
 #define SERVICE_COUNT 3
 /* Each caller may need a connection to a server. In addition, one idle
- * connection to a server is kept for this many callers. */
+ * connection to a server is kept for this many callers, as long as these use no
+ * more than a part of the memory; each takes about 10 KB. */
 #define CALLERS_PER_IDLE 4
+#define IDLE_MEMORY_SHARE 16
+#define IDLE_CONNECTION_BYTES ((size_t)10 * 1000)
 #define CALLERS_MIN 8
 /* Ended requests are freed at the next tick, up to this many for each
  * connection. */
@@ -75,7 +78,8 @@
 	limits->front =
 	    (size_t)MAX(left * CALLERS_PER_IDLE / (2 * CALLERS_PER_IDLE + 1),
 		(int64_t)CALLERS_MIN);
-	limits->idle = limits->front / CALLERS_PER_IDLE;
+	limits->idle = MIN(limits->front / CALLERS_PER_IDLE,
+	    node->account.limit / IDLE_MEMORY_SHARE / IDLE_CONNECTION_BYTES);
 	limits->requests = limits->front * REQUESTS_PER_CALLER;
 }
 
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -13,7 +13,7 @@
 #define CLIENTS 40
 #define CONNECTIONS_MAX 10
 #define ACCOUNT_BYTES ((size_t)400 * 1000)
-#define HEAD_BYTES ((size_t)30 * 1000)
+#define HEAD_BYTES ((size_t)50 * 1000)
 #define IDLE_USEC (600 * LOOP_USEC_PER_MSEC)
 
 /* A listener with limits, whose clients are plain sockets. */
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -219,6 +219,22 @@
 }
 END_TEST
 
+/* Guards against requests that are cut off while they arrive, because others
+ * that cannot give way need memory. */
+START_TEST(small_requests_that_just_began_keep_their_memory)
+{
+	const struct intake_candidate began = {
+	    INTAKE_HEAD, 10000, 0, 0, "began"};
+
+	ck_assert_ptr_null(
+	    choose(INTAKE_MEMORY, INTAKE_YOUNG_USEC - 1, &began, 1));
+	ck_assert_ptr_nonnull(
+	    choose(INTAKE_MEMORY, INTAKE_YOUNG_USEC, &began, 1));
+	ck_assert_ptr_nonnull(
+	    choose(INTAKE_CONNECTIONS, INTAKE_YOUNG_USEC - 1, &began, 1));
+}
+END_TEST
+
 /* Guards against small requests that give way although a large one holds the
  * memory. */
 START_TEST(bytes_held_count_when_memory_is_short)
@@ -264,17 +280,19 @@
 
 	account_init(&account, 1000000);
 	account_set(&account, &large, account.large_limit);
-	ck_assert_uint_eq(account_missing(&account, ACCOUNT_SMALL_BYTES, 1), 1);
+	ck_assert_uint_eq(account_missing(&account, INTAKE_SMALL_BYTES, 1), 1);
 	ck_assert_uint_eq(account_missing(&account, 1000, 1000), 0);
 	account_set(&account, &small, 1000);
 	account_set(&account, &large, 0);
 	ck_assert_uint_eq(account.held, 1000);
 	ck_assert_uint_eq(account.peak, account.large_limit + 1000);
-	ck_assert_uint_eq(account_missing(&account, ACCOUNT_SMALL_BYTES, 1), 0);
+	ck_assert_uint_eq(account_missing(&account, INTAKE_SMALL_BYTES, 1), 0);
 }
 END_TEST
 
 HARNESS_MAIN("intake", ordinary_callers_are_served_in_drawn_crowds,
     unread_output_gives_way_only_after_a_pause,
-    longest_waiting_connection_gives_way, bytes_held_count_when_memory_is_short,
-    choices_are_sorted_and_limited, account_keeps_a_part_for_small_holders)
+    longest_waiting_connection_gives_way,
+    small_requests_that_just_began_keep_their_memory,
+    bytes_held_count_when_memory_is_short, choices_are_sorted_and_limited,
+    account_keeps_a_part_for_small_holders)
