--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -40,6 +40,9 @@
 	(void)arg;
 }
 
+/*
+ * Ignores the body.
+ */
 static void
 on_body(struct h1_conn *conn, struct lstr bytes, void *arg)
 {
@@ -48,6 +51,9 @@
 	(void)arg;
 }
 
+/*
+ * Records why a request could not be read, and closes its connection.
+ */
 static void
 on_complete(struct h1_conn *conn, void *arg)
 {
@@ -58,6 +64,9 @@
 	h1_close_gracefully(conn);
 }
 
+/*
+ * Does nothing: the clients have no state.
+ */
 static void
 on_ended(struct h1_conn *conn, enum status status, void *arg)
 {
