Stalled bodies are refused with 503

Cause: since the limits on callers, a body without progress for the idle limit got 408 without a time to retry. make test found it: test_node_stopping:open_requests_are_answered_before_the_node_exits failed, because the unfinished request of a stopping node got 408 instead of 503 with Retry-After (549 passed, 1 failed).

Measured: test_node_stopping passes, 6 of 6.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -406,9 +406,6 @@
 	} else if (h1_fault(conn) == H1_FAULT_HEAD_TIMEOUT) {
 		status = HTTP_STATUS_REQUEST_TIMEOUT;
 		reason = "header took too long";
-	} else if (h1_fault(conn) == H1_FAULT_BODY_TIMEOUT) {
-		status = HTTP_STATUS_REQUEST_TIMEOUT;
-		reason = "body took too long";
 	} else if (h1_fault(conn) == H1_FAULT_NO_MEMORY) {
 		status = HTTP_STATUS_SERVICE_UNAVAILABLE;
 		reason = "no memory for the header";
@@ -576,6 +573,11 @@
 	struct gateway *gateway = arg;
 	struct gateway_request *request = h1_data(conn);
 
+	if (h1_fault(conn) == H1_FAULT_BODY_TIMEOUT && request != NULL) {
+		gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    ADMIT_RETRY_MIN_USEC, "body took too long");
+		return;
+	}
 	if (h1_fault(conn) != H1_FAULT_NONE) {
 		reject_malformed(gateway, conn);
 		return;
