Search paths among the candidates only

Cause: at each layer at which a path may change servers, the search went through the servers of all data centres and computed the time of a server again. Change: a search collects the servers that it may use once, and keeps the time of each; the chosen paths are the same.

--- a/src/node/path.c
+++ b/src/node/path.c
@@ -69,20 +69,23 @@
 }
 
 /*
- * Collects the layers at which a path may change servers.
+ * Collects the servers that the search may use, and the layers at which a path
+ * may change servers.
  */
 static void
-collect_boundaries(struct path_search *search)
+collect_candidates(struct path_search *search)
 {
 	add_boundary(search, search->layer_from);
 	if (search->predecessor == NULL)
 		add_boundary(search, FIRST_STAGE_LAYERS_MIN);
 	add_boundary(search, search->layer_to);
+	search->candidate_count = 0;
 	for (uint32_t i = 0; i < search->count; i++) {
 		const struct path_server *server = &search->servers[i];
 
 		if (!is_usable(search, i))
 			continue;
+		search->candidates[search->candidate_count++] = i;
 		add_boundary(search, server->layer_from);
 		add_boundary(search, server->layer_to);
 	}
@@ -101,8 +104,8 @@
 	uint32_t start = search->boundaries[at];
 	int64_t tokens = (int64_t)search->demand->prompt_tokens +
 	    search->demand->output_tokens;
-	double step = path_step_usec(search, index, (double)tokens);
 	double fixed = PATH_STAGE_USEC;
+	double step;
 
 	if (at > 0)
 		previous = &search->servers[search->partial[at].server];
@@ -117,6 +120,10 @@
 		if (strcmp(server->zone, search->demand->zone) != 0)
 			fixed += PATH_REMOTE_FIRST_STAGE_USEC;
 	}
+	if (search->step_usec[index] == 0)
+		search->step_usec[index] =
+		    path_step_usec(search, index, (double)tokens);
+	step = search->step_usec[index];
 	for (uint32_t to = at + 1; to < search->boundary_count &&
 	     search->boundaries[to] <= server->layer_to;
 	     to++) {
@@ -215,22 +222,22 @@
 	uint32_t start = search->boundaries[at];
 	bool held = false;
 
-	for (uint32_t i = 0; i < search->count; i++) {
-		const struct path_server *server = &search->servers[i];
+	for (uint32_t i = 0; i < search->candidate_count; i++) {
+		uint32_t index = search->candidates[i];
+		const struct path_server *server = &search->servers[index];
 
-		if (!is_usable(search, i) || server->layer_from > start ||
-		    server->layer_to <= start)
+		if (server->layer_from > start || server->layer_to <= start)
 			continue;
 		held = true;
 		if (search->partial[at].cost < PATH_COST_NONE)
-			extend_path(search, at, i);
+			extend_path(search, at, index);
 	}
 	return held;
 }
 
 /*
- * Prepares a search for complete paths. The tables are borrowed; the caller
- * frees zone_of.
+ * Prepares a search for complete paths, which path_search_end() ends. The
+ * tables are borrowed.
  */
 void
 path_search_begin(struct path_search *search, const struct fleet_engine *engine,
@@ -244,10 +251,23 @@
 	search->demand = demand;
 	search->layer_to = engine->layers;
 	search->zone_of = g_new0(uint32_t, count + 1);
+	search->step_usec = g_new0(double, count + 1);
+	search->candidates = g_new(uint32_t, count + 1);
 	index_zones(search);
 	search->prefill_delay_usec = path_prefill_delay_usec(search);
 }
 
+/*
+ * Frees the memory of a search.
+ */
+void
+path_search_end(struct path_search *search)
+{
+	g_free(search->zone_of);
+	g_free(search->step_usec);
+	g_free(search->candidates);
+}
+
 /*
  * Searches one data centre, or all of them if zone is PATH_ZONES_MAX. Returns
  * the same statuses as path_find(); cost is meaningful only for STATUS_OK.
@@ -261,7 +281,7 @@
 
 	search->only_zone = zone;
 	search->boundary_count = 0;
-	collect_boundaries(search);
+	collect_candidates(search);
 	last = search->boundary_count - 1;
 	for (uint32_t i = 0; i <= last; i++)
 		search->partial[i].cost = i == 0 ? 0 : PATH_COST_NONE;
@@ -330,7 +350,7 @@
 			? "no path has room"
 			: "no usable server holds some layers");
 	}
-	g_free(search.zone_of);
+	path_search_end(&search);
 	return status;
 }
 
--- a/src/node/path_priv.h
+++ b/src/node/path_priv.h
@@ -33,6 +33,12 @@
 	const char *zones[PATH_ZONES_MAX];
 	uint32_t zone_count;
 	uint32_t *zone_of;
+	/* path_step_usec() of each server with the request added; 0: not yet
+	 * computed. It is the same at all boundaries. */
+	double *step_usec;
+	/* Indices of the servers that the present search may use. */
+	uint32_t *candidates;
+	uint32_t candidate_count;
 	/* Number of first-stage servers with running requests, by data
 	 * centre. */
 	uint32_t busy_first_servers[PATH_ZONES_MAX];
@@ -60,6 +66,7 @@
 /* The search. */
 void path_search_begin(struct path_search *, const struct fleet_engine *,
     const struct path_server *, size_t count, const struct path_demand *);
+void path_search_end(struct path_search *);
 enum status path_search_within(
     struct path_search *, uint32_t zone, struct path *, double *cost);
 
--- a/src/node/path_repair.c
+++ b/src/node/path_repair.c
@@ -128,7 +128,7 @@
 		status_set(status,
 		    "no servers to replace the unusable part of the path");
 	}
-	g_free(search.zone_of);
+	path_search_end(&search);
 	g_free(in_use);
 	return status;
 }
