Spread requests over servers by the uncertainty of their load

Cause: nodes know each other's use from late reports, all minimise the same cost, and choose the same server until the next reports. In fleets of more than 25 nodes, the use by nodes that are not heard was attributed to the very servers that the sample used; servers were believed to be 0.3 full when they were full. What is not heard is attributed evenly to the servers of a kind in a data centre, with a margin for its sum; each choice adds a random part of what others are expected to have started since their reports; of plain services only what still runs is counted. Nothing is added with one node or fresh information. SPREAD_STRENGTH 0 is the former behaviour. Metrics for the age of the information and for sends without capacity.

--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -310,6 +310,7 @@
 	gossip->pool = pool;
 	gossip->config = *config;
 	gossip->hash = gossip_peer_hash(config->name, config->boot);
+	pool->spread_seed = gossip->hash;
 	gossip->started_at = loop_now(loop);
 	gossip->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
@@ -528,7 +529,7 @@
 		    now - peer->uses_at > POOL_PEER_USE_USEC)
 			continue;
 		count = g_hash_table_lookup(places, peer->place);
-		scale = MAX((double)count->live / count->heard, 1);
+		scale = spread_scale(count->heard, count->live);
 		peer->scale = scale;
 		for (guint i = 0; i < peer->uses->len; i++) {
 			const struct peer_use *use =
@@ -536,10 +537,13 @@
 			struct pool_server *server =
 			    pool_find_hash(gossip->pool, use->hash);
 
-			if (server != NULL)
-				pool_add_peers_use(server, &use->use, scale);
+			if (server == NULL)
+				continue;
+			pool_add_peers_use(server, &use->use, scale);
+			pool_date_peers_use(server, &use->use, peer->uses_at);
 		}
 	}
+	pool_finish_peers_use(gossip->pool);
 	g_hash_table_destroy(places);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -348,6 +348,7 @@
 	enum status status;
 
 	node->pool = pool_new();
+	pool_register_metrics();
 	node->departures = departures_new();
 	node->quarantine = quarantine_new(&quarantine_log_ops, node->loop);
 	gossip.quarantine = node->quarantine;
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -3,6 +3,7 @@
 
 #include <xxhash.h>
 
+#include "metric.h"
 #include "pool.h"
 
 /* Load added to a server in another data centre, relative to its slots, because
@@ -15,6 +16,25 @@
 #define SLOWNESS_MAX 20.0
 #define ROUND_HALF 0.5
 
+static struct metric_histogram information_ages = {
+    .name = "chestnuthoist_choice_information_age_seconds",
+    .help = "Age of the reports of other nodes when servers are chosen."};
+static struct metric full_refusals = {
+    .name = "chestnuthoist_sends_without_capacity_total",
+    .labels = "",
+    .help = "Sends of generations that a server refused for lack of capacity.",
+    .kind = METRIC_COUNTER};
+
+/*
+ * Registers the metrics of this module.
+ */
+void
+pool_register_metrics(void)
+{
+	metric_register_histogram(&information_ages);
+	metric_register(&full_refusals);
+}
+
 /*
  * Frees a server; element destructor of the list of removed servers.
  */
@@ -43,6 +63,9 @@
 	pool->removed = g_ptr_array_new_with_free_func(server_free);
 	pool->removed_failures =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->groups =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->spread_strength = SPREAD_STRENGTH;
 	return pool;
 }
 
@@ -65,6 +88,7 @@
 	g_hash_table_destroy(pool->by_hash);
 	g_hash_table_destroy(pool->by_address);
 	g_hash_table_destroy(pool->removed_failures);
+	g_hash_table_destroy(pool->groups);
 	g_free(pool);
 }
 
@@ -186,6 +210,25 @@
 	    : server;
 }
 
+/*
+ * Returns the group of a server.
+ */
+static struct spread_group *
+find_group(struct pool *pool, const struct fleet_server *info)
+{
+	char *key = g_strjoin("\n", info->service, info->zone,
+	    info->kind != NULL ? info->kind : "", NULL);
+	struct spread_group *group = g_hash_table_lookup(pool->groups, key);
+
+	if (group != NULL) {
+		g_free(key);
+		return group;
+	}
+	group = g_new0(struct spread_group, 1);
+	g_hash_table_insert(pool->groups, key, group);
+	return group;
+}
+
 /*
  * Adds or updates a server and takes ownership of the contents of info. A
  * server that was restarted is a new one, since it retains no earlier state.
@@ -219,6 +262,9 @@
 	server->info = *info;
 	server->entry_expires_at = 0;
 	server->hash = pool_hash(lstr_from(info->id));
+	server->group = find_group(pool, info);
+	if (*is_new)
+		server->draws = MAX(server->hash ^ pool->spread_seed, 1u);
 	g_hash_table_replace(pool->by_id, server->info.id, server);
 	g_hash_table_replace(
 	    pool->by_hash, GUINT_TO_POINTER(server->hash), server);
@@ -476,6 +522,7 @@
 	if (server->full_at != 0 && server->full_until <= now &&
 	    server->worked_at < server->full_at)
 		return false;
+	full_refusals.value++;
 	server->full_at = now;
 	server->full_until = now + POOL_FULL_USEC;
 	return true;
@@ -510,11 +557,14 @@
 		memset(&server->peers, 0, sizeof(server->peers));
 		server->peers_variance = 0;
 		server->peers_margin = 0;
+		memset(&server->reported, 0, sizeof(server->reported));
+		server->reported_aged = 0;
 	}
 }
 
 /*
- * Adds the use of a server by one peer, which stands for scale peers.
+ * Adds the use of a server by one peer, which stands for scale peers;
+ * pool_finish_peers_use() ends the sum.
  */
 void
 pool_add_peers_use(
@@ -525,8 +575,120 @@
 	server->peers.first_active +=
 	    (uint32_t)(scale * use->first_active + ROUND_HALF);
 	server->peers_variance += scale * use->active * (scale - 1);
-	server->peers_margin =
-	    pool_sampling_margin(&server->peers, server->peers_variance);
+}
+
+/*
+ * Records when a use that was added had been reported.
+ */
+void
+pool_date_peers_use(
+    struct pool_server *server, const struct pool_use *use, int64_t reported_at)
+{
+	server->reported.memory += use->memory;
+	server->reported.active += use->active;
+	server->reported.first_active += use->first_active;
+	server->reported_aged += (double)use->active * (double)reported_at;
+}
+
+/*
+ * Returns the part of the peers' use of a server that is extrapolated.
+ */
+static struct spread_use
+extrapolated_use(const struct pool_server *server)
+{
+	const struct pool_use *all = &server->peers;
+	const struct pool_use *reported = &server->reported;
+
+	return (struct spread_use){(double)(all->memory - reported->memory),
+	    (double)all->active - reported->active,
+	    (double)all->first_active - reported->first_active};
+}
+
+/*
+ * Adds the peers' use of a server to the sums of its group.
+ */
+static void
+add_to_group(const struct pool_server *server)
+{
+	struct spread_group *group = server->group;
+	struct spread_use unheard = extrapolated_use(server);
+
+	group->servers++;
+	group->active += server->peers.active;
+	group->reported += server->reported.active;
+	group->aged += server->reported_aged;
+	group->unheard.memory += unheard.memory;
+	group->unheard.active += unheard.active;
+	group->unheard.first_active += unheard.first_active;
+	group->variance += server->peers_variance;
+}
+
+/*
+ * Replaces the extrapolated part of the peers' use of a server.
+ */
+static void
+spread_extrapolated_use(struct pool_server *server, double strength)
+{
+	struct spread_use sampled = extrapolated_use(server);
+	struct spread_use use =
+	    spread_unheard(server->group, &sampled, strength);
+	double deviation =
+	    spread_deviation(server->group, use.active, strength);
+
+	server->peers.memory = server->reported.memory + (int64_t)use.memory;
+	server->peers.active =
+	    server->reported.active + (uint32_t)(use.active + ROUND_HALF);
+	server->peers.first_active = server->reported.first_active +
+	    (uint32_t)(use.first_active + ROUND_HALF);
+	server->peers_variance = deviation * deviation;
+}
+
+/*
+ * Returns true if a group has no servers; predicate for its removal.
+ */
+static gboolean
+is_empty_group(gpointer key, gpointer value, gpointer arg)
+{
+	const struct spread_group *group = value;
+
+	(void)key;
+	(void)arg;
+	return group->servers == 0;
+}
+
+/*
+ * Computes from the added uses what is to be expected of the nodes that are not
+ * heard, and of all peers since their reports; see spread.h.
+ */
+void
+pool_finish_peers_use(struct pool *pool)
+{
+	double strength = pool->spread_strength;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		memset(value, 0, sizeof(struct spread_group));
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_to_group(value);
+	g_hash_table_foreach_remove(pool->groups, is_empty_group, NULL);
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_server *server = value;
+		const struct spread_group *group = server->group;
+
+		server->peers_at = spread_reported_at(group);
+		server->peers_rate = spread_rate(group,
+		    server->info.kind != NULL ? PATH_DURATION_USEC
+					      : SPREAD_PLAIN_USEC,
+		    strength);
+		if (strength > 0 && group->unheard.active > 0)
+			spread_extrapolated_use(server, strength);
+		server->peers_margin = pool_sampling_margin(
+		    &server->peers, server->peers_variance);
+	}
 }
 
 /*
@@ -721,6 +883,39 @@
 	return list;
 }
 
+/*
+ * Returns a random part of the requests that peers are expected to have started
+ * at a server since their reports.
+ */
+static double
+draw_started(struct pool_server *server, int64_t now)
+{
+	int64_t age = now - server->peers_at;
+
+	if (server->peers_rate <= 0 || age <= 0)
+		return 0;
+	return spread_draw(&server->draws, server->peers_rate * (double)age);
+}
+
+/*
+ * Adds requests of the usual size to a row of the table.
+ */
+static void
+add_started(
+    const struct fleet_engine *engine, double requests, struct path_server *row)
+{
+	double tokens =
+	    (double)engine->usual_prompt_tokens + engine->usual_output_tokens;
+	double rounded = requests + ROUND_HALF;
+
+	row->used +=
+	    (int64_t)(requests * tokens * (row->layer_to - row->layer_from));
+	if (row->first_active > 0)
+		row->first_active +=
+		    (uint32_t)(rounded * row->first_active / row->active);
+	row->active += (uint32_t)rounded;
+}
+
 /*
  * Fills the table for path_find(); row i is server i of the list. Returns the
  * number of rows.
@@ -730,10 +925,11 @@
     int64_t now, struct path_server *out, size_t max)
 {
 	size_t count = MIN(servers->len, max);
+	int64_t ages = 0;
+	int64_t reported = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		const struct pool_server *server =
-		    g_ptr_array_index(servers, i);
+		struct pool_server *server = g_ptr_array_index(servers, i);
 		const struct fleet_kind_info *kind =
 		    fleet_engine_kind(engine, server->info.kind);
 		struct path_server *row = &out[i];
@@ -757,10 +953,33 @@
 		    server->own.first_active + server->peers.first_active;
 		row->first_active_max = engine->batch_max;
 		row->usable = pool_usable(server, now);
+		if (!row->usable || server->peers_at == 0)
+			continue;
+		ages += now - server->peers_at;
+		reported++;
+		add_started(engine, draw_started(server, now), row);
 	}
+	if (reported > 0)
+		metric_observe(&information_ages, ages / reported);
 	return count;
 }
 
+/*
+ * Returns the number of requests of peers that are expected at a server of a
+ * plain service.
+ */
+static double
+expected_plain(struct pool_server *server, int64_t now)
+{
+	double started = draw_started(server, now);
+
+	if (started <= 0)
+		return server->peers.active;
+	return spread_still_running(
+		   server->peers.active, now - server->peers_at) +
+	    started;
+}
+
 /*
  * Returns the server for a request to a plain service: the least loaded one,
  * where failures and distance count as load. Ties go to the first server from
@@ -776,10 +995,11 @@
 	for (guint i = 0; i < servers->len; i++) {
 		struct pool_server *server =
 		    g_ptr_array_index(servers, (i + random) % servers->len);
-		double load = server->own.active + server->peers.active;
+		double load = server->own.active;
 
 		if (server == except || !pool_usable(server, now))
 			continue;
+		load += expected_plain(server, now);
 		load = (load + 1) / MAX(server->info.slots, 1u) +
 		    ERROR_LOAD * server->error_rate;
 		if (strcmp(server->info.zone, zone) != 0)
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -5,6 +5,7 @@
 
 #include "adapter.h"
 #include "path.h"
+#include "spread.h"
 
 /*
  * The backend servers as seen by this node: their entries in the platform's
@@ -85,6 +86,8 @@
 struct pool_server {
 	struct fleet_server info;
 	uint32_t hash;
+	/* The servers of its kind in its data centre. */
+	struct spread_group *group;
 	/* The entry is stale because a process that started later has the same
 	 * address. Updated with every entry of either server. */
 	bool superseded;
@@ -145,6 +148,17 @@
 	 * to their memory for it. */
 	double peers_variance;
 	int64_t peers_margin;
+	/* The part of the peers' use that is reported, not extrapolated, and
+	 * its requests times the times of the reports. */
+	struct pool_use reported;
+	double reported_aged;
+	/* Mean time of the reports about servers of its kind, and the rate at
+	 * which peers are expected to start requests here since then, per
+	 * microsecond; 0: no report, none. */
+	int64_t peers_at;
+	double peers_rate;
+	/* State of spread_draw(). */
+	uint32_t draws;
 	/* Idle connections: struct h1_conn. */
 	GQueue idle;
 	uint32_t connections;
@@ -167,12 +181,20 @@
 	/* When the last server failed or vanished that has been removed since,
 	 * by data centre (int64_t). */
 	GHashTable *removed_failures;
+	/* struct spread_group by service, data centre and kind; emptied groups
+	 * are removed. */
+	GHashTable *groups;
+	/* Strength of the effect of spread.h, and the start of its random
+	 * numbers, which differs by node. */
+	double spread_strength;
+	uint32_t spread_seed;
 	/* Time for which a draining server still serves. */
 	int64_t drain_usec;
 };
 
 struct pool *pool_new(void);
 void pool_free(struct pool *);
+void pool_register_metrics(void);
 struct pool_server *pool_put(
     struct pool *, struct fleet_server *, int64_t now, bool *is_new);
 void pool_remove(struct pool *, const char *id, int64_t now);
@@ -210,6 +232,9 @@
 void pool_clear_peers_use(struct pool *);
 void pool_add_peers_use(
     struct pool_server *, const struct pool_use *, double scale);
+void pool_date_peers_use(
+    struct pool_server *, const struct pool_use *, int64_t reported_at);
+void pool_finish_peers_use(struct pool *);
 void pool_note_result(struct pool_server *, bool success);
 void pool_note_slowness(struct pool_server *, double ratio, int64_t now);
 void pool_note_reported_slowness(
