Keep what follows from reports in the groups of servers

Cause: the sum of the reports wrote the same rate and time to every server of a group; bench/choose_cost.c left out the look-up by hash that the sum makes. Change: groups keep them; with every node heard, the second pass is left out.

--- a/bench/choose_cost.c
+++ b/bench/choose_cost.c
@@ -133,11 +133,15 @@
 	pool_clear_peers_use(pool);
 	for (guint peer = 0; peer < PEERS; peer++) {
 		for (guint i = peer; i < servers->len; i += 10) {
-			way->add(g_ptr_array_index(servers, i), &use, 2);
+			const struct pool_server *listed =
+			    g_ptr_array_index(servers, i);
+			struct pool_server *server =
+			    pool_find_hash(pool, listed->hash);
+
+			way->add(server, &use, 2);
 			if (way->finish)
 				pool_date_peers_use(
-				    g_ptr_array_index(servers, i), &use,
-				    NOW - REPORT_AGE);
+				    server, &use, NOW - REPORT_AGE);
 		}
 	}
 	if (way->finish)
--- a/src/node/decisions/spread.c
+++ b/src/node/decisions/spread.c
@@ -18,26 +18,28 @@
 }
 
 /*
- * Returns the mean time of the reports from which the use of a group is known;
- * 0: there are none.
+ * Clears the sums of a group.
  */
-int64_t
-spread_reported_at(const struct spread_group *group)
+void
+spread_group_clear(struct spread_group *group)
 {
-	return group->reported > 0 ? (int64_t)(group->aged / group->reported)
-				   : 0;
+	*group = (struct spread_group){.hold_usec = group->hold_usec};
 }
 
 /*
- * Returns the number of requests that the other nodes are expected to start at
- * each server of a group, per microsecond. By Little's law they start
- * as many as they run, divided by the time for which one runs. A server with
- * little use gets no fewer than the others.
+ * Computes what follows from the sums of a group. By Little's law the other
+ * nodes start as many requests as they run, divided by the time for which one
+ * runs. A server with little use gets no fewer than the others.
  */
-double
-spread_rate(const struct spread_group *group, double hold_usec, double strength)
+void
+spread_group_finish(struct spread_group *group, double strength)
 {
-	return strength * group->active / group->servers / hold_usec;
+	group->reported_at =
+	    group->reported > 0 ? (int64_t)(group->aged / group->reported) : 0;
+	group->rate =
+	    strength * group->active / group->servers / group->hold_usec;
+	group->deviation = strength * SPREAD_MARGIN_DEVIATIONS *
+	    sqrt(group->variance) / group->servers;
 }
 
 /*
@@ -65,12 +67,9 @@
  * server's part of that of their sum.
  */
 double
-spread_deviation(
-    const struct spread_group *group, double unheard, double strength)
+spread_deviation(const struct spread_group *group, double unheard)
 {
-	return sqrt(MAX(unheard, 0)) +
-	    strength * SPREAD_MARGIN_DEVIATIONS * sqrt(group->variance) /
-	    group->servers;
+	return sqrt(MAX(unheard, 0)) + group->deviation;
 }
 
 /*
--- a/src/node/decisions/spread.h
+++ b/src/node/decisions/spread.h
@@ -57,16 +57,23 @@
 	 * variance of its number of requests. */
 	struct spread_use unheard;
 	double variance;
+	/* Duration of a request, in microseconds. */
+	double hold_usec;
+	/* What follows from the sums: mean time of the reports, 0: there are
+	 * none; requests that the other nodes are expected to start at each
+	 * server, per microsecond; each server's part of the deviation of the
+	 * requests of nodes that are not heard. */
+	int64_t reported_at;
+	double rate;
+	double deviation;
 };
 
 double spread_scale(uint32_t heard, uint32_t live);
-int64_t spread_reported_at(const struct spread_group *);
-double spread_rate(
-    const struct spread_group *, double hold_usec, double strength);
+void spread_group_clear(struct spread_group *);
+void spread_group_finish(struct spread_group *, double strength);
 struct spread_use spread_unheard(const struct spread_group *,
     const struct spread_use *sampled, double strength);
-double spread_deviation(
-    const struct spread_group *, double unheard, double strength);
+double spread_deviation(const struct spread_group *, double unheard);
 double spread_still_running(uint32_t reported, int64_t age_usec);
 double spread_draw(uint32_t *state, double expected);
 
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -225,6 +225,8 @@
 		return group;
 	}
 	group = g_new0(struct spread_group, 1);
+	group->hold_usec =
+	    info->kind != NULL ? PATH_DURATION_USEC : SPREAD_PLAIN_USEC;
 	g_hash_table_insert(pool->groups, key, group);
 	return group;
 }
@@ -632,8 +634,7 @@
 	struct spread_use sampled = extrapolated_use(server);
 	struct spread_use use =
 	    spread_unheard(server->group, &sampled, strength);
-	double deviation =
-	    spread_deviation(server->group, use.active, strength);
+	double deviation = spread_deviation(server->group, use.active);
 
 	server->peers.memory = server->reported.memory + (int64_t)use.memory;
 	server->peers.active =
@@ -643,19 +644,6 @@
 	server->peers_variance = deviation * deviation;
 }
 
-/*
- * Returns true if a group has no servers; predicate for its removal.
- */
-static gboolean
-is_empty_group(gpointer key, gpointer value, gpointer arg)
-{
-	const struct spread_group *group = value;
-
-	(void)key;
-	(void)arg;
-	return group->servers == 0;
-}
-
 /*
  * Computes from the added uses what is to be expected of the nodes that are not
  * heard, and of all peers since their reports; see spread.h.
@@ -664,27 +652,35 @@
 pool_finish_peers_use(struct pool *pool)
 {
 	double strength = pool->spread_strength;
+	bool sampled = false;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, pool->groups);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		memset(value, 0, sizeof(struct spread_group));
+		spread_group_clear(value);
 	g_hash_table_iter_init(&iter, pool->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		add_to_group(value);
-	g_hash_table_foreach_remove(pool->groups, is_empty_group, NULL);
+	g_hash_table_iter_init(&iter, pool->groups);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct spread_group *group = value;
+
+		if (group->servers == 0) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		spread_group_finish(group, strength);
+		sampled = sampled || group->variance > 0;
+	}
+	/* With every node heard, nothing is extrapolated. */
+	if (!sampled)
+		return;
 	g_hash_table_iter_init(&iter, pool->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_server *server = value;
-		const struct spread_group *group = server->group;
-
-		server->peers_at = spread_reported_at(group);
-		server->peers_rate = spread_rate(group,
-		    server->info.kind != NULL ? PATH_DURATION_USEC
-					      : SPREAD_PLAIN_USEC,
-		    strength);
-		if (strength > 0 && group->unheard.active > 0)
+
+		if (strength > 0 && server->group->unheard.active > 0)
 			spread_extrapolated_use(server, strength);
 		server->peers_margin = pool_sampling_margin(
 		    &server->peers, server->peers_variance);
@@ -890,11 +886,11 @@
 static double
 draw_started(struct pool_server *server, int64_t now)
 {
-	int64_t age = now - server->peers_at;
+	int64_t age = now - server->group->reported_at;
 
-	if (server->peers_rate <= 0 || age <= 0)
+	if (server->group->reported_at == 0 || age <= 0)
 		return 0;
-	return spread_draw(&server->draws, server->peers_rate * (double)age);
+	return spread_draw(&server->draws, server->group->rate * (double)age);
 }
 
 /*
@@ -953,9 +949,9 @@
 		    server->own.first_active + server->peers.first_active;
 		row->first_active_max = engine->batch_max;
 		row->usable = pool_usable(server, now);
-		if (!row->usable || server->peers_at == 0)
+		if (!row->usable || server->group->reported_at == 0)
 			continue;
-		ages += now - server->peers_at;
+		ages += now - server->group->reported_at;
 		reported++;
 		add_started(engine, draw_started(server, now), row);
 	}
@@ -976,7 +972,7 @@
 	if (started <= 0)
 		return server->peers.active;
 	return spread_still_running(
-		   server->peers.active, now - server->peers_at) +
+		   server->peers.active, now - server->group->reported_at) +
 	    started;
 }
 
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -152,11 +152,6 @@
 	 * its requests times the times of the reports. */
 	struct pool_use reported;
 	double reported_aged;
-	/* Mean time of the reports about servers of its kind, and the rate at
-	 * which peers are expected to start requests here since then, per
-	 * microsecond; 0: no report, none. */
-	int64_t peers_at;
-	double peers_rate;
 	/* State of spread_draw(). */
 	uint32_t draws;
 	/* Idle connections: struct h1_conn. */
