--- a/src/node/decisions/spread.h
+++ b/src/node/decisions/spread.h
@@ -30,8 +30,7 @@
 /* Standard deviations of the use of a group that are added to each server's
  * part of it. Counts of requests understate the deviation: one request occupies
  * several servers of a group, and a node keeps to the servers that it finds
- * idle. Of 3, 5 and 8, 8 refused the fewest sends below full load; at full load
- * of 80 nodes 5 refused 7 % fewer. */
+ * idle. */
 #define SPREAD_MARGIN_DEVIATIONS 8.0
 /* Time constant at which what is reported of a plain service ends and is
  * replaced. Its requests take a tenth to three tenths of a second; with 200 ms
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -352,6 +352,7 @@
 	enum status status;
 
 	node->pool = pool_new();
+	node->pool->spread_strength = settings->load_spread;
 	pool_register_metrics();
 	node->departures = departures_new();
 	node->quarantine = quarantine_new(&quarantine_log_ops, node->loop);
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -72,6 +72,7 @@
 	true},
     {"descriptors", FIELD_INTEGER, OFFSET(descriptors), DESCRIPTORS_MIN,
 	DESCRIPTORS_MAX, false, true},
+    {"load_spread", FIELD_NUMBER, OFFSET(load_spread), 0, 1, false, true},
 };
 
 /*
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -41,6 +41,9 @@
 	int64_t memory_mb;
 	/* Limit of the process's descriptors; 0: the kernel's soft limit. */
 	int64_t descriptors;
+	/* Strength with which requests are spread over servers whose load is
+	 * known late, from 0 (not at all) to 1; see spread.h. */
+	double load_spread;
 };
 
 enum status node_settings_read(const char *path, struct node_settings *);
--- a/tests/test_node_settings.c
+++ b/tests/test_node_settings.c
@@ -86,6 +86,7 @@
 	ck_assert(settings.address_validity_max_s > 0);
 	ck_assert_int_gt(settings.memory_mb, 0);
 	ck_assert_int_eq(settings.descriptors, 0);
+	ck_assert(settings.load_spread == 0);
 	node_settings_clear(&settings);
 }
 END_TEST
@@ -98,7 +99,8 @@
 {
 	static const char *const names[] = {"revoke_ms", "config_apply_ms",
 	    "leave_ms", "grace_s", "retry_slack", "retry_ratio",
-	    "address_validity_max_s", "memory_mb", "descriptors"};
+	    "address_validity_max_s", "memory_mb", "descriptors",
+	    "load_spread"};
 	static const char *const values[] = {
 	    "true", "false", "null", "\"4\"", "-1", "1e300", "[]"};
 	struct node_settings settings;
