--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -64,6 +64,12 @@
 	uint64_t no_proof;
 	uint64_t stray_answers;
 	uint64_t quarantined;
+	/* Requests whose callers were refused before, searches that had to
+	 * leave room for more urgent requests, and streams moved because a
+	 * server of their path had ended. */
+	uint64_t returned;
+	uint64_t searches_with_headroom;
+	uint64_t moved_from_ended;
 	/* Refused for lack of memory for callers. */
 	uint64_t no_memory;
 };
--- a/src/node/gateway_reroute.c
+++ b/src/node/gateway_reroute.c
@@ -376,10 +376,13 @@
 		ended = pool_has_ended(attempt->stages[i].server, now);
 	if (!ended)
 		return false;
-	if (gateway_reroute(request, "a server of the path has ended"))
+	if (gateway_reroute(request, "a server of the path has ended")) {
+		request->gateway->counts.moved_from_ended++;
 		return true;
+	}
 	if (gateway_attempt_give_up(
 		request, "a server of the path has ended")) {
+		request->gateway->counts.moved_from_ended++;
 		request->gateway->counts.resumed++;
 		return true;
 	}
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -110,6 +110,7 @@
 		demand.reserved_share = headroom_reserved_share(
 		    gateway_headroom(gateway, request->service, rows, count),
 		    request->priority);
+	gateway->counts.searches_with_headroom += demand.reserved_share > 0;
 	request->attempt.tokens =
 	    (int64_t)demand.prompt_tokens + demand.output_tokens;
 	status = path_find(engine, rows, count, &demand, path);
@@ -532,8 +533,10 @@
 	if (first && !gateway_quarantine_admit(request))
 		return;
 
-	if (first)
+	if (first) {
 		gateway_note_arrival(request);
+		gateway->counts.returned += gateway_has_returned(request);
+	}
 	/* A request that was sent before precedes those not yet started. */
 	if (!first || sched_count(service->queue) == 0)
 		status = start_on_path(request);
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -122,6 +122,11 @@
 	    {"streams_moved_total", (int64_t)gateway->resumed},
 	    {"stream_events_total", (int64_t)gateway->events},
 	    {"stray_answers_total", (int64_t)gateway->stray_answers},
+	    {"requests_returned_total", (int64_t)gateway->returned},
+	    {"searches_with_headroom_total",
+		(int64_t)gateway->searches_with_headroom},
+	    {"streams_moved_from_ended_total",
+		(int64_t)gateway->moved_from_ended},
 	    {"requests_quarantined_total", (int64_t)gateway->quarantined},
 	    {"parts_suspected",
 		(int64_t)quarantine_count(
