--- a/src/node/gateway_reroute.c
+++ b/src/node/gateway_reroute.c
@@ -357,8 +357,9 @@
 
 /*
  * Moves a stream whose next event is overdue if a server of its path after the
- * first one has ended, by the evidence of this node or a peer. Returns whether
- * it was moved.
+ * first one has ended, by the evidence of this node or a peer. If no other path
+ * takes it over, it waits for the limits of gateway_stream_tick(): a new
+ * attempt consumes a retry of the common budget. Returns whether it was moved.
  */
 bool
 gateway_reroute_ended(struct gateway_request *request, int64_t now)
@@ -380,12 +381,6 @@
 		request->gateway->counts.moved_from_ended++;
 		return true;
 	}
-	if (gateway_attempt_give_up(
-		request, "a server of the path has ended")) {
-		request->gateway->counts.moved_from_ended++;
-		request->gateway->counts.resumed++;
-		return true;
-	}
 	attempt->reroute_not_before = now + GATEWAY_GIVE_UP_USEC;
 	return false;
 }
