Log why callers' connections and whole requests end without an answer

Cause: the logs could not tell why a whole request ended without an answer. A node wrote no line when it closed a caller's connection, a cancelled request did not say who ended it, and input that was discarded with a connection left no trace. Change: each closed connection of a listener has a reason; what it discards (unread input, input after the request in progress, an unsent rest) is reported to the gateway, which logs caller-closed. All places that end a whole request without a complete answer go through gateway_note_unanswered(): one event, request-unanswered, and one counter. request-cancelled has reason, state and sends. loop-late tells that the process stood still. No decision is changed.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -117,6 +117,7 @@
 		struct gateway_request *request =
 		    g_ptr_array_index(gateway->requests, i);
 
+		gateway_note_unanswered(request, "process exits");
 		h1_close(request->attempt.conn);
 		request_free(request);
 	}
@@ -185,6 +186,7 @@
 {
 	fleet_config_unref(gateway->fleet);
 	gateway->fleet = config;
+	gateway->config_at = gateway_now(gateway);
 	set_urgency(&gateway->urgency, config);
 	gateway->limits.head_max_bytes = config->limits.head_max_bytes;
 	gateway->limits.head_timeout_usec = config->limits.head_timeout_usec;
@@ -614,7 +616,7 @@
 }
 
 /*
- * Cancels the request of a caller whose connection has closed.
+ * Cancels the request of a caller whose connection has closed or failed.
  */
 static void
 on_ended(struct h1_conn *conn, enum status status, void *arg)
@@ -623,8 +625,13 @@
 
 	(void)status;
 	(void)arg;
-	if (request != NULL)
-		gateway_cancel_request(request);
+	if (request == NULL)
+		return;
+	if (h1_close_reason(conn) != H1_CLOSE_PEER)
+		gateway_note_unanswered(
+		    request, h1_close_reason_name(h1_close_reason(conn)));
+	gateway_cancel_request(
+	    request, h1_close_reason_name(h1_close_reason(conn)));
 }
 
 /*
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -72,6 +72,8 @@
 	uint64_t moved_from_ended;
 	/* Refused for lack of memory for callers. */
 	uint64_t no_memory;
+	/* Whole requests that this node ended without a complete answer. */
+	uint64_t unanswered;
 };
 
 enum status gateway_create(const struct gateway_config *, struct gateway **);
@@ -79,6 +81,9 @@
 const struct h1_ops *gateway_ops(void);
 /* Refuses a request whose body is incomplete; see h1_listener_set_max(). */
 void gateway_refuse_unfinished(struct h1_conn *, void *gateway);
+/* Logs what a closed connection discards; see h1_listener_set_observer(). */
+void gateway_note_closed(
+    struct h1_conn *, const struct h1_closing *, void *gateway);
 const struct h1_limits *gateway_limits(const struct gateway *);
 /* Starts the requests that were held until the store has been read. */
 void gateway_release_held(struct gateway *);
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -64,6 +64,8 @@
 	GATEWAY_ENDED
 };
 
+const char *gateway_state_name(enum gateway_state);
+
 struct gateway_stage {
 	struct pool_server *server;
 	uint32_t layer_from;
@@ -214,6 +216,8 @@
 	/* quarantine_confirmations() when the requests were last checked. */
 	uint64_t confirmations;
 	int64_t created_at;
+	/* When the configuration in force was applied. */
+	int64_t config_at;
 	bool dispatching;
 	struct gateway_counts counts;
 };
@@ -232,7 +236,8 @@
     struct gateway_request *, unsigned int status, const char *reason);
 void gateway_abort_response(struct gateway_request *, const char *reason);
 void gateway_end_request(struct gateway_request *, const char *outcome);
-void gateway_cancel_request(struct gateway_request *);
+void gateway_cancel_request(struct gateway_request *, const char *reason);
+void gateway_note_unanswered(struct gateway_request *, const char *reason);
 void gateway_register_metrics(void);
 
 /* Sends a buffered response to the caller. */
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -122,7 +122,8 @@
 	    !h1_keep_alive(caller);
 	request->gateway->config.adapter->encode_refusal(
 	    status, lstr_from(request->id), retry_usec, close, reason, &text);
-	h1_write(caller, lstr_buf_view(&text));
+	if (h1_write(caller, lstr_buf_view(&text)) != STATUS_OK)
+		gateway_note_unanswered(request, "refusal cannot be written");
 	lstr_buf_free(&text);
 	if (close && request->state == GATEWAY_READING) {
 		/* The rest of the request body is not read. */
@@ -219,6 +220,7 @@
 		return;
 	}
 	if (request->response_started) {
+		gateway_note_unanswered(request, reason);
 		/* Closing before the last chunk shows the caller that the
 		 * response is truncated; without chunks only a reset does. */
 		if (request->chunked)
@@ -263,7 +265,8 @@
 		return;
 	}
 	/* The caller has left, or has not read its former responses. */
-	gateway_cancel_request(request);
+	gateway_note_unanswered(request, "answer cannot be written");
+	gateway_cancel_request(request, "answer cannot be written");
 	h1_reset(caller);
 }
 
@@ -277,18 +280,20 @@
 }
 
 /*
- * Cancels a request whose caller has disconnected, which also stops its work
- * at the server.
+ * Cancels a request whose caller has disconnected or cannot be answered, which
+ * also stops its work at the server.
  */
 void
-gateway_cancel_request(struct gateway_request *request)
+gateway_cancel_request(struct gateway_request *request, const char *reason)
 {
 	request->gateway->counts.cancelled++;
-	slog_event(EV_REQUEST_CANCELLED, "{s:s, s:I, s:i}", "id", request->id,
-	    "after_ms",
+	slog_event(EV_REQUEST_CANCELLED, "{s:s, s:s, s:s, s:I, s:i, s:i}", "id",
+	    request->id, "reason", reason, "state",
+	    gateway_state_name(request->state), "after_ms",
 	    (json_int_t)((gateway_now(request->gateway) - request->arrived_at) /
 		LOOP_USEC_PER_MSEC),
-	    "events", (int)request->events);
+	    "sends", (int)request->attempts.count, "events",
+	    (int)request->events);
 	request->caller = NULL;
 	gateway_end_request(request, NULL);
 }
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -108,6 +108,7 @@
 	if (conn == NULL || conn->is_closed)
 		return;
 	h1 = conn->h1;
+	h1_note_closing(conn);
 	conn->is_closed = true;
 	loop_watch_destroy(conn->watch);
 	conn->watch = NULL;
@@ -128,6 +129,16 @@
 	loop_timer_set(h1->reaper, 0);
 }
 
+/*
+ * Closes a connection immediately and records why.
+ */
+void
+h1_close_for(struct h1_conn *conn, enum h1_close_reason reason)
+{
+	conn->close_reason = reason;
+	h1_close(conn);
+}
+
 /*
  * Closes a connection with a reset, so that the peer does not take the end of
  * the connection for that of a message without a length.
@@ -148,11 +159,12 @@
  * owner unless it called h1_close_gracefully().
  */
 static void
-close_and_notify(struct h1_conn *conn, enum status status)
+close_and_notify(
+    struct h1_conn *conn, enum h1_close_reason reason, enum status status)
 {
 	if (conn->is_closed)
 		return;
-	h1_close(conn);
+	h1_close_for(conn, reason);
 	if (!conn->lingering)
 		conn->ops->ended(conn, status, conn->arg);
 }
@@ -494,8 +506,8 @@
 {
 	conn->h1->counts.protocol_errors++;
 	if (conn->listener == NULL || conn->busy) {
-		close_and_notify(
-		    conn, status_set(STATUS_INVALID, "not valid HTTP"));
+		close_and_notify(conn, H1_CLOSE_NOT_READ,
+		    status_set(STATUS_INVALID, "not valid HTTP"));
 		return;
 	}
 	if (conn->fault == H1_FAULT_NONE)
@@ -522,7 +534,8 @@
 		    lstr_buf_append(&conn->pending_input,
 			lstr_make(bytes.data + used, bytes.len - used)) !=
 			STATUS_OK) {
-			close_and_notify(conn, STATUS_NO_MEMORY);
+			close_and_notify(
+			    conn, H1_CLOSE_NOT_READ, STATUS_NO_MEMORY);
 			return;
 		}
 		h1_account(conn);
@@ -549,15 +562,16 @@
 		return;
 	if (conn->listener != NULL && conn->busy) {
 		if (lstr_buf_append(&conn->pending_input, bytes) != STATUS_OK)
-			close_and_notify(conn, STATUS_NO_MEMORY);
+			close_and_notify(
+			    conn, H1_CLOSE_NOT_READ, STATUS_NO_MEMORY);
 		else
 			h1_account(conn);
 		return;
 	}
 	if (conn->listener == NULL && !conn->busy) {
 		/* Response bytes without a request. */
-		close_and_notify(
-		    conn, status_set(STATUS_INVALID, "unexpected bytes"));
+		close_and_notify(conn, H1_CLOSE_NOT_READ,
+		    status_set(STATUS_INVALID, "unexpected bytes"));
 		return;
 	}
 	if (conn->listener != NULL && conn->head_started_at == 0)
@@ -586,7 +600,8 @@
 				return;
 		}
 	}
-	close_and_notify(conn, status_set(STATUS_CLOSED, "closed by the peer"));
+	close_and_notify(conn, H1_CLOSE_PEER,
+	    status_set(STATUS_CLOSED, "closed by the peer"));
 }
 
 /*
@@ -614,8 +629,8 @@
 	else if (n == 0)
 		handle_eof(conn);
 	else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
-		close_and_notify(
-		    conn, status_set(STATUS_IO, "recv: %s", strerror(errno)));
+		close_and_notify(conn, H1_CLOSE_PEER,
+		    status_set(STATUS_IO, "recv: %s", strerror(errno)));
 }
 
 /*
@@ -659,7 +674,7 @@
 	getsockopt(conn->fd, SOL_SOCKET, SO_ERROR, &error, &len);
 	if (error != 0) {
 		conn->h1->counts.connect_failures++;
-		close_and_notify(conn,
+		close_and_notify(conn, H1_CLOSE_PEER,
 		    status_set(
 			connect_status(error), "connect: %s", strerror(error)));
 		return;
@@ -702,15 +717,15 @@
 
 	if (conn->connecting) {
 		conn->h1->counts.connect_failures++;
-		close_and_notify(
-		    conn, status_set(STATUS_TIMEOUT, "connect timed out"));
+		close_and_notify(conn, H1_CLOSE_PEER,
+		    status_set(STATUS_TIMEOUT, "connect timed out"));
 		return;
 	}
 	if (conn->write_failed)
-		close_and_notify(conn,
+		close_and_notify(conn, H1_CLOSE_NOT_WRITTEN,
 		    status_set(STATUS_IO, "connection cannot be written"));
 	else
-		h1_close(conn);
+		h1_close_for(conn, H1_CLOSE_LINGERED);
 }
 
 /*
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -59,6 +59,42 @@
 	H1_FAULT_NO_MEMORY
 };
 
+/* Why a connection was closed. */
+enum h1_close_reason {
+	/* Its owner closed it. */
+	H1_CLOSE_OWNER = 0,
+	/* The peer closed or reset it. */
+	H1_CLOSE_PEER,
+	/* It exceeded the idle limit. */
+	H1_CLOSE_IDLE,
+	/* The listener was stopped while it was idle, or destroyed. */
+	H1_CLOSE_STOPPED,
+	/* It gave way to others; see intake.h. */
+	H1_CLOSE_DROPPED,
+	/* Output could not be sent, or there was no memory for it. */
+	H1_CLOSE_NOT_WRITTEN,
+	/* The peer violated the protocol, or there was no memory for its
+	 * input. */
+	H1_CLOSE_NOT_READ,
+	/* The peer did not read the last response in time. */
+	H1_CLOSE_LINGERED,
+	H1_CLOSE_REASONS
+};
+
+/* What is discarded with a connection of a listener that is closed. */
+struct h1_closing {
+	enum h1_close_reason reason;
+	/* A request is in progress. */
+	bool busy;
+	/* Input waits in the socket. */
+	bool unread;
+	/* Bytes that were received after the request in progress, and bytes of
+	 * responses that were not sent. */
+	size_t pending;
+	size_t unsent;
+	int64_t idle_since;
+};
+
 /* Limits of a listener. They are read at each use, so changes take effect
  * immediately. */
 struct h1_limits {
@@ -76,6 +112,8 @@
 	 * accepted because there was none. */
 	uint64_t connections_dropped;
 	uint64_t connections_refused;
+	/* Callers' connections closed by this process with unread input. */
+	uint64_t closed_unread;
 };
 
 enum status h1_create(struct loop *, struct h1 **);
@@ -89,6 +127,8 @@
 void h1_listener_destroy(struct h1_listener *);
 void h1_listener_set_max(struct h1_listener *, size_t max,
     void (*refuse)(struct h1_conn *, void *arg));
+void h1_listener_set_observer(struct h1_listener *,
+    void (*closed)(struct h1_conn *, const struct h1_closing *, void *arg));
 uint16_t h1_listener_port(const struct h1_listener *);
 size_t h1_listener_count(const struct h1_listener *);
 void h1_listener_check_timeouts(struct h1_listener *);
@@ -114,6 +154,8 @@
 void h1_reset(struct h1_conn *);
 void h1_close(struct h1_conn *);
 size_t h1_unsent_bytes(const struct h1_conn *);
+enum h1_close_reason h1_close_reason(const struct h1_conn *);
+const char *h1_close_reason_name(enum h1_close_reason);
 
 /* The message being received, or the last one received. */
 struct lstr h1_method(const struct h1_conn *);
--- a/src/node/h1_intake.c
+++ b/src/node/h1_intake.c
@@ -132,6 +132,7 @@
 		return;
 	}
 	conn->h1->counts.connections_dropped++;
+	conn->close_reason = H1_CLOSE_DROPPED;
 	if (conn->out.len > 0)
 		h1_reset(conn);
 	else
@@ -168,7 +169,9 @@
 	     i++) {
 		struct h1_conn *conn = intake.choices[i].ref;
 
-		h1_close(conn);
+		if (conn->is_closed)
+			continue;
+		h1_close_for(conn, H1_CLOSE_DROPPED);
 		h1_free_buffers(conn);
 	}
 	h1->making_room = false;
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -67,7 +67,7 @@
 		h1_account(conn);
 		if (!h1_admit(conn, 0) && !h1_may_answer(conn)) {
 			listener->h1->counts.connections_refused++;
-			h1_close(conn);
+			h1_close_for(conn, H1_CLOSE_DROPPED);
 			continue;
 		}
 		if (conn->ops->accepted != NULL)
@@ -159,7 +159,7 @@
 	if (listener == NULL)
 		return;
 	while (listener->conns != NULL)
-		h1_close(listener->conns);
+		h1_close_for(listener->conns, H1_CLOSE_STOPPED);
 	h1_listener_stop(listener);
 	for (struct h1_listener **at = &listener->h1->listeners; *at != NULL;
 	     at = &(*at)->next) {
@@ -193,7 +193,7 @@
 		if (conn->out.len > 0)
 			h1_close_gracefully(conn);
 		else
-			h1_close(conn);
+			h1_close_for(conn, H1_CLOSE_STOPPED);
 	}
 }
 
@@ -273,7 +273,7 @@
 		    conn->head_started_at == 0 &&
 		    now - conn->idle_since >=
 			listener->limits->idle_timeout_usec)
-			h1_close(conn);
+			h1_close_for(conn, H1_CLOSE_IDLE);
 	}
 	/* The owner may close any connection, so the search starts anew after
 	 * each report. */
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -30,6 +30,8 @@
 	/* Most connections; 0: no limit. */
 	size_t max;
 	void (*refuse)(struct h1_conn *, void *arg);
+	/* Called when a connection is closed; may be NULL. */
+	void (*closed)(struct h1_conn *, const struct h1_closing *, void *arg);
 	/* Accepting failed; it is tried again at the next check of timeouts. */
 	bool paused;
 	struct h1_listener *next;
@@ -85,6 +87,7 @@
 	bool lingering;
 	int64_t linger_until;
 	bool is_closed;
+	enum h1_close_reason close_reason;
 	/* Writing failed; the owner is notified in the next round of the
 	 * loop. */
 	bool write_failed;
@@ -102,6 +105,8 @@
 struct h1_conn *h1_conn_create(
     struct h1 *, int, unsigned int, enum http_parser_type);
 void h1_protocol_error(struct h1_conn *);
+void h1_close_for(struct h1_conn *, enum h1_close_reason);
+void h1_note_closing(struct h1_conn *);
 void h1_account(struct h1_conn *);
 bool h1_may_answer(const struct h1_conn *);
 bool h1_is_short(const struct h1_conn *);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -15,6 +15,8 @@
 
 /* Short compared with the pauses allowed between events of a stream. */
 #define TICK_USEC (20 * LOOP_USEC_PER_MSEC)
+/* Periodic work that is later than this is logged. */
+#define LATE_USEC (250 * LOOP_USEC_PER_MSEC)
 #define SWEEP_USEC (250 * LOOP_USEC_PER_MSEC)
 /* Time to live of the node's entry in the store. Its neighbours detect a crash
  * by silence; in a large fleet the other nodes give its address to callers
@@ -134,7 +136,11 @@
 	struct node *node = arg;
 	int64_t now = loop_now(node->loop);
 
-	loop_timer_set(node->tick, now + TICK_USEC);
+	if (node->tick_at != 0 && now - node->tick_at >= LATE_USEC)
+		slog_event(EV_LOOP_LATE, "{s:I}", "late_ms",
+		    (json_int_t)((now - node->tick_at) / LOOP_USEC_PER_MSEC));
+	node->tick_at = now + TICK_USEC;
+	loop_timer_set(node->tick, node->tick_at);
 	gossip_tick(node->gossip);
 	select_watch_mode(node);
 	gossip_set_serving(node->gossip, can_verify_keys(node));
--- a/src/node/node_callers.c
+++ b/src/node/node_callers.c
@@ -84,7 +84,7 @@
 }
 
 /*
- * Limits the connections of the listeners.
+ * Limits and observes the connections of the listeners.
  */
 void
 node_set_listener_limits(struct node *node)
@@ -93,6 +93,7 @@
 
 	h1_listener_set_max(
 	    node->front, limits->front, gateway_refuse_unfinished);
+	h1_listener_set_observer(node->front, gateway_note_closed);
 	h1_listener_set_max(node->ready, limits->service, NULL);
 	h1_listener_set_max(node->lookup, limits->service, NULL);
 	if (node->metrics != NULL)
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -141,6 +141,8 @@
 	    {"connection_failures_total", (int64_t)h1->connect_failures},
 	    {"connections_dropped_total", (int64_t)h1->connections_dropped},
 	    {"connections_refused_total", (int64_t)h1->connections_refused},
+	    {"connections_closed_unread_total", (int64_t)h1->closed_unread},
+	    {"requests_unanswered_total", (int64_t)gateway->unanswered},
 	    {"requests_without_memory_total", (int64_t)gateway->no_memory},
 	    {"caller_connections", (int64_t)h1_listener_count(node->front)},
 	    {"caller_connections_max", (int64_t)node->caller_limits.front},
--- a/src/node/node_priv.h
+++ b/src/node/node_priv.h
@@ -69,6 +69,8 @@
 	/* The loop has handled other events since pending_config arrived. */
 	bool config_deferred;
 	int64_t last_sweep_at;
+	/* When the periodic work is due; 0: it has not run yet. */
+	int64_t tick_at;
 	/* store_cache_restore_count() when it was last checked. */
 	uint64_t restores;
 	struct drain drain;
