Do not close connections under requests that have arrived

What callers see: a request on a kept connection ends without an answer, most likely right after a node has applied a large configuration, was suspended or ran out of its quota. Cause: idle connections were closed by their age alone: at the idle limit, when the listener stops and when connections give way. A request that arrived while the loop was late waited unread and was discarded with a reset. A stopped listener also discarded connections that waited to be accepted, and the process could exit before it had read the last requests. Bodies and heads were timed out in the same way. Change: a timeout counts only when nothing waits in the socket; what has arrived is read in the next round of the loop. A stopping listener accepts what is pending first, and a draining node exits only once nothing is unread. Of refused requests only lingering connections are closed to make room.

--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -134,6 +134,7 @@
 void h1_listener_check_timeouts(struct h1_listener *);
 void h1_listener_stop(struct h1_listener *);
 bool h1_listener_has_output(const struct h1_listener *);
+bool h1_listener_has_input(const struct h1_listener *);
 
 enum status h1_connect(struct h1 *, const struct sockaddr_in *,
     int64_t deadline, const struct h1_ops *, void *, struct h1_conn **);
--- a/src/node/h1_closing.c
+++ b/src/node/h1_closing.c
@@ -49,8 +49,8 @@
 /*
  * Returns whether bytes wait in the socket of a connection.
  */
-static bool
-has_unread_bytes(const struct h1_conn *conn)
+bool
+h1_has_unread_bytes(const struct h1_conn *conn)
 {
 	char byte;
 
@@ -74,7 +74,7 @@
 		return;
 	/* What follows a refused request is discarded on purpose. */
 	closing.unread = closing.reason != H1_CLOSE_PEER && !conn->lingering &&
-	    has_unread_bytes(conn);
+	    h1_has_unread_bytes(conn);
 	if (closing.unread)
 		conn->h1->counts.closed_unread++;
 	if (conn->listener->closed != NULL)
--- a/src/node/h1_intake.c
+++ b/src/node/h1_intake.c
@@ -118,12 +118,15 @@
 /*
  * Closes a connection that gives way and frees its memory. A request with an
  * incomplete body is refused by the owner instead; its connection lingers, so
- * that the answer arrives.
+ * that the answer arrives. An idle connection on which a request has arrived
+ * stays: it is read in the next round of the loop.
  */
 static void
 drop(struct h1_conn *conn)
 {
-	if (conn->is_closed)
+	if (conn->is_closed ||
+	    (!conn->lingering && conn->head_started_at == 0 &&
+		conn->out.len == 0 && h1_has_unread_bytes(conn)))
 		return;
 	if (!conn->lingering && conn->head_started_at != 0 && conn->head_done &&
 	    conn->listener->refuse != NULL) {
@@ -169,7 +172,7 @@
 	     i++) {
 		struct h1_conn *conn = intake.choices[i].ref;
 
-		if (conn->is_closed)
+		if (conn->is_closed || !conn->lingering)
 			continue;
 		h1_close_for(conn, H1_CLOSE_DROPPED);
 		h1_free_buffers(conn);
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -29,15 +29,12 @@
 }
 
 /*
- * Accepts pending connections, up to ACCEPT_BATCH.
+ * Accepts pending connections, up to a number.
  */
 static void
-on_accept(void *arg, unsigned int events)
+accept_pending(struct h1_listener *listener, int max)
 {
-	struct h1_listener *listener = arg;
-
-	(void)events;
-	for (int i = 0; i < ACCEPT_BATCH; i++) {
+	for (int i = 0; i < max; i++) {
 		struct h1_conn *conn;
 		int fd = accept4(
 		    listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -75,6 +72,16 @@
 	}
 }
 
+/*
+ * Accepts pending connections.
+ */
+static void
+on_accept(void *arg, unsigned int events)
+{
+	(void)events;
+	accept_pending(arg, ACCEPT_BATCH);
+}
+
 /*
  * Listens on an address; port 0 lets the kernel choose one. limits must
  * outlive the listener. Fails with STATUS_NO_MEMORY, STATUS_INVALID if the
@@ -150,6 +157,19 @@
 	return listener->count;
 }
 
+/*
+ * Closes the socket of a listener.
+ */
+static void
+close_socket(struct h1_listener *listener)
+{
+	loop_watch_destroy(listener->watch);
+	listener->watch = NULL;
+	if (listener->fd >= 0)
+		close(listener->fd);
+	listener->fd = -1;
+}
+
 /*
  * Closes the listener and its connections without callbacks.
  */
@@ -160,7 +180,7 @@
 		return;
 	while (listener->conns != NULL)
 		h1_close_for(listener->conns, H1_CLOSE_STOPPED);
-	h1_listener_stop(listener);
+	close_socket(listener);
 	for (struct h1_listener **at = &listener->h1->listeners; *at != NULL;
 	     at = &(*at)->next) {
 		if (*at == listener) {
@@ -172,23 +192,22 @@
 }
 
 /*
- * Stops accepting connections and closes idle ones; requests in progress are
- * still served, and responses are delivered.
+ * Stops accepting connections and closes idle ones; requests that have arrived
+ * or are in progress are still served, and responses are delivered.
  */
 void
 h1_listener_stop(struct h1_listener *listener)
 {
 	struct h1_conn *next;
 
-	loop_watch_destroy(listener->watch);
-	listener->watch = NULL;
 	if (listener->fd >= 0)
-		close(listener->fd);
-	listener->fd = -1;
+		accept_pending(listener, LISTEN_BACKLOG);
+	close_socket(listener);
 	for (struct h1_conn *conn = listener->conns; conn != NULL;
 	     conn = next) {
 		next = conn->next;
-		if (conn->busy || conn->lingering || conn->head_started_at != 0)
+		if (conn->busy || conn->lingering ||
+		    conn->head_started_at != 0 || h1_has_unread_bytes(conn))
 			continue;
 		if (conn->out.len > 0)
 			h1_close_gracefully(conn);
@@ -212,23 +231,37 @@
 	return false;
 }
 
+/*
+ * Returns whether input waits in the socket of a connection of a listener.
+ */
+bool
+h1_listener_has_input(const struct h1_listener *listener)
+{
+	for (const struct h1_conn *conn = listener->conns; conn != NULL;
+	     conn = conn->next) {
+		if (!conn->lingering && h1_has_unread_bytes(conn))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns which timeout the request that a connection receives has exceeded.
+ * Input that has arrived and is not read yet counts as progress: the loop may
+ * be late.
  */
 static enum h1_fault
 find_timeout(const struct h1_conn *conn, int64_t now)
 {
 	const struct h1_limits *limits = conn->listener->limits;
+	int64_t expires_at = conn->head_done
+	    ? conn->idle_since + limits->idle_timeout_usec
+	    : conn->head_started_at + limits->head_timeout_usec;
 
-	if (conn->busy || conn->lingering || conn->head_started_at == 0)
+	if (conn->busy || conn->lingering || conn->head_started_at == 0 ||
+	    now < expires_at || h1_has_unread_bytes(conn))
 		return H1_FAULT_NONE;
-	if (!conn->head_done)
-		return now - conn->head_started_at >= limits->head_timeout_usec
-		    ? H1_FAULT_HEAD_TIMEOUT
-		    : H1_FAULT_NONE;
-	return now - conn->idle_since >= limits->idle_timeout_usec
-	    ? H1_FAULT_BODY_TIMEOUT
-	    : H1_FAULT_NONE;
+	return conn->head_done ? H1_FAULT_BODY_TIMEOUT : H1_FAULT_HEAD_TIMEOUT;
 }
 
 /*
@@ -272,7 +305,8 @@
 		if (!conn->busy && !conn->lingering &&
 		    conn->head_started_at == 0 &&
 		    now - conn->idle_since >=
-			listener->limits->idle_timeout_usec)
+			listener->limits->idle_timeout_usec &&
+		    !h1_has_unread_bytes(conn))
 			h1_close_for(conn, H1_CLOSE_IDLE);
 	}
 	/* The owner may close any connection, so the search starts anew after
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -107,6 +107,7 @@
 void h1_protocol_error(struct h1_conn *);
 void h1_close_for(struct h1_conn *, enum h1_close_reason);
 void h1_note_closing(struct h1_conn *);
+bool h1_has_unread_bytes(const struct h1_conn *);
 void h1_account(struct h1_conn *);
 bool h1_may_answer(const struct h1_conn *);
 bool h1_is_short(const struct h1_conn *);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -53,7 +53,8 @@
 	if (now >= node->drain.answer_by)
 		gateway_answer_rest(node->gateway);
 	if ((!accepts && gateway_count_active(node->gateway) == 0 &&
-		!h1_listener_has_output(node->front)) ||
+		!h1_listener_has_output(node->front) &&
+		!h1_listener_has_input(node->front)) ||
 	    now >= node->drain.exit_by)
 		loop_stop(node->loop);
 }
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -137,10 +137,10 @@
 }
 
 /*
- * Connects a client, which sends a text, and lets the listener read it.
+ * Connects a client, which the listener does not accept yet.
  */
 static int
-add_client(struct fixture *f, const char *text)
+connect_client(struct fixture *f)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET,
 	    .sin_port = htons(h1_listener_port(f->listener)),
@@ -150,9 +150,20 @@
 	ck_assert_int_ge(fd, 0);
 	ck_assert_int_eq(
 	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	f->sockets[f->count++] = fd;
+	return fd;
+}
+
+/*
+ * Connects a client, which sends a text, and lets the listener read it.
+ */
+static int
+add_client(struct fixture *f, const char *text)
+{
+	int fd = connect_client(f);
+
 	ck_assert_int_eq(
 	    send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
-	f->sockets[f->count++] = fd;
 	run_for(f, 10 * LOOP_USEC_PER_MSEC);
 	return fd;
 }
@@ -275,7 +286,74 @@
 }
 END_TEST
 
+/*
+ * Sends a whole request, which the listener does not read yet.
+ */
+static void
+send_request(int fd)
+{
+	static const char text[] = "GET / HTTP/1.1\r\n\r\n";
+
+	ck_assert_int_eq(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+}
+
+/* Guards against a request that has arrived while the loop was late, and is
+ * discarded because its connection has exceeded the idle limit. */
+START_TEST(idle_limit_does_not_discard_an_unread_request)
+{
+	struct fixture f;
+
+	fixture_start(&f, 0);
+	f.limits.idle_timeout_usec = 1;
+	send_request(add_client(&f, ""));
+	h1_listener_check_timeouts(f.listener);
+	run_for(&f, 10 * LOOP_USEC_PER_MSEC);
+	ck_assert_uint_eq(f.complete, 1);
+	ck_assert_uint_eq(h1_counts(f.h1)->closed_unread, 0);
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against the same when the listener stops; also against the loss of
+ * connections that wait to be accepted. */
+START_TEST(stopped_listener_reads_requests_that_have_arrived)
+{
+	struct fixture f;
+
+	fixture_start(&f, 0);
+	send_request(add_client(&f, ""));
+	send_request(connect_client(&f));
+	h1_listener_stop(f.listener);
+	ck_assert(h1_listener_has_input(f.listener));
+	run_for(&f, 10 * LOOP_USEC_PER_MSEC);
+	ck_assert_uint_eq(f.complete, 2);
+	ck_assert(!h1_listener_has_input(f.listener));
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against a connection that gives way to a new one although a request on
+ * it has arrived. */
+START_TEST(connection_with_an_unread_request_does_not_give_way)
+{
+	struct fixture f;
+	int fd;
+
+	fixture_start(&f, 1);
+	fd = add_client(&f, "");
+	connect_client(&f);
+	send_request(fd);
+	run_for(&f, 10 * LOOP_USEC_PER_MSEC);
+	ck_assert_uint_eq(f.complete, 1);
+	fixture_stop(&f);
+}
+END_TEST
+
 HARNESS_MAIN("h1_limits", oldest_connections_give_way_at_the_limit,
     unfinished_bodies_are_refused_before_they_are_closed,
     complete_requests_do_not_give_way, heads_stay_within_the_account,
-    stalled_bodies_are_reported_and_slow_ones_are_not)
+    stalled_bodies_are_reported_and_slow_ones_are_not,
+    idle_limit_does_not_discard_an_unread_request,
+    stopped_listener_reads_requests_that_have_arrived,
+    connection_with_an_unread_request_does_not_give_way)
