Keep the timeouts under which a connection became idle

Cause: the idle limit was applied to the age of a connection at each check, so that a shorter one took effect at once for connections whose callers had become idle under the longer one and still rely on it. The same held for the time limit of a head. Change: the deadlines are stored when a connection makes progress or a head begins. A changed limit applies from the next progress on. Evidence: shorter_timeouts_spare_connections_that_wait_already fails on the code before (is_open of the idle connection), 9 of 9 of test_h1_limits pass now.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -169,6 +169,18 @@
 		conn->ops->ended(conn, status, conn->arg);
 }
 
+/*
+ * Extends the time for which a connection may be idle.
+ */
+void
+h1_note_progress(struct h1_conn *conn)
+{
+	conn->idle_since = loop_now(conn->h1->loop);
+	if (conn->listener != NULL)
+		conn->idle_until = conn->idle_since +
+		    conn->listener->limits->idle_timeout_usec;
+}
+
 /*
  * Extends the timeouts of a connection whose peer has accepted output.
  */
@@ -177,7 +189,7 @@
 {
 	int64_t now = loop_now(conn->h1->loop);
 
-	conn->idle_since = now;
+	h1_note_progress(conn);
 	if (conn->lingering)
 		loop_timer_set(
 		    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
@@ -540,7 +552,7 @@
 		}
 		h1_account(conn);
 		conn->busy = conn->listener != NULL;
-		conn->idle_since = loop_now(conn->h1->loop);
+		h1_note_progress(conn);
 		conn->not_reusable =
 		    conn->listener == NULL && conn->pending_input.len > 0;
 		conn->ops->complete(conn, conn->arg);
@@ -574,9 +586,12 @@
 		    status_set(STATUS_INVALID, "unexpected bytes"));
 		return;
 	}
-	if (conn->listener != NULL && conn->head_started_at == 0)
+	if (conn->listener != NULL && conn->head_started_at == 0) {
 		conn->head_started_at = loop_now(conn->h1->loop);
-	conn->idle_since = loop_now(conn->h1->loop);
+		conn->head_until = conn->head_started_at +
+		    conn->listener->limits->head_timeout_usec;
+	}
+	h1_note_progress(conn);
 	parse(conn, bytes);
 }
 
@@ -778,7 +793,7 @@
 		return NULL;
 	}
 	set_socket_options(fd);
-	conn->idle_since = loop_now(h1->loop);
+	h1_note_progress(conn);
 	h1_account(conn);
 	return conn;
 }
@@ -857,7 +872,7 @@
 	conn->complete = false;
 	conn->head_done = false;
 	conn->head_started_at = 0;
-	conn->idle_since = loop_now(conn->h1->loop);
+	h1_note_progress(conn);
 	loop_watch_set(
 	    conn->watch, LOOP_READ | (conn->out.len > 0 ? LOOP_WRITE : 0));
 	if (pending_input.len == 0)
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -96,7 +96,8 @@
 };
 
 /* Limits of a listener. They are read at each use, so changes take effect
- * immediately. */
+ * immediately; changed timeouts once a connection makes progress or begins a
+ * request: its peer may rely on those before until then. */
 struct h1_limits {
 	size_t head_max_bytes;
 	int64_t head_timeout_usec;
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -53,6 +53,7 @@
 		if (conn == NULL)
 			return;
 		conn->listener = listener;
+		h1_note_progress(conn);
 		conn->ops = listener->ops;
 		conn->arg = listener->arg;
 		conn->next = listener->conns;
@@ -253,10 +254,8 @@
 static enum h1_fault
 find_timeout(const struct h1_conn *conn, int64_t now)
 {
-	const struct h1_limits *limits = conn->listener->limits;
-	int64_t expires_at = conn->head_done
-	    ? conn->idle_since + limits->idle_timeout_usec
-	    : conn->head_started_at + limits->head_timeout_usec;
+	int64_t expires_at =
+	    conn->head_done ? conn->idle_until : conn->head_until;
 
 	if (conn->busy || conn->lingering || conn->head_started_at == 0 ||
 	    now < expires_at || h1_has_unread_bytes(conn))
@@ -303,9 +302,7 @@
 	     conn = next) {
 		next = conn->next;
 		if (!conn->busy && !conn->lingering &&
-		    conn->head_started_at == 0 &&
-		    now - conn->idle_since >=
-			listener->limits->idle_timeout_usec &&
+		    conn->head_started_at == 0 && now >= conn->idle_until &&
 		    !h1_has_unread_bytes(conn))
 			h1_close_for(conn, H1_CLOSE_IDLE);
 	}
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -92,8 +92,14 @@
 	 * loop. */
 	bool write_failed;
 	enum h1_fault fault;
+	/* When the request being received began, and until when its head must
+	 * have arrived. */
 	int64_t head_started_at;
+	int64_t head_until;
+	/* When the connection last made progress, and until when it may make
+	 * none, by the idle limit that was in force then. */
 	int64_t idle_since;
+	int64_t idle_until;
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
 	struct lstr_buf out;
@@ -106,6 +112,7 @@
     struct h1 *, int, unsigned int, enum http_parser_type);
 void h1_protocol_error(struct h1_conn *);
 void h1_close_for(struct h1_conn *, enum h1_close_reason);
+void h1_note_progress(struct h1_conn *);
 void h1_note_closing(struct h1_conn *);
 bool h1_has_unread_bytes(const struct h1_conn *);
 void h1_account(struct h1_conn *);
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -333,6 +333,32 @@
 }
 END_TEST
 
+/* Guards against shorter timeouts that close connections at once whose clients
+ * became idle, or began a request, under the longer ones. */
+START_TEST(shorter_timeouts_spare_connections_that_wait_already)
+{
+	struct fixture f;
+
+	fixture_start(&f, 0);
+	add_client(&f, "");
+	add_client(&f, "GET / HT");
+	f.limits.head_timeout_usec = 1;
+	h1_listener_check_timeouts(f.listener);
+	ck_assert_uint_eq(f.complete, 0);
+	f.limits.idle_timeout_usec = 1;
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(is_open(f.sockets[0]));
+	add_client(&f, "");
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(is_open(f.sockets[0]));
+	ck_assert(!is_open(f.sockets[2]));
+	run_for(&f, IDLE_USEC);
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(!is_open(f.sockets[0]));
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against a connection that gives way to a new one although a request on
  * it has arrived. */
 START_TEST(connection_with_an_unread_request_does_not_give_way)
@@ -356,4 +382,5 @@
     stalled_bodies_are_reported_and_slow_ones_are_not,
     idle_limit_does_not_discard_an_unread_request,
     stopped_listener_reads_requests_that_have_arrived,
+    shorter_timeouts_spare_connections_that_wait_already,
     connection_with_an_unread_request_does_not_give_way)
