State how long idle connections are kept, and keep them longer

Cause: a node closed an idle connection at the idle limit and did not tell callers what that is. A caller that used the connection at that moment sent its request into the close. Change: responses have Keep-Alive with the limit in whole seconds, and an idle connection is closed a second later than that. A longer limit of a new configuration applies at once, a shorter one from the next progress on.

--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -175,15 +175,18 @@
 	/* Encodes the request of a caller as it is sent to a backend server. */
 	enum status (*encode_forward)(const struct h1_conn *caller,
 	    const struct adapter_forward *, struct lstr_buf *);
-	/* Encodes the header of a response that is forwarded to a caller. */
+	/*
+	 * Encodes the header of a response that is forwarded to a caller, whose
+	 * connection is kept for keep_usec; see h1_encode_keep_alive().
+	 */
 	enum status (*encode_response)(const struct h1_conn *server,
-	    bool chunked, bool close, struct lstr_buf *);
+	    bool chunked, int64_t keep_usec, struct lstr_buf *);
 	/*
 	 * Encodes a response that the node itself generates. retry_usec 0: no
 	 * retry time is included.
 	 */
 	enum status (*encode_refusal)(unsigned int http_status, struct lstr id,
-	    int64_t retry_usec, bool close, const char *reason,
+	    int64_t retry_usec, int64_t keep_usec, const char *reason,
 	    struct lstr_buf *);
 	enum status (*encode_report_request)(
 	    const char *host, struct lstr_buf *);
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -292,7 +292,7 @@
 	gateway->config.adapter->encode_refusal(HTTP_STATUS_SERVICE_UNAVAILABLE,
 	    lstr_make(
 		info.id.data, MIN(info.id.len, (size_t)ADAPTER_ID_MAX_BYTES)),
-	    ADMIT_RETRY_MIN_USEC, true, "no memory for the request", &text);
+	    ADMIT_RETRY_MIN_USEC, 0, "no memory for the request", &text);
 	h1_write(conn, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	h1_close_gracefully(conn);
@@ -424,7 +424,7 @@
 		h1_set_data(conn, NULL);
 	}
 	gateway->config.adapter->encode_refusal(
-	    status, lstr_make("", 0), retry_usec, true, reason, &text);
+	    status, lstr_make("", 0), retry_usec, 0, reason, &text);
 	h1_write(conn, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	h1_close_gracefully(conn);
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -120,8 +120,9 @@
 
 	close = close || drain_is_active(request->gateway->config.drain) ||
 	    !h1_keep_alive(caller);
-	request->gateway->config.adapter->encode_refusal(
-	    status, lstr_from(request->id), retry_usec, close, reason, &text);
+	request->gateway->config.adapter->encode_refusal(status,
+	    lstr_from(request->id), retry_usec,
+	    close ? 0 : h1_keep_usec(caller), reason, &text);
 	if (h1_write(caller, lstr_buf_view(&text)) != STATUS_OK)
 		gateway_note_unanswered(request, "refusal cannot be written");
 	lstr_buf_free(&text);
@@ -247,8 +248,8 @@
 	struct lstr_buf text = {0};
 	bool sent;
 
-	gateway->config.adapter->encode_response(
-	    request->attempt.conn, false, close, &text);
+	gateway->config.adapter->encode_response(request->attempt.conn, false,
+	    close ? 0 : h1_keep_usec(caller), &text);
 	lstr_buf_printf(
 	    &text, "Content-Length: %zu\r\n\r\n", request->response.len);
 	sent = lstr_buf_reserve(&text, text.len + request->response.len) ==
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -772,8 +772,9 @@
 	}
 	request->response_started = true;
 	request->chunked = !h1_is_http10(request->caller);
-	gateway->config.adapter->encode_response(
-	    attempt->conn, request->chunked, close || !request->chunked, &text);
+	close = close || !request->chunked;
+	gateway->config.adapter->encode_response(attempt->conn,
+	    request->chunked, close ? 0 : h1_keep_usec(request->caller), &text);
 	lstr_buf_printf(&text, "\r\n");
 	h1_write(request->caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -1,16 +1,22 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <glib.h>
+
 #include "h1_priv.h"
 
 #define LISTEN_BACKLOG 512
 /* Connections accepted per round of the loop, so that established connections
  * are served in between. */
 #define ACCEPT_BATCH 32
+/* Idle connections are kept this much longer than their peers are told, for
+ * requests that are on their way when the limit passes. */
+#define IDLE_MARGIN_USEC (1 * LOOP_USEC_PER_SEC)
 /* Requests whose timeout is reported in one check. */
 #define TIMEOUT_BATCH 64
 
@@ -232,6 +238,32 @@
 	return false;
 }
 
+/*
+ * Returns the time in microseconds for which a connection of a listener may be
+ * idle after its next response.
+ */
+int64_t
+h1_keep_usec(const struct h1_conn *conn)
+{
+	return MAX(conn->listener->limits->idle_timeout_usec, (int64_t)1);
+}
+
+/*
+ * Encodes the header field that tells a peer how long its connection is kept
+ * after a response, in whole seconds; 0: it is closed. Without it, peers may
+ * use a connection just when it is closed.
+ */
+enum status
+h1_encode_keep_alive(int64_t keep_usec, struct lstr_buf *out)
+{
+	if (keep_usec <= 0)
+		return lstr_buf_printf(out, "Connection: close\r\n");
+	if (keep_usec < LOOP_USEC_PER_SEC)
+		return STATUS_OK;
+	return lstr_buf_printf(out, "Keep-Alive: timeout=%" PRId64 "\r\n",
+	    keep_usec / LOOP_USEC_PER_SEC);
+}
+
 /*
  * Returns whether input waits in the socket of a connection of a listener.
  */
@@ -284,9 +316,9 @@
 }
 
 /*
- * Closes connections that exceed the idle timeout and reports requests whose
- * head exceeds the head timeout, or whose body makes no progress within the
- * idle timeout. The owner calls it several times a second.
+ * Closes connections that exceed the idle timeout by a margin and reports
+ * requests whose head exceeds the head timeout, or whose body makes no progress
+ * within the idle timeout. The owner calls it several times a second.
  */
 void
 h1_listener_check_timeouts(struct h1_listener *listener)
@@ -301,8 +333,12 @@
 	for (struct h1_conn *conn = listener->conns; conn != NULL;
 	     conn = next) {
 		next = conn->next;
+		/* A longer limit applies at once. */
+		conn->idle_until = MAX(conn->idle_until,
+		    conn->idle_since + listener->limits->idle_timeout_usec);
 		if (!conn->busy && !conn->lingering &&
-		    conn->head_started_at == 0 && now >= conn->idle_until &&
+		    conn->head_started_at == 0 &&
+		    now >= conn->idle_until + IDLE_MARGIN_USEC &&
 		    !h1_has_unread_bytes(conn))
 			h1_close_for(conn, H1_CLOSE_IDLE);
 	}
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -34,10 +34,10 @@
 	    h1_keep_alive(conn) && h1_fault(conn) == H1_FAULT_NONE;
 
 	lstr_buf_printf(&text,
-	    "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
-	    "%s\r\n",
-	    status, http_status_str((enum http_status)status), type, body.len,
-	    keep_alive ? "" : "Connection: close\r\n");
+	    "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n",
+	    status, http_status_str((enum http_status)status), type, body.len);
+	h1_encode_keep_alive(keep_alive ? h1_keep_usec(conn) : 0, &text);
+	lstr_buf_printf(&text, "\r\n");
 	lstr_buf_append(&text, body);
 	h1_write(conn, lstr_buf_view(&text));
 	lstr_buf_free(&text);
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -14,6 +14,8 @@
 #define CONNECTIONS_MAX 10
 #define ACCOUNT_BYTES ((size_t)400 * 1000)
 #define HEAD_BYTES ((size_t)50 * 1000)
+/* Time for which a connection is kept beyond its idle limit. */
+#define MARGIN_USEC (1 * LOOP_USEC_PER_SEC)
 #define IDLE_USEC (600 * LOOP_USEC_PER_MSEC)
 
 /* A listener with limits, whose clients are plain sockets. */
@@ -349,6 +351,7 @@
 	h1_listener_check_timeouts(f.listener);
 	ck_assert(is_open(f.sockets[0]));
 	add_client(&f, "");
+	run_for(&f, MARGIN_USEC);
 	h1_listener_check_timeouts(f.listener);
 	ck_assert(is_open(f.sockets[0]));
 	ck_assert(!is_open(f.sockets[2]));
@@ -359,6 +362,29 @@
 }
 END_TEST
 
+/* Guards against a connection that is closed just when its client, which knows
+ * the idle limit, may use it for the last time; also against a longer limit
+ * that does not apply to connections which are idle already. */
+START_TEST(idle_connection_is_kept_longer_than_stated)
+{
+	struct fixture f;
+
+	fixture_start(&f, 0);
+	add_client(&f, "");
+	run_for(&f, IDLE_USEC);
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(is_open(f.sockets[0]));
+	f.limits.idle_timeout_usec = 2 * IDLE_USEC;
+	run_for(&f, MARGIN_USEC);
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(is_open(f.sockets[0]));
+	run_for(&f, IDLE_USEC);
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(!is_open(f.sockets[0]));
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against a connection that gives way to a new one although a request on
  * it has arrived. */
 START_TEST(connection_with_an_unread_request_does_not_give_way)
@@ -383,4 +409,5 @@
     idle_limit_does_not_discard_an_unread_request,
     stopped_listener_reads_requests_that_have_arrived,
     shorter_timeouts_spare_connections_that_wait_already,
+    idle_connection_is_kept_longer_than_stated,
     connection_with_an_unread_request_does_not_give_way)
