Keep connections for the time that their response stated

What callers see: a connection whose response stated a time, such as a stream of some seconds, is closed before that time has passed, and a request on it gets no answer. Cause: the idle limit was taken when a connection made progress. If the limit became shorter between the head of a response and its end, or while its rest was sent, the connection was kept for the shorter time only. Change: h1_keep_usec() records what is stated, and between requests the connection is kept at least for that. Evidence: shorter_limit_during_a_response_does_not_shorten_what_it_stated fails on the code before (is_open); test_h1_limits 11 of 11.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -170,15 +170,21 @@
 }
 
 /*
- * Extends the time for which a connection may be idle.
+ * Extends the time for which a connection may be idle. Between requests, its
+ * peer relies on the time that the last response stated.
  */
 void
 h1_note_progress(struct h1_conn *conn)
 {
+	int64_t usec;
+
 	conn->idle_since = loop_now(conn->h1->loop);
-	if (conn->listener != NULL)
-		conn->idle_until = conn->idle_since +
-		    conn->listener->limits->idle_timeout_usec;
+	if (conn->listener == NULL)
+		return;
+	usec = conn->listener->limits->idle_timeout_usec;
+	if (conn->head_started_at == 0)
+		usec = MAX(usec, conn->stated_usec);
+	conn->idle_until = conn->idle_since + usec;
 }
 
 /*
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -156,7 +156,7 @@
 void h1_reset(struct h1_conn *);
 void h1_close(struct h1_conn *);
 size_t h1_unsent_bytes(const struct h1_conn *);
-int64_t h1_keep_usec(const struct h1_conn *);
+int64_t h1_keep_usec(struct h1_conn *);
 enum status h1_encode_keep_alive(int64_t keep_usec, struct lstr_buf *);
 enum h1_close_reason h1_close_reason(const struct h1_conn *);
 const char *h1_close_reason_name(enum h1_close_reason);
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -240,12 +240,15 @@
 
 /*
  * Returns the time in microseconds for which a connection of a listener may be
- * idle after its next response.
+ * idle after the response that states it, also if the limit becomes shorter
+ * before that ends.
  */
 int64_t
-h1_keep_usec(const struct h1_conn *conn)
+h1_keep_usec(struct h1_conn *conn)
 {
-	return MAX(conn->listener->limits->idle_timeout_usec, (int64_t)1);
+	conn->stated_usec =
+	    MAX(conn->listener->limits->idle_timeout_usec, (int64_t)1);
+	return conn->stated_usec;
 }
 
 /*
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -100,6 +100,8 @@
 	 * none, by the idle limit that was in force then. */
 	int64_t idle_since;
 	int64_t idle_until;
+	/* Time that the last response stated; 0: none yet. */
+	int64_t stated_usec;
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
 	struct lstr_buf out;
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -17,6 +17,8 @@
 /* Time for which a connection is kept beyond its idle limit. */
 #define MARGIN_USEC (1 * LOOP_USEC_PER_SEC)
 #define IDLE_USEC (600 * LOOP_USEC_PER_MSEC)
+/* Longer than the margin, and whole seconds, as they are stated. */
+#define STATED_USEC (2 * LOOP_USEC_PER_SEC)
 
 /* A listener with limits, whose clients are plain sockets. */
 struct fixture {
@@ -385,6 +387,63 @@
 }
 END_TEST
 
+/*
+ * States how long the connection is kept in a response that goes on.
+ */
+static void
+begin_response(struct h1_conn *conn, void *arg)
+{
+	struct lstr_buf text = {0};
+
+	lstr_buf_printf(&text, "HTTP/1.1 200 X\r\nContent-Length: 1\r\n");
+	h1_encode_keep_alive(h1_keep_usec(conn), &text);
+	lstr_buf_printf(&text, "\r\n");
+	h1_write(conn, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	*(struct h1_conn **)arg = conn;
+}
+
+/* Guards against a connection that is closed before the time that its response
+ * stated, since the idle limit became shorter while the response went on. */
+START_TEST(shorter_limit_during_a_response_does_not_shorten_what_it_stated)
+{
+	static const struct h1_ops begin_ops = {
+	    NULL, NULL, on_head, on_body, begin_response, on_ended};
+	struct h1_conn *conn = NULL;
+	struct h1_listener *listener;
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct fixture f;
+	char bytes[256];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	fixture_start(&f, 0);
+	f.limits.idle_timeout_usec = STATED_USEC;
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits, &begin_ops,
+			     &conn, &listener),
+	    STATUS_OK);
+	address.sin_port = htons(h1_listener_port(listener));
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	send_request(fd);
+	while (conn == NULL)
+		run_for(&f, LOOP_USEC_PER_MSEC);
+	f.limits.idle_timeout_usec = 1;
+	h1_write(conn, lstr_from("x"));
+	h1_read_next_request(conn);
+	ck_assert_int_gt(recv(fd, bytes, sizeof(bytes), 0), 0);
+	run_for(&f, STATED_USEC);
+	h1_listener_check_timeouts(listener);
+	ck_assert(is_open(fd));
+	run_for(&f, MARGIN_USEC);
+	h1_listener_check_timeouts(listener);
+	ck_assert(!is_open(fd));
+	close(fd);
+	h1_listener_destroy(listener);
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against a connection that gives way to a new one although a request on
  * it has arrived. */
 START_TEST(connection_with_an_unread_request_does_not_give_way)
@@ -410,4 +469,5 @@
     stopped_listener_reads_requests_that_have_arrived,
     shorter_timeouts_spare_connections_that_wait_already,
     idle_connection_is_kept_longer_than_stated,
+    shorter_limit_during_a_response_does_not_shorten_what_it_stated,
     connection_with_an_unread_request_does_not_give_way)
