Do not count callers that have left as unanswered

Cause: a send that fails because the peer has reset its connection closed that with the reason "cannot be written", so that request-unanswered and its counter also counted callers that had left, which the event excludes. Change: a failed write records why, and EPIPE and ECONNRESET are a close by the peer.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -206,9 +206,10 @@
  * deferred: the caller of h1_write() still uses the connection.
  */
 static void
-fail_write(struct h1_conn *conn)
+fail_write(struct h1_conn *conn, enum h1_close_reason reason)
 {
 	conn->write_failed = true;
+	conn->write_failure = reason;
 	loop_watch_set(conn->watch, 0);
 	loop_timer_set(conn->timer, 0);
 }
@@ -236,7 +237,10 @@
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			break;
-		fail_write(conn);
+		fail_write(conn,
+		    errno == EPIPE || errno == ECONNRESET
+			? H1_CLOSE_PEER
+			: H1_CLOSE_NOT_WRITTEN);
 		return;
 	}
 	if (conn->out.len == 0 && conn->out.size > OUTPUT_KEPT_BYTES) {
@@ -294,7 +298,7 @@
 	if (status == STATUS_OK)
 		flush_output(conn);
 	else
-		fail_write(conn);
+		fail_write(conn, H1_CLOSE_NOT_WRITTEN);
 	return status;
 }
 
@@ -743,7 +747,7 @@
 		return;
 	}
 	if (conn->write_failed)
-		close_and_notify(conn, H1_CLOSE_NOT_WRITTEN,
+		close_and_notify(conn, conn->write_failure,
 		    status_set(STATUS_IO, "connection cannot be written"));
 	else
 		h1_close_for(conn, H1_CLOSE_LINGERED);
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -91,6 +91,7 @@
 	/* Writing failed; the owner is notified in the next round of the
 	 * loop. */
 	bool write_failed;
+	enum h1_close_reason write_failure;
 	enum h1_fault fault;
 	/* When the request being received began, and until when its head must
 	 * have arrived. */
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -444,6 +444,54 @@
 }
 END_TEST
 
+static enum h1_close_reason ended_reason;
+
+/*
+ * Records why a connection ended.
+ */
+static void
+record_reason(struct h1_conn *conn, enum status status, void *arg)
+{
+	(void)status;
+	ended_reason = h1_close_reason(conn);
+	*(struct h1_conn **)arg = NULL;
+}
+
+/* Guards against a peer that has left and is reported as one whose connection
+ * cannot be written, so that its request counts as unanswered. */
+START_TEST(write_to_a_peer_that_has_left_is_reported_as_its_close)
+{
+	static const struct h1_ops begin_ops = {
+	    NULL, NULL, on_head, on_body, begin_response, record_reason};
+	const struct linger linger = {.l_onoff = 1};
+	struct h1_conn *conn = NULL;
+	struct h1_listener *listener;
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct fixture f;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	fixture_start(&f, 0);
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits, &begin_ops,
+			     &conn, &listener),
+	    STATUS_OK);
+	address.sin_port = htons(h1_listener_port(listener));
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	send_request(fd);
+	while (conn == NULL)
+		run_for(&f, LOOP_USEC_PER_MSEC);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+	h1_write(conn, lstr_from("x"));
+	while (conn != NULL)
+		run_for(&f, LOOP_USEC_PER_MSEC);
+	ck_assert_int_eq(ended_reason, H1_CLOSE_PEER);
+	h1_listener_destroy(listener);
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against a connection that gives way to a new one although a request on
  * it has arrived. */
 START_TEST(connection_with_an_unread_request_does_not_give_way)
@@ -470,4 +518,5 @@
     shorter_timeouts_spare_connections_that_wait_already,
     idle_connection_is_kept_longer_than_stated,
     shorter_limit_during_a_response_does_not_shorten_what_it_stated,
+    write_to_a_peer_that_has_left_is_reported_as_its_close,
     connection_with_an_unread_request_does_not_give_way)
