Do not take empty lines between requests for a head

What callers see: a kept connection is refused with 408 and closed after the time limit of heads, although the idle limit that the response stated has not passed. It needs a caller that sends an empty line after a body, which RFC 9112 (2.2) asks servers to accept. Cause: the time limit of a head began with the first byte after a response. Change: it begins with the first byte of the request line. Empty lines are no progress, so that they cannot keep a connection.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -378,7 +378,7 @@
 }
 
 /*
- * Parser callback: start of a message.
+ * Parser callback: start of a message, after empty lines.
  */
 static int
 on_begin(http_parser *parser)
@@ -386,6 +386,12 @@
 	struct h1_conn *conn = parser->data;
 
 	message_reset(conn);
+	if (conn->listener == NULL)
+		return 0;
+	conn->head_started_at = loop_now(conn->h1->loop);
+	conn->head_until =
+	    conn->head_started_at + conn->listener->limits->head_timeout_usec;
+	h1_note_progress(conn);
 	return 0;
 }
 
@@ -596,12 +602,9 @@
 		    status_set(STATUS_INVALID, "unexpected bytes"));
 		return;
 	}
-	if (conn->listener != NULL && conn->head_started_at == 0) {
-		conn->head_started_at = loop_now(conn->h1->loop);
-		conn->head_until = conn->head_started_at +
-		    conn->listener->limits->head_timeout_usec;
-	}
-	h1_note_progress(conn);
+	/* Empty lines between requests are no progress. */
+	if (conn->listener == NULL || conn->head_started_at != 0)
+		h1_note_progress(conn);
 	parse(conn, bytes);
 }
 
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -492,6 +492,29 @@
 }
 END_TEST
 
+/* Guards against an empty line after a body that begins the time limit of the
+ * next head, so that the connection is refused while it is idle; also against
+ * empty lines that keep a connection without a request. */
+START_TEST(empty_lines_between_requests_do_not_begin_a_head)
+{
+	struct fixture f;
+	int fd;
+
+	fixture_start(&f, 0);
+	f.limits.head_timeout_usec = 1;
+	fd = add_client(&f, "\r\n");
+	h1_listener_check_timeouts(f.listener);
+	ck_assert_uint_eq(f.complete, 0);
+	ck_assert(is_open(fd));
+	run_for(&f, IDLE_USEC);
+	ck_assert_int_eq(send(fd, "\r\n", 2, MSG_NOSIGNAL), 2);
+	run_for(&f, MARGIN_USEC);
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(!is_open(fd));
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against a connection that gives way to a new one although a request on
  * it has arrived. */
 START_TEST(connection_with_an_unread_request_does_not_give_way)
@@ -519,4 +542,5 @@
     idle_connection_is_kept_longer_than_stated,
     shorter_limit_during_a_response_does_not_shorten_what_it_stated,
     write_to_a_peer_that_has_left_is_reported_as_its_close,
+    empty_lines_between_requests_do_not_begin_a_head,
     connection_with_an_unread_request_does_not_give_way)
