--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -411,8 +411,8 @@
 	    NULL, NULL, on_head, on_body, begin_response, on_ended};
 	struct h1_conn *conn = NULL;
 	struct h1_listener *listener;
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	struct fixture f;
 	char bytes[256];
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -466,8 +466,8 @@
 	const struct linger linger = {.l_onoff = 1};
 	struct h1_conn *conn = NULL;
 	struct h1_listener *listener;
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	struct fixture f;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
