soak: kept connections, changed limits and clients that stop short

Checked, for members that were not disturbed while all servers are sound: a request on a kept connection that the node or a server has read gets an answer or a refusal; a connection is kept for the time that was stated; and the logs have no line request-unanswered.

--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,8 @@
 	$(BUILD)/tests/test_node_stopping $(BUILD)/tests/test_clients: \
 	tests/fakes/platform_model.c
 
-SOAK_SRC = tests/soak/soak.c tests/soak/proxy.c tests/fakes/platform_model.c
+SOAK_SRC = tests/soak/soak.c tests/soak/proxy.c tests/soak/kept.c \
+	tests/soak/crowd.c tests/soak/log_reader.c tests/fakes/platform_model.c
 
 $(BUILD)/tests/soak/soak: $(SOAK_SRC) $(LIB)
 	@mkdir -p $(@D)
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -104,6 +104,8 @@
 /* Sets the limits of callers' heads and bodies in all later configurations. */
 void fake_platform_set_request_limits(
     struct fake_platform *, size_t head_max, size_t body_max);
+/* Sets the time for which they may be idle, in the same way. */
+void fake_platform_set_idle_timeout(struct fake_platform *, int msec);
 /* Keeps a copy of the store's items, leases and revision. */
 void fake_platform_copy_store(struct fake_platform *);
 /*
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -23,6 +23,7 @@
 #define HEAD_MAX_BYTES 262144
 #define CALLER_HEAD_MAX_BYTES 4096
 #define CALLER_BODY_MAX_BYTES 10000
+#define CALLER_IDLE_MSEC 5000
 #define ENGINE_DOWN_USEC (2 * LOOP_USEC_PER_SEC)
 #define ENDLESS_BYTES 16384
 /* The operator and the servers write to a restored store with this pause. */
@@ -134,6 +135,7 @@
 	/* Limits of callers' requests in later configurations. */
 	size_t caller_head_max;
 	size_t caller_body_max;
+	int caller_idle_msec;
 	GArray *changes;
 	GPtrArray *watchers;
 	GPtrArray *server_calls;
@@ -1262,6 +1264,16 @@
 	platform->caller_body_max = body_max;
 }
 
+/*
+ * Sets the time for which callers' connections may be idle, in later
+ * configurations.
+ */
+void
+fake_platform_set_idle_timeout(struct fake_platform *platform, int msec)
+{
+	platform->caller_idle_msec = msec;
+}
+
 /*
  * Sets the length of the plain servers' responses.
  */
@@ -1792,6 +1804,7 @@
 	platform->configurations = g_ptr_array_new_with_free_func(g_free);
 	platform->caller_head_max = CALLER_HEAD_MAX_BYTES;
 	platform->caller_body_max = CALLER_BODY_MAX_BYTES;
+	platform->caller_idle_msec = CALLER_IDLE_MSEC;
 	platform->added_routes = g_string_new(NULL);
 	platform->era = 1;
 	platform->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
@@ -1895,11 +1908,11 @@
 	    "\"interZoneMbps\":1000,\"kinds\":[{\"name\":\"card\","
 	    "\"sizeMb\":900,\"pace\":1.0,\"readFactor\":1.0}]}}],"
 	    "\"limits\":{\"maxHeaderBytes\":%zu,\"maxBodyBytes\":%zu,"
-	    "\"headerTimeoutMs\":1000,\"idleTimeoutMs\":5000},"
+	    "\"headerTimeoutMs\":1000,\"idleTimeoutMs\":%d},"
 	    "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"],"
 	    "\"priority\":1}]}",
 	    version, platform->added_routes->str, platform->caller_head_max,
-	    platform->caller_body_max, key);
+	    platform->caller_body_max, platform->caller_idle_msec, key);
 
 	fake_platform_rewrite(platform);
 	store_put(platform, "op/config", text, 0);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,10 +1,15 @@
 #include "../node_fixture.h"
+#include "crowd.h"
+#include "kept.h"
+#include "log_reader.h"
 #include "proxy.h"
 
 /*
  * Runs several node processes under a random series of faults that are injected
  * from outside: soak SEED SECONDS. Seeds from RESTORE_SEED_MIN also restore the
- * store from older copies and let sound engines fall silent. Checks the
+ * store from older copies and let sound engines fall silent; those from
+ * KEPT_SEED_MIN also use connections again, change the limits of callers and
+ * have clients that stop short. Checks the
  * guarantees of the service from what callers and backend servers observe. It
  * signals only processes that it started.
  */
@@ -26,6 +31,19 @@
 /* Runs with these seeds and above also restore the store from copies, add
  * routes and let sound engines fall silent. */
 #define RESTORE_SEED_MIN 1000
+/* Runs with these seeds and above also have callers that keep their
+ * connections. */
+#define KEPT_SEED_MIN 2000
+/* Calls on connections that are kept, of 10 calls. */
+#define KEPT_CALLS 7
+/* A member that was disturbed less than this before may close connections, and
+ * a server that had a fault may still owe answers. */
+#define KEPT_CALM_USEC (3 * LOOP_USEC_PER_SEC)
+#define HEAD_LIMIT_MIN_BYTES 2048
+#define BODY_LIMIT_MIN_BYTES 2000
+#define LOG_LINE_BYTES 2048
+#define LOG_INTERVAL_USEC (50 * LOOP_USEC_PER_MSEC)
+
 /* Ages of the copies, and how long the store is away before it is restored. */
 #define COPY_AGE_MIN_MSEC 500
 #define COPY_AGE_MAX_MSEC 6000
@@ -59,6 +77,9 @@
 	struct node_fixture fixture;
 	struct proxy *store;
 	struct proxy *front;
+	/* NULL: callers keep no connections. */
+	struct kept_pool *kept;
+	struct log_reader log;
 	int64_t restart_at;
 	int64_t resume_at;
 	int64_t proxy_fault_ends_at;
@@ -83,6 +104,9 @@
 	bool key_due;
 	bool disconnected;
 	bool checked;
+	/* It uses a connection of the member's pool. */
+	bool on_kept;
+	struct kept_use use;
 };
 
 struct soak {
@@ -121,6 +145,18 @@
 	/* Since when the engines have had no fault; INT64_MAX: they have one.
 	 */
 	int64_t engines_sound_since;
+	/* The same for the plain servers. */
+	int64_t plain_sound_since;
+	/* Callers keep connections; see KEPT_SEED_MIN. */
+	bool keeps;
+	struct crowd *crowd;
+	unsigned int kept_count;
+	unsigned int reused_count;
+	unsigned int crossed_count;
+	unsigned int limit_changes;
+	/* Numbers of lines request-unanswered, by their reason. */
+	GHashTable *unanswered;
+	int64_t next_log_at;
 	int64_t started_at;
 	int64_t faults_end_at;
 	int64_t recovered_at;
@@ -193,6 +229,9 @@
 		fprintf(file, ",\"config_apply_ms\":%d", NODE_CONFIG_APPLY_MS);
 	fprintf(file, "}");
 	fclose(file);
+	member->log.path = w->log_path;
+	if (s->keeps)
+		member->kept = kept_pool_new(s->loop, s->h1, s->rand);
 	member_start(member);
 }
 
@@ -208,6 +247,7 @@
 	bool stream = caller->kind == CALL_STREAM;
 	bool post = stream || caller->kind == CALL_NON_IDEMPOTENT;
 	char path[32] = "/look/1";
+	const char *text;
 
 	if (stream)
 		snprintf(path, sizeof(path), "/write/draft");
@@ -215,12 +255,20 @@
 		snprintf(path, sizeof(path), "/order/1");
 	else if (caller->kind == CALL_ADDED_ROUTE)
 		snprintf(path, sizeof(path), "/added-%u/1", s->routes);
-	node_call_send_to(&s->members[0].fixture, &caller->call, &front,
-	    node_request(post ? "POST" : "GET", path, caller->id, key,
-		stream ? 20000 : PLAIN_TIMEOUT_MSEC,
-		stream ? "Model: m\r\nToken-Usage: 40,80\r\n"
-			 "Content-Length: 2\r\n\r\nhi"
-		       : ""));
+	text = node_request(post ? "POST" : "GET", path, caller->id, key,
+	    stream ? 20000 : PLAIN_TIMEOUT_MSEC,
+	    stream ? "Model: m\r\nToken-Usage: 40,80\r\n"
+		     "Content-Length: 2\r\n\r\nhi"
+		   : "");
+	if (s->keeps && g_rand_int_range(s->rand, 0, 10) < KEPT_CALLS &&
+	    kept_pool_send(caller->member->kept, &caller->call, &front, text,
+		&caller->use)) {
+		caller->on_kept = true;
+		s->kept_count++;
+		s->reused_count += caller->use.reused;
+		return;
+	}
+	node_call_send_to(&s->members[0].fixture, &caller->call, &front, text);
 }
 
 /*
@@ -312,6 +360,115 @@
 		report_violation(s, caller, "a silence ended a stream");
 }
 
+/*
+ * Returns whether neither a member nor its connections were disturbed lately.
+ */
+static bool
+is_calm(const struct member *member, int64_t since)
+{
+	return member->fixture.pid != 0 && !member->sigterm_sent &&
+	    member->resume_at == 0 && member->proxy_fault_ends_at == 0 &&
+	    member->disturbed_at + KEPT_CALM_USEC <= since;
+}
+
+/*
+ * Returns whether all servers have been sound since a time.
+ */
+static bool
+servers_are_sound(const struct soak *s, int64_t since)
+{
+	return s->engines_sound_since <= since - KEPT_CALM_USEC &&
+	    s->plain_sound_since <= since - KEPT_CALM_USEC;
+}
+
+/*
+ * Returns whether the log of a member has a line about a request.
+ */
+static bool
+log_has_request(const struct member *member, const char *id)
+{
+	struct log_reader reader = {.path = member->fixture.log_path};
+	char line[LOG_LINE_BYTES];
+	char value[64];
+
+	while (log_reader_next(&reader, line, sizeof(line))) {
+		if (log_find_string(line, "id", value, sizeof(value)) &&
+		    strcmp(value, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Checks that a whole request on a connection that is kept got an answer or a
+ * refusal, if its node was not disturbed and its servers were sound. One that
+ * the node has not read may cross the close of its connection, but not within
+ * the time that the node has stated.
+ */
+static void
+check_kept(struct soak *s, const struct caller *caller)
+{
+	const struct node_call *call = &caller->call;
+
+	if (!caller->on_kept || caller->disconnected || call->complete ||
+	    !is_calm(caller->member, caller->sent_at) ||
+	    !servers_are_sound(s, caller->sent_at))
+		return;
+	if (call->status != 0 ||
+	    fake_platform_run_count(s->platform, caller->id) > 0 ||
+	    log_has_request(caller->member, caller->id)) {
+		report_violation(s, caller, "a request that was read was cut");
+		return;
+	}
+	s->crossed_count++;
+	if (caller->use.within_stated)
+		report_violation(
+		    s, caller, "a connection was not kept as stated");
+}
+
+/*
+ * Counts a request without an answer by the reason in the log.
+ */
+static void
+count_reason(struct soak *s, const char *reason)
+{
+	gpointer count = g_hash_table_lookup(s->unanswered, reason);
+
+	g_hash_table_insert(s->unanswered, g_strdup(reason),
+	    GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+}
+
+/*
+ * Counts the lines request-unanswered of the members. An undisturbed member
+ * must have none while all servers are sound.
+ */
+static void
+check_logs(struct soak *s)
+{
+	int64_t now = loop_now(s->loop);
+	char line[LOG_LINE_BYTES];
+	char reason[128];
+
+	for (int i = 0; i < NODES; i++) {
+		struct member *member = &s->members[i];
+
+		while (log_reader_next(&member->log, line, sizeof(line))) {
+			if (strstr(line, "\"request-unanswered\"") == NULL ||
+			    !log_find_string(
+				line, "reason", reason, sizeof(reason)))
+				continue;
+			count_reason(s, reason);
+			if (!is_calm(member, now) || !servers_are_sound(s, now))
+				continue;
+			s->violations++;
+			printf("BROKEN an undisturbed node did not answer: "
+			       "%s\n",
+			    line);
+		}
+	}
+	s->next_log_at = now + LOG_INTERVAL_USEC;
+}
+
 /*
  * Checks a response against the guarantees.
  */
@@ -333,6 +490,7 @@
 	if (caller->kind != CALL_NON_IDEMPOTENT && runs > ATTEMPTS_MAX)
 		report_violation(s, caller, "too many attempts");
 	check_silence(s, caller);
+	check_kept(s, caller);
 	if (call->status == 401 && caller->key_due)
 		report_violation(s, caller, "a valid key was refused");
 	if (call->status == 404 && caller->kind == CALL_ADDED_ROUTE) {
@@ -368,7 +526,11 @@
 			continue;
 		if (!caller->call.ended &&
 		    g_rand_double(s->rand) < DISCONNECT_SHARE / 100) {
-			h1_close(caller->call.conn);
+			if (caller->on_kept)
+				kept_pool_cancel(
+				    caller->member->kept, &caller->call);
+			else
+				h1_close(caller->call.conn);
 			caller->call.ended = true;
 			caller->disconnected = true;
 		}
@@ -415,6 +577,19 @@
 	fake_platform_set_engine_fault(s->platform, fault, event);
 }
 
+/*
+ * The same for the plain servers.
+ */
+static void
+set_plain_fault(struct soak *s, enum fake_fault fault)
+{
+	if (fault != FAKE_NONE)
+		s->plain_sound_since = INT64_MAX;
+	else if (s->plain_sound_since == INT64_MAX)
+		s->plain_sound_since = loop_now(s->loop);
+	fake_platform_set_plain_fault(s->platform, fault);
+}
+
 /*
  * Adds a route to the configuration unless the store is away.
  */
@@ -539,6 +714,55 @@
 	return 0;
 }
 
+/*
+ * Changes the limits of callers unless the store is away.
+ */
+static void
+change_limits(struct soak *s)
+{
+	static const int idle_msec[] = {1000, 2000, 3000, 5000};
+
+	if (s->store_back_at != 0)
+		return;
+	fake_platform_set_idle_timeout(s->platform,
+	    idle_msec[g_rand_int_range(s->rand, 0, G_N_ELEMENTS(idle_msec))]);
+	fake_platform_set_request_limits(s->platform,
+	    (size_t)HEAD_LIMIT_MIN_BYTES *
+		(size_t)g_rand_int_range(s->rand, 1, 5),
+	    (size_t)BODY_LIMIT_MIN_BYTES *
+		(size_t)g_rand_int_range(s->rand, 1, 8));
+	fake_platform_configure(s->platform, ++s->version, s->keys[1]);
+	s->limit_changes++;
+}
+
+/*
+ * Injects a disturbance that only runs with kept connections have, and that no
+ * rule excuses. Returns how long no other fault may be injected.
+ */
+static int64_t
+inject_kept_fault(struct soak *s)
+{
+	struct sockaddr_in front = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+
+	s->faults++;
+	switch (g_rand_int_range(s->rand, 0, 4)) {
+	case 0:
+	case 1:
+		change_limits(s);
+		break;
+	case 2:
+		front.sin_port = htons(proxy_port(
+		    s->members[g_rand_int_range(s->rand, 0, NODES)].front));
+		crowd_press(s->crowd, &front, s->keys[1]);
+		break;
+	default:
+		set_plain_fault(s, FAKE_NONE);
+		return silence_engines(s);
+	}
+	return 0;
+}
+
 /*
  * Kills, terminates, suspends or reloads a member; a suspended one is resumed
  * later.
@@ -608,7 +832,7 @@
 		    (unsigned int)g_rand_int_range(s->rand, 1, EVENTS));
 		break;
 	case 8:
-		fake_platform_set_plain_fault(s->platform,
+		set_plain_fault(s,
 		    (enum fake_fault)g_rand_int_range(
 			s->rand, 0, FAKE_REFUSED + 1));
 		break;
@@ -689,7 +913,9 @@
 		if (!faults_ended && now >= next_fault) {
 			int64_t pause = 0;
 
-			if (s->restores && g_rand_boolean(s->rand))
+			if (s->keeps && g_rand_boolean(s->rand))
+				pause = inject_kept_fault(s);
+			else if (s->restores && g_rand_boolean(s->rand))
 				pause = inject_restore_fault(s);
 			else
 				inject(s);
@@ -700,16 +926,43 @@
 		}
 		if (faults_ended) {
 			set_engine_fault(s, FAKE_NONE, 0);
-			fake_platform_set_plain_fault(s->platform, FAKE_NONE);
+			set_plain_fault(s, FAKE_NONE);
 		}
 		maintain_members(s, faults_ended);
 		if (s->restores)
 			maintain_store(s, faults_ended);
 		check_ended_calls(s);
+		if (s->keeps) {
+			crowd_maintain(s->crowd);
+			if (now >= s->next_log_at)
+				check_logs(s);
+		}
 		loop_run_once(s->loop, now + 2 * LOOP_USEC_PER_MSEC);
 	}
 }
 
+/*
+ * Prints what happened on connections that are kept.
+ */
+static void
+print_kept(struct soak *s)
+{
+	GHashTableIter iter;
+	gpointer reason;
+	gpointer count;
+
+	check_logs(s);
+	printf("seed %u: %u requests on kept connections, %u of them reused, "
+	       "%u crossed a close, %u changes of limits, %u clients stopped "
+	       "short\n",
+	    seed, s->kept_count, s->reused_count, s->crossed_count,
+	    s->limit_changes, crowd_count(s->crowd));
+	g_hash_table_iter_init(&iter, s->unanswered);
+	while (g_hash_table_iter_next(&iter, &reason, &count))
+		printf("seed %u: %u unanswered: %s\n", seed,
+		    GPOINTER_TO_UINT(count), (const char *)reason);
+}
+
 /*
  * Checks all calls once more and prints the result.
  */
@@ -725,7 +978,9 @@
 		    fake_platform_run_count(s->platform, caller->id) > 1)
 			report_violation(
 			    s, caller, "an order ran twice, later");
-		if (!caller->call.ended)
+		if (!caller->call.ended && caller->on_kept)
+			kept_pool_cancel(caller->member->kept, &caller->call);
+		else if (!caller->call.ended)
 			h1_close(caller->call.conn);
 		lstr_buf_free(&caller->call.body);
 	}
@@ -748,6 +1003,8 @@
 		       "%u streams in them\n",
 		    seed, s->restore_count, s->routes, s->silence_count,
 		    s->undisturbed_streams);
+	if (s->keeps)
+		print_kept(s);
 	printf("seed %u: %u requests, %u served, %u faults, %u broken\n", seed,
 	    s->count, s->served, s->faults, s->violations);
 }
@@ -755,7 +1012,9 @@
 /* Checks the guarantees of the service under a random series of faults. */
 START_TEST(guarantees_hold_under_random_faults)
 {
-	struct soak s = {.version = 1, .restores = seed >= RESTORE_SEED_MIN};
+	struct soak s = {.version = 1,
+	    .restores = seed >= RESTORE_SEED_MIN,
+	    .keeps = seed >= KEPT_SEED_MIN};
 
 	ck_assert_int_eq(loop_create(&s.loop), STATUS_OK);
 	ck_assert_int_eq(h1_create(s.loop, &s.h1), STATUS_OK);
@@ -763,6 +1022,9 @@
 	s.rand = g_rand_new_with_seed(seed);
 	s.platform = fake_platform_new(s.loop, s.h1);
 	s.callers = g_new0(struct caller, CALLS_MAX);
+	s.crowd = crowd_new(s.loop, s.h1, s.rand);
+	s.unanswered =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	if (s.restores)
 		fake_platform_set_event_interval(
 		    s.platform, STREAM_INTERVAL_USEC);
@@ -777,6 +1039,8 @@
 	s.recovered_at = s.faults_end_at + RECOVERY_USEC;
 	run(&s);
 	finish(&s);
+	crowd_free(s.crowd);
+	g_hash_table_destroy(s.unanswered);
 	for (int i = 0; i < NODES; i++) {
 		struct node_fixture *w = &s.members[i].fixture;
 
@@ -784,6 +1048,7 @@
 			kill(w->pid, SIGKILL);
 			waitpid(w->pid, NULL, 0);
 		}
+		kept_pool_free(s.members[i].kept);
 		proxy_free(s.members[i].store);
 		proxy_free(s.members[i].front);
 		unlink(w->settings_path);
