Measure the progress of a slow peer by what its socket delivers

What callers see: a long last response, one with Connection: close, is cut while its caller reads it at less than about 1.5 MB/s. Cause: a lingering connection was closed when its socket had accepted no output for a second. A socket with a large send buffer accepts none until about a third of it has been delivered, which takes a slow peer longer. Change: bytes that leave the socket's queue are progress too, also after the last ones were handed to it, within the same limit of 30 s.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -1,10 +1,12 @@
 #include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -188,17 +190,40 @@
 }
 
 /*
- * Extends the timeouts of a connection whose peer has accepted output.
+ * Returns the number of bytes that the socket of a connection has accepted and
+ * the peer has not.
+ */
+static int
+count_queued(const struct h1_conn *conn)
+{
+	int queued = 0;
+
+	ioctl(conn->fd, SIOCOUTQ, &queued);
+	return queued;
+}
+
+/*
+ * Extends the time of a lingering connection whose peer accepts output.
  */
 static void
-note_sent(struct h1_conn *conn)
+extend_linger(struct h1_conn *conn)
 {
 	int64_t now = loop_now(conn->h1->loop);
 
+	conn->queued = count_queued(conn);
+	loop_timer_set(
+	    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
+}
+
+/*
+ * Extends the timeouts of a connection whose peer has accepted output.
+ */
+static void
+note_sent(struct h1_conn *conn)
+{
 	h1_note_progress(conn);
 	if (conn->lingering)
-		loop_timer_set(
-		    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
+		extend_linger(conn);
 }
 
 /*
@@ -752,6 +777,11 @@
 	if (conn->write_failed)
 		close_and_notify(conn, conn->write_failure,
 		    status_set(STATUS_IO, "connection cannot be written"));
+	else if (count_queued(conn) < conn->queued &&
+	    loop_now(conn->h1->loop) < conn->linger_until)
+		/* A socket with a large buffer accepts no more until much of it
+		 * has been delivered, which may take a slow peer longer. */
+		extend_linger(conn);
 	else
 		h1_close_for(conn, H1_CLOSE_LINGERED);
 }
@@ -942,6 +972,6 @@
 	if (conn->write_failed)
 		return;
 	conn->linger_until = loop_now(conn->h1->loop) + H1_LINGER_MAX_USEC;
-	loop_timer_set(conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
+	extend_linger(conn);
 	flush_output(conn);
 }
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -86,6 +86,8 @@
 	 * input is discarded. */
 	bool lingering;
 	int64_t linger_until;
+	/* Bytes in the socket when the peer last accepted some. */
+	int queued;
 	bool is_closed;
 	enum h1_close_reason close_reason;
 	/* Writing failed; the owner is notified in the next round of the
