--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -154,6 +154,10 @@
 	struct crowd *crowd;
 	unsigned int kept_count;
 	unsigned int reused_count;
+	/* Those that no fault excuses, of them those that were reused, and
+	 * those that crossed the close of their connection. */
+	unsigned int strict_count;
+	unsigned int strict_reused_count;
 	unsigned int crossed_count;
 	unsigned int limit_changes;
 	/* Numbers of lines request-unanswered, by their reason. */
@@ -413,10 +417,14 @@
 {
 	const struct node_call *call = &caller->call;
 
-	if (!caller->on_kept || caller->disconnected || call->complete ||
+	if (!caller->on_kept || caller->disconnected ||
 	    !is_calm(caller->member, caller->sent_at) ||
 	    !servers_are_sound(s, caller->sent_at))
 		return;
+	s->strict_count++;
+	s->strict_reused_count += caller->use.reused;
+	if (call->complete)
+		return;
 	if (call->status != 0 ||
 	    fake_platform_run_count(s->platform, caller->id) > 0 ||
 	    log_has_request(caller->member, caller->id)) {
@@ -740,8 +748,9 @@
 }
 
 /*
- * Injects a disturbance that only runs with kept connections have, and that no
- * rule excuses. Returns how long no other fault may be injected.
+ * Injects a disturbance that only runs with kept connections have, also after
+ * the last fault, since no rule excuses it. Returns how long no other fault may
+ * be injected.
  */
 static int64_t
 inject_kept_fault(struct soak *s)
@@ -914,10 +923,11 @@
 			send_call(s);
 			next_call = now + CALL_INTERVAL_USEC;
 		}
-		if (!faults_ended && now >= next_fault) {
+		if ((!faults_ended || s->keeps) && now >= next_fault) {
 			int64_t pause = 0;
 
-			if (s->keeps && g_rand_boolean(s->rand))
+			if (s->keeps &&
+			    (faults_ended || g_rand_boolean(s->rand)))
 				pause = inject_kept_fault(s);
 			else if (s->restores && g_rand_boolean(s->rand))
 				pause = inject_restore_fault(s);
@@ -956,11 +966,12 @@
 	gpointer count;
 
 	check_logs(s);
-	printf("seed %u: %u requests on kept connections, %u of them reused, "
-	       "%u crossed a close, %u changes of limits, %u clients stopped "
-	       "short\n",
-	    seed, s->kept_count, s->reused_count, s->crossed_count,
-	    s->limit_changes, crowd_count(s->crowd));
+	printf("seed %u: %u requests on kept connections, %u of them reused; "
+	       "without an excuse %u, %u of them reused, %u crossed a close\n",
+	    seed, s->kept_count, s->reused_count, s->strict_count,
+	    s->strict_reused_count, s->crossed_count);
+	printf("seed %u: %u changes of limits, %u clients stopped short\n",
+	    seed, s->limit_changes, crowd_count(s->crowd));
 	g_hash_table_iter_init(&iter, s->unanswered);
 	while (g_hash_table_iter_next(&iter, &reason, &count))
 		printf("seed %u: %u unanswered: %s\n", seed,
