--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -1,10 +1,12 @@
 #include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -170,29 +172,58 @@
 }
 
 /*
- * Extends the time for which a connection may be idle.
+ * Extends the time for which a connection may be idle. Between requests, its
+ * peer relies on the time that the last response stated.
  */
 void
 h1_note_progress(struct h1_conn *conn)
 {
+	int64_t usec;
+
 	conn->idle_since = loop_now(conn->h1->loop);
-	if (conn->listener != NULL)
-		conn->idle_until = conn->idle_since +
-		    conn->listener->limits->idle_timeout_usec;
+	if (conn->listener == NULL)
+		return;
+	usec = conn->listener->limits->idle_timeout_usec;
+	if (conn->head_started_at == 0)
+		usec = MAX(usec, conn->stated_usec);
+	conn->idle_until = conn->idle_since + usec;
 }
 
 /*
- * Extends the timeouts of a connection whose peer has accepted output.
+ * Returns the number of bytes that the socket of a connection has accepted and
+ * the peer has not.
+ */
+static int
+count_queued(const struct h1_conn *conn)
+{
+	int queued = 0;
+
+	ioctl(conn->fd, SIOCOUTQ, &queued);
+	return queued;
+}
+
+/*
+ * Extends the time of a lingering connection whose peer accepts output.
  */
 static void
-note_sent(struct h1_conn *conn)
+extend_linger(struct h1_conn *conn)
 {
 	int64_t now = loop_now(conn->h1->loop);
 
+	conn->queued = count_queued(conn);
+	loop_timer_set(
+	    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
+}
+
+/*
+ * Extends the timeouts of a connection whose peer has accepted output.
+ */
+static void
+note_sent(struct h1_conn *conn)
+{
 	h1_note_progress(conn);
 	if (conn->lingering)
-		loop_timer_set(
-		    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
+		extend_linger(conn);
 }
 
 /*
@@ -200,9 +231,10 @@
  * deferred: the caller of h1_write() still uses the connection.
  */
 static void
-fail_write(struct h1_conn *conn)
+fail_write(struct h1_conn *conn, enum h1_close_reason reason)
 {
 	conn->write_failed = true;
+	conn->write_failure = reason;
 	loop_watch_set(conn->watch, 0);
 	loop_timer_set(conn->timer, 0);
 }
@@ -230,7 +262,10 @@
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			break;
-		fail_write(conn);
+		fail_write(conn,
+		    errno == EPIPE || errno == ECONNRESET
+			? H1_CLOSE_PEER
+			: H1_CLOSE_NOT_WRITTEN);
 		return;
 	}
 	if (conn->out.len == 0 && conn->out.size > OUTPUT_KEPT_BYTES) {
@@ -288,7 +323,7 @@
 	if (status == STATUS_OK)
 		flush_output(conn);
 	else
-		fail_write(conn);
+		fail_write(conn, H1_CLOSE_NOT_WRITTEN);
 	return status;
 }
 
@@ -368,7 +403,7 @@
 }
 
 /*
- * Parser callback: start of a message.
+ * Parser callback: start of a message, after empty lines.
  */
 static int
 on_begin(http_parser *parser)
@@ -376,6 +411,12 @@
 	struct h1_conn *conn = parser->data;
 
 	message_reset(conn);
+	if (conn->listener == NULL)
+		return 0;
+	conn->head_started_at = loop_now(conn->h1->loop);
+	conn->head_until =
+	    conn->head_started_at + conn->listener->limits->head_timeout_usec;
+	h1_note_progress(conn);
 	return 0;
 }
 
@@ -586,12 +627,9 @@
 		    status_set(STATUS_INVALID, "unexpected bytes"));
 		return;
 	}
-	if (conn->listener != NULL && conn->head_started_at == 0) {
-		conn->head_started_at = loop_now(conn->h1->loop);
-		conn->head_until = conn->head_started_at +
-		    conn->listener->limits->head_timeout_usec;
-	}
-	h1_note_progress(conn);
+	/* Empty lines between requests are no progress. */
+	if (conn->listener == NULL || conn->head_started_at != 0)
+		h1_note_progress(conn);
 	parse(conn, bytes);
 }
 
@@ -737,8 +775,13 @@
 		return;
 	}
 	if (conn->write_failed)
-		close_and_notify(conn, H1_CLOSE_NOT_WRITTEN,
+		close_and_notify(conn, conn->write_failure,
 		    status_set(STATUS_IO, "connection cannot be written"));
+	else if (count_queued(conn) < conn->queued &&
+	    loop_now(conn->h1->loop) < conn->linger_until)
+		/* A socket with a large buffer accepts no more until much of it
+		 * has been delivered, which may take a slow peer longer. */
+		extend_linger(conn);
 	else
 		h1_close_for(conn, H1_CLOSE_LINGERED);
 }
@@ -929,6 +972,6 @@
 	if (conn->write_failed)
 		return;
 	conn->linger_until = loop_now(conn->h1->loop) + H1_LINGER_MAX_USEC;
-	loop_timer_set(conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
+	extend_linger(conn);
 	flush_output(conn);
 }
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -86,11 +86,14 @@
 	 * input is discarded. */
 	bool lingering;
 	int64_t linger_until;
+	/* Bytes in the socket when the peer last accepted some. */
+	int queued;
 	bool is_closed;
 	enum h1_close_reason close_reason;
 	/* Writing failed; the owner is notified in the next round of the
 	 * loop. */
 	bool write_failed;
+	enum h1_close_reason write_failure;
 	enum h1_fault fault;
 	/* When the request being received began, and until when its head must
 	 * have arrived. */
@@ -100,6 +103,8 @@
 	 * none, by the idle limit that was in force then. */
 	int64_t idle_since;
 	int64_t idle_until;
+	/* Time that the last response stated; 0: none yet. */
+	int64_t stated_usec;
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
 	struct lstr_buf out;
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -17,6 +17,8 @@
 /* Time for which a connection is kept beyond its idle limit. */
 #define MARGIN_USEC (1 * LOOP_USEC_PER_SEC)
 #define IDLE_USEC (600 * LOOP_USEC_PER_MSEC)
+/* Longer than the margin, and whole seconds, as they are stated. */
+#define STATED_USEC (2 * LOOP_USEC_PER_SEC)
 
 /* A listener with limits, whose clients are plain sockets. */
 struct fixture {
@@ -385,6 +387,134 @@
 }
 END_TEST
 
+/*
+ * States how long the connection is kept in a response that goes on.
+ */
+static void
+begin_response(struct h1_conn *conn, void *arg)
+{
+	struct lstr_buf text = {0};
+
+	lstr_buf_printf(&text, "HTTP/1.1 200 X\r\nContent-Length: 1\r\n");
+	h1_encode_keep_alive(h1_keep_usec(conn), &text);
+	lstr_buf_printf(&text, "\r\n");
+	h1_write(conn, lstr_buf_view(&text));
+	lstr_buf_free(&text);
+	*(struct h1_conn **)arg = conn;
+}
+
+/* Guards against a connection that is closed before the time that its response
+ * stated, since the idle limit became shorter while the response went on. */
+START_TEST(shorter_limit_during_a_response_does_not_shorten_what_it_stated)
+{
+	static const struct h1_ops begin_ops = {
+	    NULL, NULL, on_head, on_body, begin_response, on_ended};
+	struct h1_conn *conn = NULL;
+	struct h1_listener *listener;
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct fixture f;
+	char bytes[256];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	fixture_start(&f, 0);
+	f.limits.idle_timeout_usec = STATED_USEC;
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits, &begin_ops,
+			     &conn, &listener),
+	    STATUS_OK);
+	address.sin_port = htons(h1_listener_port(listener));
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	send_request(fd);
+	while (conn == NULL)
+		run_for(&f, LOOP_USEC_PER_MSEC);
+	f.limits.idle_timeout_usec = 1;
+	h1_write(conn, lstr_from("x"));
+	h1_read_next_request(conn);
+	ck_assert_int_gt(recv(fd, bytes, sizeof(bytes), 0), 0);
+	run_for(&f, STATED_USEC);
+	h1_listener_check_timeouts(listener);
+	ck_assert(is_open(fd));
+	run_for(&f, MARGIN_USEC);
+	h1_listener_check_timeouts(listener);
+	ck_assert(!is_open(fd));
+	close(fd);
+	h1_listener_destroy(listener);
+	fixture_stop(&f);
+}
+END_TEST
+
+static enum h1_close_reason ended_reason;
+
+/*
+ * Records why a connection ended.
+ */
+static void
+record_reason(struct h1_conn *conn, enum status status, void *arg)
+{
+	(void)status;
+	ended_reason = h1_close_reason(conn);
+	*(struct h1_conn **)arg = NULL;
+}
+
+/* Guards against a peer that has left and is reported as one whose connection
+ * cannot be written, so that its request counts as unanswered. */
+START_TEST(write_to_a_peer_that_has_left_is_reported_as_its_close)
+{
+	static const struct h1_ops begin_ops = {
+	    NULL, NULL, on_head, on_body, begin_response, record_reason};
+	const struct linger linger = {.l_onoff = 1};
+	struct h1_conn *conn = NULL;
+	struct h1_listener *listener;
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct fixture f;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	fixture_start(&f, 0);
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits, &begin_ops,
+			     &conn, &listener),
+	    STATUS_OK);
+	address.sin_port = htons(h1_listener_port(listener));
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	send_request(fd);
+	while (conn == NULL)
+		run_for(&f, LOOP_USEC_PER_MSEC);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+	h1_write(conn, lstr_from("x"));
+	while (conn != NULL)
+		run_for(&f, LOOP_USEC_PER_MSEC);
+	ck_assert_int_eq(ended_reason, H1_CLOSE_PEER);
+	h1_listener_destroy(listener);
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against an empty line after a body that begins the time limit of the
+ * next head, so that the connection is refused while it is idle; also against
+ * empty lines that keep a connection without a request. */
+START_TEST(empty_lines_between_requests_do_not_begin_a_head)
+{
+	struct fixture f;
+	int fd;
+
+	fixture_start(&f, 0);
+	f.limits.head_timeout_usec = 1;
+	fd = add_client(&f, "\r\n");
+	h1_listener_check_timeouts(f.listener);
+	ck_assert_uint_eq(f.complete, 0);
+	ck_assert(is_open(fd));
+	run_for(&f, IDLE_USEC);
+	ck_assert_int_eq(send(fd, "\r\n", 2, MSG_NOSIGNAL), 2);
+	run_for(&f, MARGIN_USEC);
+	h1_listener_check_timeouts(f.listener);
+	ck_assert(!is_open(fd));
+	fixture_stop(&f);
+}
+END_TEST
+
 /* Guards against a connection that gives way to a new one although a request on
  * it has arrived. */
 START_TEST(connection_with_an_unread_request_does_not_give_way)
@@ -410,4 +540,7 @@
     stopped_listener_reads_requests_that_have_arrived,
     shorter_timeouts_spare_connections_that_wait_already,
     idle_connection_is_kept_longer_than_stated,
+    shorter_limit_during_a_response_does_not_shorten_what_it_stated,
+    write_to_a_peer_that_has_left_is_reported_as_its_close,
+    empty_lines_between_requests_do_not_begin_a_head,
     connection_with_an_unread_request_does_not_give_way)
