Resume a stream that stalls within an event on another path

Callers saw a stream that ended without its last events although sound servers could have continued it.

Cause: a stream that stalled within an event made the node hold its first server to be faulty, although any server of the path may be. The exclusion was renewed for as long as the stream stalled, so that the sound first servers were used up, while the next path could lead through the faulty server again and use up the attempts of the route. Bytes that complete no event counted as progress, so streams were not moved when the report of their first server named the one that stalls them.

Change: only complete events count as progress of a stream, and its first server is asked for its report half a second after the event began. If that names no server, the stream is resumed on a path without any server of the present one, as far as there is such a path. A server is excluded for other requests only if all others of the path have shown progress of other streams (decisions/stall). A reroute gives the event its full time again.

The path on which a stream stalls contains the faulty server, so a path without any of its servers does not; and a sound first server is not missing from the paths of others.

--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -11,6 +11,7 @@
 #include "sched.h"
 #include "slog.h"
 #include "sse.h"
+#include "stall.h"
 #include "urgency.h"
 #include "waiting.h"
 
@@ -50,6 +51,12 @@
  * server, even if further bytes arrive now and then. */
 #define GATEWAY_PARTIAL_EVENT_USEC (1000 * LOOP_USEC_PER_MSEC)
 
+/* A server through which another stream has progressed within the last part of
+ * that time does not stall the event. */
+#define GATEWAY_PARTIAL_PROGRESS_USEC (500 * LOOP_USEC_PER_MSEC)
+/* Servers of stalled paths that are remembered for a request. */
+#define GATEWAY_SUSPECTS_MAX (2 * FLEET_STAGES_MAX)
+
 /* Longest "ip:port" that is kept for the log, without the terminating NUL. */
 #define GATEWAY_ADDRESS_MAX_BYTES 21
 
@@ -89,8 +96,8 @@
 	int64_t event_usec;
 	int64_t first_usec;
 	int64_t sent_at;
-	/* When bytes were last received or the path last changed; initially
-	 * sent_at. */
+	/* When bytes were last received, or an event if it is a stream, or the
+	 * path last changed; initially sent_at. */
 	int64_t last_progress_at;
 	/* The connection is being established. */
 	bool connecting;
@@ -152,6 +159,10 @@
 	int64_t expected_usec;
 	struct gateway_attempt attempt;
 	struct attempts attempts;
+	/* The servers of the paths on which it stalled without a sign of which
+	 * of them is at fault. Another path avoids them if it can. */
+	struct pool_server *suspects[GATEWAY_SUSPECTS_MAX];
+	uint32_t suspect_count;
 	bool may_have_run;
 	/* Attempts whose server seems to have ended before they came through.
 	 */
--- a/src/node/gateway_reroute.c
+++ b/src/node/gateway_reroute.c
@@ -80,6 +80,8 @@
 	attempt->stage_count = reroute->stage_count;
 	attempt->event_usec = reroute->event_usec;
 	attempt->last_progress_at = gateway_now(reroute->gateway);
+	if (attempt->partial_since != 0)
+		attempt->partial_since = attempt->last_progress_at;
 	attempt->reroute_failures = 0;
 	gateway_add_load(attempt, 1);
 	reroute->gateway->counts.rerouted++;
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -300,11 +300,12 @@
 	}
 	if (request->attempt.skipping)
 		return;
-	request->attempt.last_progress_at = gateway_now(request->gateway);
-	if (request->service->engine != NULL)
+	if (request->service->engine != NULL) {
 		gateway_stream_body(request, bytes);
-	else
-		gateway_plain_body(request, bytes);
+		return;
+	}
+	request->attempt.last_progress_at = gateway_now(request->gateway);
+	gateway_plain_body(request, bytes);
 }
 
 /*
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -125,6 +125,28 @@
 	return status;
 }
 
+/*
+ * Fills the table for a search of another path for a request, without the
+ * servers that may have stalled it if avoid_suspects is set. Returns the number
+ * of rows.
+ */
+static size_t
+fill_table(const struct gateway_request *request, GPtrArray *servers,
+    bool avoid_suspects, struct path_server *rows)
+{
+	size_t count = pool_path_table(servers, request->service->engine,
+	    gateway_now(request->gateway), rows, SERVERS_MAX);
+	guint row;
+
+	for (uint32_t i = 0; avoid_suspects && i < request->suspect_count;
+	     i++) {
+		if (g_ptr_array_find(servers, request->suspects[i], &row) &&
+		    row < count)
+			rows[row].usable = false;
+	}
+	return count;
+}
+
 /*
  * Chooses a path and sends the request along it. Returns STATUS_FULL,
  * STATUS_NOT_FOUND or STATUS_UNAVAILABLE if that is not possible, or
@@ -142,10 +164,13 @@
 	    g_new0(struct path_server, MAX(servers->len, 1u));
 	struct path path = {.count = 0};
 	enum status status;
-	size_t count = pool_path_table(
-	    servers, engine, gateway_now(gateway), rows, SERVERS_MAX);
+	size_t count = fill_table(request, servers, true, rows);
 
 	status = find_path(request, rows, count, &path);
+	if (status != STATUS_OK && request->suspect_count > 0) {
+		count = fill_table(request, servers, false, rows);
+		status = find_path(request, rows, count, &path);
+	}
 	if (status == STATUS_OK &&
 	    !gateway_can_start(request,
 		path.first_usec +
@@ -292,8 +317,8 @@
 }
 
 /*
- * Returns whether a path has room for a request now; may_cross: also one that
- * crosses data centres.
+ * Returns whether a path without servers that may have stalled a request has
+ * room for it now; may_cross: also one that crosses data centres.
  */
 static bool
 has_path(const struct gateway_request *request, bool may_cross)
@@ -304,8 +329,7 @@
 	    pool_service_servers(gateway->config.pool, request->service->name);
 	struct path_server *rows =
 	    g_new0(struct path_server, MAX(servers->len, 1u));
-	size_t count = pool_path_table(
-	    servers, engine, gateway_now(gateway), rows, SERVERS_MAX);
+	size_t count = fill_table(request, servers, true, rows);
 	struct path_demand demand = {
 	    .prompt_tokens = request->info.prompt_tokens,
 	    .output_tokens = gateway_estimate_output(request),
@@ -867,6 +891,7 @@
 	}
 	gateway_account(request);
 	while (fault == NULL && sse_next(&attempt->sse, &event)) {
+		attempt->last_progress_at = now;
 		if (event.has_id && event.id <= request->last_event)
 			continue;
 		if (!event.has_id && is_continuation(request)) {
@@ -963,6 +988,62 @@
 	gateway_stream_dispatch(gateway);
 }
 
+/*
+ * Remembers the servers of the path of an attempt as those that may have
+ * stalled it.
+ */
+static void
+add_suspects(struct gateway_request *request)
+{
+	const struct gateway_attempt *attempt = &request->attempt;
+
+	for (uint32_t i = 0; i < attempt->stage_count &&
+	     request->suspect_count < GATEWAY_SUSPECTS_MAX;
+	     i++)
+		request->suspects[request->suspect_count++] =
+		    attempt->stages[i].server;
+}
+
+/*
+ * Excludes the server that stalls a stream within an event, if the progress of
+ * other streams shows which one of the path that is.
+ */
+static void
+avoid_culprit(struct gateway_request *request, int64_t now)
+{
+	const struct gateway_attempt *attempt = &request->attempt;
+	int64_t progressed_at[FLEET_STAGES_MAX];
+	uint32_t culprit;
+
+	for (uint32_t i = 0; i < attempt->stage_count; i++)
+		progressed_at[i] = attempt->stages[i].server->progressed_at;
+	culprit = stall_find_culprit(progressed_at, attempt->stage_count,
+	    now - GATEWAY_PARTIAL_PROGRESS_USEC);
+	if (culprit != STALL_UNKNOWN)
+		gateway_avoid_server(request->gateway,
+		    attempt->stages[culprit].server, POOL_STALLED,
+		    "an event is not completed");
+}
+
+/*
+ * Handles a stream that has stalled within an event, and whose first server
+ * names no other one that stalls it. It is resumed along a path without any of
+ * the servers of the present one, each of which may be at fault. Returns
+ * whether the attempt was given up.
+ */
+static bool
+handle_partial_event(struct gateway_request *request, int64_t now)
+{
+	uint32_t suspect_count = request->suspect_count;
+
+	avoid_culprit(request, now);
+	add_suspects(request);
+	if (gateway_attempt_give_up(request, "an event is not completed"))
+		return true;
+	request->suspect_count = suspect_count;
+	return false;
+}
+
 /*
  * Checks a stream for draining servers, a failed first server and lack of
  * progress.
@@ -982,18 +1063,17 @@
 	    gateway_attempt_give_up(request, "first server has failed"))
 		return;
 	if (attempt->partial_since != 0 &&
-	    now - attempt->partial_since >= GATEWAY_PARTIAL_EVENT_USEC) {
-		gateway_avoid_server(request->gateway, attempt->server,
-		    POOL_STALLED, "an event is not completed");
-		if (gateway_attempt_give_up(
-			request, "an event is not completed"))
-			return;
-	}
+	    now - attempt->partial_since >= GATEWAY_PARTIAL_EVENT_USEC &&
+	    handle_partial_event(request, now))
+		return;
 	if (request->last_event_at > attempt->sent_at)
 		limit = MAX(
 		    STALL_FACTOR * attempt->event_usec, GATEWAY_STALL_MIN_USEC);
 	else
 		limit = MAX(4 * attempt->first_usec, STALL_FIRST_MIN_USEC);
+	/* The report shall be there when GATEWAY_PARTIAL_EVENT_USEC ends. */
+	if (attempt->partial_since != 0)
+		limit = MIN(limit, GATEWAY_PARTIAL_EVENT_USEC / 2);
 	if (pause >= limit)
 		gateway_probe(request->gateway, attempt->server, now);
 }
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -824,6 +824,8 @@
 pool_note_working(struct pool_server *server, enum pool_sign sign, int64_t now)
 {
 	server->worked_at = now;
+	if (sign == POOL_PROGRESS)
+		server->progressed_at = now;
 	server->peer_avoid_until = 0;
 	server->peer_definite = false;
 	server->connection_lost = false;
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -149,6 +149,8 @@
 	/* Time of the last response, or of the last progress of a stream
 	 * through it. */
 	int64_t worked_at;
+	/* Time of the last progress of a stream through it; 0: never. */
+	int64_t progressed_at;
 	struct pool_use own;
 	struct pool_use peers;
 	/* Variance of the number of the peers' requests if that is extrapolated
