Keep an attempt that was given up until another one carries on

Callers saw streams cut, and requests answered with 502, although their servers were only silent for a second and went on.

Cause: a stream or request at a silent server was ended there as soon as another attempt could be started. Whether that one carries the request on is only known once it does: other servers refused it, were silent themselves, or the retry budget and the attempts of the route were used up meanwhile. A stream that had begun then had no attempt left and was cut.

Change: an attempt that is given up keeps its connection until another one has sent an event, or the head of a response that had not begun (gateway_keep.c). If its server completes an event first, or no other server takes the request over, the request continues there. The limits on attempts and retries are unchanged, and no attempt is given up later than before.

The answer no longer depends on the replacement: each path on which the replacement fails ends in the attempt that was given up. An attempt that its server has ended, by a closed connection or a later process, is not one that a request is put back to.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -59,6 +59,7 @@
 {
 	struct gateway_request *request = data;
 
+	gateway_drop_kept(request);
 	lstr_buf_free(&request->body);
 	lstr_buf_free(&request->response);
 	sse_free(&request->attempt.sse);
@@ -76,7 +77,8 @@
 {
 	account_set(request->gateway->config.account, &request->held,
 	    REQUEST_BYTES + 2 * request->body.size + request->response.size +
-		request->attempt.sse.pending.size);
+		request->attempt.sse.pending.size +
+		gateway_kept_bytes(request));
 	if (request->caller != NULL)
 		h1_set_owner_bytes(request->caller, request->held);
 }
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -58,6 +58,8 @@
 	uint64_t displaced;
 	uint64_t queue_full;
 	uint64_t retried;
+	/* Requests that went on in an attempt that had been given up. */
+	uint64_t put_back;
 	uint64_t resumed;
 	uint64_t rerouted;
 	uint64_t events;
--- a/src/node/gateway_plain.c
+++ b/src/node/gateway_plain.c
@@ -21,7 +21,8 @@
 	struct pool_server *server;
 
 	if (!gateway_can_start(request, 0)) {
-		gateway_refuse_draining(request);
+		if (!gateway_put_back(request, "node is stopping"))
+			gateway_refuse_draining(request);
 		return;
 	}
 	servers =
@@ -32,7 +33,8 @@
 		server = pool_pick_plain(servers, gateway->config.place, NULL,
 		    now, g_rand_int(gateway->rand) & 0xffff);
 	g_ptr_array_free(servers, TRUE);
-	if (server != NULL && gateway_send(request, server))
+	if ((server != NULL && gateway_send(request, server)) ||
+	    gateway_put_back(request, "no other server after a failure"))
 		return;
 	if (request->may_have_run) {
 		gateway_fail_request(request, HTTP_STATUS_BAD_GATEWAY,
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -83,6 +83,9 @@
  * gateway_reroute.c. */
 struct gateway_reroute;
 
+/* An attempt that was given up and may go on; see gateway_keep.c. */
+struct gateway_kept;
+
 /* One attempt to run a request at a server or along a path. */
 struct gateway_attempt {
 	struct h1_conn *conn;
@@ -158,6 +161,8 @@
 	/* Expected duration when it was last to be sent; 0: not known. */
 	int64_t expected_usec;
 	struct gateway_attempt attempt;
+	/* The newest first; NULL: none. */
+	struct gateway_kept *kept;
 	struct attempts attempts;
 	/* The servers of the paths on which it stalled without a sign of which
 	 * of them is at fault. Another path avoids them if it can. */
@@ -268,6 +273,13 @@
 void gateway_attempt_failed(
     struct gateway_request *, bool not_run, const char *reason);
 bool gateway_attempt_give_up(struct gateway_request *, const char *reason);
+const struct h1_ops *gateway_server_ops(void);
+
+/* Attempts that were given up and may go on. */
+bool gateway_keep_attempt(struct gateway_request *);
+bool gateway_put_back(struct gateway_request *, const char *reason);
+void gateway_drop_kept(struct gateway_request *);
+size_t gateway_kept_bytes(const struct gateway_request *);
 
 /* Requests of a node that is stopping. */
 bool gateway_can_start(struct gateway_request *, int64_t expected_usec);
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -384,6 +384,16 @@
 static const struct h1_ops server_ops = {
     NULL, on_connected, on_head, on_body, on_complete, on_ended};
 
+/*
+ * Returns the callbacks of a connection to a server; their argument is the
+ * request.
+ */
+const struct h1_ops *
+gateway_server_ops(void)
+{
+	return &server_ops;
+}
+
 /*
  * Returns whether a request may run more than once. A stream is resumed after
  * the last identifier that was passed on, so events without one cannot be
@@ -564,39 +574,13 @@
 }
 
 /*
- * Gives up an attempt whose servers show no progress, if the request can be
- * sent to other ones. Otherwise the attempt is kept, since a silent server may
- * go on, and considered again after GATEWAY_GIVE_UP_USEC. Returns whether it
- * was given up.
+ * Ends a failed attempt, or keeps it if it may go on, and retries, refuses,
+ * fails or aborts the request. If it can be sent to no other server, it
+ * continues in an earlier attempt that is kept.
  */
-bool
-gateway_attempt_give_up(struct gateway_request *request, const char *reason)
-{
-	struct gateway *gateway = request->gateway;
-	int64_t now = gateway_now(gateway);
-	struct admit_failure failure = describe_failure(request, false);
-
-	if (now < request->attempt.give_up_not_before)
-		return false;
-	request->attempt.give_up_not_before = now + GATEWAY_GIVE_UP_USEC;
-	if (admit_after_failure(&failure) != ADMIT_RETRY ||
-	    !retry_share_is_available(
-		&gateway_service(gateway, request->service->name)->retries,
-		true, now) ||
-	    !(request->service->engine != NULL
-		    ? gateway_stream_has_path(request)
-		    : gateway_plain_has_server(request)))
-		return false;
-	gateway_attempt_failed(request, false, reason);
-	return true;
-}
-
-/*
- * Handles a failed attempt: retries, refuses, fails or aborts the request.
- */
-void
-gateway_attempt_failed(
-    struct gateway_request *request, bool not_run, const char *reason)
+static void
+fail_attempt(struct gateway_request *request, bool not_run, bool may_go_on,
+    const char *reason)
 {
 	struct gateway *gateway = request->gateway;
 	struct pool_server *server = request->attempt.server;
@@ -605,18 +589,22 @@
 
 	if (request->state == GATEWAY_ENDED)
 		return;
-	if (not_run)
+	/* An attempt that was kept is not the last one. */
+	if (not_run && attempts_last(&request->attempts) == server)
 		attempts_note_not_run(&request->attempts);
 	failure = describe_failure(request, not_run);
 	next = admit_after_failure(&failure);
 	request->may_have_run = request->may_have_run || !not_run;
 	record_failure(request);
-	gateway_attempt_end(request, not_run);
+	if (!may_go_on || !gateway_keep_attempt(request))
+		gateway_attempt_end(request, not_run);
 	if (next == ADMIT_RETRY && !gateway_consume_retry(request)) {
 		failure.attempts_left = false;
 		next = admit_after_failure(&failure);
 		reason = "retry budget is used up";
 	}
+	if (next != ADMIT_RETRY && gateway_put_back(request, reason))
+		return;
 	switch (next) {
 	case ADMIT_RETRY:
 		gateway->counts.retried++;
@@ -649,3 +637,42 @@
 		return;
 	}
 }
+
+/*
+ * Gives up an attempt whose servers show no progress, if the request can be
+ * sent to other ones, and keeps it until one of those makes progress, since a
+ * silent server may go on. Otherwise the attempt remains the present one, and
+ * is considered again after GATEWAY_GIVE_UP_USEC. Returns whether it was given
+ * up.
+ */
+bool
+gateway_attempt_give_up(struct gateway_request *request, const char *reason)
+{
+	struct gateway *gateway = request->gateway;
+	int64_t now = gateway_now(gateway);
+	struct admit_failure failure = describe_failure(request, false);
+
+	if (now < request->attempt.give_up_not_before)
+		return false;
+	request->attempt.give_up_not_before = now + GATEWAY_GIVE_UP_USEC;
+	if (admit_after_failure(&failure) != ADMIT_RETRY ||
+	    !retry_share_is_available(
+		&gateway_service(gateway, request->service->name)->retries,
+		true, now) ||
+	    !(request->service->engine != NULL
+		    ? gateway_stream_has_path(request)
+		    : gateway_plain_has_server(request)))
+		return false;
+	fail_attempt(request, false, true, reason);
+	return true;
+}
+
+/*
+ * Handles a failed attempt: retries, refuses, fails or aborts the request.
+ */
+void
+gateway_attempt_failed(
+    struct gateway_request *request, bool not_run, const char *reason)
+{
+	fail_attempt(request, not_run, false, reason);
+}
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -273,6 +273,8 @@
 refuse_or_fail(
     struct gateway_request *request, int64_t retry_usec, const char *reason)
 {
+	if (gateway_put_back(request, reason))
+		return;
 	if (request->response_started)
 		gateway_abort_response(request, reason);
 	else if (request->may_have_run)
@@ -282,6 +284,17 @@
 		    retry_usec, reason);
 }
 
+/*
+ * Refuses a request that may not finish before the process exits, unless it can
+ * go on where it was given up.
+ */
+static void
+refuse_draining(struct gateway_request *request)
+{
+	if (!gateway_put_back(request, "node is stopping"))
+		gateway_refuse_draining(request);
+}
+
 /*
  * Describes a request without a path for admission control.
  */
@@ -565,7 +578,7 @@
 	if (!first || sched_count(service->queue) == 0)
 		status = start_on_path(request);
 	if (status == STATUS_DENIED) {
-		gateway_refuse_draining(request);
+		refuse_draining(request);
 		return;
 	}
 	if (status != STATUS_OK) {
@@ -661,7 +674,7 @@
 			note_dispatched(service, &round, &table, index);
 			list_queue(service, &table);
 		} else if (status == STATUS_DENIED) {
-			gateway_refuse_draining(table.requests[index]);
+			refuse_draining(table.requests[index]);
 			list_queue(service, &table);
 		} else {
 			waiting_note_miss(&round, &table.entries[index]);
@@ -794,6 +807,8 @@
 			    "answer does not continue the stream");
 		return;
 	}
+	/* The head belongs to this run, so its events must come first. */
+	gateway_drop_kept(request);
 	request->response_started = true;
 	request->chunked = !h1_is_http10(request->caller);
 	close = close || !request->chunked;
@@ -817,6 +832,8 @@
 
 	request->gateway->counts.events++;
 	request->events++;
+	/* The request is carried on here. */
+	gateway_drop_kept(request);
 	if (++attempt->events == QUARANTINE_SOUND_EVENTS)
 		gateway_quarantine_note_sound(request);
 	if (request->first_event_at == 0)
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -142,6 +142,7 @@
 	    {"connections_dropped_total", (int64_t)h1->connections_dropped},
 	    {"connections_refused_total", (int64_t)h1->connections_refused},
 	    {"connections_closed_unread_total", (int64_t)h1->closed_unread},
+	    {"requests_put_back_total", (int64_t)gateway->put_back},
 	    {"requests_unanswered_total", (int64_t)gateway->unanswered},
 	    {"requests_without_memory_total", (int64_t)gateway->no_memory},
 	    {"caller_connections", (int64_t)h1_listener_count(node->front)},
--- a/src/node/sse.c
+++ b/src/node/sse.c
@@ -53,16 +53,14 @@
 }
 
 /*
- * Removes the next complete event from the stream and returns it. Returns false
- * if there is none. The bytes of the event are valid until the next call.
+ * Returns the length of the next complete event; 0: there is none.
  */
-bool
-sse_next(struct sse *sse, struct sse_event *event)
+static size_t
+find_event(struct sse *sse)
 {
-	const char *data;
+	const char *data = sse->pending.data;
 	size_t i;
 
-	data = sse->pending.data;
 	for (i = sse->scan_offset; i < sse->pending.len; i++) {
 		size_t next = i + 1;
 
@@ -74,14 +72,38 @@
 			break;
 		if (data[next] != '\n')
 			continue;
-		*event = (struct sse_event){.bytes = lstr_make(data, next + 1)};
-		parse_event(event);
-		sse->scan_offset = 0;
-		lstr_buf_consume(&sse->pending, next + 1);
-		return true;
+		sse->scan_offset = i;
+		return next + 1;
 	}
 	sse->scan_offset = i;
-	return false;
+	return 0;
+}
+
+/*
+ * Returns whether sse_next() would return an event.
+ */
+bool
+sse_has_event(struct sse *sse)
+{
+	return find_event(sse) > 0;
+}
+
+/*
+ * Removes the next complete event from the stream and returns it. Returns false
+ * if there is none. The bytes of the event are valid until the next call.
+ */
+bool
+sse_next(struct sse *sse, struct sse_event *event)
+{
+	size_t len = find_event(sse);
+
+	if (len == 0)
+		return false;
+	*event = (struct sse_event){.bytes = lstr_make(sse->pending.data, len)};
+	parse_event(event);
+	sse->scan_offset = 0;
+	lstr_buf_consume(&sse->pending, len);
+	return true;
 }
 
 /*
--- a/src/node/sse.h
+++ b/src/node/sse.h
@@ -27,6 +27,7 @@
 };
 
 enum status sse_feed(struct sse *, struct lstr);
+bool sse_has_event(struct sse *);
 bool sse_next(struct sse *, struct sse_event *);
 void sse_reset(struct sse *);
 void sse_free(struct sse *);
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -101,6 +101,9 @@
 void fake_platform_add_route(struct fake_platform *, const char *name);
 /* The same for a non-idempotent one with a time limit of 20 s. */
 void fake_platform_add_long_route(struct fake_platform *, const char *name);
+/* The same for an idempotent one, which may be sent to two servers. */
+void fake_platform_add_repeatable_route(
+    struct fake_platform *, const char *name);
 /* Sets the limits of callers' heads and bodies in all later configurations. */
 void fake_platform_set_request_limits(
     struct fake_platform *, size_t head_max, size_t body_max);
@@ -135,6 +138,17 @@
 void fake_platform_set_plain_length(struct fake_platform *, size_t bytes);
 /* All engines fall silent until then and go on. */
 void fake_platform_pause_engines(struct fake_platform *, int64_t until);
+/* The same for one server, of any kind. The reports of the others list an
+ * engine as stalled while their streams run through it. */
+void fake_platform_pause_server(
+    struct fake_platform *, unsigned int server, int64_t until);
+/* Streams that fall silent do so within an event. */
+void fake_platform_pause_within_events(struct fake_platform *);
+/* Makes a server refuse new requests, and state that they did not run. */
+void fake_platform_refuse_requests(
+    struct fake_platform *, unsigned int server, bool refuse);
+/* Returns the number of requests at the servers that have not ended. */
+unsigned int fake_platform_request_count(const struct fake_platform *);
 /* Sets the interval between events. */
 void fake_platform_set_event_interval(struct fake_platform *, int64_t usec);
 /* Returns how often a request ran, over all servers. */
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -82,6 +82,8 @@
 	bool leaving;
 	/* Retry-After of its refusals; NULL: it serves. */
 	const char *retry_after;
+	/* It refuses new requests, and states that they did not run. */
+	bool refuses;
 	/* Address that its refusals name as the one at fault; NULL: its own. */
 	const char *named;
 	/* Calls to it, and paths that have it behind the first server. */
@@ -107,6 +109,10 @@
 	bool deadly;
 	/* The engine has fallen silent because of this stream. */
 	bool paused;
+	/* Bits of the engines of the path. */
+	unsigned int engines;
+	/* Bytes of the next event that have been written. */
+	size_t written;
 };
 
 struct change {
@@ -157,6 +163,7 @@
 	unsigned int authorizations;
 	unsigned int reroutes;
 	bool refuses_reroutes;
+	bool pauses_within_events;
 	bool drops_calls;
 	unsigned int dropped_orders;
 	unsigned int dropped_queries;
@@ -844,6 +851,56 @@
 	return true;
 }
 
+/*
+ * Returns until when some engine of a stream's path is silent.
+ */
+static int64_t
+stream_paused_until(const struct server_call *server_call)
+{
+	const struct fake_platform *platform = server_call->server->platform;
+	int64_t until = server_call->server->paused_until;
+
+	for (int i = 0; i < ENGINE_COUNT; i++) {
+		if (server_call->engines & (1u << i))
+			until = MAX(until, platform->servers[i].paused_until);
+	}
+	return until;
+}
+
+/*
+ * Writes bytes of an event as a chunk.
+ */
+static void
+write_chunk(struct server_call *server_call, const char *bytes, size_t len)
+{
+	struct lstr_buf chunk = {0};
+
+	lstr_buf_printf(&chunk, "%zx\r\n%.*s\r\n", len, (int)len, bytes);
+	h1_write(server_call->conn, lstr_buf_view(&chunk));
+	lstr_buf_free(&chunk);
+}
+
+/*
+ * Delays the next event of a stream while an engine of its path is silent.
+ * Returns whether it is delayed.
+ */
+static bool
+pause_stream(struct server_call *server_call, const char *event)
+{
+	struct fake_platform *platform = server_call->server->platform;
+	int64_t until = stream_paused_until(server_call);
+
+	if (loop_now(platform->loop) >= until)
+		return false;
+	if (platform->pauses_within_events && !server_call->unframed &&
+	    server_call->written == 0) {
+		server_call->written = strlen(event) / 2;
+		write_chunk(server_call, event, server_call->written);
+	}
+	loop_timer_set(server_call->timer, until);
+	return true;
+}
+
 /*
  * Writes the next event of a stream.
  */
@@ -867,11 +924,10 @@
 		server_call->server->paused_until =
 		    loop_now(platform->loop) + FAKE_PAUSE_USEC;
 	}
-	if (loop_now(platform->loop) < server_call->server->paused_until) {
-		loop_timer_set(
-		    server_call->timer, server_call->server->paused_until);
+	snprintf(event, sizeof(event), "id: %u\ndata: %u\n\n",
+	    server_call->next, server_call->next);
+	if (pause_stream(server_call, event))
 		return;
-	}
 	if (fault && server_call->faulty &&
 	    platform->engine_fault == FAKE_UNRESPONSIVE)
 		return;
@@ -882,8 +938,6 @@
 		    loop_now(platform->loop) + platform->event_interval_usec);
 		return;
 	}
-	snprintf(event, sizeof(event), "id: %u\ndata: %u\n\n",
-	    server_call->next, server_call->next);
 	snprintf(chunk, sizeof(chunk), "%zx\r\n%s\r\n", strlen(event), event);
 	if (fault &&
 	    (platform->engine_fault == FAKE_TRUNCATED ||
@@ -901,8 +955,13 @@
 	}
 	if (server_call->unframed && end_unframed(server_call, event))
 		return;
-	h1_write(server_call->conn,
-	    lstr_from(server_call->unframed ? event : chunk));
+	if (server_call->written > 0)
+		write_chunk(server_call, event + server_call->written,
+		    strlen(event) - server_call->written);
+	else
+		h1_write(server_call->conn,
+		    lstr_from(server_call->unframed ? event : chunk));
+	server_call->written = 0;
 	if (server_call->next++ < EVENT_COUNT) {
 		loop_timer_set(server_call->timer,
 		    loop_now(platform->loop) + platform->event_interval_usec);
@@ -967,6 +1026,25 @@
 	return memmem(path.data, path.len, address, strlen(address)) != NULL;
 }
 
+/*
+ * Returns the bits of the engines of a path.
+ */
+static unsigned int
+path_engines(const struct fake_platform *platform, struct lstr path)
+{
+	unsigned int engines = 0;
+
+	for (int i = 0; i < ENGINE_COUNT; i++) {
+		char *stage =
+		    g_strdup_printf("%s=", platform->servers[i].address);
+
+		if (memmem(path.data, path.len, stage, strlen(stage)) != NULL)
+			engines |= 1u << i;
+		g_free(stage);
+	}
+	return engines;
+}
+
 /*
  * Counts a path at the servers behind its first one.
  */
@@ -1075,6 +1153,7 @@
 	    !path_is_complete(platform, value))
 		platform->incomplete_paths++;
 	server_call->faulty = path_is_faulty(platform, value);
+	server_call->engines = path_engines(platform, value);
 	count_path(platform, value);
 	count_run(platform, server_call->id);
 	if (platform->engine_fault == FAKE_UNPROVED_REFUSAL) {
@@ -1154,6 +1233,7 @@
 	platform->reroutes++;
 	count_path(platform, lstr_from(path));
 	stream->faulty = path_is_faulty(platform, lstr_from(path));
+	stream->engines = path_engines(platform, lstr_from(path));
 	loop_timer_set(stream->timer,
 	    loop_now(platform->loop) + platform->event_interval_usec);
 	return 200;
@@ -1198,6 +1278,32 @@
 		publish_server(server);
 }
 
+/*
+ * Returns the bits of the silent engines behind the first one of the streams of
+ * an engine.
+ */
+static unsigned int
+stalled_engines(const struct server *server)
+{
+	const struct fake_platform *platform = server->platform;
+	unsigned int stalled = 0;
+
+	for (guint i = 0; i < platform->server_calls->len; i++) {
+		const struct server_call *server_call =
+		    g_ptr_array_index(platform->server_calls, i);
+
+		if (server_call->server == server && server_call->streaming)
+			stalled |= server_call->engines;
+	}
+	for (int i = 0; i < ENGINE_COUNT; i++) {
+		if (&platform->servers[i] == server ||
+		    platform->servers[i].paused_until <=
+			loop_now(platform->loop))
+			stalled &= ~(1u << i);
+	}
+	return stalled;
+}
+
 /*
  * Responds with the state of an engine.
  */
@@ -1216,6 +1322,13 @@
 		    json_pack("{s:s, s:s}", "id",
 			platform->servers[FAULTY_ENGINE].id, "address",
 			platform->servers[FAULTY_ENGINE].address));
+	for (int i = 0; i < ENGINE_COUNT; i++) {
+		if (stalled_engines(server) & (1u << i))
+			json_array_append_new(stalled,
+			    json_pack("{s:s, s:s}", "id",
+				platform->servers[i].id, "address",
+				platform->servers[i].address));
+	}
 	server_call_free(server_call);
 	h1_set_data(conn, NULL);
 	respond_with_headers(conn, 200, server_headers(server),
@@ -1477,6 +1590,23 @@
 	h1_read_next_request(conn);
 }
 
+/*
+ * Refuses a request for want of capacity, and states that it did not run.
+ */
+static void
+refuse_full(struct server_call *server_call)
+{
+	struct h1_conn *conn = server_call->conn;
+	char *headers =
+	    g_strdup_printf("Attempt-Id: %s\r\nNot-Executed: 1\r\n%s",
+		server_call->id, server_headers(server_call->server));
+
+	h1_set_data(conn, NULL);
+	server_call_free(server_call);
+	respond_with_headers(conn, 503, headers, json_object());
+	g_free(headers);
+}
+
 /*
  * Handles a complete request to a server, once the server is not silent.
  */
@@ -1493,6 +1623,8 @@
 		refuse_misdirected_call(server_call);
 	else if (server->retry_after != NULL)
 		refuse_server_call(server_call);
+	else if (server->refuses && server_call->id[0] != '\0')
+		refuse_full(server_call);
 	else if (!server->engine)
 		run_plain(server_call);
 	else if (server->platform->drops_calls &&
@@ -1509,7 +1641,7 @@
 }
 
 /*
- * Handles a request to an engine that was silent.
+ * Handles a request to a server that was silent.
  */
 static void
 on_pause_ended(void *arg)
@@ -1531,7 +1663,7 @@
 	struct server_call *server_call = h1_data(conn);
 	struct loop *loop = server->platform->loop;
 
-	if (server->engine && loop_now(loop) < server->paused_until &&
+	if (loop_now(loop) < server->paused_until &&
 	    loop_timer_create(loop, on_pause_ended, server_call,
 		&server_call->timer) == STATUS_OK)
 		loop_timer_set(server_call->timer, server->paused_until);
@@ -1933,6 +2065,18 @@
 	    name, name);
 }
 
+void
+fake_platform_add_repeatable_route(
+    struct fake_platform *platform, const char *name)
+{
+	g_string_append_printf(platform->added_routes,
+	    ",{\"name\":\"%s\",\"host\":\"models.example\","
+	    "\"prefix\":\"/%s/\",\"kind\":\"idempotent\","
+	    "\"timeoutMs\":20000,\"targetLatencyMs\":150,\"priority\":2,"
+	    "\"service\":\"ledger\",\"maxAttempts\":2}",
+	    name, name);
+}
+
 void
 fake_platform_set_store_silent(
     struct fake_platform *platform, bool store_silent)
@@ -1957,6 +2101,40 @@
 		platform->servers[i].paused_until = until;
 }
 
+void
+fake_platform_pause_server(
+    struct fake_platform *platform, unsigned int server, int64_t until)
+{
+	platform->servers[server].paused_until = until;
+}
+
+void
+fake_platform_pause_within_events(struct fake_platform *platform)
+{
+	platform->pauses_within_events = true;
+}
+
+unsigned int
+fake_platform_request_count(const struct fake_platform *platform)
+{
+	unsigned int count = 0;
+
+	for (guint i = 0; i < platform->server_calls->len; i++) {
+		const struct server_call *server_call =
+		    g_ptr_array_index(platform->server_calls, i);
+
+		count += server_call->id[0] != '\0';
+	}
+	return count;
+}
+
+void
+fake_platform_refuse_requests(
+    struct fake_platform *platform, unsigned int server, bool refuse)
+{
+	platform->servers[server].refuses = refuse;
+}
+
 void
 fake_platform_set_plain_fault(
     struct fake_platform *platform, enum fake_fault fault)
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -80,5 +80,28 @@
 }
 END_TEST
 
+/* Guards against an event that is taken from a stream, or announced before it
+ * is complete, when it is only looked for. */
+START_TEST(event_is_announced_when_it_is_complete)
+{
+	static const char text[] = "id: 7\ndata: a\n\nid: 8\n";
+	const size_t complete = strlen("id: 7\ndata: a\n\n");
+	struct sse sse = {0};
+	struct sse_event event;
+
+	for (size_t i = 0; i < strlen(text); i++) {
+		ck_assert_int_eq(
+		    sse_feed(&sse, lstr_make(text + i, 1)), STATUS_OK);
+		ck_assert_int_eq(sse_has_event(&sse), i + 1 >= complete);
+	}
+	ck_assert(sse_next(&sse, &event));
+	ck_assert_uint_eq(event.id, 7);
+	ck_assert(!sse_has_event(&sse));
+	ck_assert(!sse_next(&sse, &event));
+	sse_free(&sse);
+}
+END_TEST
+
 HARNESS_MAIN("sse", events_are_complete_for_any_chunk_size,
-    partial_event_is_not_returned, oversized_event_is_rejected)
+    event_is_announced_when_it_is_complete, partial_event_is_not_returned,
+    oversized_event_is_rejected)
