--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -11,6 +11,7 @@
 #include "sched.h"
 #include "slog.h"
 #include "sse.h"
+#include "stall.h"
 #include "urgency.h"
 #include "waiting.h"
 
@@ -50,6 +51,12 @@
  * server, even if further bytes arrive now and then. */
 #define GATEWAY_PARTIAL_EVENT_USEC (1000 * LOOP_USEC_PER_MSEC)
 
+/* A server through which another stream has progressed within the last part of
+ * that time does not stall the event. */
+#define GATEWAY_PARTIAL_PROGRESS_USEC (500 * LOOP_USEC_PER_MSEC)
+/* Servers of stalled paths that are remembered for a request. */
+#define GATEWAY_SUSPECTS_MAX (2 * FLEET_STAGES_MAX)
+
 /* Longest "ip:port" that is kept for the log, without the terminating NUL. */
 #define GATEWAY_ADDRESS_MAX_BYTES 21
 
@@ -76,6 +83,9 @@
  * gateway_reroute.c. */
 struct gateway_reroute;
 
+/* An attempt that was given up and may go on; see gateway_keep.c. */
+struct gateway_kept;
+
 /* One attempt to run a request at a server or along a path. */
 struct gateway_attempt {
 	struct h1_conn *conn;
@@ -89,8 +99,8 @@
 	int64_t event_usec;
 	int64_t first_usec;
 	int64_t sent_at;
-	/* When bytes were last received or the path last changed; initially
-	 * sent_at. */
+	/* When bytes were last received, or an event if it is a stream, or the
+	 * path last changed; initially sent_at. */
 	int64_t last_progress_at;
 	/* The connection is being established. */
 	bool connecting;
@@ -151,7 +161,13 @@
 	/* Expected duration when it was last to be sent; 0: not known. */
 	int64_t expected_usec;
 	struct gateway_attempt attempt;
+	/* The newest first; NULL: none. */
+	struct gateway_kept *kept;
 	struct attempts attempts;
+	/* The servers of the paths on which it stalled without a sign of which
+	 * of them is at fault. Another path avoids them if it can. */
+	struct pool_server *suspects[GATEWAY_SUSPECTS_MAX];
+	uint32_t suspect_count;
 	bool may_have_run;
 	/* Attempts whose server seems to have ended before they came through.
 	 */
@@ -257,6 +273,13 @@
 void gateway_attempt_failed(
     struct gateway_request *, bool not_run, const char *reason);
 bool gateway_attempt_give_up(struct gateway_request *, const char *reason);
+const struct h1_ops *gateway_server_ops(void);
+
+/* Attempts that were given up and may go on. */
+bool gateway_keep_attempt(struct gateway_request *);
+bool gateway_put_back(struct gateway_request *, const char *reason);
+void gateway_drop_kept(struct gateway_request *);
+size_t gateway_kept_bytes(const struct gateway_request *);
 
 /* Requests of a node that is stopping. */
 bool gateway_can_start(struct gateway_request *, int64_t expected_usec);
