Limit the connections of attempts that were given up

An attempt that is kept has a connection to a server besides that of its replacement, for which the division of descriptors had no place: many silent servers could use up the descriptors that callers need.

Kept attempts now share the limit of idle connections to servers and take the place of idle ones; without room an attempt is ended as before. The account of callers counts their connections.

The fault was found by reading; no test failed.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -13,8 +13,9 @@
  * current: about the time after which a lookup returns nodes that can. */
 #define UNCONFIRMED_CONFIG_RETRY_USEC (1 * LOOP_USEC_PER_SEC)
 /* Memory of a request besides its buffers: the record, and the connection to
- * its server with that one's APR pool of 8 KB. */
-#define REQUEST_BYTES (sizeof(struct gateway_request) + 10240)
+ * its server. */
+#define REQUEST_BYTES                                                          \
+	(sizeof(struct gateway_request) + GATEWAY_CONNECTION_BYTES)
 /* First allocation for a body. */
 #define BODY_GROW_BYTES ((size_t)1024)
 
--- a/src/node/gateway_keep.c
+++ b/src/node/gateway_keep.c
@@ -54,6 +54,7 @@
 	gateway_attempt_end(request, false);
 	sse_free(&request->attempt.sse);
 	request->attempt = present;
+	request->gateway->kept_count--;
 	lstr_buf_free(&kept->response);
 	free(kept);
 	gateway_account(request);
@@ -110,6 +111,7 @@
 	request->state = GATEWAY_SENT;
 	lstr_buf_free(&request->response);
 	request->response = kept->response;
+	gateway->kept_count--;
 	free(kept);
 	gateway_account(request);
 	gateway->counts.put_back++;
@@ -238,7 +240,7 @@
 /*
  * Keeps the present attempt, whose servers show no progress, and leaves the
  * request without one. Returns false if it cannot be kept: its connection is
- * not established, or memory is lacking.
+ * not established, or memory or connections are lacking.
  */
 bool
 gateway_keep_attempt(struct gateway_request *request)
@@ -246,11 +248,13 @@
 	struct gateway_attempt *attempt = &request->attempt;
 	struct gateway_kept *kept;
 
-	if (attempt->conn == NULL || attempt->connecting)
+	if (attempt->conn == NULL || attempt->connecting ||
+	    !gateway_make_room_for_kept(request->gateway))
 		return false;
 	kept = calloc(1, sizeof(*kept));
 	if (kept == NULL)
 		return false;
+	request->gateway->kept_count++;
 	gateway_reroute_detach(attempt);
 	kept->attempt = *attempt;
 	kept->response = request->response;
@@ -260,6 +264,7 @@
 	memset(attempt, 0, sizeof(*attempt));
 	memset(&request->response, 0, sizeof(request->response));
 	h1_set_owner(kept->attempt.conn, &kept_ops, kept);
+	gateway_account(request);
 	return true;
 }
 
@@ -273,7 +278,7 @@
 
 	for (const struct gateway_kept *kept = request->kept; kept != NULL;
 	     kept = kept->next)
-		bytes += sizeof(*kept) + kept->response.size +
-		    kept->attempt.sse.pending.size;
+		bytes += sizeof(*kept) + GATEWAY_CONNECTION_BYTES +
+		    kept->response.size + kept->attempt.sse.pending.size;
 	return bytes;
 }
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -57,6 +57,8 @@
 /* Servers of stalled paths that are remembered for a request. */
 #define GATEWAY_SUSPECTS_MAX (2 * FLEET_STAGES_MAX)
 
+/* Memory of a connection to a server, with its APR pool of 8 KB. */
+#define GATEWAY_CONNECTION_BYTES ((size_t)10240)
 /* Longest "ip:port" that is kept for the log, without the terminating NUL. */
 #define GATEWAY_ADDRESS_MAX_BYTES 21
 
@@ -226,8 +228,10 @@
 	/* By name: struct gateway_service. */
 	GHashTable *services;
 	GRand *rand;
-	/* Idle connections to servers. */
+	/* Idle connections to servers, and those of attempts that are kept,
+	 * which share the limit of the former. */
 	size_t idle_count;
+	size_t kept_count;
 	uint64_t start_sequence;
 	/* quarantine_confirmations() when the requests were last checked. */
 	uint64_t confirmations;
@@ -274,6 +278,7 @@
     struct gateway_request *, bool not_run, const char *reason);
 bool gateway_attempt_give_up(struct gateway_request *, const char *reason);
 const struct h1_ops *gateway_server_ops(void);
+bool gateway_make_room_for_kept(struct gateway *);
 
 /* Attempts that were given up and may go on. */
 bool gateway_keep_attempt(struct gateway_request *);
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -76,7 +76,8 @@
 	    : GATEWAY_IDLE_DEFAULT_USEC;
 	struct idle_conn *idle = NULL;
 
-	if (gateway->idle_count < gateway->config.idle_max)
+	if (gateway->idle_count + gateway->kept_count <
+	    gateway->config.idle_max)
 		idle = calloc(1, sizeof(*idle));
 	if (idle == NULL) {
 		h1_close(attempt->conn);
@@ -134,6 +135,30 @@
 		idle_drop(idle);
 }
 
+/*
+ * Makes room for the connection of an attempt that is kept, which takes the
+ * place of an idle one if all are in use. Returns false if there is none.
+ */
+bool
+gateway_make_room_for_kept(struct gateway *gateway)
+{
+	size_t max = gateway->config.idle_max;
+	GHashTableIter iter;
+	gpointer server;
+
+	if (gateway->kept_count >= max)
+		return false;
+	g_hash_table_iter_init(&iter, gateway->config.pool->by_id);
+	while (gateway->idle_count + gateway->kept_count >= max &&
+	    g_hash_table_iter_next(&iter, NULL, &server)) {
+		GQueue *idle = &((struct pool_server *)server)->idle;
+
+		if (!g_queue_is_empty(idle))
+			idle_drop(g_queue_peek_head(idle));
+	}
+	return gateway->idle_count + gateway->kept_count < max;
+}
+
 /*
  * Applies what a server states about itself in a response. The connections to a
  * server that is leaving are not used again.
--- a/src/node/node_callers.c
+++ b/src/node/node_callers.c
@@ -22,7 +22,8 @@
 #define SERVICE_MAX 256
 #define SERVICE_COUNT 3
 /* Each caller may need a connection to a server. In addition, one idle
- * connection to a server is kept for this many callers, as long as these use no
+ * connection to a server, or that of an attempt that was given up, is kept for
+ * this many callers, as long as these use no
  * more than a part of the memory; each takes about 10 KB. */
 #define CALLERS_PER_IDLE 4
 #define IDLE_MEMORY_SHARE 16
