End connections whose answer cannot be written

What callers see: an answer that belongs to another request, or events without the head of their response, on a connection with requests sent ahead whose earlier answer is read slowly. Cause: h1_write() refuses further output while much is unsent, and the result was ignored for refusals, the head and the last chunk of streams and the node's own ports. The request counted as answered, and the next one on the connection was read: its answer took the place of the missing one. Change: after an answer that cannot be written nothing more is read, what was queued before is delivered, and the connection ends. A stream whose head cannot be written has not begun and fails as such; one whose last chunk cannot be written is aborted and not counted as done. A refusal without a record that is lost is logged and counted. No test fills the output just so that only the last chunk does not fit.

--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -293,7 +293,8 @@
 	    lstr_make(
 		info.id.data, MIN(info.id.len, (size_t)ADAPTER_ID_MAX_BYTES)),
 	    ADMIT_RETRY_MIN_USEC, 0, "no memory for the request", &text);
-	h1_write(conn, lstr_buf_view(&text));
+	if (h1_write(conn, lstr_buf_view(&text)) != STATUS_OK)
+		gateway_note_refusal_lost(gateway, info.id);
 	lstr_buf_free(&text);
 	h1_close_gracefully(conn);
 }
@@ -425,7 +426,8 @@
 	}
 	gateway->config.adapter->encode_refusal(
 	    status, lstr_make("", 0), retry_usec, 0, reason, &text);
-	h1_write(conn, lstr_buf_view(&text));
+	/* No whole request is lost if this fails; the connection is closed. */
+	(void)h1_write(conn, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	h1_close_gracefully(conn);
 }
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -238,6 +238,7 @@
 void gateway_end_request(struct gateway_request *, const char *outcome);
 void gateway_cancel_request(struct gateway_request *, const char *reason);
 void gateway_note_unanswered(struct gateway_request *, const char *reason);
+void gateway_note_refusal_lost(struct gateway *, struct lstr id);
 void gateway_register_metrics(void);
 
 /* Sends a buffered response to the caller. */
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -108,6 +108,22 @@
 		h1_read_next_request(caller);
 }
 
+/*
+ * Ends a request and closes its connection once the queued output has been
+ * sent. Nothing further is read from it.
+ */
+static void
+end_with_connection(struct gateway_request *request)
+{
+	struct h1_conn *caller = request->caller;
+
+	h1_set_data(caller, NULL);
+	h1_set_owner_bytes(caller, 0);
+	request->caller = NULL;
+	gateway_end_request(request, NULL);
+	h1_close_gracefully(caller);
+}
+
 /*
  * Sends an error response of the node itself and ends the request.
  */
@@ -117,22 +133,22 @@
 {
 	struct lstr_buf text = {0};
 	struct h1_conn *caller = request->caller;
+	enum status written;
 
 	close = close || drain_is_active(request->gateway->config.drain) ||
 	    !h1_keep_alive(caller);
 	request->gateway->config.adapter->encode_refusal(status,
 	    lstr_from(request->id), retry_usec,
 	    close ? 0 : h1_keep_usec(caller), reason, &text);
-	if (h1_write(caller, lstr_buf_view(&text)) != STATUS_OK)
-		gateway_note_unanswered(request, "refusal cannot be written");
+	written = h1_write(caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
-	if (close && request->state == GATEWAY_READING) {
-		/* The rest of the request body is not read. */
-		h1_set_data(caller, NULL);
-		h1_set_owner_bytes(caller, 0);
-		request->caller = NULL;
-		gateway_end_request(request, NULL);
-		h1_close_gracefully(caller);
+	if (written != STATUS_OK)
+		gateway_note_unanswered(request, "refusal cannot be written");
+	/* The rest of the body is not read after a refusal. If that is missing,
+	 * the caller would take the next answer for it. */
+	if (written != STATUS_OK ||
+	    (close && request->state == GATEWAY_READING)) {
+		end_with_connection(request);
 		return;
 	}
 	gateway_end_request(request, NULL);
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -752,6 +752,7 @@
 	struct gateway *gateway = request->gateway;
 	struct gateway_attempt *attempt = &request->attempt;
 	struct lstr_buf text = {0};
+	enum status written;
 	bool close = drain_is_active(gateway->config.drain) ||
 	    !h1_keep_alive(request->caller);
 
@@ -770,14 +771,21 @@
 			    "answer does not continue the stream");
 		return;
 	}
-	request->response_started = true;
 	request->chunked = !h1_is_http10(request->caller);
 	close = close || !request->chunked;
 	gateway->config.adapter->encode_response(attempt->conn,
 	    request->chunked, close ? 0 : h1_keep_usec(request->caller), &text);
 	lstr_buf_printf(&text, "\r\n");
-	h1_write(request->caller, lstr_buf_view(&text));
+	written = h1_write(request->caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
+	if (written == STATUS_OK) {
+		request->response_started = true;
+		return;
+	}
+	request->may_have_run = true;
+	gateway_attempt_end(request, false);
+	gateway_fail_request(
+	    request, HTTP_STATUS_BAD_GATEWAY, "answer cannot be written");
 }
 
 /*
@@ -946,9 +954,14 @@
 	if (attempt->events < QUARANTINE_SOUND_EVENTS &&
 	    !h1_ended_by_close(attempt->conn))
 		gateway_quarantine_note_sound(request);
+	if (request->chunked &&
+	    h1_write(request->caller, lstr_from("0\r\n\r\n")) != STATUS_OK) {
+		gateway_attempt_end(request, true);
+		gateway_abort_response(
+		    request, "end of the answer cannot be written");
+		return;
+	}
 	gateway->counts.done++;
-	if (request->chunked)
-		h1_write(request->caller, lstr_from("0\r\n\r\n"));
 	gateway_attempt_end(request, true);
 	if (!request->chunked) {
 		struct h1_conn *caller = request->caller;
--- a/src/node/gateway_unanswered.c
+++ b/src/node/gateway_unanswered.c
@@ -59,6 +59,24 @@
 	    "config_age_ms", config_age_ms(gateway));
 }
 
+/*
+ * Records that a request without a record, which may be whole, is not answered
+ * because its refusal cannot be written.
+ */
+void
+gateway_note_refusal_lost(struct gateway *gateway, struct lstr id)
+{
+	gateway->counts.unanswered++;
+	slog_event(EV_REQUEST_UNANSWERED,
+	    "{s:s%, s:s, s:s, s:b, s:i, s:i, s:I, s:I}", "id",
+	    id.data != NULL ? id.data : "",
+	    MIN(id.len, (size_t)ADAPTER_ID_MAX_BYTES), "reason",
+	    "refusal cannot be written", "state",
+	    gateway_state_name(GATEWAY_READING), "response_begun", 0, "sends",
+	    0, "events", 0, "after_ms", (json_int_t)0, "config_age_ms",
+	    config_age_ms(gateway));
+}
+
 /*
  * Logs what a caller's connection discards when it is closed: input that may be
  * a request, or the rest of a response. A connection that its caller closed
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -39,7 +39,8 @@
 	h1_encode_keep_alive(keep_alive ? h1_keep_usec(conn) : 0, &text);
 	lstr_buf_printf(&text, "\r\n");
 	lstr_buf_append(&text, body);
-	h1_write(conn, lstr_buf_view(&text));
+	if (h1_write(conn, lstr_buf_view(&text)) != STATUS_OK)
+		keep_alive = false;
 	lstr_buf_free(&text);
 	if (keep_alive)
 		h1_read_next_request(conn);
