Do not cut off answers that are read slowly

What callers see: a long answer ends early, with a closed connection, when its caller reads steadily but slowly; test_h1 beside load shows it. Cause: progress was what the socket accepted. Its buffer grows to 4 MB, and it becomes writable only once a third of that is free, so a peer that reads less than about 1.3 MB per second made no progress for H1_LINGER_USEC, and the rest of the answer was discarded. On kept connections the idle limit did the same. Change: before such a connection is closed, the bytes that the peer has acknowledged are looked up (SIOCOUTQ). While memory is short, connections with unread output give way as before.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -1,10 +1,12 @@
 #include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -195,6 +197,33 @@
 		    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
 }
 
+/*
+ * Returns whether the peer has acknowledged output since the last call. While
+ * the socket accepts no more, this is the only sign that the peer reads: the
+ * socket becomes writable only after a good part of its buffer is free.
+ */
+static bool
+has_acknowledged(struct h1_conn *conn)
+{
+	int before = conn->unacknowledged;
+
+	if (ioctl(conn->fd, SIOCOUTQ, &conn->unacknowledged) != 0)
+		conn->unacknowledged = 0;
+	return conn->unacknowledged < before;
+}
+
+/*
+ * Notes the progress of a peer that reads more slowly than the socket needs to
+ * become writable. While memory is short such connections give way all the
+ * same, so this is not called then.
+ */
+void
+h1_check_progress(struct h1_conn *conn)
+{
+	if (conn->out.len > 0 && !conn->connecting && has_acknowledged(conn))
+		h1_note_progress(conn);
+}
+
 /*
  * Fails a connection whose output cannot be delivered. The callback is
  * deferred: the caller of h1_write() still uses the connection.
@@ -228,8 +257,10 @@
 		}
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+			has_acknowledged(conn);
 			break;
+		}
 		fail_write(conn);
 		return;
 	}
@@ -739,6 +770,11 @@
 	if (conn->write_failed)
 		close_and_notify(conn, H1_CLOSE_NOT_WRITTEN,
 		    status_set(STATUS_IO, "connection cannot be written"));
+	else if (has_acknowledged(conn) &&
+	    loop_now(conn->h1->loop) < conn->linger_until)
+		loop_timer_set(conn->timer,
+		    MIN(loop_now(conn->h1->loop) + H1_LINGER_USEC,
+			conn->linger_until));
 	else
 		h1_close_for(conn, H1_CLOSE_LINGERED);
 }
@@ -917,7 +953,7 @@
 
 /*
  * Server: sends the remaining output and shuts down writing. The connection is
- * closed when the peer closes, or when it has accepted no output for
+ * closed when the peer closes, or when it has acknowledged no output for
  * H1_LINGER_USEC, so that a reset does not destroy the response.
  */
 void
@@ -931,4 +967,5 @@
 	conn->linger_until = loop_now(conn->h1->loop) + H1_LINGER_MAX_USEC;
 	loop_timer_set(conn->timer, loop_now(conn->h1->loop) + H1_LINGER_USEC);
 	flush_output(conn);
+	has_acknowledged(conn);
 }
--- a/src/node/h1_listener.c
+++ b/src/node/h1_listener.c
@@ -336,6 +336,8 @@
 		/* A longer limit applies at once. */
 		conn->idle_until = MAX(conn->idle_until,
 		    conn->idle_since + listener->limits->idle_timeout_usec);
+		if (now >= conn->idle_until + IDLE_MARGIN_USEC)
+			h1_check_progress(conn);
 		if (!conn->busy && !conn->lingering &&
 		    conn->head_started_at == 0 &&
 		    now >= conn->idle_until + IDLE_MARGIN_USEC &&
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -103,6 +103,9 @@
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
 	struct lstr_buf out;
+	/* Bytes in the socket that the peer had not acknowledged when it was
+	 * last looked up. */
+	int unacknowledged;
 	/* Memory in the account, and that which the owner holds for it. */
 	size_t held;
 	size_t owner_bytes;
@@ -113,6 +116,7 @@
 void h1_protocol_error(struct h1_conn *);
 void h1_close_for(struct h1_conn *, enum h1_close_reason);
 void h1_note_progress(struct h1_conn *);
+void h1_check_progress(struct h1_conn *);
 void h1_note_closing(struct h1_conn *);
 bool h1_has_unread_bytes(const struct h1_conn *);
 void h1_account(struct h1_conn *);
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -174,6 +174,52 @@
 }
 END_TEST
 
+/*
+ * Guards against cutting off a long response whose peer reads steadily, but too
+ * slowly for the socket to accept more within H1_LINGER_USEC.
+ */
+START_TEST(graceful_close_delivers_to_a_peer_slower_than_the_socket)
+{
+	static char bytes[LONG_RESPONSE_BYTES];
+	static char chunk[64 * 1024];
+	struct fixture f;
+	size_t received = 0;
+	int64_t until;
+	ssize_t n = 1;
+
+	fixture_start(&f);
+	ck_assert_int_eq(
+	    h1_write(f.conn, lstr_make(bytes, sizeof(bytes))), STATUS_OK);
+	h1_close_gracefully(f.conn);
+	until = loop_now(f.loop) + 5 * H1_LINGER_USEC / 2;
+	while (loop_now(f.loop) < until) {
+		int64_t next = loop_now(f.loop) + H1_LINGER_USEC / 10;
+
+		n = recv(f.peer, chunk, sizeof(chunk), MSG_DONTWAIT);
+		received += n > 0 ? (size_t)n : 0;
+		while (loop_now(f.loop) < next)
+			loop_run_once(f.loop, next);
+	}
+	until = loop_now(f.loop) + HARNESS_DEADLINE_USEC;
+	while (n != 0) {
+		ck_assert_int_lt(loop_now(f.loop), until);
+		n = recv(f.peer, chunk, sizeof(chunk), MSG_DONTWAIT);
+		received += n > 0 ? (size_t)n : 0;
+		if (n < 0)
+			loop_run_once(
+			    f.loop, loop_now(f.loop) + LOOP_USEC_PER_MSEC);
+	}
+	ck_assert_uint_eq(received, sizeof(bytes));
+	close(f.peer);
+	/* The connection ends without a callback. */
+	f.conn = NULL;
+	until = loop_now(f.loop) + 2 * H1_LINGER_USEC;
+	while (loop_now(f.loop) < until)
+		loop_run_once(f.loop, until);
+	fixture_stop(&f);
+}
+END_TEST
+
 /*
  * Guards against cutting off a long response a fixed time after it was queued
  * although its peer goes on reading.
@@ -364,8 +410,10 @@
 END_TEST
 
 HARNESS_MAIN("h1", response_cut_at_any_byte_does_not_complete,
-    graceful_close_delivers_to_a_slow_peer, failed_write_is_reported_later,
-    reset_does_not_complete_response, close_completes_response_without_length,
+    graceful_close_delivers_to_a_slow_peer,
+    graceful_close_delivers_to_a_peer_slower_than_the_socket,
+    failed_write_is_reported_later, reset_does_not_complete_response,
+    close_completes_response_without_length,
     interim_response_and_extra_bytes_are_ignored,
     response_after_skipped_one_is_read, tokens_are_found_in_header_lists,
     list_entries_are_split)
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -14,6 +14,8 @@
 #define CONNECTIONS_MAX 10
 #define ACCOUNT_BYTES ((size_t)400 * 1000)
 #define HEAD_BYTES ((size_t)50 * 1000)
+/* More than a socket buffers. */
+#define LONG_RESPONSE_BYTES ((size_t)7 * 1024 * 1024)
 /* Time for which a connection is kept beyond its idle limit. */
 #define MARGIN_USEC (1 * LOOP_USEC_PER_SEC)
 #define IDLE_USEC (600 * LOOP_USEC_PER_MSEC)
@@ -402,6 +404,69 @@
 }
 END_TEST
 
+/*
+ * Sends a response that exceeds the socket buffers.
+ */
+static void
+send_long_response(struct h1_conn *conn, void *arg)
+{
+	static char bytes[LONG_RESPONSE_BYTES];
+
+	(void)arg;
+	ck_assert_int_eq(
+	    h1_write(conn, lstr_make(bytes, sizeof(bytes))), STATUS_OK);
+	h1_read_next_request(conn);
+}
+
+/*
+ * Reads what has arrived, up to 64 KB. Returns the number of bytes.
+ */
+static size_t
+read_some(int fd)
+{
+	static char bytes[64 * 1024];
+	ssize_t n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	return n > 0 ? (size_t)n : 0;
+}
+
+/* Guards against the idle limit for a connection whose peer reads a response
+ * steadily, but too slowly for the socket to accept more within the limit. */
+START_TEST(idle_limit_spares_a_response_that_is_read_slowly)
+{
+	static const struct h1_ops responding_ops = {
+	    NULL, NULL, on_head, on_body, send_long_response, on_ended};
+	struct fixture f;
+	size_t received = 0;
+	int64_t until;
+	int fd;
+
+	fixture_start(&f, 0);
+	h1_set_account(f.h1, NULL);
+	h1_listener_destroy(f.listener);
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits,
+			     &responding_ops, &f, &f.listener),
+	    STATUS_OK);
+	fd = add_client(&f, "GET / HTTP/1.1\r\n\r\n");
+	until = loop_now(f.loop) + 3 * (IDLE_USEC + MARGIN_USEC) / 2;
+	while (loop_now(f.loop) < until) {
+		received += read_some(fd);
+		run_for(&f, MARGIN_USEC / 10);
+		h1_listener_check_timeouts(f.listener);
+	}
+	until = loop_now(f.loop) + HARNESS_DEADLINE_USEC;
+	while (received < LONG_RESPONSE_BYTES &&
+	    h1_listener_count(f.listener) > 0) {
+		ck_assert_int_lt(loop_now(f.loop), until);
+		received += read_some(fd);
+		run_for(&f, 0);
+	}
+	ck_assert_uint_eq(h1_listener_count(f.listener), 1);
+	ck_assert_uint_eq(received, LONG_RESPONSE_BYTES);
+	fixture_stop(&f);
+}
+END_TEST
+
 HARNESS_MAIN("h1_limits", oldest_connections_give_way_at_the_limit,
     unfinished_bodies_are_refused_before_they_are_closed,
     complete_requests_do_not_give_way, heads_stay_within_the_account,
@@ -410,4 +475,5 @@
     stopped_listener_reads_requests_that_have_arrived,
     shorter_timeouts_spare_connections_that_wait_already,
     idle_connection_is_kept_longer_than_stated,
-    connection_with_an_unread_request_does_not_give_way)
+    connection_with_an_unread_request_does_not_give_way,
+    idle_limit_spares_a_response_that_is_read_slowly)
