Deliver answers that a server has made without a second copy

What callers see: a reset instead of the answer, and with it the loss of earlier answers that are still being read. Cause: gateway_send_response() copied the buffered body behind the head. If the copy could not be had, or the answer did not fit behind unsent output, the caller was reset although a server had run the request. h1_write() failed the connection also where nothing of the message had been sent. Change: the head is put before the body in the buffer that holds it, and that buffer becomes the output; what is unsent of an earlier answer is put before it if it is shorter. An answer that cannot be written becomes a 502, and is not counted as done. h1_write() fails the connection only if it has sent a part. Streams end with the reason that applies, also when an event cannot be copied, which lost it before. Allocations that fail are not tested.

--- a/src/lstr.c
+++ b/src/lstr.c
@@ -178,6 +178,23 @@
 	return STATUS_OK;
 }
 
+/*
+ * Inserts a copy of a string before the contents, without a second buffer. On
+ * STATUS_NO_MEMORY the buffer is unchanged.
+ */
+enum status
+lstr_buf_prepend(struct lstr_buf *buf, struct lstr s)
+{
+	enum status status = lstr_buf_reserve(buf, buf->len + s.len);
+
+	if (status != STATUS_OK || s.len == 0)
+		return status;
+	memmove(buf->data + s.len, buf->data, buf->len);
+	memcpy(buf->data, s.data, s.len);
+	buf->len += s.len;
+	return STATUS_OK;
+}
+
 /*
  * Appends formatted text. On STATUS_NO_MEMORY the buffer is unchanged.
  */
--- a/src/lstr.h
+++ b/src/lstr.h
@@ -37,6 +37,7 @@
 
 enum status lstr_buf_reserve(struct lstr_buf *, size_t size);
 enum status lstr_buf_append(struct lstr_buf *, struct lstr);
+enum status lstr_buf_prepend(struct lstr_buf *, struct lstr);
 enum status lstr_buf_printf(struct lstr_buf *, const char *, ...)
     __attribute__((format(printf, 2, 3)));
 void lstr_buf_consume(struct lstr_buf *, size_t);
--- a/src/node/gateway_plain.c
+++ b/src/node/gateway_plain.c
@@ -151,9 +151,9 @@
 		    request, false, "server failed the request");
 		return;
 	}
-	request->gateway->counts.done++;
 	request->first_event_at = now;
-	gateway_send_response(request, "answered");
+	if (gateway_send_response(request, "answered"))
+		request->gateway->counts.done++;
 }
 
 /*
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -242,7 +242,7 @@
 void gateway_register_metrics(void);
 
 /* Sends a buffered response to the caller. */
-void gateway_send_response(struct gateway_request *, const char *outcome);
+bool gateway_send_response(struct gateway_request *, const char *outcome);
 
 /* Appends to the buffered response; fails the attempt and returns false if a
  * limit is exceeded. */
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include <http_parser.h>
 
 #include "gateway_priv.h"
@@ -137,10 +139,11 @@
 
 	close = close || drain_is_active(request->gateway->config.drain) ||
 	    !h1_keep_alive(caller);
-	request->gateway->config.adapter->encode_refusal(status,
+	written = request->gateway->config.adapter->encode_refusal(status,
 	    lstr_from(request->id), retry_usec,
 	    close ? 0 : h1_keep_usec(caller), reason, &text);
-	written = h1_write(caller, lstr_buf_view(&text));
+	if (written == STATUS_OK)
+		written = h1_write(caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	if (written != STATUS_OK)
 		gateway_note_unanswered(request, "refusal cannot be written");
@@ -252,39 +255,45 @@
 }
 
 /*
- * Sends a buffered response to the caller and ends the request.
+ * Sends a buffered response to the caller and ends the request. Returns false
+ * if it cannot be written; the caller is told that the request may have run.
  */
-void
+bool
 gateway_send_response(struct gateway_request *request, const char *outcome)
 {
 	struct gateway *gateway = request->gateway;
 	struct h1_conn *caller = request->caller;
 	bool close =
 	    drain_is_active(gateway->config.drain) || !h1_keep_alive(caller);
-	struct lstr_buf text = {0};
-	bool sent;
+	struct lstr_buf head = {0};
+	struct lstr_buf text = request->response;
+	enum status status;
 
-	gateway->config.adapter->encode_response(request->attempt.conn, false,
-	    close ? 0 : h1_keep_usec(caller), &text);
-	lstr_buf_printf(
-	    &text, "Content-Length: %zu\r\n\r\n", request->response.len);
-	sent = lstr_buf_reserve(&text, text.len + request->response.len) ==
-		STATUS_OK &&
-	    lstr_buf_append(&text, lstr_buf_view(&request->response)) ==
-		STATUS_OK;
-	lstr_buf_free(&request->response);
+	memset(&request->response, 0, sizeof(request->response));
 	gateway_account(request);
-	sent = sent && h1_write_buf(caller, &text) == STATUS_OK;
+	status = gateway->config.adapter->encode_response(request->attempt.conn,
+	    false, close ? 0 : h1_keep_usec(caller), &head);
+	if (status == STATUS_OK)
+		status = lstr_buf_printf(
+		    &head, "Content-Length: %zu\r\n\r\n", text.len);
+	/* No second copy of the body is needed, which memory may be short of.
+	 */
+	if (status == STATUS_OK)
+		status = lstr_buf_prepend(&text, lstr_buf_view(&head));
+	if (status == STATUS_OK)
+		status = h1_write_buf(caller, &text);
+	lstr_buf_free(&head);
 	lstr_buf_free(&text);
 	gateway_attempt_end(request, true);
-	if (sent) {
+	if (status == STATUS_OK) {
 		gateway_end_request(request, outcome);
-		return;
+		return true;
 	}
-	/* The caller has left, or has not read its former responses. */
-	gateway_note_unanswered(request, "answer cannot be written");
-	gateway_cancel_request(request, "answer cannot be written");
-	h1_reset(caller);
+	request->may_have_run = true;
+	gateway_fail_request(request, HTTP_STATUS_BAD_GATEWAY,
+	    status == STATUS_NO_MEMORY ? "no memory for the answer"
+				       : "answer cannot be written");
+	return false;
 }
 
 /*
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -773,10 +773,12 @@
 	}
 	request->chunked = !h1_is_http10(request->caller);
 	close = close || !request->chunked;
-	gateway->config.adapter->encode_response(attempt->conn,
+	written = gateway->config.adapter->encode_response(attempt->conn,
 	    request->chunked, close ? 0 : h1_keep_usec(request->caller), &text);
-	lstr_buf_printf(&text, "\r\n");
-	written = h1_write(request->caller, lstr_buf_view(&text));
+	if (written == STATUS_OK)
+		written = lstr_buf_printf(&text, "\r\n");
+	if (written == STATUS_OK)
+		written = h1_write(request->caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	if (written == STATUS_OK) {
 		request->response_started = true;
@@ -834,10 +836,13 @@
 
 	if (!request->chunked)
 		return h1_write(request->caller, bytes);
-	lstr_buf_printf(&text, "%zx\r\n", bytes.len);
-	lstr_buf_append(&text, bytes);
-	lstr_buf_append(&text, lstr_from("\r\n"));
-	status = h1_write(request->caller, lstr_buf_view(&text));
+	status = lstr_buf_printf(&text, "%zx\r\n", bytes.len);
+	if (status == STATUS_OK)
+		status = lstr_buf_append(&text, bytes);
+	if (status == STATUS_OK)
+		status = lstr_buf_append(&text, lstr_from("\r\n"));
+	if (status == STATUS_OK)
+		status = h1_write(request->caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	return status;
 }
@@ -863,6 +868,7 @@
 	struct lstr_buf complete_events = {0};
 	struct sse_event event;
 	const char *fault = NULL;
+	enum status status = STATUS_OK;
 	int64_t now = gateway_now(request->gateway);
 
 	if (attempt->response.status != HTTP_OK) {
@@ -874,7 +880,7 @@
 		return;
 	}
 	gateway_account(request);
-	while (fault == NULL && sse_next(&attempt->sse, &event)) {
+	while (status == STATUS_OK && sse_next(&attempt->sse, &event)) {
 		if (event.has_id && event.id <= request->last_event)
 			continue;
 		if (!event.has_id && is_continuation(request)) {
@@ -892,16 +898,18 @@
 			request->last_event = event.id;
 		attempt->partial_since = 0;
 		record_event(request, now);
-		lstr_buf_append(&complete_events, event.bytes);
+		status = lstr_buf_append(&complete_events, event.bytes);
 	}
-	if (complete_events.len > 0 &&
-	    send_events(request, lstr_buf_view(&complete_events)) ==
-		STATUS_FULL) {
-		lstr_buf_free(&complete_events);
-		gateway_abort_response(request, "caller does not read");
+	if (status == STATUS_OK && complete_events.len > 0)
+		status = send_events(request, lstr_buf_view(&complete_events));
+	lstr_buf_free(&complete_events);
+	/* The end of a connection that has failed is reported by itself. */
+	if (status != STATUS_OK && status != STATUS_CLOSED) {
+		gateway_abort_response(request,
+		    status == STATUS_FULL ? "caller does not read"
+					  : "no memory for the answer");
 		return;
 	}
-	lstr_buf_free(&complete_events);
 	if (attempt->sse.pending.len == 0)
 		attempt->partial_since = 0;
 	else if (attempt->partial_since == 0)
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -296,13 +296,14 @@
  * Sends what the socket accepts and queues the rest. Returns STATUS_FULL if
  * output is unsent and would become more than H1_OUTPUT_MAX_BYTES; the peer
  * does not read and the connection should be closed. A response that is written
- * at once may be larger. If the rest does not fit into the memory for callers,
- * the connection fails.
+ * at once may be larger. Returns STATUS_NO_MEMORY if the rest does not fit into
+ * the memory for callers; the connection fails if a part has been sent.
  */
 enum status
 h1_write(struct h1_conn *conn, struct lstr bytes)
 {
 	enum status status;
+	size_t len = bytes.len;
 
 	if (conn->is_closed || conn->write_failed)
 		return status_set(STATUS_CLOSED, "connection is closed");
@@ -318,21 +319,37 @@
 	h1_account(conn);
 	if (status == STATUS_OK)
 		flush_output(conn);
-	else
+	else if (bytes.len < len || conn->listener == NULL)
 		fail_write(conn);
 	return status;
 }
 
+/*
+ * Puts unsent output before the contents of a buffer that holds more, so that
+ * the buffer can take its place. Returns false if the output stays as it is.
+ */
+static bool
+prepend_output(struct h1_conn *conn, struct lstr_buf *buf)
+{
+	if (conn->out.len == 0)
+		return true;
+	return conn->out.len < buf->len &&
+	    conn->out.len + buf->len <= H1_OUTPUT_MAX_BYTES &&
+	    lstr_buf_prepend(buf, lstr_buf_view(&conn->out)) == STATUS_OK;
+}
+
 /*
  * The same for the contents of a buffer, which is emptied. Its memory is used
- * for the output if there is none yet, so that large messages are not copied.
+ * for the output unless more than that is unsent, so that large messages are
+ * not copied and need no room in the memory for callers.
  */
 enum status
 h1_write_buf(struct h1_conn *conn, struct lstr_buf *buf)
 {
 	enum status status = STATUS_OK;
 
-	if (conn->is_closed || conn->write_failed || conn->out.len > 0) {
+	if (conn->is_closed || conn->write_failed ||
+	    !prepend_output(conn, buf)) {
 		status = h1_write(conn, lstr_buf_view(buf));
 		lstr_buf_free(buf);
 		return status;
--- a/tests/test_lstr.c
+++ b/tests/test_lstr.c
@@ -67,5 +67,24 @@
 }
 END_TEST
 
+/* Guards against bytes that are lost or moved when text is put before contents
+ * of which a part has been consumed. */
+START_TEST(prepended_text_precedes_the_contents)
+{
+	struct lstr_buf buf = {0};
+
+	for (int i = 0; i < 300; i++)
+		ck_assert_int_eq(
+		    lstr_buf_append(&buf, lstr_from("x")), STATUS_OK);
+	lstr_buf_consume(&buf, 299);
+	ck_assert_int_eq(lstr_buf_prepend(&buf, lstr_from("head ")), STATUS_OK);
+	ck_assert(lstr_equal_c(lstr_buf_view(&buf), "head x"));
+	lstr_buf_free(&buf);
+	ck_assert_int_eq(lstr_buf_prepend(&buf, lstr_from("only")), STATUS_OK);
+	ck_assert(lstr_equal_c(lstr_buf_view(&buf), "only"));
+	lstr_buf_free(&buf);
+}
+END_TEST
+
 HARNESS_MAIN("lstr", buffer_keeps_byte_order, consumed_space_is_reused,
-    malformed_integers_are_rejected)
+    malformed_integers_are_rejected, prepended_text_precedes_the_contents)
--- a/tests/test_unanswered.c
+++ b/tests/test_unanswered.c
@@ -7,6 +7,8 @@
 /* A response that fits neither the socket buffers nor, with another one, the
  * output that a connection may queue. */
 #define LONG_ANSWER_BYTES ((size_t)15 * 1024 * 1024)
+/* Two of these do not fit either; after one, a refusal does. */
+#define HALF_ANSWER_BYTES ((size_t)7 * 1024 * 1024)
 #define SHORT_ANSWER_BYTES 100
 /* Input that is read at once; a small receive buffer keeps the rest at the
  * node. */
@@ -198,5 +200,29 @@
 }
 END_TEST
 
+/* Guards against a reset, which also discards an earlier answer, when an answer
+ * does not fit behind it: a server has run the request, so it has failed. */
+START_TEST(answer_without_room_becomes_a_failure)
+{
+	struct node_fixture w;
+	struct caller caller;
+
+	node_fixture_start(&w);
+	fake_platform_set_plain_length(w.platform, HALF_ANSWER_BYTES);
+	caller_connect(&caller, &w);
+	caller_send(&caller, "/look/1", "first");
+	wait_for_log(&caller, "\"id\":\"first\"");
+	caller_send(&caller, "/look/1", "second");
+	wait_for_log(&caller, "\"id\":\"second\"");
+	caller_read(&caller, SIZE_MAX, "HTTP/1.1 502");
+	ck_assert(has_received(&caller, "HTTP/1.1 502"));
+	ck_assert(has_received(&caller, "Attempt-Id: second"));
+	ck_assert_uint_gt(caller.received.len, HALF_ANSWER_BYTES);
+	ck_assert_uint_eq(fake_platform_run_count(w.platform, "second"), 1);
+	caller_close(&caller);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("unanswered", lost_refusal_is_not_replaced_by_the_next_answer,
-    stream_without_a_head_is_not_begun)
+    stream_without_a_head_is_not_begun, answer_without_room_becomes_a_failure)
