Fail a request at once whose answer has no room in memory

What callers see: a 502 after a second server has run the request, with the reason "answer is too large" although its size is allowed. Cause: a lack of memory for an answer was handled like an answer without end, so an idempotent request was sent again, whose answer has no room either. It used up the retry budget and servers' time. The bodies of refusals, which are never passed on, took part in it: a request that had not run could end as one that may have. Change: the request fails with 502 and "no memory for the answer" without a further attempt. Bodies that are never passed on are not buffered.

--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -244,8 +244,8 @@
 /* Sends a buffered response to the caller. */
 bool gateway_send_response(struct gateway_request *, const char *outcome);
 
-/* Appends to the buffered response; fails the attempt and returns false if a
- * limit is exceeded. */
+/* Appends to the buffered response; fails the request and returns false if
+ * there is no memory for it. */
 bool gateway_buffer_response(struct gateway_request *, struct lstr);
 void gateway_clear_response(struct gateway_request *);
 
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -325,8 +325,22 @@
 }
 
 /*
- * Appends to the buffered response of a server. Fails the attempt and returns
- * false if the response or all buffered responses together are too large.
+ * Returns whether the body of a response may be passed on. That of a refusal,
+ * and of an error after the beginning of a stream, never is.
+ */
+static bool
+is_needed(const struct gateway_request *request)
+{
+	const struct adapter_response *response = &request->attempt.response;
+
+	return !response->not_run && !request->response_started &&
+	    !gateway_promises_not_run(response->status);
+}
+
+/*
+ * Appends to the buffered response of a server. Fails the request and returns
+ * false if there is no memory for it: another server would do the same work in
+ * vain.
  */
 bool
 gateway_buffer_response(struct gateway_request *request, struct lstr bytes)
@@ -336,15 +350,20 @@
 	    ? MIN((size_t)length, GATEWAY_RESPONSE_MAX_BYTES)
 	    : GATEWAY_RESPONSE_MAX_BYTES;
 
-	if (request->response.len + bytes.len > GATEWAY_RESPONSE_MAX_BYTES ||
-	    h1_grow(request->caller, &request->response, bytes.len, max,
-		false) != STATUS_OK ||
-	    lstr_buf_append(&request->response, bytes) != STATUS_OK) {
-		gateway_attempt_failed(request, false, "answer is too large");
-		return false;
+	if (!is_needed(request))
+		return true;
+	if (h1_grow(request->caller, &request->response, bytes.len, max,
+		false) == STATUS_OK &&
+	    lstr_buf_append(&request->response, bytes) == STATUS_OK) {
+		gateway_account(request);
+		return true;
 	}
-	gateway_account(request);
-	return true;
+	request->may_have_run = true;
+	gateway_attempt_end(request, false);
+	gateway_clear_response(request);
+	gateway_fail_request(
+	    request, HTTP_STATUS_BAD_GATEWAY, "no memory for the answer");
+	return false;
 }
 
 /*
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -243,6 +243,23 @@
 	fclose(file);
 }
 
+/*
+ * Adds memory_mb to the settings file of the node.
+ */
+static inline void
+node_set_memory(const struct node_fixture *w, int memory_mb)
+{
+	char *text = NULL;
+	FILE *file;
+
+	ck_assert(g_file_get_contents(w->settings_path, &text, NULL, NULL));
+	file = fopen(w->settings_path, "w");
+	ck_assert_ptr_nonnull(file);
+	fprintf(file, "{\"memory_mb\":%d,%s", memory_mb, text + 1);
+	fclose(file);
+	g_free(text);
+}
+
 /*
  * Starts the node's program with its log written to a file.
  */
--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -41,23 +41,6 @@
 		loop_run_once(w->loop, loop_now(w->loop) + LOOP_USEC_PER_MSEC);
 }
 
-/*
- * Adds memory_mb to the settings file of the node.
- */
-static void
-set_memory(const struct node_fixture *w)
-{
-	char *text = NULL;
-	FILE *file;
-
-	ck_assert(g_file_get_contents(w->settings_path, &text, NULL, NULL));
-	file = fopen(w->settings_path, "w");
-	ck_assert_ptr_nonnull(file);
-	fprintf(file, "{\"memory_mb\":%d,%s", MEMORY_MB, text + 1);
-	fclose(file);
-	g_free(text);
-}
-
 /*
  * Starts the platform and a node with limited memory. descriptors: soft limit
  * of the node's descriptors; 0: that of this process.
@@ -74,7 +57,7 @@
 	    w->platform, HEAD_MAX_BYTES, BODY_MAX_BYTES);
 	fake_platform_add_long_route(w->platform, "long");
 	fake_platform_configure(w->platform, 2, NODE_KEY);
-	set_memory(w);
+	node_set_memory(w, MEMORY_MB);
 	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &saved), 0);
 	limited = saved;
 	if (descriptors != 0)
--- a/tests/test_unanswered.c
+++ b/tests/test_unanswered.c
@@ -10,6 +10,13 @@
 /* Two of these do not fit either; after one, a refusal does. */
 #define HALF_ANSWER_BYTES ((size_t)7 * 1024 * 1024)
 #define SHORT_ANSWER_BYTES 100
+/* Memory of the node, bodies that fill it, and an answer that is larger than
+ * what the last of them leaves. */
+#define MEMORY_MB 64
+#define HEAD_MAX_BYTES ((size_t)64 * 1024)
+#define BODY_BYTES ((size_t)900 * 1000)
+#define CALLS_MAX 64
+#define LARGE_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
 /* Input that is read at once; a small receive buffer keeps the rest at the
  * node. */
 #define READ_BYTES ((size_t)64 * 1024)
@@ -22,6 +29,7 @@
 	/* Number of bytes to read, and text to read or to find in the log. */
 	size_t wanted;
 	const char *text;
+	const struct node_call *call;
 	bool ended;
 };
 
@@ -224,5 +232,89 @@
 }
 END_TEST
 
+/*
+ * Returns whether a call has reached a server or has ended.
+ */
+static bool
+has_run_or_ended(void *arg)
+{
+	const struct caller *caller = arg;
+
+	return caller->call->ended ||
+	    fake_platform_run_count(caller->w->platform, caller->text) > 0;
+}
+
+/*
+ * Sends whole bodies to servers that do not answer until one is refused: the
+ * memory for large requests is used up. Returns the number of calls.
+ */
+static unsigned int
+fill_memory(struct node_fixture *w, struct node_call *calls)
+{
+	char *body = g_strnfill(BODY_BYTES, 'b');
+	unsigned int count = 0;
+	bool refused = false;
+
+	fake_platform_set_plain_fault(w->platform, FAKE_UNRESPONSIVE);
+	while (!refused) {
+		struct caller caller = {.w = w};
+		struct node_call *call = &calls[count];
+		char headers[64];
+		char id[32];
+
+		ck_assert_uint_lt(count, CALLS_MAX);
+		snprintf(id, sizeof(id), "fill-%u", count++);
+		snprintf(headers, sizeof(headers), "Content-Length: %zu\r\n",
+		    BODY_BYTES);
+		node_call_send(w, call, w->front,
+		    node_request(
+			"POST", "/long/1", id, NODE_KEY, 20000, headers));
+		h1_write(call->conn, lstr_from(body));
+		caller.call = call;
+		caller.text = id;
+		ck_assert(harness_wait(w->loop, has_run_or_ended, &caller));
+		refused = call->ended;
+		ck_assert(!refused || call->status == 503);
+	}
+	g_free(body);
+	fake_platform_set_plain_fault(w->platform, FAKE_NONE);
+	return count;
+}
+
+/* Guards against an answer without room in memory that is taken for one without
+ * end: the request was sent again, and the next server ran it in vain. */
+START_TEST(answer_without_memory_is_not_made_twice)
+{
+	static struct node_call calls[CALLS_MAX];
+	struct node_fixture w;
+	struct node_call call;
+	struct caller caller = {.w = &w};
+	unsigned int count;
+
+	node_fixture_prepare(&w);
+	fake_platform_set_request_limits(
+	    w.platform, HEAD_MAX_BYTES, BODY_BYTES);
+	fake_platform_add_long_route(w.platform, "long");
+	fake_platform_configure(w.platform, 2, NODE_KEY);
+	node_set_memory(&w, MEMORY_MB);
+	node_spawn(&w);
+	node_wait_until_serving(&w);
+	count = fill_memory(&w, calls);
+	fake_platform_set_plain_length(w.platform, LARGE_ANSWER_BYTES);
+	node_call_plain(&w, &call, "GET", "/look/1", "large", NODE_KEY);
+	ck_assert_uint_eq(call.status, 502);
+	ck_assert_uint_eq(fake_platform_run_count(w.platform, "large"), 1);
+	wait_for_log(&caller, "\"reason\":\"no memory for the answer\"");
+	lstr_buf_free(&call.body);
+	for (unsigned int i = 0; i < count; i++) {
+		if (!calls[i].ended)
+			h1_close(calls[i].conn);
+		lstr_buf_free(&calls[i].body);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("unanswered", lost_refusal_is_not_replaced_by_the_next_answer,
-    stream_without_a_head_is_not_begun, answer_without_room_becomes_a_failure)
+    stream_without_a_head_is_not_begun, answer_without_room_becomes_a_failure,
+    answer_without_memory_is_not_made_twice)
