Reserve memory for refusals and stream events

What callers see: a stream that is cut off midway, or a refusal that is lost, although little of it is unsent. Cause: output that the socket does not accept had to fit into the account like input. While complete requests fill it, which do not give way, the first event that had to wait failed the connection. Change: a connection may queue up to 32 KB although the account is full, up to three sixteenths beyond the limit: an eighth is the room for new connections, which cannot use up the rest. Evidence: events_are_queued_although_the_account_is_full and answer_takes_the_place_of_a_shorter_output of test_h1_limits fail on the code before in their first run (no event is queued), now 13 of 13 pass.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -311,9 +311,8 @@
 	    conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
 		return status_set(STATUS_FULL, "peer does not read");
 	bytes = send_directly(conn, bytes);
-	status = conn->listener == NULL
-	    ? STATUS_OK
-	    : h1_grow(conn, &conn->out, bytes.len, H1_OUTPUT_MAX_BYTES, false);
+	status = conn->listener == NULL ? STATUS_OK
+					: h1_grow_output(conn, bytes.len);
 	if (status == STATUS_OK)
 		status = lstr_buf_append(&conn->out, bytes);
 	h1_account(conn);
--- a/src/node/h1_intake.c
+++ b/src/node/h1_intake.c
@@ -11,6 +11,10 @@
 /* Connections beyond the limit of the account are accepted up to this fraction
  * of it, so that their requests are refused with an answer. */
 #define ANSWER_ROOM_SHARE 8
+/* Unsent output up to the size below may use this fraction of it in addition,
+ * which input never does: the refusals and stream events of whole requests. */
+#define OUTPUT_ROOM_SHARE 16
+#define OUTPUT_ROOM_BYTES ((size_t)32 * 1024)
 /* When memory is short, this fraction of the account is released in addition,
  * so that the next allocation need not search again. */
 #define EXTRA_ROOM_SHARE 64
@@ -237,6 +241,29 @@
 	    account->limit + account->limit / ANSWER_ROOM_SHARE;
 }
 
+/*
+ * Enlarges the output of a connection, as h1_grow() does. A small output is
+ * admitted also if the account is full, within the room for answers.
+ */
+enum status
+h1_grow_output(struct h1_conn *conn, size_t len)
+{
+	const struct account *account = conn->h1->account;
+	enum status status =
+	    h1_grow(conn, &conn->out, len, H1_OUTPUT_MAX_BYTES, false);
+	size_t needed = conn->out.len + len;
+	size_t size =
+	    MIN(MAX(needed, conn->out.size * 2), (size_t)OUTPUT_ROOM_BYTES);
+
+	if (status != STATUS_NO_MEMORY || account == NULL ||
+	    needed > OUTPUT_ROOM_BYTES ||
+	    account->held + size > account->limit +
+		    account->limit / ANSWER_ROOM_SHARE +
+		    account->limit / OUTPUT_ROOM_SHARE)
+		return status;
+	return lstr_buf_reserve(&conn->out, size);
+}
+
 /*
  * Returns whether more than half of the memory for large connections is used,
  * so that callers' input that can wait is not buffered.
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -121,6 +121,7 @@
 bool h1_has_unread_bytes(const struct h1_conn *);
 void h1_account(struct h1_conn *);
 bool h1_may_answer(const struct h1_conn *);
+enum status h1_grow_output(struct h1_conn *, size_t len);
 bool h1_is_short(const struct h1_conn *);
 void h1_free_buffers(struct h1_conn *);
 bool h1_listener_make_room(struct h1_listener *);
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -14,6 +14,8 @@
 #define CONNECTIONS_MAX 10
 #define ACCOUNT_BYTES ((size_t)400 * 1000)
 #define HEAD_BYTES ((size_t)50 * 1000)
+/* A refusal or an event. */
+#define SMALL_BYTES ((size_t)2 * 1024)
 /* More than a socket buffers. */
 #define LONG_RESPONSE_BYTES ((size_t)7 * 1024 * 1024)
 /* Time for which a connection is kept beyond its idle limit. */
@@ -32,6 +34,8 @@
 	unsigned int refused;
 	unsigned int complete;
 	enum h1_fault fault;
+	/* Connection of the last request that is kept. */
+	struct h1_conn *conn;
 };
 
 /*
@@ -467,6 +471,92 @@
 }
 END_TEST
 
+/*
+ * Keeps the connection of a complete request, whose response follows later.
+ */
+static void
+keep_conn(struct h1_conn *conn, void *arg)
+{
+	struct fixture *f = arg;
+
+	f->complete++;
+	f->conn = conn;
+}
+
+/*
+ * Accepts whole requests with long heads, which do not give way, until the
+ * account refuses one. Returns the connection of the first request, whose
+ * client does not read.
+ */
+static struct h1_conn *
+fill_account(struct fixture *f)
+{
+	static const struct h1_ops keeping_ops = {
+	    NULL, NULL, on_head, on_body, keep_conn, on_ended};
+	char *bytes = g_strnfill(HEAD_BYTES, 'h');
+	char *text =
+	    g_strconcat("GET / HTTP/1.1\r\nX-Long: ", bytes, "\r\n\r\n", NULL);
+	struct h1_conn *first;
+
+	h1_listener_destroy(f->listener);
+	ck_assert_int_eq(h1_listen(f->h1, "127.0.0.1", 0, &f->limits,
+			     &keeping_ops, f, &f->listener),
+	    STATUS_OK);
+	add_client(f, "GET / HTTP/1.1\r\n\r\n");
+	first = f->conn;
+	while (f->account.held + HEAD_BYTES < ACCOUNT_BYTES)
+		add_client(f, text);
+	while (h1_admit(first, SMALL_BYTES))
+		add_client(f, "GET / HTTP/1.1\r\n\r\n");
+	g_free(text);
+	g_free(bytes);
+	return first;
+}
+
+/* Guards against a stream whose next event is refused, and which is cut off
+ * thereby, because callers' input fills the account; also against output that
+ * exceeds the room for it. */
+START_TEST(events_are_queued_although_the_account_is_full)
+{
+	static char bytes[SMALL_BYTES];
+	struct fixture f;
+	struct h1_conn *conn;
+	unsigned int queued = 0;
+
+	fixture_start(&f, 0);
+	conn = fill_account(&f);
+	while (h1_write(conn, lstr_make(bytes, sizeof(bytes))) == STATUS_OK)
+		queued += h1_unsent_bytes(conn) > 0;
+	ck_assert_uint_gt(queued, 4);
+	ck_assert_uint_gt(f.account.held, ACCOUNT_BYTES);
+	ck_assert_uint_le(f.account.held,
+	    ACCOUNT_BYTES + ACCOUNT_BYTES / 8 + ACCOUNT_BYTES / 16);
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against an answer, whose memory is counted already, for which more is
+ * needed because a little of an earlier one is unsent. */
+START_TEST(answer_takes_the_place_of_a_shorter_output)
+{
+	static char bytes[SMALL_BYTES];
+	struct fixture f;
+	struct lstr_buf answer = {0};
+	struct h1_conn *conn;
+
+	fixture_start(&f, 0);
+	conn = fill_account(&f);
+	while (h1_unsent_bytes(conn) == 0)
+		ck_assert_int_eq(
+		    h1_write(conn, lstr_make(bytes, sizeof(bytes))), STATUS_OK);
+	while (answer.len < 3 * HEAD_BYTES)
+		lstr_buf_append(&answer, lstr_make(bytes, sizeof(bytes)));
+	ck_assert_int_eq(h1_write_buf(conn, &answer), STATUS_OK);
+	ck_assert_uint_gt(h1_unsent_bytes(conn), 3 * HEAD_BYTES);
+	fixture_stop(&f);
+}
+END_TEST
+
 HARNESS_MAIN("h1_limits", oldest_connections_give_way_at_the_limit,
     unfinished_bodies_are_refused_before_they_are_closed,
     complete_requests_do_not_give_way, heads_stay_within_the_account,
@@ -476,4 +566,6 @@
     shorter_timeouts_spare_connections_that_wait_already,
     idle_connection_is_kept_longer_than_stated,
     connection_with_an_unread_request_does_not_give_way,
-    idle_limit_spares_a_response_that_is_read_slowly)
+    idle_limit_spares_a_response_that_is_read_slowly,
+    events_are_queued_although_the_account_is_full,
+    answer_takes_the_place_of_a_shorter_output)
