--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -258,13 +258,14 @@
 void gateway_end_request(struct gateway_request *, const char *outcome);
 void gateway_cancel_request(struct gateway_request *, const char *reason);
 void gateway_note_unanswered(struct gateway_request *, const char *reason);
+void gateway_note_refusal_lost(struct gateway *, struct lstr id);
 void gateway_register_metrics(void);
 
 /* Sends a buffered response to the caller. */
-void gateway_send_response(struct gateway_request *, const char *outcome);
+bool gateway_send_response(struct gateway_request *, const char *outcome);
 
-/* Appends to the buffered response; fails the attempt and returns false if a
- * limit is exceeded. */
+/* Appends to the buffered response; fails the request and returns false if
+ * there is no memory for it. */
 bool gateway_buffer_response(struct gateway_request *, struct lstr);
 void gateway_clear_response(struct gateway_request *);
 
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include <http_parser.h>
 
 #include "gateway_priv.h"
@@ -108,6 +110,22 @@
 		h1_read_next_request(caller);
 }
 
+/*
+ * Ends a request and closes its connection once the queued output has been
+ * sent. Nothing further is read from it.
+ */
+static void
+end_with_connection(struct gateway_request *request)
+{
+	struct h1_conn *caller = request->caller;
+
+	h1_set_data(caller, NULL);
+	h1_set_owner_bytes(caller, 0);
+	request->caller = NULL;
+	gateway_end_request(request, NULL);
+	h1_close_gracefully(caller);
+}
+
 /*
  * Sends an error response of the node itself and ends the request.
  */
@@ -117,22 +135,23 @@
 {
 	struct lstr_buf text = {0};
 	struct h1_conn *caller = request->caller;
+	enum status written;
 
 	close = close || drain_is_active(request->gateway->config.drain) ||
 	    !h1_keep_alive(caller);
-	request->gateway->config.adapter->encode_refusal(status,
+	written = request->gateway->config.adapter->encode_refusal(status,
 	    lstr_from(request->id), retry_usec,
 	    close ? 0 : h1_keep_usec(caller), reason, &text);
-	if (h1_write(caller, lstr_buf_view(&text)) != STATUS_OK)
-		gateway_note_unanswered(request, "refusal cannot be written");
+	if (written == STATUS_OK)
+		written = h1_write(caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
-	if (close && request->state == GATEWAY_READING) {
-		/* The rest of the request body is not read. */
-		h1_set_data(caller, NULL);
-		h1_set_owner_bytes(caller, 0);
-		request->caller = NULL;
-		gateway_end_request(request, NULL);
-		h1_close_gracefully(caller);
+	if (written != STATUS_OK)
+		gateway_note_unanswered(request, "refusal cannot be written");
+	/* The rest of the body is not read after a refusal. If that is missing,
+	 * the caller would take the next answer for it. */
+	if (written != STATUS_OK ||
+	    (close && request->state == GATEWAY_READING)) {
+		end_with_connection(request);
 		return;
 	}
 	gateway_end_request(request, NULL);
@@ -236,39 +255,45 @@
 }
 
 /*
- * Sends a buffered response to the caller and ends the request.
+ * Sends a buffered response to the caller and ends the request. Returns false
+ * if it cannot be written; the caller is told that the request may have run.
  */
-void
+bool
 gateway_send_response(struct gateway_request *request, const char *outcome)
 {
 	struct gateway *gateway = request->gateway;
 	struct h1_conn *caller = request->caller;
 	bool close =
 	    drain_is_active(gateway->config.drain) || !h1_keep_alive(caller);
-	struct lstr_buf text = {0};
-	bool sent;
+	struct lstr_buf head = {0};
+	struct lstr_buf text = request->response;
+	enum status status;
 
-	gateway->config.adapter->encode_response(request->attempt.conn, false,
-	    close ? 0 : h1_keep_usec(caller), &text);
-	lstr_buf_printf(
-	    &text, "Content-Length: %zu\r\n\r\n", request->response.len);
-	sent = lstr_buf_reserve(&text, text.len + request->response.len) ==
-		STATUS_OK &&
-	    lstr_buf_append(&text, lstr_buf_view(&request->response)) ==
-		STATUS_OK;
-	lstr_buf_free(&request->response);
+	memset(&request->response, 0, sizeof(request->response));
 	gateway_account(request);
-	sent = sent && h1_write_buf(caller, &text) == STATUS_OK;
+	status = gateway->config.adapter->encode_response(request->attempt.conn,
+	    false, close ? 0 : h1_keep_usec(caller), &head);
+	if (status == STATUS_OK)
+		status = lstr_buf_printf(
+		    &head, "Content-Length: %zu\r\n\r\n", text.len);
+	/* No second copy of the body is needed, which memory may be short of.
+	 */
+	if (status == STATUS_OK)
+		status = lstr_buf_prepend(&text, lstr_buf_view(&head));
+	if (status == STATUS_OK)
+		status = h1_write_buf(caller, &text);
+	lstr_buf_free(&head);
 	lstr_buf_free(&text);
 	gateway_attempt_end(request, true);
-	if (sent) {
+	if (status == STATUS_OK) {
 		gateway_end_request(request, outcome);
-		return;
+		return true;
 	}
-	/* The caller has left, or has not read its former responses. */
-	gateway_note_unanswered(request, "answer cannot be written");
-	gateway_cancel_request(request, "answer cannot be written");
-	h1_reset(caller);
+	request->may_have_run = true;
+	gateway_fail_request(request, HTTP_STATUS_BAD_GATEWAY,
+	    status == STATUS_NO_MEMORY ? "no memory for the answer"
+				       : "answer cannot be written");
+	return false;
 }
 
 /*
@@ -300,8 +325,22 @@
 }
 
 /*
- * Appends to the buffered response of a server. Fails the attempt and returns
- * false if the response or all buffered responses together are too large.
+ * Returns whether the body of a response may be passed on. That of a refusal,
+ * and of an error after the beginning of a stream, never is.
+ */
+static bool
+is_needed(const struct gateway_request *request)
+{
+	const struct adapter_response *response = &request->attempt.response;
+
+	return !response->not_run && !request->response_started &&
+	    !gateway_promises_not_run(response->status);
+}
+
+/*
+ * Appends to the buffered response of a server. Fails the request and returns
+ * false if there is no memory for it: another server would do the same work in
+ * vain.
  */
 bool
 gateway_buffer_response(struct gateway_request *request, struct lstr bytes)
@@ -311,15 +350,20 @@
 	    ? MIN((size_t)length, GATEWAY_RESPONSE_MAX_BYTES)
 	    : GATEWAY_RESPONSE_MAX_BYTES;
 
-	if (request->response.len + bytes.len > GATEWAY_RESPONSE_MAX_BYTES ||
-	    h1_grow(request->caller, &request->response, bytes.len, max,
-		false) != STATUS_OK ||
-	    lstr_buf_append(&request->response, bytes) != STATUS_OK) {
-		gateway_attempt_failed(request, false, "answer is too large");
-		return false;
+	if (!is_needed(request))
+		return true;
+	if (h1_grow(request->caller, &request->response, bytes.len, max,
+		false) == STATUS_OK &&
+	    lstr_buf_append(&request->response, bytes) == STATUS_OK) {
+		gateway_account(request);
+		return true;
 	}
-	gateway_account(request);
-	return true;
+	request->may_have_run = true;
+	gateway_attempt_end(request, false);
+	gateway_clear_response(request);
+	gateway_fail_request(
+	    request, HTTP_STATUS_BAD_GATEWAY, "no memory for the answer");
+	return false;
 }
 
 /*
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -789,6 +789,7 @@
 	struct gateway *gateway = request->gateway;
 	struct gateway_attempt *attempt = &request->attempt;
 	struct lstr_buf text = {0};
+	enum status written;
 	bool close = drain_is_active(gateway->config.drain) ||
 	    !h1_keep_alive(request->caller);
 
@@ -809,14 +810,23 @@
 	}
 	/* The head belongs to this run, so its events must come first. */
 	gateway_drop_kept(request);
-	request->response_started = true;
 	request->chunked = !h1_is_http10(request->caller);
 	close = close || !request->chunked;
-	gateway->config.adapter->encode_response(attempt->conn,
+	written = gateway->config.adapter->encode_response(attempt->conn,
 	    request->chunked, close ? 0 : h1_keep_usec(request->caller), &text);
-	lstr_buf_printf(&text, "\r\n");
-	h1_write(request->caller, lstr_buf_view(&text));
+	if (written == STATUS_OK)
+		written = lstr_buf_printf(&text, "\r\n");
+	if (written == STATUS_OK)
+		written = h1_write(request->caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
+	if (written == STATUS_OK) {
+		request->response_started = true;
+		return;
+	}
+	request->may_have_run = true;
+	gateway_attempt_end(request, false);
+	gateway_fail_request(
+	    request, HTTP_STATUS_BAD_GATEWAY, "answer cannot be written");
 }
 
 /*
@@ -867,10 +877,13 @@
 
 	if (!request->chunked)
 		return h1_write(request->caller, bytes);
-	lstr_buf_printf(&text, "%zx\r\n", bytes.len);
-	lstr_buf_append(&text, bytes);
-	lstr_buf_append(&text, lstr_from("\r\n"));
-	status = h1_write(request->caller, lstr_buf_view(&text));
+	status = lstr_buf_printf(&text, "%zx\r\n", bytes.len);
+	if (status == STATUS_OK)
+		status = lstr_buf_append(&text, bytes);
+	if (status == STATUS_OK)
+		status = lstr_buf_append(&text, lstr_from("\r\n"));
+	if (status == STATUS_OK)
+		status = h1_write(request->caller, lstr_buf_view(&text));
 	lstr_buf_free(&text);
 	return status;
 }
@@ -896,6 +909,7 @@
 	struct lstr_buf complete_events = {0};
 	struct sse_event event;
 	const char *fault = NULL;
+	enum status status = STATUS_OK;
 	int64_t now = gateway_now(request->gateway);
 
 	if (attempt->response.status != HTTP_OK) {
@@ -907,7 +921,7 @@
 		return;
 	}
 	gateway_account(request);
-	while (fault == NULL && sse_next(&attempt->sse, &event)) {
+	while (status == STATUS_OK && sse_next(&attempt->sse, &event)) {
 		attempt->last_progress_at = now;
 		if (event.has_id && event.id <= request->last_event)
 			continue;
@@ -926,16 +940,18 @@
 			request->last_event = event.id;
 		attempt->partial_since = 0;
 		record_event(request, now);
-		lstr_buf_append(&complete_events, event.bytes);
+		status = lstr_buf_append(&complete_events, event.bytes);
 	}
-	if (complete_events.len > 0 &&
-	    send_events(request, lstr_buf_view(&complete_events)) ==
-		STATUS_FULL) {
-		lstr_buf_free(&complete_events);
-		gateway_abort_response(request, "caller does not read");
+	if (status == STATUS_OK && complete_events.len > 0)
+		status = send_events(request, lstr_buf_view(&complete_events));
+	lstr_buf_free(&complete_events);
+	/* The end of a connection that has failed is reported by itself. */
+	if (status != STATUS_OK && status != STATUS_CLOSED) {
+		gateway_abort_response(request,
+		    status == STATUS_FULL ? "caller does not read"
+					  : "no memory for the answer");
 		return;
 	}
-	lstr_buf_free(&complete_events);
 	if (attempt->sse.pending.len == 0)
 		attempt->partial_since = 0;
 	else if (attempt->partial_since == 0)
@@ -988,9 +1004,14 @@
 	if (attempt->events < QUARANTINE_SOUND_EVENTS &&
 	    !h1_ended_by_close(attempt->conn))
 		gateway_quarantine_note_sound(request);
+	if (request->chunked &&
+	    h1_write(request->caller, lstr_from("0\r\n\r\n")) != STATUS_OK) {
+		gateway_attempt_end(request, true);
+		gateway_abort_response(
+		    request, "end of the answer cannot be written");
+		return;
+	}
 	gateway->counts.done++;
-	if (request->chunked)
-		h1_write(request->caller, lstr_from("0\r\n\r\n"));
 	gateway_attempt_end(request, true);
 	if (!request->chunked) {
 		struct h1_conn *caller = request->caller;
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -189,19 +189,6 @@
 	conn->idle_until = conn->idle_since + usec;
 }
 
-/*
- * Returns the number of bytes that the socket of a connection has accepted and
- * the peer has not.
- */
-static int
-count_queued(const struct h1_conn *conn)
-{
-	int queued = 0;
-
-	ioctl(conn->fd, SIOCOUTQ, &queued);
-	return queued;
-}
-
 /*
  * Extends the time of a lingering connection whose peer accepts output.
  */
@@ -210,7 +197,6 @@
 {
 	int64_t now = loop_now(conn->h1->loop);
 
-	conn->queued = count_queued(conn);
 	loop_timer_set(
 	    conn->timer, MIN(now + H1_LINGER_USEC, conn->linger_until));
 }
@@ -226,6 +212,33 @@
 		extend_linger(conn);
 }
 
+/*
+ * Returns whether the peer has acknowledged output since the last call. While
+ * the socket accepts no more, this is the only sign that the peer reads: the
+ * socket becomes writable only after a good part of its buffer is free.
+ */
+static bool
+has_acknowledged(struct h1_conn *conn)
+{
+	int before = conn->unacknowledged;
+
+	if (ioctl(conn->fd, SIOCOUTQ, &conn->unacknowledged) != 0)
+		conn->unacknowledged = 0;
+	return conn->unacknowledged < before;
+}
+
+/*
+ * Notes the progress of a peer that reads more slowly than the socket needs to
+ * become writable. While memory is short such connections give way all the
+ * same, so this is not called then.
+ */
+void
+h1_check_progress(struct h1_conn *conn)
+{
+	if (conn->out.len > 0 && !conn->connecting && has_acknowledged(conn))
+		h1_note_progress(conn);
+}
+
 /*
  * Fails a connection whose output cannot be delivered. The callback is
  * deferred: the caller of h1_write() still uses the connection.
@@ -260,8 +273,10 @@
 		}
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+			has_acknowledged(conn);
 			break;
+		}
 		fail_write(conn,
 		    errno == EPIPE || errno == ECONNRESET
 			? H1_CLOSE_PEER
@@ -300,13 +315,14 @@
  * Sends what the socket accepts and queues the rest. Returns STATUS_FULL if
  * output is unsent and would become more than H1_OUTPUT_MAX_BYTES; the peer
  * does not read and the connection should be closed. A response that is written
- * at once may be larger. If the rest does not fit into the memory for callers,
- * the connection fails.
+ * at once may be larger. Returns STATUS_NO_MEMORY if the rest does not fit into
+ * the memory for callers; the connection fails if a part has been sent.
  */
 enum status
 h1_write(struct h1_conn *conn, struct lstr bytes)
 {
 	enum status status;
+	size_t len = bytes.len;
 
 	if (conn->is_closed || conn->write_failed)
 		return status_set(STATUS_CLOSED, "connection is closed");
@@ -314,29 +330,44 @@
 	    conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
 		return status_set(STATUS_FULL, "peer does not read");
 	bytes = send_directly(conn, bytes);
-	status = conn->listener == NULL
-	    ? STATUS_OK
-	    : h1_grow(conn, &conn->out, bytes.len, H1_OUTPUT_MAX_BYTES, false);
+	status = conn->listener == NULL ? STATUS_OK
+					: h1_grow_output(conn, bytes.len);
 	if (status == STATUS_OK)
 		status = lstr_buf_append(&conn->out, bytes);
 	h1_account(conn);
 	if (status == STATUS_OK)
 		flush_output(conn);
-	else
+	else if (bytes.len < len || conn->listener == NULL)
 		fail_write(conn, H1_CLOSE_NOT_WRITTEN);
 	return status;
 }
 
+/*
+ * Puts unsent output before the contents of a buffer that holds more, so that
+ * the buffer can take its place. Returns false if the output stays as it is.
+ */
+static bool
+prepend_output(struct h1_conn *conn, struct lstr_buf *buf)
+{
+	if (conn->out.len == 0)
+		return true;
+	return conn->out.len < buf->len &&
+	    conn->out.len + buf->len <= H1_OUTPUT_MAX_BYTES &&
+	    lstr_buf_prepend(buf, lstr_buf_view(&conn->out)) == STATUS_OK;
+}
+
 /*
  * The same for the contents of a buffer, which is emptied. Its memory is used
- * for the output if there is none yet, so that large messages are not copied.
+ * for the output unless more than that is unsent, so that large messages are
+ * not copied and need no room in the memory for callers.
  */
 enum status
 h1_write_buf(struct h1_conn *conn, struct lstr_buf *buf)
 {
 	enum status status = STATUS_OK;
 
-	if (conn->is_closed || conn->write_failed || conn->out.len > 0) {
+	if (conn->is_closed || conn->write_failed ||
+	    !prepend_output(conn, buf)) {
 		status = h1_write(conn, lstr_buf_view(buf));
 		lstr_buf_free(buf);
 		return status;
@@ -777,10 +808,8 @@
 	if (conn->write_failed)
 		close_and_notify(conn, conn->write_failure,
 		    status_set(STATUS_IO, "connection cannot be written"));
-	else if (count_queued(conn) < conn->queued &&
+	else if (has_acknowledged(conn) &&
 	    loop_now(conn->h1->loop) < conn->linger_until)
-		/* A socket with a large buffer accepts no more until much of it
-		 * has been delivered, which may take a slow peer longer. */
 		extend_linger(conn);
 	else
 		h1_close_for(conn, H1_CLOSE_LINGERED);
@@ -960,7 +989,7 @@
 
 /*
  * Server: sends the remaining output and shuts down writing. The connection is
- * closed when the peer closes, or when it has accepted no output for
+ * closed when the peer closes, or when it has acknowledged no output for
  * H1_LINGER_USEC, so that a reset does not destroy the response.
  */
 void
@@ -974,4 +1003,5 @@
 	conn->linger_until = loop_now(conn->h1->loop) + H1_LINGER_MAX_USEC;
 	extend_linger(conn);
 	flush_output(conn);
+	has_acknowledged(conn);
 }
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -86,8 +86,6 @@
 	 * input is discarded. */
 	bool lingering;
 	int64_t linger_until;
-	/* Bytes in the socket when the peer last accepted some. */
-	int queued;
 	bool is_closed;
 	enum h1_close_reason close_reason;
 	/* Writing failed; the owner is notified in the next round of the
@@ -108,6 +106,9 @@
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
 	struct lstr_buf out;
+	/* Bytes in the socket that the peer had not acknowledged when it was
+	 * last looked up. */
+	int unacknowledged;
 	/* Memory in the account, and that which the owner holds for it. */
 	size_t held;
 	size_t owner_bytes;
@@ -118,10 +119,12 @@
 void h1_protocol_error(struct h1_conn *);
 void h1_close_for(struct h1_conn *, enum h1_close_reason);
 void h1_note_progress(struct h1_conn *);
+void h1_check_progress(struct h1_conn *);
 void h1_note_closing(struct h1_conn *);
 bool h1_has_unread_bytes(const struct h1_conn *);
 void h1_account(struct h1_conn *);
 bool h1_may_answer(const struct h1_conn *);
+enum status h1_grow_output(struct h1_conn *, size_t len);
 bool h1_is_short(const struct h1_conn *);
 void h1_free_buffers(struct h1_conn *);
 bool h1_listener_make_room(struct h1_listener *);
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -14,6 +14,10 @@
 #define CONNECTIONS_MAX 10
 #define ACCOUNT_BYTES ((size_t)400 * 1000)
 #define HEAD_BYTES ((size_t)50 * 1000)
+/* A refusal or an event. */
+#define SMALL_BYTES ((size_t)2 * 1024)
+/* More than a socket buffers. */
+#define LONG_RESPONSE_BYTES ((size_t)7 * 1024 * 1024)
 /* Time for which a connection is kept beyond its idle limit. */
 #define MARGIN_USEC (1 * LOOP_USEC_PER_SEC)
 #define IDLE_USEC (600 * LOOP_USEC_PER_MSEC)
@@ -32,6 +36,8 @@
 	unsigned int refused;
 	unsigned int complete;
 	enum h1_fault fault;
+	/* Connection of the last request that is kept. */
+	struct h1_conn *conn;
 };
 
 /*
@@ -532,6 +538,155 @@
 }
 END_TEST
 
+/*
+ * Sends a response that exceeds the socket buffers.
+ */
+static void
+send_long_response(struct h1_conn *conn, void *arg)
+{
+	static char bytes[LONG_RESPONSE_BYTES];
+
+	(void)arg;
+	ck_assert_int_eq(
+	    h1_write(conn, lstr_make(bytes, sizeof(bytes))), STATUS_OK);
+	h1_read_next_request(conn);
+}
+
+/*
+ * Reads what has arrived, up to 64 KB. Returns the number of bytes.
+ */
+static size_t
+read_some(int fd)
+{
+	static char bytes[64 * 1024];
+	ssize_t n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	return n > 0 ? (size_t)n : 0;
+}
+
+/* Guards against the idle limit for a connection whose peer reads a response
+ * steadily, but too slowly for the socket to accept more within the limit. */
+START_TEST(idle_limit_spares_a_response_that_is_read_slowly)
+{
+	static const struct h1_ops responding_ops = {
+	    NULL, NULL, on_head, on_body, send_long_response, on_ended};
+	struct fixture f;
+	size_t received = 0;
+	int64_t until;
+	int fd;
+
+	fixture_start(&f, 0);
+	h1_set_account(f.h1, NULL);
+	h1_listener_destroy(f.listener);
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits,
+			     &responding_ops, &f, &f.listener),
+	    STATUS_OK);
+	fd = add_client(&f, "GET / HTTP/1.1\r\n\r\n");
+	until = loop_now(f.loop) + 3 * (IDLE_USEC + MARGIN_USEC) / 2;
+	while (loop_now(f.loop) < until) {
+		received += read_some(fd);
+		run_for(&f, MARGIN_USEC / 10);
+		h1_listener_check_timeouts(f.listener);
+	}
+	until = loop_now(f.loop) + HARNESS_DEADLINE_USEC;
+	while (received < LONG_RESPONSE_BYTES &&
+	    h1_listener_count(f.listener) > 0) {
+		ck_assert_int_lt(loop_now(f.loop), until);
+		received += read_some(fd);
+		run_for(&f, 0);
+	}
+	ck_assert_uint_eq(h1_listener_count(f.listener), 1);
+	ck_assert_uint_eq(received, LONG_RESPONSE_BYTES);
+	fixture_stop(&f);
+}
+END_TEST
+
+/*
+ * Keeps the connection of a complete request, whose response follows later.
+ */
+static void
+keep_conn(struct h1_conn *conn, void *arg)
+{
+	struct fixture *f = arg;
+
+	f->complete++;
+	f->conn = conn;
+}
+
+/*
+ * Accepts whole requests with long heads, which do not give way, until the
+ * account refuses one. Returns the connection of the first request, whose
+ * client does not read.
+ */
+static struct h1_conn *
+fill_account(struct fixture *f)
+{
+	static const struct h1_ops keeping_ops = {
+	    NULL, NULL, on_head, on_body, keep_conn, on_ended};
+	char *bytes = g_strnfill(HEAD_BYTES, 'h');
+	char *text =
+	    g_strconcat("GET / HTTP/1.1\r\nX-Long: ", bytes, "\r\n\r\n", NULL);
+	struct h1_conn *first;
+
+	h1_listener_destroy(f->listener);
+	ck_assert_int_eq(h1_listen(f->h1, "127.0.0.1", 0, &f->limits,
+			     &keeping_ops, f, &f->listener),
+	    STATUS_OK);
+	add_client(f, "GET / HTTP/1.1\r\n\r\n");
+	first = f->conn;
+	while (f->account.held + HEAD_BYTES < ACCOUNT_BYTES)
+		add_client(f, text);
+	while (h1_admit(first, SMALL_BYTES))
+		add_client(f, "GET / HTTP/1.1\r\n\r\n");
+	g_free(text);
+	g_free(bytes);
+	return first;
+}
+
+/* Guards against a stream whose next event is refused, and which is cut off
+ * thereby, because callers' input fills the account; also against output that
+ * exceeds the room for it. */
+START_TEST(events_are_queued_although_the_account_is_full)
+{
+	static char bytes[SMALL_BYTES];
+	struct fixture f;
+	struct h1_conn *conn;
+	unsigned int queued = 0;
+
+	fixture_start(&f, 0);
+	conn = fill_account(&f);
+	while (h1_write(conn, lstr_make(bytes, sizeof(bytes))) == STATUS_OK)
+		queued += h1_unsent_bytes(conn) > 0;
+	ck_assert_uint_gt(queued, 4);
+	ck_assert_uint_gt(f.account.held, ACCOUNT_BYTES);
+	ck_assert_uint_le(f.account.held,
+	    ACCOUNT_BYTES + ACCOUNT_BYTES / 8 + ACCOUNT_BYTES / 16);
+	fixture_stop(&f);
+}
+END_TEST
+
+/* Guards against an answer, whose memory is counted already, for which more is
+ * needed because a little of an earlier one is unsent. */
+START_TEST(answer_takes_the_place_of_a_shorter_output)
+{
+	static char bytes[SMALL_BYTES];
+	struct fixture f;
+	struct lstr_buf answer = {0};
+	struct h1_conn *conn;
+
+	fixture_start(&f, 0);
+	conn = fill_account(&f);
+	while (h1_unsent_bytes(conn) == 0)
+		ck_assert_int_eq(
+		    h1_write(conn, lstr_make(bytes, sizeof(bytes))), STATUS_OK);
+	while (answer.len < 3 * HEAD_BYTES)
+		lstr_buf_append(&answer, lstr_make(bytes, sizeof(bytes)));
+	ck_assert_int_eq(h1_write_buf(conn, &answer), STATUS_OK);
+	ck_assert_uint_gt(h1_unsent_bytes(conn), 3 * HEAD_BYTES);
+	fixture_stop(&f);
+}
+END_TEST
+
 HARNESS_MAIN("h1_limits", oldest_connections_give_way_at_the_limit,
     unfinished_bodies_are_refused_before_they_are_closed,
     complete_requests_do_not_give_way, heads_stay_within_the_account,
@@ -543,4 +698,7 @@
     shorter_limit_during_a_response_does_not_shorten_what_it_stated,
     write_to_a_peer_that_has_left_is_reported_as_its_close,
     empty_lines_between_requests_do_not_begin_a_head,
-    connection_with_an_unread_request_does_not_give_way)
+    connection_with_an_unread_request_does_not_give_way,
+    idle_limit_spares_a_response_that_is_read_slowly,
+    events_are_queued_although_the_account_is_full,
+    answer_takes_the_place_of_a_shorter_output)
