Begin the time limit of a route with the whole request

What callers see: a request whose body takes longer than the timeoutMs of its route is passed on and then answered 504, although its server is sound; an order may have run. Cause: the time limit of the route was counted from the head. Once the body had arrived it had passed, and the next tick failed the request unless the server answered within 20 ms. Change: the limit begins with the last byte of the request. The caller's own limit counts from the head as before; a request whose time has passed when it is complete is refused with 503, since it has not run.

--- a/src/node/decisions/admit.c
+++ b/src/node/decisions/admit.c
@@ -120,6 +120,20 @@
 	    proof->age_usec <= proof->age_max_usec;
 }
 
+/*
+ * Returns the time at which a request fails. The time limit of a route begins
+ * when the request is complete: a body that arrives slowly takes nothing from
+ * the time that its server has.
+ */
+int64_t
+admit_timeout_at(const struct admit_times *times)
+{
+	return times->route_timeout_usec == 0
+	    ? times->deadline
+	    : MIN(times->deadline,
+		  times->completed_at + times->route_timeout_usec);
+}
+
 /*
  * Returns the time until which a request is held at a node that started at
  * started_at and has not read the store yet. A caller with little time is
--- a/src/node/decisions/admit.h
+++ b/src/node/decisions/admit.h
@@ -43,6 +43,14 @@
 /* Callers honour a retry time of at most a third of their remaining time. */
 #define ADMIT_RETRY_SHARE 0.3
 
+/* When the last byte of a request arrived, when its caller stops waiting, and
+ * the time limit of its route; 0: none. */
+struct admit_times {
+	int64_t completed_at;
+	int64_t deadline;
+	int64_t route_timeout_usec;
+};
+
 enum admit_choice {
 	ADMIT_WAIT,
 	ADMIT_REFUSE
@@ -112,6 +120,7 @@
  * refusal would be final for most of them.
  */
 bool admit_proof_decides(const struct admit_proof *);
+int64_t admit_timeout_at(const struct admit_times *);
 int64_t admit_hold_until(
     int64_t arrived_at, int64_t started_at, int64_t caller_timeout_usec);
 
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -269,14 +269,14 @@
 set_deadlines(struct gateway_request *request)
 {
 	int64_t caller_timeout = request->info.caller_timeout_usec;
+	struct admit_times times;
 
 	if (caller_timeout <= 0)
 		caller_timeout = GATEWAY_CALLER_TIMEOUT_DEFAULT_USEC;
 	request->deadline = request->arrived_at + caller_timeout;
-	request->timeout_at = request->deadline;
-	if (request->route != NULL && request->route->timeout_usec > 0)
-		request->timeout_at = MIN(request->deadline,
-		    request->arrived_at + request->route->timeout_usec);
+	times = (struct admit_times){request->completed_at, request->deadline,
+	    request->route != NULL ? request->route->timeout_usec : 0};
+	request->timeout_at = admit_timeout_at(&times);
 }
 
 /*
@@ -550,6 +550,12 @@
 		return;
 	}
 	set_deadlines(request);
+	if (gateway_now(gateway) >=
+	    request->timeout_at - GATEWAY_TIMEOUT_MARGIN_USEC) {
+		gateway_refuse_request(request, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    0, "time limit passed before the request was complete");
+		return;
+	}
 	if (!authenticate(request))
 		return;
 	request->priority = priority_class(request);
@@ -592,6 +598,7 @@
 	if (request == NULL)
 		return;
 	request->state = GATEWAY_WAITING;
+	request->completed_at = gateway_now(gateway);
 	if (!store_cache_is_synced(gateway->config.store_cache))
 		request->held_until =
 		    admit_hold_until(request->arrived_at, gateway->created_at,
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -141,7 +141,9 @@
 	char id[ADAPTER_ID_MAX_BYTES + 1];
 	struct lstr_buf body;
 	enum gateway_state state;
+	/* When its head and its last byte were received. */
 	int64_t arrived_at;
+	int64_t completed_at;
 	/* When the caller stops waiting; timeout_at also includes the
 	 * route's time limit. */
 	int64_t deadline;
