soak: idle connections are kept for the time that was stated

A connection that the node closes while it is idle leaves no request, so that the check of requests alone does not find it.

--- a/tests/soak/kept.c
+++ b/tests/soak/kept.c
@@ -23,6 +23,7 @@
 	struct loop *loop;
 	struct h1 *h1;
 	GRand *rand;
+	unsigned int closed_early;
 	struct kept_conn conns[CONNECTIONS_MAX];
 };
 
@@ -97,6 +98,9 @@
 	(void)status;
 	if (kept->call != NULL)
 		kept->call->ended = true;
+	else if (loop_now(kept->pool->loop) <
+	    kept->idle_since + kept->stated_usec)
+		kept->pool->closed_early++;
 	kept->call = NULL;
 	kept->conn = NULL;
 }
@@ -204,3 +208,16 @@
 		kept->call = NULL;
 	}
 }
+
+/*
+ * Returns how many idle connections were closed before the time that the node
+ * had stated, since the last call.
+ */
+unsigned int
+kept_pool_take_closed_early(struct kept_pool *pool)
+{
+	unsigned int count = pool->closed_early;
+
+	pool->closed_early = 0;
+	return count;
+}
--- a/tests/soak/kept.h
+++ b/tests/soak/kept.h
@@ -23,5 +23,6 @@
     const struct sockaddr_in *, const char *text, struct kept_use *);
 /* Closes the connection of a call that has not ended. */
 void kept_pool_cancel(struct kept_pool *, struct node_call *);
+unsigned int kept_pool_take_closed_early(struct kept_pool *);
 
 #endif
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -451,7 +451,8 @@
 
 /*
  * Counts the lines request-unanswered of the members. An undisturbed member
- * must have none while all servers are sound.
+ * must have none while all servers are sound, and must keep connections for the
+ * time that it has stated.
  */
 static void
 check_logs(struct soak *s)
@@ -477,6 +478,17 @@
 			    line);
 		}
 	}
+	for (int i = 0; i < NODES; i++) {
+		struct member *member = &s->members[i];
+		unsigned int early = kept_pool_take_closed_early(member->kept);
+
+		if (early == 0 || !is_calm(member, now))
+			continue;
+		s->violations++;
+		printf("BROKEN node %d closed %u connections before the time "
+		       "that it had stated, at %.3f s\n",
+		    i, early, (double)(now - s->started_at) / 1e6);
+	}
 	s->next_log_at = now + LOG_INTERVAL_USEC;
 }
 
