h1: parse requests sent ahead from the timer, not within the end of the one before

What callers saw: a client that sends many small requests behind one that waits made the node use 221,163,520 bytes with three connections (bound 64 MB): the process is killed where memory_mb is 64. At the lookup port 49 MB.

Cause: h1_read_next_request() parsed the pending input itself, and the answer to the next request called it again. Each level kept the rest of its input and copied what followed the next request into a new buffer: n requests took O(n^2) bytes, which no account counted, and O(n) stack. h1_skip_response() did the same with answers of a server.

Change: a connection has one buffer of pending input and consumes it from the front. The next message is parsed from the connection's timer, one message for each expiry; the socket is not read until then, so the order of requests and of the end of the connection stays. Such a connection counts as one with unread input: it is not idle, and a node that stops waits for it. A lookup or check whose answer does not fit closes the connection, so that the next answer is not taken for it.

--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -529,7 +529,30 @@
 }
 
 /*
- * Parses bytes until a message is complete and buffers the rest.
+ * Keeps what follows a message. If the parsed bytes were pending input, they
+ * are removed from it instead.
+ */
+static enum status
+keep_rest(struct h1_conn *conn, struct lstr bytes, size_t used)
+{
+	enum status status = STATUS_OK;
+
+	if (conn->pending_input.len == 0 && used == bytes.len)
+		return STATUS_OK;
+	if (conn->pending_input.len == 0)
+		status = lstr_buf_append(&conn->pending_input,
+		    lstr_make(bytes.data + used, bytes.len - used));
+	else
+		lstr_buf_consume(&conn->pending_input, used);
+	if (conn->pending_input.len == 0)
+		lstr_buf_free(&conn->pending_input);
+	h1_account(conn);
+	return status;
+}
+
+/*
+ * Parses bytes, which are the pending input if there is any, until a message is
+ * complete and keeps the rest.
  */
 static void
 parse(struct h1_conn *conn, struct lstr bytes)
@@ -540,17 +563,13 @@
 	    &conn->parser, &parser_settings, bytes.data, bytes.len);
 	if (conn->is_closed || conn->lingering)
 		return;
+	if (keep_rest(conn, bytes, conn->complete ? used : bytes.len) !=
+	    STATUS_OK) {
+		close_and_notify(conn, H1_CLOSE_NOT_READ, STATUS_NO_MEMORY);
+		return;
+	}
 	if (conn->complete) {
 		http_parser_pause(&conn->parser, 0);
-		if (used < bytes.len &&
-		    lstr_buf_append(&conn->pending_input,
-			lstr_make(bytes.data + used, bytes.len - used)) !=
-			STATUS_OK) {
-			close_and_notify(
-			    conn, H1_CLOSE_NOT_READ, STATUS_NO_MEMORY);
-			return;
-		}
-		h1_account(conn);
 		conn->busy = conn->listener != NULL;
 		h1_note_progress(conn);
 		conn->not_reusable =
@@ -620,8 +639,36 @@
 }
 
 /*
- * Reads from the socket. Stops watching for input while the buffer for pending
- * input is full, or memory is short: the rest stays in the socket.
+ * Parses the pending input as far as the end of the next message from the
+ * timer, so that neither memory nor the stack grows with the number of
+ * messages, and other connections are served in between.
+ */
+static void
+parse_pending_soon(struct h1_conn *conn)
+{
+	if (conn->pending_input.len == 0)
+		return;
+	conn->pending_due = true;
+	loop_timer_set(conn->timer, loop_now(conn->h1->loop));
+}
+
+/*
+ * Parses the pending input as far as the end of the next message, and reads
+ * from the socket again.
+ */
+static void
+parse_pending(struct h1_conn *conn)
+{
+	conn->pending_due = false;
+	loop_watch_set(
+	    conn->watch, LOOP_READ | (conn->out.len > 0 ? LOOP_WRITE : 0));
+	handle_input(conn, lstr_buf_view(&conn->pending_input));
+}
+
+/*
+ * Reads from the socket. Stops watching for input while pending input is to be
+ * parsed, the buffer for it is full, or memory is short: the rest stays in the
+ * socket.
  */
 static void
 read_socket(struct h1_conn *conn)
@@ -629,6 +676,10 @@
 	static char bytes[READ_BYTES];
 	ssize_t n;
 
+	if (conn->pending_due) {
+		loop_watch_set(conn->watch, conn->out.len > 0 ? LOOP_WRITE : 0);
+		return;
+	}
 	if (conn->busy && conn->listener != NULL &&
 	    (conn->pending_input.len >= PENDING_INPUT_MAX_BYTES ||
 		(conn->pending_input.len > 0 && h1_is_short(conn)))) {
@@ -723,7 +774,8 @@
 
 /*
  * Handles the timer of a connection: connecting timed out, a write failed
- * earlier, or the time to deliver the last response has passed.
+ * earlier, pending input is to be parsed, or the time to deliver the last
+ * response has passed.
  */
 static void
 on_timer(void *arg)
@@ -739,6 +791,8 @@
 	if (conn->write_failed)
 		close_and_notify(conn, H1_CLOSE_NOT_WRITTEN,
 		    status_set(STATUS_IO, "connection cannot be written"));
+	else if (conn->pending_due && !conn->lingering)
+		parse_pending(conn);
 	else
 		h1_close_for(conn, H1_CLOSE_LINGERED);
 }
@@ -859,13 +913,12 @@
 }
 
 /*
- * Server: ends the current response and reads the next request.
+ * Server: ends the current response and reads the next request. One that has
+ * arrived already is handled from the timer.
  */
 void
 h1_read_next_request(struct h1_conn *conn)
 {
-	struct lstr_buf pending_input = conn->pending_input;
-
 	if (conn->is_closed || conn->write_failed)
 		return;
 	conn->busy = false;
@@ -875,11 +928,7 @@
 	h1_note_progress(conn);
 	loop_watch_set(
 	    conn->watch, LOOP_READ | (conn->out.len > 0 ? LOOP_WRITE : 0));
-	if (pending_input.len == 0)
-		return;
-	memset(&conn->pending_input, 0, sizeof(conn->pending_input));
-	handle_input(conn, lstr_buf_view(&pending_input));
-	lstr_buf_free(&pending_input);
+	parse_pending_soon(conn);
 }
 
 /*
@@ -903,16 +952,11 @@
 void
 h1_skip_response(struct h1_conn *conn)
 {
-	struct lstr_buf pending_input = conn->pending_input;
-
 	if (conn->is_closed)
 		return;
-	memset(&conn->pending_input, 0, sizeof(conn->pending_input));
 	conn->not_reusable = false;
 	h1_expect_response(conn, conn->head_only);
-	if (pending_input.len > 0)
-		parse(conn, lstr_buf_view(&pending_input));
-	lstr_buf_free(&pending_input);
+	parse_pending_soon(conn);
 }
 
 /*
@@ -926,6 +970,7 @@
 	if (conn->is_closed || conn->lingering)
 		return;
 	conn->lingering = true;
+	conn->pending_due = false;
 	if (conn->write_failed)
 		return;
 	conn->linger_until = loop_now(conn->h1->loop) + H1_LINGER_MAX_USEC;
--- a/src/node/h1_closing.c
+++ b/src/node/h1_closing.c
@@ -47,14 +47,16 @@
 }
 
 /*
- * Returns whether bytes wait in the socket of a connection.
+ * Returns whether bytes wait to be read: in the socket, or received behind a
+ * request that has been answered.
  */
 bool
 h1_has_unread_bytes(const struct h1_conn *conn)
 {
 	char byte;
 
-	return recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	return conn->pending_due ||
+	    recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 /*
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -102,6 +102,9 @@
 	int64_t idle_until;
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
+	/* Pending input is parsed when the timer expires, which is set. Until
+	 * then nothing is read from the socket. */
+	bool pending_due;
 	struct lstr_buf out;
 	/* Memory in the account, and that which the owner holds for it. */
 	size_t held;
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -32,6 +32,7 @@
 	struct lstr_buf text = {0};
 	bool keep_alive =
 	    h1_keep_alive(conn) && h1_fault(conn) == H1_FAULT_NONE;
+	enum status written;
 
 	lstr_buf_printf(&text,
 	    "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n",
@@ -39,9 +40,12 @@
 	h1_encode_keep_alive(keep_alive ? h1_keep_usec(conn) : 0, &text);
 	lstr_buf_printf(&text, "\r\n");
 	lstr_buf_append(&text, body);
-	h1_write(conn, lstr_buf_view(&text));
+	written = h1_write(conn, lstr_buf_view(&text));
 	lstr_buf_free(&text);
-	if (keep_alive)
+	/* The next response would be taken for that to this request. */
+	if (written == STATUS_FULL)
+		h1_reset(conn);
+	else if (keep_alive)
 		h1_read_next_request(conn);
 	else
 		h1_close_gracefully(conn);
--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -23,6 +23,11 @@
 #define UNREAD_CLIENTS 60
 #define UNREAD_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
 #define SMALL_CHUNK_BYTES 500
+/* Input that the node reads behind a request in progress, sent by each of a few
+ * clients as small requests. */
+#define AHEAD_BYTES ((size_t)96 * 1024)
+#define AHEAD_CLIENTS 3
+#define AHEAD_MEMORY_MAX_BYTES (32 * BYTES_PER_MB)
 #define ORDINARY_BODY_BYTES 8192
 /* A client that cannot write for this many rounds of the loop sends no more. */
 #define BLOCKED_ROUNDS_MAX 200
@@ -86,13 +91,13 @@
 }
 
 /*
- * Connects a client to the node. Its receive buffer is small, so that answers
- * that it does not read stay with the node.
+ * Connects a client to a port of the node. Its receive buffer is small, so that
+ * answers that it does not read stay with the node.
  */
 static int
-connect_client(struct node_fixture *w)
+connect_client_to(uint16_t port)
 {
-	struct sockaddr_in address = loopback_own(w->front);
+	struct sockaddr_in address = loopback_own(port);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	int size = 4096;
 
@@ -106,6 +111,15 @@
 	return fd;
 }
 
+/*
+ * Connects a client to the port for callers.
+ */
+static int
+connect_client(struct node_fixture *w)
+{
+	return connect_client_to(w->front);
+}
+
 /*
  * Sends bytes while the platform runs. Returns false if the node has closed the
  * connection or does not read.
@@ -195,12 +209,12 @@
 }
 
 /*
- * Checks that the node is alive and within its memory and descriptors. The
- * bound on memory is not checked under AddressSanitizer, whose allocator
+ * Checks that the node is alive and has never used more than some bytes of
+ * memory. The bound is not checked under AddressSanitizer, whose allocator
  * retains freed memory.
  */
 static void
-check_bounds(const struct node_fixture *w, unsigned int descriptors)
+check_memory(const struct node_fixture *w, size_t max)
 {
 	size_t peak;
 	int status;
@@ -210,9 +224,20 @@
 	peak = node_status_bytes(w, "VmHWM:");
 	ck_assert_uint_gt(peak, 0);
 #ifndef __SANITIZE_ADDRESS__
-	ck_assert_msg(peak < MEMORY_MB * BYTES_PER_MB,
-	    "the node has used %zu bytes of memory", peak);
+	ck_assert_msg(
+	    peak < max, "the node has used %zu bytes of memory", peak);
+#else
+	(void)max;
 #endif
+}
+
+/*
+ * Checks that the node is alive and within its memory and descriptors.
+ */
+static void
+check_bounds(const struct node_fixture *w, unsigned int descriptors)
+{
+	check_memory(w, MEMORY_MB * BYTES_PER_MB);
 	if (descriptors != 0)
 		ck_assert_uint_lt(node_descriptor_count(w), descriptors);
 }
@@ -510,7 +535,103 @@
 }
 END_TEST
 
+/*
+ * Receives what the node sends to a client, until as many responses have begun
+ * as requests were sent, or the connection ends. Returns their number.
+ */
+static unsigned int
+count_responses(struct node_fixture *w, int fd, unsigned int requests)
+{
+	static const char begin[] = "HTTP/1.1 ";
+	char bytes[4096];
+	int64_t until = loop_now(w->loop) + HARNESS_DEADLINE_USEC;
+	unsigned int count = 0;
+	size_t matched = 0;
+
+	while (count < requests && loop_now(w->loop) < until) {
+		ssize_t n = recv(fd, bytes, sizeof(bytes), 0);
+
+		if (n == 0 || (n < 0 && errno != EAGAIN))
+			break;
+		if (n < 0)
+			run_rounds(w, 1);
+		for (ssize_t i = 0; i < n; i++) {
+			if (bytes[i] != begin[matched])
+				matched = bytes[i] == begin[0];
+			else if (begin[++matched] == '\0') {
+				matched = 0;
+				count++;
+			}
+		}
+	}
+	return count;
+}
+
+/*
+ * Clients send many small requests on one connection each, the first of which
+ * may be another one. Each request is answered.
+ */
+static void
+send_ahead(struct node_fixture *w, uint16_t port, const char *first)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	struct lstr_buf text = {0};
+	unsigned int count = 0;
+	int clients[AHEAD_CLIENTS];
+
+	if (first != NULL) {
+		lstr_buf_append(&text, lstr_from(first));
+		count++;
+	}
+	for (; text.len + strlen(request) <= AHEAD_BYTES; count++)
+		lstr_buf_append(&text, lstr_from(request));
+	for (size_t i = 0; i < AHEAD_CLIENTS; i++) {
+		clients[i] = connect_client_to(port);
+		send_bytes(w, clients[i], text.data, text.len);
+	}
+	for (size_t i = 0; i < AHEAD_CLIENTS; i++)
+		ck_assert_uint_gt(count_responses(w, clients[i], count), 0);
+	lstr_buf_free(&text);
+}
+
+/* Guards against requests sent ahead that are handled within the end of the one
+ * before: memory grows with the square of their number, and the stack with the
+ * number. */
+START_TEST(small_requests_sent_ahead_of_an_answer)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, 0);
+	fake_platform_set_plain_fault(w.platform, FAKE_UNRESPONSIVE);
+	send_ahead(&w, w.front,
+	    node_request("GET", "/long/1", "first", NODE_KEY, 1500, ""));
+	check_memory(&w, AHEAD_MEMORY_MAX_BYTES);
+	fake_platform_set_plain_fault(w.platform, FAKE_NONE);
+	check_ordinary_request(&w);
+	check_bounds(&w, 0);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* The same at a port where each request is answered at once. */
+START_TEST(small_lookups_sent_ahead_of_an_answer)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, 0);
+	send_ahead(&w, w.lookup, NULL);
+	check_memory(&w, AHEAD_MEMORY_MAX_BYTES);
+	check_ordinary_request(&w);
+	check_bounds(&w, 0);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("clients", bodies_that_stop_short, chunked_bodies_that_stop_short,
     heads_that_stop_short, silent_connections_and_early_leavers,
     whole_bodies_that_wait_for_slow_servers, answers_that_nobody_reads,
-    largest_request_is_served, slow_sender_and_idle_connection_are_served)
+    largest_request_is_served, slow_sender_and_idle_connection_are_served,
+    small_requests_sent_ahead_of_an_answer,
+    small_lookups_sent_ahead_of_an_answer)
--- a/tests/test_h1_limits.c
+++ b/tests/test_h1_limits.c
@@ -402,6 +402,53 @@
 }
 END_TEST
 
+/*
+ * Answers a request and reads the next one.
+ */
+static void
+on_answered(struct h1_conn *conn, void *arg)
+{
+	((struct fixture *)arg)->complete++;
+	h1_write(
+	    conn, lstr_from("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"));
+	h1_read_next_request(conn);
+}
+
+/* Guards against requests sent ahead that are handled within the end of the one
+ * before, which nests without limit, and against their loss when the client
+ * shuts down its sending half or the listener stops. */
+START_TEST(requests_sent_ahead_are_handled_in_turn)
+{
+	static const struct h1_ops answering_ops = {
+	    NULL, NULL, on_head, on_body, on_answered, on_ended};
+	struct fixture f;
+	unsigned int before = 0;
+	int fd;
+
+	fixture_start(&f, 0);
+	h1_listener_destroy(f.listener);
+	ck_assert_int_eq(h1_listen(f.h1, "127.0.0.1", 0, &f.limits,
+			     &answering_ops, &f, &f.listener),
+	    STATUS_OK);
+	fd = connect_client(&f);
+	for (unsigned int i = 0; i < CLIENTS; i++)
+		send_request(fd);
+	shutdown(fd, SHUT_WR);
+	while (f.complete < CLIENTS) {
+		loop_run_once(f.loop, loop_now(f.loop) + HARNESS_DEADLINE_USEC);
+		/* One that was read and one that was pending. */
+		ck_assert_uint_le(f.complete, before + 2);
+		before = f.complete;
+		if (f.complete > 0 && f.complete < CLIENTS) {
+			ck_assert(h1_listener_has_input(f.listener));
+			h1_listener_stop(f.listener);
+		}
+	}
+	ck_assert_uint_eq(h1_counts(f.h1)->closed_unread, 0);
+	fixture_stop(&f);
+}
+END_TEST
+
 HARNESS_MAIN("h1_limits", oldest_connections_give_way_at_the_limit,
     unfinished_bodies_are_refused_before_they_are_closed,
     complete_requests_do_not_give_way, heads_stay_within_the_account,
@@ -410,4 +457,5 @@
     stopped_listener_reads_requests_that_have_arrived,
     shorter_timeouts_spare_connections_that_wait_already,
     idle_connection_is_kept_longer_than_stated,
-    connection_with_an_unread_request_does_not_give_way)
+    connection_with_an_unread_request_does_not_give_way,
+    requests_sent_ahead_are_handled_in_turn)
