test_clients: crowds that return at once, exceed the backlog, or meet a change

New cases, each with an ordinary request that is answered at its first try and with bounded memory and descriptors (400): 150 clients that come back at once after each close (also the size of the log: at most the limits of slog a second), 700 connections while the node does not accept, a crowd during SIGTERM (a stream in progress is completed, the node exits with status 0 within 10 s), during SIGHUP, and while the limits of requests change; bodies in chunks and, with Expect: 100-continue, in segments of one byte.

The request follows its connection at once now, as an ordinary caller sends it.

--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -1,10 +1,12 @@
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <dirent.h>
 
 #include "node_fixture.h"
+#include "slog.h"
 
 /* Memory of the machine on which the node is told to run, and the limits of
  * callers' requests. */
@@ -28,6 +30,19 @@
 #define AHEAD_BYTES ((size_t)96 * 1024)
 #define AHEAD_CLIENTS 3
 #define AHEAD_MEMORY_MAX_BYTES (32 * BYTES_PER_MB)
+/* More than the connections that a node with DESCRIPTORS accepts. */
+#define CROWD_CLIENTS 150
+/* More than the backlog of a port. */
+#define BACKLOG_CLIENTS 700
+/* Pieces of one byte that each client sends. */
+#define SINGLE_BYTES 400
+#define CROWD_USEC (2 * LOOP_USEC_PER_SEC)
+/* A line of the log is shorter than this on average; three further lines a
+ * second may report others that were dropped. */
+#define LOG_LINE_BYTES 512
+#define LOG_LINES_PER_S (SLOG_INFO_PER_S + SLOG_NOTICE_PER_S + 3)
+/* The node has exited this long after SIGTERM: its setting grace_s is 8. */
+#define EXIT_USEC (10 * LOOP_USEC_PER_SEC)
 #define ORDINARY_BODY_BYTES 8192
 /* A client that cannot write for this many rounds of the loop sends no more. */
 #define BLOCKED_ROUNDS_MAX 200
@@ -260,6 +275,7 @@
 		ORDINARY_TIMEOUT_MS, headers));
 	h1_write(call->conn, lstr_from(body));
 	g_free(body);
+	run_rounds(w, 2);
 }
 
 /*
@@ -644,9 +660,269 @@
 }
 END_TEST
 
+/*
+ * Connects a client that sends a request whose body stops just short of its
+ * end.
+ */
+static void
+connect_stopping_client(struct node_fixture *w)
+{
+	int fd = connect_client(w);
+	char *body = g_strnfill(ORDINARY_BODY_BYTES - 1, 'x');
+	char headers[64];
+
+	snprintf(headers, sizeof(headers), "Content-Length: %d\r\n",
+	    ORDINARY_BODY_BYTES);
+	send_text(w, fd,
+	    node_request("POST", "/long/1", "crowd", NODE_KEY, 20000, headers));
+	send_bytes(w, fd, body, strlen(body));
+	g_free(body);
+}
+
+/*
+ * Each client whose connection the node has closed connects again at once.
+ * Returns how many did.
+ */
+static unsigned int
+return_crowd(struct node_fixture *w)
+{
+	char bytes[1024];
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < socket_count; i++) {
+		ssize_t n = recv(sockets[i], bytes, sizeof(bytes), 0);
+
+		if (n > 0 || (n < 0 && errno == EAGAIN))
+			continue;
+		close(sockets[i]);
+		sockets[i] = sockets[--socket_count];
+		connect_stopping_client(w);
+		count++;
+	}
+	run_rounds(w, 1);
+	return count;
+}
+
+/*
+ * Lets a crowd come whose clients return at once whenever the node closes their
+ * connections.
+ */
+static unsigned int
+run_crowd(struct node_fixture *w, int64_t usec)
+{
+	int64_t until = loop_now(w->loop) + usec;
+	unsigned int returned = 0;
+
+	while (socket_count < CROWD_CLIENTS)
+		connect_stopping_client(w);
+	do {
+		returned += return_crowd(w);
+	} while (loop_now(w->loop) < until);
+	return returned;
+}
+
+/*
+ * Checks that an ordinary request is answered at its first try while a crowd
+ * returns.
+ */
+static void
+check_ordinary_request_in_crowd(struct node_fixture *w)
+{
+	struct node_call call;
+	int64_t until = loop_now(w->loop) + HARNESS_DEADLINE_USEC;
+
+	send_ordinary_request(w, &call);
+	while (!call.ended && loop_now(w->loop) < until)
+		run_crowd(w, 0);
+	wait_for_success(w, &call);
+}
+
+/* Guards against a crowd that comes back at once after each close, and shuts
+ * out others or fills the log. */
+START_TEST(crowd_that_returns_after_each_close)
+{
+	struct node_fixture w;
+	int64_t started_at;
+	struct stat log;
+	int64_t seconds;
+
+	start_limited_node(&w, DESCRIPTORS);
+	started_at = loop_now(w.loop);
+	ck_assert_uint_gt(run_crowd(&w, CROWD_USEC), CROWD_CLIENTS);
+	check_ordinary_request_in_crowd(&w);
+	check_bounds(&w, DESCRIPTORS);
+	/* The node ran for a second or so before. */
+	seconds = (loop_now(w.loop) - started_at) / LOOP_USEC_PER_SEC + 4;
+	ck_assert_int_eq(stat(w.log_path, &log), 0);
+	ck_assert_int_lt(
+	    log.st_size, seconds * LOG_LINES_PER_S * LOG_LINE_BYTES);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against connections that come faster than they are accepted, more than
+ * the backlog holds. */
+START_TEST(connections_that_exceed_the_backlog)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, DESCRIPTORS);
+	ck_assert_int_eq(kill(w.pid, SIGSTOP), 0);
+	for (unsigned int i = 0; i < BACKLOG_CLIENTS; i++) {
+		int fd = connect_client(&w);
+
+		if (i % 2 == 0)
+			send(fd, "POST /long/1 HTTP/1.1\r\nX-", 25,
+			    MSG_NOSIGNAL);
+	}
+	run_rounds(&w, 10);
+	ck_assert_int_eq(kill(w.pid, SIGCONT), 0);
+	check_ordinary_request(&w);
+	check_bounds(&w, DESCRIPTORS);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against a stop that waits for clients which do not complete their
+ * requests, or cuts off a request that is being served. */
+START_TEST(crowd_during_a_stop)
+{
+	struct node_fixture w;
+	struct node_call call;
+	int64_t until;
+	int status = -1;
+	pid_t ended = 0;
+
+	start_limited_node(&w, DESCRIPTORS);
+	run_crowd(&w, CROWD_USEC / 4);
+	fake_platform_set_event_interval(w.platform, 150 * LOOP_USEC_PER_MSEC);
+	node_start_stream(&w, &call, "served");
+	run_rounds(&w, 2);
+	while (call.status == 0 && !call.ended)
+		run_crowd(&w, 0);
+	ck_assert_int_eq(kill(w.pid, SIGTERM), 0);
+	until = loop_now(w.loop) + EXIT_USEC;
+	wait_for_success(&w, &call);
+	while (ended == 0 && loop_now(w.loop) < until) {
+		run_rounds(&w, 1);
+		ended = waitpid(w.pid, &status, WNOHANG);
+	}
+	ck_assert_msg(ended == w.pid && status == 0,
+	    "the node has not exited, or with status %d", status);
+	w.pid = 0;
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against a reload of the settings that closes connections or takes back
+ * limits. */
+START_TEST(crowd_during_a_reload)
+{
+	struct node_fixture w;
+	struct node_call call;
+
+	start_limited_node(&w, DESCRIPTORS);
+	run_crowd(&w, CROWD_USEC / 4);
+	for (int i = 0; i < 5; i++) {
+		send_ordinary_request(&w, &call);
+		ck_assert_int_eq(kill(w.pid, SIGHUP), 0);
+		run_crowd(&w, CROWD_USEC / 20);
+		wait_for_success(&w, &call);
+	}
+	check_ordinary_request_in_crowd(&w);
+	check_bounds(&w, DESCRIPTORS);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against limits that change while bodies arrive: what was admitted
+ * under the old ones exceeds the memory, or new requests are refused. */
+START_TEST(crowd_while_limits_change)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, DESCRIPTORS);
+	for (int version = 3; version < 9; version++) {
+		size_t divisor = version % 2 == 0 ? 1 : 64;
+
+		run_crowd(&w, CROWD_USEC / 8);
+		fake_platform_set_request_limits(w.platform,
+		    HEAD_MAX_BYTES / divisor, BODY_MAX_BYTES / divisor);
+		fake_platform_configure(w.platform, version, NODE_KEY);
+		check_ordinary_request_in_crowd(&w);
+	}
+	check_bounds(&w, DESCRIPTORS);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/*
+ * Clients send a body in pieces of one byte each, until it stops short.
+ * piece: the encoding of one byte of the body.
+ */
+static void
+send_single_bytes(
+    struct node_fixture *w, const char *headers, const char *piece)
+{
+	static const int on = 1;
+
+	for (unsigned int i = 0; i < CROWD_CLIENTS; i++) {
+		int fd = connect_client(w);
+
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		send_text(w, fd,
+		    node_request(
+			"POST", "/long/1", "single", NODE_KEY, 20000, headers));
+	}
+	for (unsigned int n = 0; n < SINGLE_BYTES; n++) {
+		for (unsigned int i = 0; i < CROWD_CLIENTS; i++)
+			send_text(w, sockets[i], piece);
+		run_rounds(w, 1);
+	}
+}
+
+/* Guards against bodies in chunks of one byte, whose overhead exceeds them. */
+START_TEST(bodies_in_chunks_of_one_byte)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, DESCRIPTORS);
+	send_single_bytes(&w, "Transfer-Encoding: chunked\r\n", "1\r\nx\r\n");
+	check_bounds(&w, DESCRIPTORS);
+	check_ordinary_request(&w);
+	check_bounds(&w, DESCRIPTORS);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against bodies in segments of one byte after an interim answer. */
+START_TEST(bodies_in_segments_of_one_byte)
+{
+	struct node_fixture w;
+
+	start_limited_node(&w, DESCRIPTORS);
+	send_single_bytes(
+	    &w, "Expect: 100-continue\r\nContent-Length: 8192\r\n", "x");
+	check_bounds(&w, DESCRIPTORS);
+	check_ordinary_request(&w);
+	check_bounds(&w, DESCRIPTORS);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("clients", bodies_that_stop_short, chunked_bodies_that_stop_short,
     heads_that_stop_short, silent_connections_and_early_leavers,
     whole_bodies_that_wait_for_slow_servers, answers_that_nobody_reads,
     largest_request_is_served, slow_sender_and_idle_connection_are_served,
     small_requests_sent_ahead_of_an_answer,
-    small_lookups_sent_ahead_of_an_answer)
+    small_lookups_sent_ahead_of_an_answer, crowd_that_returns_after_each_close,
+    connections_that_exceed_the_backlog, crowd_during_a_stop,
+    crowd_during_a_reload, crowd_while_limits_change,
+    bodies_in_chunks_of_one_byte, bodies_in_segments_of_one_byte)
