gateway: send large bodies without a copy

What callers saw: 503 "no memory for the body" in calm for a body of 23 MB within the configured limit, on a node with 64 MB.

Cause: the body was copied behind its head when it was sent, so that it was admitted and counted twice: bodies above about three sixteenths of memory_mb had no room.

Change: the adapter encodes the head alone. A body of more than 16 KB is lent to the connection, which sends it after the head from the request's buffer; a smaller one is still copied, which saves a call. The buffer outlives the loan: a request ends its attempt, which closes the connection unless all was sent, before it frees the body. A connection with unsent lent bytes is not reusable, as before. Large bodies are counted once; the limit is about three eighths of memory_mb now.

--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -65,7 +65,8 @@
 	size_t stage_count;
 	/* Replaces the value sent by the caller unless it is 0. */
 	uint64_t last_event;
-	struct lstr body;
+	/* Length of the body, which the caller sends. */
+	size_t body_len;
 };
 
 /* What a backend server states about itself in the header of any response. */
@@ -172,7 +173,8 @@
 	    const struct h1_conn *, struct adapter_request *);
 	void (*parse_response)(
 	    const struct h1_conn *, struct adapter_response *);
-	/* Encodes the request of a caller as it is sent to a backend server. */
+	/* Encodes the request of a caller, without its body, as it is sent to a
+	 * backend server. */
 	enum status (*encode_forward)(const struct h1_conn *caller,
 	    const struct adapter_forward *, struct lstr_buf *);
 	/*
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -92,9 +92,9 @@
 }
 
 /*
- * Updates the account after a change of the buffers of a request. The body is
- * counted twice: a copy is made when it is sent. One that has ended has no
- * connection.
+ * Updates the account after a change of the buffers of a request. A small body
+ * is counted twice, since it is copied when it is sent. A request that has
+ * ended has no connection.
  */
 void
 gateway_account(struct gateway_request *request)
@@ -105,8 +105,9 @@
 		return;
 	}
 	account_set(request->gateway->config.account, &request->held,
-	    REQUEST_BYTES + 2 * request->body.size + request->response.size +
-		request->attempt.sse.pending.size);
+	    REQUEST_BYTES + request->body.size +
+		MIN(request->body.size, GATEWAY_BODY_COPY_MAX_BYTES) +
+		request->response.size + request->attempt.sse.pending.size);
 	if (request->caller != NULL)
 		h1_set_owner_bytes(request->caller, request->held);
 }
@@ -399,7 +400,7 @@
 		request->body.size == 0
 		    ? MAX(bytes.len, MIN(max, BODY_GROW_BYTES))
 		    : bytes.len,
-		max, true) != STATUS_OK ||
+		max) != STATUS_OK ||
 	    lstr_buf_append(&request->body, bytes) != STATUS_OK) {
 		gateway_refuse_for_memory(request);
 		return;
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -14,6 +14,9 @@
 #include "urgency.h"
 #include "waiting.h"
 
+/* A body up to this size is copied behind its head when it is sent, which saves
+ * a call. */
+#define GATEWAY_BODY_COPY_MAX_BYTES ((size_t)16 * 1024)
 /* Timeout for connecting to a server; a live server accepts within
  * milliseconds. */
 #define GATEWAY_CONNECT_USEC (400 * LOOP_USEC_PER_MSEC)
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -313,8 +313,8 @@
 	    : GATEWAY_RESPONSE_MAX_BYTES;
 
 	if (request->response.len + bytes.len > GATEWAY_RESPONSE_MAX_BYTES ||
-	    h1_grow(request->caller, &request->response, bytes.len, max,
-		false) != STATUS_OK ||
+	    h1_grow(request->caller, &request->response, bytes.len, max) !=
+		STATUS_OK ||
 	    lstr_buf_append(&request->response, bytes) != STATUS_OK) {
 		gateway_attempt_failed(request, false, "answer is too large");
 		return false;
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -426,7 +426,7 @@
 }
 
 /*
- * Serializes the request for the attempt's server.
+ * Serializes the request for the attempt's server, without a large body.
  */
 static enum status
 format_request(const struct gateway_request *request, struct lstr_buf *out)
@@ -441,7 +441,7 @@
 	    .priority = -1,
 	    .stages = stages,
 	    .stage_count = attempt->stage_count,
-	    .body = lstr_buf_view(&request->body)};
+	    .body_len = request->body.len};
 
 	if (request->service->engine != NULL)
 		forward.priority = (int)request->priority;
@@ -453,11 +453,16 @@
 		    attempt->stages[i].layer_from, attempt->stages[i].layer_to};
 	if (request->body.len > 0 &&
 	    lstr_buf_reserve(out,
-		request->body.len + request->gateway->limits.head_max_bytes +
+		MIN(request->body.len, GATEWAY_BODY_COPY_MAX_BYTES) +
+		    request->gateway->limits.head_max_bytes +
 		    FORWARD_HEAD_EXTRA_BYTES) != STATUS_OK)
 		return STATUS_NO_MEMORY;
-	return request->gateway->config.adapter->encode_forward(
-	    request->caller, &forward, out);
+	if (request->gateway->config.adapter->encode_forward(
+		request->caller, &forward, out) != STATUS_OK)
+		return STATUS_NO_MEMORY;
+	return request->body.len > GATEWAY_BODY_COPY_MAX_BYTES
+	    ? STATUS_OK
+	    : lstr_buf_append(out, lstr_buf_view(&request->body));
 }
 
 /*
@@ -504,6 +509,8 @@
 	h1_expect_response(
 	    attempt->conn, lstr_equal_c(h1_method(request->caller), "HEAD"));
 	h1_write_buf(attempt->conn, &text);
+	if (request->body.len > GATEWAY_BODY_COPY_MAX_BYTES)
+		h1_lend(attempt->conn, lstr_buf_view(&request->body));
 	return true;
 }
 
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -217,12 +217,17 @@
 
 	if (conn->write_failed)
 		return;
-	while (conn->out.len > 0 && !conn->connecting) {
-		ssize_t n =
-		    send(conn->fd, conn->out.data, conn->out.len, MSG_NOSIGNAL);
+	while (h1_has_output(conn) && !conn->connecting) {
+		struct lstr next =
+		    conn->out.len > 0 ? lstr_buf_view(&conn->out) : conn->lent;
+		ssize_t n = send(conn->fd, next.data, next.len, MSG_NOSIGNAL);
 
 		if (n > 0) {
-			lstr_buf_consume(&conn->out, (size_t)n);
+			if (conn->out.len > 0)
+				lstr_buf_consume(&conn->out, (size_t)n);
+			else
+				conn->lent = lstr_make(
+				    next.data + n, next.len - (size_t)n);
 			note_sent(conn);
 			continue;
 		}
@@ -237,7 +242,7 @@
 		lstr_buf_free(&conn->out);
 		h1_account(conn);
 	}
-	if (conn->out.len > 0 || conn->connecting)
+	if (h1_has_output(conn) || conn->connecting)
 		wanted |= LOOP_WRITE;
 	else if (conn->lingering)
 		shutdown(conn->fd, SHUT_WR);
@@ -275,13 +280,14 @@
 
 	if (conn->is_closed || conn->write_failed)
 		return status_set(STATUS_CLOSED, "connection is closed");
+	assert(conn->lent.len == 0);
 	if (conn->out.len > 0 &&
 	    conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
 		return status_set(STATUS_FULL, "peer does not read");
 	bytes = send_directly(conn, bytes);
 	status = conn->listener == NULL
 	    ? STATUS_OK
-	    : h1_grow(conn, &conn->out, bytes.len, H1_OUTPUT_MAX_BYTES, false);
+	    : h1_grow(conn, &conn->out, bytes.len, H1_OUTPUT_MAX_BYTES);
 	if (status == STATUS_OK)
 		status = lstr_buf_append(&conn->out, bytes);
 	h1_account(conn);
@@ -314,13 +320,38 @@
 	return status;
 }
 
+/*
+ * Client: sends bytes after the output without a copy. They belong to the
+ * caller and must not change until they are sent or the connection is closed.
+ * Nothing more may be written before.
+ */
+enum status
+h1_lend(struct h1_conn *conn, struct lstr bytes)
+{
+	if (conn->is_closed || conn->write_failed)
+		return status_set(STATUS_CLOSED, "connection is closed");
+	assert(conn->listener == NULL && conn->lent.len == 0);
+	conn->lent = bytes;
+	flush_output(conn);
+	return STATUS_OK;
+}
+
+/*
+ * Returns whether queued output has not been sent.
+ */
+bool
+h1_has_output(const struct h1_conn *conn)
+{
+	return conn->out.len > 0 || conn->lent.len > 0;
+}
+
 /*
  * Returns the number of queued bytes that have not been sent.
  */
 size_t
 h1_unsent_bytes(const struct h1_conn *conn)
 {
-	return conn->out.len;
+	return conn->out.len + conn->lent.len;
 }
 
 /*
@@ -356,7 +387,7 @@
 		span->offset = (uint32_t)conn->head_text.len;
 	if (h1_grow(conn, &conn->head_text,
 		conn->head_text.size == 0 ? MAX(len, HEAD_GROW_BYTES) : len,
-		max, false) != STATUS_OK ||
+		max) != STATUS_OK ||
 	    lstr_buf_append(&conn->head_text, lstr_make(at, len)) !=
 		STATUS_OK) {
 		conn->fault = H1_FAULT_NO_MEMORY;
@@ -661,7 +692,7 @@
 {
 	conn->pending_due = false;
 	loop_watch_set(
-	    conn->watch, LOOP_READ | (conn->out.len > 0 ? LOOP_WRITE : 0));
+	    conn->watch, LOOP_READ | (h1_has_output(conn) ? LOOP_WRITE : 0));
 	handle_input(conn, lstr_buf_view(&conn->pending_input));
 }
 
@@ -677,13 +708,15 @@
 	ssize_t n;
 
 	if (conn->pending_due) {
-		loop_watch_set(conn->watch, conn->out.len > 0 ? LOOP_WRITE : 0);
+		loop_watch_set(
+		    conn->watch, h1_has_output(conn) ? LOOP_WRITE : 0);
 		return;
 	}
 	if (conn->busy && conn->listener != NULL &&
 	    (conn->pending_input.len >= PENDING_INPUT_MAX_BYTES ||
 		(conn->pending_input.len > 0 && h1_is_short(conn)))) {
-		loop_watch_set(conn->watch, conn->out.len > 0 ? LOOP_WRITE : 0);
+		loop_watch_set(
+		    conn->watch, h1_has_output(conn) ? LOOP_WRITE : 0);
 		return;
 	}
 	n = recv(conn->fd, bytes,
@@ -927,7 +960,7 @@
 	conn->head_started_at = 0;
 	h1_note_progress(conn);
 	loop_watch_set(
-	    conn->watch, LOOP_READ | (conn->out.len > 0 ? LOOP_WRITE : 0));
+	    conn->watch, LOOP_READ | (h1_has_output(conn) ? LOOP_WRITE : 0));
 	parse_pending_soon(conn);
 }
 
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -144,10 +144,11 @@
 void h1_set_data(struct h1_conn *, void *);
 void *h1_data(const struct h1_conn *);
 enum status h1_write(struct h1_conn *, struct lstr);
+enum status h1_lend(struct h1_conn *, struct lstr);
 enum status h1_write_buf(struct h1_conn *, struct lstr_buf *);
 bool h1_admit(struct h1_conn *, size_t more);
 enum status h1_grow(
-    struct h1_conn *, struct lstr_buf *, size_t len, size_t max, bool copy);
+    struct h1_conn *, struct lstr_buf *, size_t len, size_t max);
 void h1_set_owner_bytes(struct h1_conn *, size_t bytes);
 void h1_read_next_request(struct h1_conn *);
 void h1_expect_response(struct h1_conn *, bool head_only);
--- a/src/node/h1_intake.c
+++ b/src/node/h1_intake.c
@@ -252,11 +252,9 @@
 /*
  * Enlarges a buffer of a connection or of its owner by doubling, but not beyond
  * max unless needed. Returns STATUS_FULL if the account does not admit it.
- * copy: each byte is also copied once, and the copy is to be admitted with it.
  */
 enum status
-h1_grow(struct h1_conn *conn, struct lstr_buf *buf, size_t len, size_t max,
-    bool copy)
+h1_grow(struct h1_conn *conn, struct lstr_buf *buf, size_t len, size_t max)
 {
 	size_t needed = buf->len + len;
 	size_t size = MAX(needed, MIN(buf->size * 2, max));
@@ -264,7 +262,7 @@
 
 	if (needed + (size_t)(buf->data - buf->base) <= buf->size)
 		return STATUS_OK;
-	if (conn->listener != NULL && !h1_admit(conn, copy ? more * 2 : more))
+	if (conn->listener != NULL && !h1_admit(conn, more))
 		return status_set(STATUS_FULL, "no memory for callers");
 	return lstr_buf_reserve(buf, size);
 }
--- a/src/node/h1_message.c
+++ b/src/node/h1_message.c
@@ -84,7 +84,7 @@
 h1_is_reusable(const struct h1_conn *conn)
 {
 	return !conn->is_closed && !conn->write_failed && conn->complete &&
-	    !conn->not_reusable && !conn->connecting && conn->out.len == 0 &&
+	    !conn->not_reusable && !conn->connecting && !h1_has_output(conn) &&
 	    h1_keep_alive(conn);
 }
 
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -106,6 +106,8 @@
 	 * then nothing is read from the socket. */
 	bool pending_due;
 	struct lstr_buf out;
+	/* Client: sent after out; the bytes belong to the owner. */
+	struct lstr lent;
 	/* Memory in the account, and that which the owner holds for it. */
 	size_t held;
 	size_t owner_bytes;
@@ -119,6 +121,7 @@
 void h1_note_closing(struct h1_conn *);
 bool h1_has_unread_bytes(const struct h1_conn *);
 void h1_account(struct h1_conn *);
+bool h1_has_output(const struct h1_conn *);
 bool h1_may_answer(const struct h1_conn *);
 bool h1_is_short(const struct h1_conn *);
 void h1_free_buffers(struct h1_conn *);
--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -14,6 +14,8 @@
 #define BYTES_PER_MB ((size_t)1000 * 1000)
 #define HEAD_MAX_BYTES ((size_t)64 * 1024)
 #define BODY_MAX_BYTES ((size_t)1024 * 1024)
+/* The largest body of one request, more than a third of the memory. */
+#define HUGE_BODY_BYTES (23 * BYTES_PER_MB)
 /* Descriptors of the node, of which it reserves 200 for files. */
 #define DESCRIPTORS 400
 /* Each load holds several times the memory or descriptors of the node. */
@@ -49,6 +51,8 @@
 /* Long enough for a busy machine: the request is not sent again. */
 #define ORDINARY_TIMEOUT_MS 20000
 
+/* Limit of bodies in the configuration. */
+static size_t body_max = BODY_MAX_BYTES;
 static int sockets[HEAD_CLIENTS];
 static unsigned int socket_count;
 
@@ -91,8 +95,7 @@
 
 	socket_count = 0;
 	node_fixture_prepare(w);
-	fake_platform_set_request_limits(
-	    w->platform, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	fake_platform_set_request_limits(w->platform, HEAD_MAX_BYTES, body_max);
 	fake_platform_add_long_route(w->platform, "long");
 	fake_platform_configure(w->platform, 2, NODE_KEY);
 	set_memory(w);
@@ -524,6 +527,33 @@
 }
 END_TEST
 
+/* Guards against a body that is held twice while it is sent: where the limit of
+ * bodies is three eighths of the memory, the largest one is refused. Two of
+ * them are sent, one after the other. */
+START_TEST(body_of_a_third_of_the_memory_is_served)
+{
+	struct node_fixture w;
+	struct node_call call;
+	char *body = g_strnfill(HUGE_BODY_BYTES, 'b');
+	char headers[64];
+
+	body_max = HUGE_BODY_BYTES;
+	start_limited_node(&w, 0);
+	for (int i = 0; i < 2; i++) {
+		snprintf(headers, sizeof(headers), "Content-Length: %zu\r\n",
+		    HUGE_BODY_BYTES);
+		node_call_send(&w, &call, w.front,
+		    node_request("POST", "/long/1", i == 0 ? "first" : "second",
+			NODE_KEY, 20000, headers));
+		h1_lend(call.conn, lstr_make(body, HUGE_BODY_BYTES));
+		wait_for_success(&w, &call);
+	}
+	check_bounds(&w, 0);
+	g_free(body);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against limits on progress that a slow but steady sender reaches, and
  * against closing a connection that is idle for less than the idle limit, which
  * is 5 s. */
@@ -920,7 +950,8 @@
 HARNESS_MAIN("clients", bodies_that_stop_short, chunked_bodies_that_stop_short,
     heads_that_stop_short, silent_connections_and_early_leavers,
     whole_bodies_that_wait_for_slow_servers, answers_that_nobody_reads,
-    largest_request_is_served, slow_sender_and_idle_connection_are_served,
+    largest_request_is_served, body_of_a_third_of_the_memory_is_served,
+    slow_sender_and_idle_connection_are_served,
     small_requests_sent_ahead_of_an_answer,
     small_lookups_sent_ahead_of_an_answer, crowd_that_returns_after_each_close,
     connections_that_exceed_the_backlog, crowd_during_a_stop,
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -363,9 +363,47 @@
 }
 END_TEST
 
+/* Guards against a body without a copy that overtakes its head or is cut, and
+ * against the reuse of a connection whose server answers before it has read all
+ * of the body: the next request would follow inside it. */
+START_TEST(lent_body_follows_its_head_and_prevents_reuse)
+{
+	static char bytes[LONG_RESPONSE_BYTES];
+	static char chunk[64 * 1024];
+	static const char head[] = "POST / HTTP/1.1\r\n\r\n";
+	const size_t total = sizeof(head) - 1 + sizeof(bytes);
+	struct fixture f;
+	size_t received = 0;
+
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		bytes[i] = (char)('a' + i % 23);
+	fixture_start(&f);
+	h1_write(f.conn, lstr_from(head));
+	h1_lend(f.conn, lstr_make(bytes, sizeof(bytes)));
+	peer_send(&f, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+	ck_assert(harness_wait(f.loop, is_complete, &f));
+	ck_assert_uint_gt(h1_unsent_bytes(f.conn), 0);
+	ck_assert(!h1_is_reusable(f.conn));
+	while (received < total) {
+		ssize_t n = recv(f.peer, chunk, sizeof(chunk), MSG_DONTWAIT);
+
+		for (ssize_t i = 0; i < n; i++, received++)
+			ck_assert_int_eq(chunk[i],
+			    received < sizeof(head) - 1
+				? head[received]
+				: bytes[received - (sizeof(head) - 1)]);
+		loop_run_once(f.loop, loop_now(f.loop) + LOOP_USEC_PER_MSEC);
+	}
+	ck_assert_uint_eq(h1_unsent_bytes(f.conn), 0);
+	ck_assert(h1_is_reusable(f.conn));
+	close(f.peer);
+	fixture_stop(&f);
+}
+END_TEST
+
 HARNESS_MAIN("h1", response_cut_at_any_byte_does_not_complete,
     graceful_close_delivers_to_a_slow_peer, failed_write_is_reported_later,
     reset_does_not_complete_response, close_completes_response_without_length,
     interim_response_and_extra_bytes_are_ignored,
     response_after_skipped_one_is_read, tokens_are_found_in_header_lists,
-    list_entries_are_split)
+    list_entries_are_split, lent_body_follows_its_head_and_prevents_reuse)
