test_clients: red: late request on a new connection in a returning crowd

A caller whose request follows its connection 30 ms later is closed without an answer while 150 clients connect again at once after each close: they replace all 67 connections in about 2 ms (log: 1,416 connections and 2,706 requests gave way within 0.1 s), and the connection is soon the oldest one without a request.

--- a/tests/test_clients.c
+++ b/tests/test_clients.c
@@ -38,6 +38,8 @@
 #define BACKLOG_CLIENTS 700
 /* Pieces of one byte that each client sends. */
 #define SINGLE_BYTES 400
+/* Time between the connection of a caller and its request. */
+#define LATE_USEC (30 * LOOP_USEC_PER_MSEC)
 #define CROWD_USEC (2 * LOOP_USEC_PER_SEC)
 /* A line of the log is shorter than this on average; three further lines a
  * second may report others that were dropped. */
@@ -791,6 +793,32 @@
 }
 END_TEST
 
+/* Guards against a returning crowd that shuts out callers whose request follows
+ * their connection a little later, as over a long link. */
+START_TEST(late_request_on_a_new_connection_in_a_crowd)
+{
+	struct node_fixture w;
+	struct node_call call;
+
+	start_limited_node(&w, DESCRIPTORS);
+	run_crowd(&w, CROWD_USEC / 4);
+	for (int i = 0; i < 5; i++) {
+		node_call_send(&w, &call, w.front, "");
+		run_rounds(&w, 2);
+		run_crowd(&w, LATE_USEC);
+		if (!call.ended)
+			h1_write(call.conn,
+			    lstr_from(node_request("GET", "/long/1", "late",
+				NODE_KEY, ORDINARY_TIMEOUT_MS, "")));
+		run_rounds(&w, 2);
+		wait_for_success(&w, &call);
+	}
+	check_bounds(&w, DESCRIPTORS);
+	close_clients();
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against connections that come faster than they are accepted, more than
  * the backlog holds. */
 START_TEST(connections_that_exceed_the_backlog)
@@ -954,6 +982,7 @@
     slow_sender_and_idle_connection_are_served,
     small_requests_sent_ahead_of_an_answer,
     small_lookups_sent_ahead_of_an_answer, crowd_that_returns_after_each_close,
+    late_request_on_a_new_connection_in_a_crowd,
     connections_that_exceed_the_backlog, crowd_during_a_stop,
     crowd_during_a_reload, crowd_while_limits_change,
     bodies_in_chunks_of_one_byte, bodies_in_segments_of_one_byte)
