--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -16,6 +16,9 @@
  * its server. */
 #define REQUEST_BYTES                                                          \
 	(sizeof(struct gateway_request) + GATEWAY_CONNECTION_BYTES)
+/* Ended requests are freed once there are this many and at least as many as
+ * others. */
+#define ENDED_MAX 64
 /* First allocation for a body. */
 #define BODY_GROW_BYTES ((size_t)1024)
 
@@ -70,15 +73,43 @@
 }
 
 /*
- * Updates the account after a change of the buffers of a request. The body is
- * counted twice: a copy is made when it is sent.
+ * Frees the requests that have ended. None of them may be in use by a caller of
+ * this function, nor may the requests be iterated over.
+ */
+static void
+free_ended(struct gateway *gateway)
+{
+	for (guint i = 0; i < gateway->requests->len;) {
+		struct gateway_request *request =
+		    g_ptr_array_index(gateway->requests, i);
+
+		if (request->state == GATEWAY_ENDED) {
+			g_ptr_array_remove_index_fast(gateway->requests, i);
+			request_free(request);
+		} else {
+			i++;
+		}
+	}
+	gateway->ended = 0;
+}
+
+/*
+ * Updates the account after a change of the buffers of a request. A small body
+ * is counted twice, since it is copied when it is sent. A request that has
+ * ended has no connection.
  */
 void
 gateway_account(struct gateway_request *request)
 {
+	if (request->state == GATEWAY_ENDED) {
+		account_set(request->gateway->config.account, &request->held,
+		    sizeof(*request) + request->attempt.sse.pending.size);
+		return;
+	}
 	account_set(request->gateway->config.account, &request->held,
-	    REQUEST_BYTES + 2 * request->body.size + request->response.size +
-		request->attempt.sse.pending.size +
+	    REQUEST_BYTES + request->body.size +
+		MIN(request->body.size, GATEWAY_BODY_COPY_MAX_BYTES) +
+		request->response.size + request->attempt.sse.pending.size +
 		gateway_kept_bytes(request));
 	if (request->caller != NULL)
 		h1_set_owner_bytes(request->caller, request->held);
@@ -314,6 +345,10 @@
 
 	h1_set_data(conn, NULL);
 	h1_set_owner_bytes(conn, 0);
+	/* Requests sent ahead may end faster than gateway_tick() frees them. */
+	if (gateway->ended >= ENDED_MAX &&
+	    gateway->ended >= gateway->requests->len / 2)
+		free_ended(gateway);
 	if (gateway->requests->len < gateway->config.requests_max &&
 	    h1_admit(conn, REQUEST_BYTES))
 		request = calloc(1, sizeof(*request));
@@ -369,7 +404,7 @@
 		request->body.size == 0
 		    ? MAX(bytes.len, MIN(max, BODY_GROW_BYTES))
 		    : bytes.len,
-		max, true) != STATUS_OK ||
+		max) != STATUS_OK ||
 	    lstr_buf_append(&request->body, bytes) != STATUS_OK) {
 		gateway_refuse_for_memory(request);
 		return;
@@ -700,15 +735,5 @@
 		else
 			gateway_plain_tick(request, now);
 	}
-	for (guint i = 0; i < gateway->requests->len;) {
-		struct gateway_request *request =
-		    g_ptr_array_index(gateway->requests, i);
-
-		if (request->state == GATEWAY_ENDED) {
-			g_ptr_array_remove_index_fast(gateway->requests, i);
-			request_free(request);
-		} else {
-			i++;
-		}
-	}
+	free_ended(gateway);
 }
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -86,6 +86,7 @@
 	if (request->state == GATEWAY_ENDED)
 		return;
 	gateway_attempt_end(request, false);
+	gateway_drop_kept(request);
 	if (request->queue_entry != NULL) {
 		sched_cancel(
 		    gateway_service(gateway, request->service->name)->queue,
@@ -95,6 +96,7 @@
 	if (outcome != NULL)
 		log_outcome(request, outcome);
 	request->state = GATEWAY_ENDED;
+	gateway->ended++;
 	request->caller = NULL;
 	lstr_buf_free(&request->body);
 	lstr_buf_free(&request->response);
@@ -352,8 +354,8 @@
 
 	if (!is_needed(request))
 		return true;
-	if (h1_grow(request->caller, &request->response, bytes.len, max,
-		false) == STATUS_OK &&
+	if (h1_grow(request->caller, &request->response, bytes.len, max) ==
+		STATUS_OK &&
 	    lstr_buf_append(&request->response, bytes) == STATUS_OK) {
 		gateway_account(request);
 		return true;
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -262,12 +262,17 @@
 
 	if (conn->write_failed)
 		return;
-	while (conn->out.len > 0 && !conn->connecting) {
-		ssize_t n =
-		    send(conn->fd, conn->out.data, conn->out.len, MSG_NOSIGNAL);
+	while (h1_has_output(conn) && !conn->connecting) {
+		struct lstr next =
+		    conn->out.len > 0 ? lstr_buf_view(&conn->out) : conn->lent;
+		ssize_t n = send(conn->fd, next.data, next.len, MSG_NOSIGNAL);
 
 		if (n > 0) {
-			lstr_buf_consume(&conn->out, (size_t)n);
+			if (conn->out.len > 0)
+				lstr_buf_consume(&conn->out, (size_t)n);
+			else
+				conn->lent = lstr_make(
+				    next.data + n, next.len - (size_t)n);
 			note_sent(conn);
 			continue;
 		}
@@ -287,7 +292,7 @@
 		lstr_buf_free(&conn->out);
 		h1_account(conn);
 	}
-	if (conn->out.len > 0 || conn->connecting)
+	if (h1_has_output(conn) || conn->connecting)
 		wanted |= LOOP_WRITE;
 	else if (conn->lingering)
 		shutdown(conn->fd, SHUT_WR);
@@ -326,6 +331,7 @@
 
 	if (conn->is_closed || conn->write_failed)
 		return status_set(STATUS_CLOSED, "connection is closed");
+	assert(conn->lent.len == 0);
 	if (conn->out.len > 0 &&
 	    conn->out.len + bytes.len > H1_OUTPUT_MAX_BYTES)
 		return status_set(STATUS_FULL, "peer does not read");
@@ -380,13 +386,38 @@
 	return status;
 }
 
+/*
+ * Client: sends bytes after the output without a copy. They belong to the
+ * caller and must not change until they are sent or the connection is closed.
+ * Nothing more may be written before.
+ */
+enum status
+h1_lend(struct h1_conn *conn, struct lstr bytes)
+{
+	if (conn->is_closed || conn->write_failed)
+		return status_set(STATUS_CLOSED, "connection is closed");
+	assert(conn->listener == NULL && conn->lent.len == 0);
+	conn->lent = bytes;
+	flush_output(conn);
+	return STATUS_OK;
+}
+
+/*
+ * Returns whether queued output has not been sent.
+ */
+bool
+h1_has_output(const struct h1_conn *conn)
+{
+	return conn->out.len > 0 || conn->lent.len > 0;
+}
+
 /*
  * Returns the number of queued bytes that have not been sent.
  */
 size_t
 h1_unsent_bytes(const struct h1_conn *conn)
 {
-	return conn->out.len;
+	return conn->out.len + conn->lent.len;
 }
 
 /*
@@ -422,7 +453,7 @@
 		span->offset = (uint32_t)conn->head_text.len;
 	if (h1_grow(conn, &conn->head_text,
 		conn->head_text.size == 0 ? MAX(len, HEAD_GROW_BYTES) : len,
-		max, false) != STATUS_OK ||
+		max) != STATUS_OK ||
 	    lstr_buf_append(&conn->head_text, lstr_make(at, len)) !=
 		STATUS_OK) {
 		conn->fault = H1_FAULT_NO_MEMORY;
@@ -601,7 +632,30 @@
 }
 
 /*
- * Parses bytes until a message is complete and buffers the rest.
+ * Keeps what follows a message. If the parsed bytes were pending input, they
+ * are removed from it instead.
+ */
+static enum status
+keep_rest(struct h1_conn *conn, struct lstr bytes, size_t used)
+{
+	enum status status = STATUS_OK;
+
+	if (conn->pending_input.len == 0 && used == bytes.len)
+		return STATUS_OK;
+	if (conn->pending_input.len == 0)
+		status = lstr_buf_append(&conn->pending_input,
+		    lstr_make(bytes.data + used, bytes.len - used));
+	else
+		lstr_buf_consume(&conn->pending_input, used);
+	if (conn->pending_input.len == 0)
+		lstr_buf_free(&conn->pending_input);
+	h1_account(conn);
+	return status;
+}
+
+/*
+ * Parses bytes, which are the pending input if there is any, until a message is
+ * complete and keeps the rest.
  */
 static void
 parse(struct h1_conn *conn, struct lstr bytes)
@@ -612,17 +666,13 @@
 	    &conn->parser, &parser_settings, bytes.data, bytes.len);
 	if (conn->is_closed || conn->lingering)
 		return;
+	if (keep_rest(conn, bytes, conn->complete ? used : bytes.len) !=
+	    STATUS_OK) {
+		close_and_notify(conn, H1_CLOSE_NOT_READ, STATUS_NO_MEMORY);
+		return;
+	}
 	if (conn->complete) {
 		http_parser_pause(&conn->parser, 0);
-		if (used < bytes.len &&
-		    lstr_buf_append(&conn->pending_input,
-			lstr_make(bytes.data + used, bytes.len - used)) !=
-			STATUS_OK) {
-			close_and_notify(
-			    conn, H1_CLOSE_NOT_READ, STATUS_NO_MEMORY);
-			return;
-		}
-		h1_account(conn);
 		conn->busy = conn->listener != NULL;
 		h1_note_progress(conn);
 		conn->not_reusable =
@@ -689,8 +739,36 @@
 }
 
 /*
- * Reads from the socket. Stops watching for input while the buffer for pending
- * input is full, or memory is short: the rest stays in the socket.
+ * Parses the pending input as far as the end of the next message from the
+ * timer, so that neither memory nor the stack grows with the number of
+ * messages, and other connections are served in between.
+ */
+static void
+parse_pending_soon(struct h1_conn *conn)
+{
+	if (conn->pending_input.len == 0)
+		return;
+	conn->pending_due = true;
+	loop_timer_set(conn->timer, loop_now(conn->h1->loop));
+}
+
+/*
+ * Parses the pending input as far as the end of the next message, and reads
+ * from the socket again.
+ */
+static void
+parse_pending(struct h1_conn *conn)
+{
+	conn->pending_due = false;
+	loop_watch_set(
+	    conn->watch, LOOP_READ | (h1_has_output(conn) ? LOOP_WRITE : 0));
+	handle_input(conn, lstr_buf_view(&conn->pending_input));
+}
+
+/*
+ * Reads from the socket. Stops watching for input while pending input is to be
+ * parsed, the buffer for it is full, or memory is short: the rest stays in the
+ * socket.
  */
 static void
 read_socket(struct h1_conn *conn)
@@ -698,10 +776,16 @@
 	static char bytes[READ_BYTES];
 	ssize_t n;
 
+	if (conn->pending_due) {
+		loop_watch_set(
+		    conn->watch, h1_has_output(conn) ? LOOP_WRITE : 0);
+		return;
+	}
 	if (conn->busy && conn->listener != NULL &&
 	    (conn->pending_input.len >= PENDING_INPUT_MAX_BYTES ||
 		(conn->pending_input.len > 0 && h1_is_short(conn)))) {
-		loop_watch_set(conn->watch, conn->out.len > 0 ? LOOP_WRITE : 0);
+		loop_watch_set(
+		    conn->watch, h1_has_output(conn) ? LOOP_WRITE : 0);
 		return;
 	}
 	n = recv(conn->fd, bytes,
@@ -792,7 +876,8 @@
 
 /*
  * Handles the timer of a connection: connecting timed out, a write failed
- * earlier, or the time to deliver the last response has passed.
+ * earlier, pending input is to be parsed, or the time to deliver the last
+ * response has passed.
  */
 static void
 on_timer(void *arg)
@@ -808,6 +893,8 @@
 	if (conn->write_failed)
 		close_and_notify(conn, conn->write_failure,
 		    status_set(STATUS_IO, "connection cannot be written"));
+	else if (conn->pending_due && !conn->lingering)
+		parse_pending(conn);
 	else if (has_acknowledged(conn) &&
 	    loop_now(conn->h1->loop) < conn->linger_until)
 		extend_linger(conn);
@@ -931,13 +1018,12 @@
 }
 
 /*
- * Server: ends the current response and reads the next request.
+ * Server: ends the current response and reads the next request. One that has
+ * arrived already is handled from the timer.
  */
 void
 h1_read_next_request(struct h1_conn *conn)
 {
-	struct lstr_buf pending_input = conn->pending_input;
-
 	if (conn->is_closed || conn->write_failed)
 		return;
 	conn->busy = false;
@@ -946,12 +1032,8 @@
 	conn->head_started_at = 0;
 	h1_note_progress(conn);
 	loop_watch_set(
-	    conn->watch, LOOP_READ | (conn->out.len > 0 ? LOOP_WRITE : 0));
-	if (pending_input.len == 0)
-		return;
-	memset(&conn->pending_input, 0, sizeof(conn->pending_input));
-	handle_input(conn, lstr_buf_view(&pending_input));
-	lstr_buf_free(&pending_input);
+	    conn->watch, LOOP_READ | (h1_has_output(conn) ? LOOP_WRITE : 0));
+	parse_pending_soon(conn);
 }
 
 /*
@@ -975,16 +1057,11 @@
 void
 h1_skip_response(struct h1_conn *conn)
 {
-	struct lstr_buf pending_input = conn->pending_input;
-
 	if (conn->is_closed)
 		return;
-	memset(&conn->pending_input, 0, sizeof(conn->pending_input));
 	conn->not_reusable = false;
 	h1_expect_response(conn, conn->head_only);
-	if (pending_input.len > 0)
-		parse(conn, lstr_buf_view(&pending_input));
-	lstr_buf_free(&pending_input);
+	parse_pending_soon(conn);
 }
 
 /*
@@ -998,6 +1075,7 @@
 	if (conn->is_closed || conn->lingering)
 		return;
 	conn->lingering = true;
+	conn->pending_due = false;
 	if (conn->write_failed)
 		return;
 	conn->linger_until = loop_now(conn->h1->loop) + H1_LINGER_MAX_USEC;
--- a/src/node/h1_intake.c
+++ b/src/node/h1_intake.c
@@ -250,7 +250,7 @@
 {
 	const struct account *account = conn->h1->account;
 	enum status status =
-	    h1_grow(conn, &conn->out, len, H1_OUTPUT_MAX_BYTES, false);
+	    h1_grow(conn, &conn->out, len, H1_OUTPUT_MAX_BYTES);
 	size_t needed = conn->out.len + len;
 	size_t size =
 	    MIN(MAX(needed, conn->out.size * 2), (size_t)OUTPUT_ROOM_BYTES);
@@ -279,11 +279,9 @@
 /*
  * Enlarges a buffer of a connection or of its owner by doubling, but not beyond
  * max unless needed. Returns STATUS_NO_MEMORY if the account does not admit it.
- * copy: each byte is also copied once, and the copy is to be admitted with it.
  */
 enum status
-h1_grow(struct h1_conn *conn, struct lstr_buf *buf, size_t len, size_t max,
-    bool copy)
+h1_grow(struct h1_conn *conn, struct lstr_buf *buf, size_t len, size_t max)
 {
 	size_t needed = buf->len + len;
 	size_t size = MAX(needed, MIN(buf->size * 2, max));
@@ -291,7 +289,7 @@
 
 	if (needed + (size_t)(buf->data - buf->base) <= buf->size)
 		return STATUS_OK;
-	if (conn->listener != NULL && !h1_admit(conn, copy ? more * 2 : more))
+	if (conn->listener != NULL && !h1_admit(conn, more))
 		return status_set(STATUS_NO_MEMORY, "no memory for callers");
 	return lstr_buf_reserve(buf, size);
 }
--- a/src/node/h1_priv.h
+++ b/src/node/h1_priv.h
@@ -105,10 +105,15 @@
 	int64_t stated_usec;
 	/* Input received after the current message. */
 	struct lstr_buf pending_input;
+	/* Pending input is parsed when the timer expires, which is set. Until
+	 * then nothing is read from the socket. */
+	bool pending_due;
 	struct lstr_buf out;
 	/* Bytes in the socket that the peer had not acknowledged when it was
 	 * last looked up. */
 	int unacknowledged;
+	/* Client: sent after out; the bytes belong to the owner. */
+	struct lstr lent;
 	/* Memory in the account, and that which the owner holds for it. */
 	size_t held;
 	size_t owner_bytes;
@@ -123,6 +128,7 @@
 void h1_note_closing(struct h1_conn *);
 bool h1_has_unread_bytes(const struct h1_conn *);
 void h1_account(struct h1_conn *);
+bool h1_has_output(const struct h1_conn *);
 bool h1_may_answer(const struct h1_conn *);
 enum status h1_grow_output(struct h1_conn *, size_t len);
 bool h1_is_short(const struct h1_conn *);
