--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -14,6 +14,9 @@
 #define FIXTURE_VALIDITY_USEC (200 * LOOP_USEC_PER_MSEC)
 #define FIXTURE_DRAIN_EXTRA_USEC (100 * LOOP_USEC_PER_MSEC)
 
+#define PLAIN_REQUEST                                                          \
+	"{'organisation':'o','service':'s','operation':'lookup','prompt':'x'}"
+
 #define FIXTURE_INVENTORY                                                      \
 	"{'places':[{'name':'p1','region':'r'}],'links':[],"                   \
 	"'services':[{'name':'m','kind':'pipeline','layers':6},"               \
@@ -53,6 +56,8 @@
 	char address[32];
 	int submit_count;
 	int cancel_count;
+	/* Of the last submission. */
+	uint64_t stream;
 	uint32_t attempt;
 	size_t delivered;
 };
@@ -71,6 +76,8 @@
 	int next_behaviour;
 	struct proc proc;
 	struct entry *entry;
+	/* "ip:port" of the entry for callers. */
+	char address[64];
 	bool role_leaving;
 	struct fetch *fetch;
 	bool done;
@@ -241,6 +248,7 @@
 	if (f->next_behaviour < 3)
 		f->next_behaviour++;
 	router->submit_count++;
+	router->stream = submit->stream;
 	router->attempt = submit->attempt;
 	router->delivered = submit->n_delivered;
 	switch (behaviour) {
@@ -354,19 +362,16 @@
 }
 
 /*
- * Starts all parts and waits until the entry is ready.
+ * Starts the syncd, the routers and the caller. Writes the address of the syncd
+ * to a buffer of 32 bytes.
  */
 static inline void
-fixture_start(struct fixture *f)
+fixture_start_services(struct fixture *f, char *address)
 {
 	static const struct link_ops ops = {syncd_up, syncd_frame, syncd_down};
-	struct entry_config config = {.http_address = "127.0.0.1:0",
-	    .validity_usec = FIXTURE_VALIDITY_USEC,
-	    .drain_extra_usec = FIXTURE_DRAIN_EXTRA_USEC};
 	json_t *inventory = fixture_json(FIXTURE_INVENTORY);
 	json_t *rules = fixture_json(FIXTURE_RULES);
 	struct part_set *set = NULL;
-	char address[32];
 
 	memset(f, 0, sizeof(*f));
 	ck_assert_int_eq(loop_create(&f->loop), STATUS_OK);
@@ -380,15 +385,29 @@
 	ck_assert_int_eq(
 	    link_listen(&f->context, "127.0.0.1:0", &ops, f, &f->syncd),
 	    STATUS_OK);
-	snprintf(address, sizeof(address), "127.0.0.1:%u",
-	    link_listener_port(f->syncd));
+	snprintf(address, 32, "127.0.0.1:%u", link_listener_port(f->syncd));
 	fixture_start_routers(f);
+	ck_assert_int_eq(fetch_create(f->loop, &f->fetch), STATUS_OK);
+}
+
+/*
+ * Starts all parts and waits until the entry is ready.
+ */
+static inline void
+fixture_start(struct fixture *f)
+{
+	struct entry_config config = {.http_address = "127.0.0.1:0",
+	    .validity_usec = FIXTURE_VALIDITY_USEC,
+	    .drain_extra_usec = FIXTURE_DRAIN_EXTRA_USEC};
+	char address[32];
+
+	fixture_start_services(f, address);
 	f->proc.loop = f->loop;
 	fixture_init_identity(
 	    f, "n0", CH__ROLE__ROLE_ENTRY, &f->proc.hello, &f->proc.links);
 	config.syncd_address = address;
 	ck_assert_int_eq(entry_create(&f->proc, &config, &f->entry), STATUS_OK);
-	ck_assert_int_eq(fetch_create(f->loop, &f->fetch), STATUS_OK);
+	snprintf(f->address, sizeof(f->address), "%s", entry_address(f->entry));
 	ck_assert(harness_wait(f->loop, fixture_is_ready, f));
 }
 
@@ -437,8 +456,7 @@
 	struct fetch_call *call = NULL;
 
 	f->done = false;
-	snprintf(
-	    url, sizeof(url), "http://%s%s", entry_address(f->entry), path);
+	snprintf(url, sizeof(url), "http://%s%s", f->address, path);
 	ck_assert_int_eq(
 	    fetch_start(f->fetch, &request, &ops, f, &call), STATUS_OK);
 	return call;
--- a/tests/test_entry_process.c
+++ b/tests/test_entry_process.c
@@ -4,8 +4,6 @@
 #define PIPELINE_REQUEST                                                       \
 	"{'organisation':'o','service':'m','operation':'draft',"               \
 	"'prompt':'hello','max_tokens':4}"
-#define PLAIN_REQUEST                                                          \
-	"{'organisation':'o','service':'s','operation':'lookup','prompt':'x'}"
 #define NON_IDEMPOTENT_REQUEST                                                 \
 	"{'organisation':'o','service':'s','operation':'swap','prompt':'x'}"
 #define COMPLETE_RESPONSE                                                      \
