Limit the memory that clients hold at the HTTP ports

Callers saw an entry that ended for lack of memory: it accepted 8,192 connections, each with a body of up to 512 KB that was kept until it was complete, and nothing counted them. Syncd's operator port accepted 32 MB on each.

When it is full, the choice that the node makes (intake) decides which unfinished bodies give way; they are refused with 503 and "not-run". Requests that are complete are not touched; a body that finds no room is refused at its end.

--- a/src/entry.c
+++ b/src/entry.c
@@ -149,6 +149,7 @@
 
 	if (status != STATUS_OK)
 		return status;
+	proc_limit_clients(entry->proc, entry->httpd);
 	entry->listening = true;
 	entry->address = g_strdup_printf(
 	    "%.*s:%u", (int)(colon - wanted), wanted, httpd_port(entry->httpd));
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -1,5 +1,6 @@
 #include <assert.h>
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -8,10 +9,13 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <glib.h>
 #include <microhttpd.h>
 
 #include "httpd.h"
+#include "intake.h"
 #include "log.h"
+#include "metric.h"
 #include "settings.h"
 
 #define CONNECTIONS_MAX 8192
@@ -20,6 +24,28 @@
 #define STREAM_BLOCK_BYTES 4096
 #define STREAM_QUEUE_MAX_BYTES ((size_t)4 * 1024 * 1024)
 #define STATUS_PAYLOAD_TOO_LARGE 413
+#define STATUS_UNAVAILABLE_HTTP 503
+#define RETRY_AFTER_SECONDS 1
+/* What a connection holds without a request: the daemon's state and pool. */
+#define CONNECTION_BYTES (CONNECTION_MEMORY_BYTES + 2048)
+/* A handler copies the body. */
+#define BODY_COPIES 2
+#define BODY_MIN_BYTES ((size_t)4096)
+/* A new connection is closed for lack of memory if the account exceeds its
+ * limit by this share, so that most requests are refused with an answer. */
+#define ACCOUNT_EXCESS_SHARE 8
+#define REPORT_INTERVAL_USEC (1 * LOOP_USEC_PER_SEC)
+#define REFUSAL_MAX_BYTES 512
+
+static struct metric connections_dropped = {
+    "chestnuthoist_http_connections_dropped_total", "",
+    "Connections closed for lack of memory or connections.", METRIC_COUNTER, 0,
+    NULL};
+static struct metric requests_refused = {
+    "chestnuthoist_http_requests_refused_total", "",
+    "Requests with unfinished bodies refused for lack of memory or "
+    "connections.",
+    METRIC_COUNTER, 0, NULL};
 
 struct httpd {
 	struct loop *loop;
@@ -34,6 +60,26 @@
 	bool close_after_responses;
 	/* List of open requests, which httpd_destroy() aborts. */
 	struct httpd_request *first;
+	/* Memory that connections hold; NULL: it is not limited. */
+	struct account *account;
+	/* struct httpd_connection that have not been dropped. */
+	GQueue connections;
+	int64_t next_report_at;
+};
+
+/* A client's connection. Once dropped, it is no longer in the list and no
+ * longer counted, and the daemon closes it in its next run. */
+struct httpd_connection {
+	struct httpd *httpd;
+	struct MHD_Connection *connection;
+	GList link;
+	/* The request in progress, or NULL. */
+	struct httpd_request *request;
+	/* Share of the account. */
+	size_t held;
+	/* When the connection was accepted or the last request ended. */
+	int64_t idle_since;
+	bool dropped;
 };
 
 struct httpd_request {
@@ -41,14 +87,23 @@
 	struct httpd_request *next;
 	struct httpd_request *previous;
 	struct MHD_Connection *connection;
+	struct httpd_connection *client;
 	const char *method;
 	const char *path;
 	struct lstr_buf body;
+	/* When the request began and when bytes of its body were last received.
+	 */
+	int64_t since;
+	int64_t progress_at;
 	void *data;
 	struct MHD_Response *response;
 	unsigned int status;
 	bool delivered;
+	/* The response was passed to the daemon. */
+	bool answered;
 	bool body_too_large;
+	/* There was no memory for the body; the rest of it is discarded. */
+	bool refused;
 	bool in_handler;
 	bool suspended;
 	bool streaming;
@@ -122,35 +177,269 @@
 }
 
 /*
- * Appends bytes to the body of a request, up to the limit.
+ * Returns the memory that a connection holds with its request.
+ */
+static size_t
+count_bytes(const struct httpd_connection *client)
+{
+	const struct httpd_request *request = client->request;
+	size_t bytes = CONNECTION_BYTES;
+
+	if (request != NULL)
+		bytes += sizeof(*request) + request->body.size * BODY_COPIES;
+	return bytes;
+}
+
+/*
+ * Updates the share of a connection in the account.
+ */
+static void
+update_share(struct httpd_connection *client)
+{
+	account_set(client->httpd->account, &client->held,
+	    client->dropped ? 0 : count_bytes(client));
+}
+
+/*
+ * Formats the body of a refusal. The request was not run, since its body is not
+ * complete.
+ */
+static void
+format_refusal(const struct httpd *httpd, char *out, size_t size)
+{
+	snprintf(out, size,
+	    "{\"outcome\":\"not-run\",\"code\":\"no-memory\","
+	    "\"message\":\"this server has no memory for the body now\","
+	    "\"retry_at\":%lld}\n",
+	    (long long)(loop_now(httpd->loop) / LOOP_USEC_PER_MSEC +
+		RETRY_AFTER_SECONDS * 1000));
+}
+
+/*
+ * Sends a refusal to a client whose body is unfinished. The daemon accepts a
+ * response only before a body or after it, so the refusal is written to the
+ * socket, where the daemon has written nothing but an interim response. If the
+ * socket does not accept it, the connection is closed without an answer.
+ */
+static void
+send_refusal(const struct httpd *httpd, int fd)
+{
+	char body[REFUSAL_MAX_BYTES];
+	char text[2 * REFUSAL_MAX_BYTES];
+
+	format_refusal(httpd, body, sizeof(body));
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 503 Service Unavailable\r\n"
+	    "Content-Type: application/json\r\n"
+	    "Retry-After: %d\r\nConnection: close\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    RETRY_AFTER_SECONDS, strlen(body), body);
+	(void)send(fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/*
+ * Returns whether the body of a request is unfinished.
+ */
+static bool
+is_receiving(const struct httpd_request *request)
+{
+	return !request->delivered && request->response == NULL &&
+	    !request->answered;
+}
+
+/*
+ * Logs that connections give way, at most once per interval.
+ */
+static void
+report_drops(struct httpd *httpd)
+{
+	int64_t now = loop_now(httpd->loop);
+
+	if (now < httpd->next_report_at)
+		return;
+	httpd->next_report_at = now + REPORT_INTERVAL_USEC;
+	log_event(EV_HTTP_DROPPED,
+	    "port=%u connections=%u memory=%zu memory_max=%zu",
+	    httpd_port(httpd), httpd->connections.length,
+	    httpd->account != NULL ? httpd->account->held : 0,
+	    httpd->account != NULL ? httpd->account->limit : 0);
+}
+
+/*
+ * Makes a connection give way: an unfinished body is refused, and the memory of
+ * the request is released. The daemon sees the end of the connection in its
+ * next run and closes it.
+ */
+static void
+drop(struct httpd_connection *client)
+{
+	struct httpd_request *request = client->request;
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    client->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	client->dropped = true;
+	g_queue_unlink(&client->httpd->connections, &client->link);
+	if (request != NULL) {
+		if (is_receiving(request)) {
+			send_refusal(client->httpd, info->connect_fd);
+			requests_refused.value++;
+		}
+		request->refused = true;
+		request->aborted = true;
+		lstr_buf_free(&request->body);
+	}
+	connections_dropped.value++;
+	update_share(client);
+	shutdown(info->connect_fd, SHUT_RDWR);
+	report_drops(client->httpd);
+	schedule_run(client->httpd);
+}
+
+/*
+ * Offers a connection to a search. One whose request is complete is not
+ * offered.
+ */
+static void
+offer(struct intake *intake, struct httpd_connection *client)
+{
+	const struct httpd_request *request = client->request;
+	struct intake_candidate candidate = {.kind = INTAKE_IDLE,
+	    .bytes = client->held,
+	    .since = client->idle_since,
+	    .progress_at = client->idle_since,
+	    .ref = client};
+
+	if (request != NULL) {
+		if (!is_receiving(request))
+			return;
+		candidate.kind = INTAKE_BODY;
+		candidate.since = request->since;
+		candidate.progress_at = request->progress_at;
+	}
+	intake_offer(intake, &candidate);
+}
+
+/*
+ * Makes connections give way. Returns false if none can, or if the one that has
+ * the need is itself the first to give way; it is not dropped.
+ */
+static bool
+release(struct httpd *httpd, enum intake_need need,
+    const struct httpd_connection *needs)
+{
+	struct intake intake;
+
+	intake_init(
+	    &intake, need, loop_now(httpd->loop), httpd->connections.length);
+	for (GList *l = httpd->connections.head; l != NULL; l = l->next)
+		offer(&intake, l->data);
+	if (intake.count == 0 || intake.choices[0].ref == needs)
+		return false;
+	for (size_t i = 0; i < intake.count; i++) {
+		if (intake.choices[i].ref != needs)
+			drop(intake.choices[i].ref);
+	}
+	return true;
+}
+
+/*
+ * Makes room in the account for more bytes of a connection. Returns false if
+ * there is none.
+ */
+static bool
+make_room(struct httpd_connection *client, size_t more)
+{
+	struct httpd *httpd = client->httpd;
+
+	if (httpd->account == NULL)
+		return true;
+	while (account_missing(httpd->account, client->held, more) > 0) {
+		if (!release(httpd, INTAKE_MEMORY, client))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Enlarges the body of a request for more bytes. Returns false if there is no
+ * memory.
+ */
+static bool
+reserve_body(struct httpd_request *request, size_t len)
+{
+	size_t needed = request->body.len + len;
+	size_t size = MAX(request->body.size * 2, BODY_MIN_BYTES);
+
+	if (needed <= request->body.size)
+		return true;
+	size = CLAMP(size, needed, MAX(needed, request->httpd->body_max));
+	if (!make_room(
+		request->client, (size - request->body.size) * BODY_COPIES) ||
+	    lstr_buf_reserve(&request->body, size) != STATUS_OK)
+		return false;
+	update_share(request->client);
+	return true;
+}
+
+/*
+ * Appends bytes to the body of a request, up to the limit. Without memory for
+ * them the body is released and the rest of it is discarded, so that the client
+ * gets an answer at its end.
  */
 static void
 append_body(struct httpd_request *request, const char *data, size_t len)
 {
+	request->progress_at = loop_now(request->httpd->loop);
 	if (request->body.len + len > request->httpd->body_max)
 		request->body_too_large = true;
-	if (request->body_too_large)
+	if (!request->body_too_large && !request->refused &&
+	    reserve_body(request, len) &&
+	    lstr_buf_append(&request->body, lstr_make(data, len)) == STATUS_OK)
 		return;
-	if (lstr_buf_append(&request->body, lstr_make(data, len)) != STATUS_OK)
-		request->body_too_large = true;
+	if (!request->body_too_large)
+		request->refused = true;
+	lstr_buf_free(&request->body);
+	update_share(request->client);
 }
 
 /*
- * Passes a complete request to its handler, or rejects it if the body was too
- * large.
+ * Refuses a request without passing it to its handler.
  */
 static void
-call_handler(struct httpd_request *request)
+refuse(struct httpd_request *request)
 {
-	static const char message[] =
+	static const char too_large[] =
 	    "{\"outcome\":\"not-run\",\"code\":\"body-too-large\","
 	    "\"message\":\"the body is larger than this server accepts\"}\n";
+	char no_memory[REFUSAL_MAX_BYTES];
 
 	if (request->body_too_large) {
 		log_event(EV_HTTP_REFUSED, "path=%s reason=body-too-large",
 		    request->path);
 		httpd_respond(request, STATUS_PAYLOAD_TOO_LARGE,
-		    "application/json", lstr_from(message));
+		    "application/json", lstr_from(too_large));
+		return;
+	}
+	requests_refused.value++;
+	report_drops(request->httpd);
+	format_refusal(request->httpd, no_memory, sizeof(no_memory));
+	httpd_respond(request, STATUS_UNAVAILABLE_HTTP, "application/json",
+	    lstr_from(no_memory));
+	if (request->response != NULL)
+		MHD_add_response_header(request->response,
+		    MHD_HTTP_HEADER_RETRY_AFTER,
+		    G_STRINGIFY(RETRY_AFTER_SECONDS));
+}
+
+/*
+ * Passes a complete request to its handler, or refuses it if its body was too
+ * large or there was no memory for it.
+ */
+static void
+call_handler(struct httpd_request *request)
+{
+	if (request->body_too_large || request->refused) {
+		refuse(request);
 		return;
 	}
 	request->delivered = true;
@@ -160,6 +449,46 @@
 	request->in_handler = false;
 }
 
+/*
+ * Returns the state of a client's connection, or NULL if there was no memory
+ * for it.
+ */
+static struct httpd_connection *
+find_client(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info != NULL ? info->socket_context : NULL;
+}
+
+/*
+ * Begins a request on a connection. Returns NULL if there is no memory.
+ */
+static struct httpd_request *
+request_create(struct httpd *httpd, struct MHD_Connection *connection,
+    const char *method, const char *path)
+{
+	struct httpd_connection *client = find_client(connection);
+	struct httpd_request *request = calloc(1, sizeof(*request));
+
+	if (client == NULL || request == NULL) {
+		free(request);
+		return NULL;
+	}
+	request->httpd = httpd;
+	request->connection = connection;
+	request->client = client;
+	request->since = loop_now(httpd->loop);
+	request->progress_at = request->since;
+	request->method = strdup(method);
+	request->path = strdup(path);
+	client->request = request;
+	update_share(client);
+	list_add(request);
+	return request;
+}
+
 /*
  * Called by the daemon for the header, each part of the body and the end of the
  * body, and again after each resume until a response is queued.
@@ -174,19 +503,15 @@
 
 	(void)version;
 	if (request == NULL) {
-		request = calloc(1, sizeof(*request));
-		if (request == NULL)
-			return MHD_NO;
-		request->httpd = arg;
-		request->connection = connection;
-		request->method = strdup(method);
-		request->path = strdup(url);
+		request = request_create(arg, connection, method, url);
 		*state = request;
-		list_add(request);
-		return request->method != NULL && request->path != NULL
+		return request != NULL && request->method != NULL &&
+			request->path != NULL && !request->client->dropped
 		    ? MHD_YES
 		    : MHD_NO;
 	}
+	if (request->aborted)
+		return MHD_NO;
 	if (*len > 0) {
 		append_body(request, data, *len);
 		*len = 0;
@@ -204,6 +529,7 @@
 	    MHD_queue_response(connection, request->status, request->response);
 	MHD_destroy_response(request->response);
 	request->response = NULL;
+	request->answered = true;
 	return result;
 }
 
@@ -230,6 +556,9 @@
 	}
 	if (request->response != NULL)
 		MHD_destroy_response(request->response);
+	request->client->request = NULL;
+	request->client->idle_since = loop_now(httpd->loop);
+	update_share(request->client);
 	lstr_buf_free(&request->body);
 	lstr_buf_free(&request->queue);
 	free((char *)request->method);
@@ -237,6 +566,54 @@
 	free(request);
 }
 
+/*
+ * Adds an accepted connection. If there is no memory for it, it is dropped.
+ */
+static void
+add_connection(
+    struct httpd *httpd, struct MHD_Connection *connection, void **state)
+{
+	struct httpd_connection *client = calloc(1, sizeof(*client));
+	const struct account *account = httpd->account;
+
+	*state = client;
+	if (client == NULL)
+		return;
+	client->httpd = httpd;
+	client->connection = connection;
+	client->link.data = client;
+	client->idle_since = loop_now(httpd->loop);
+	g_queue_push_tail_link(&httpd->connections, &client->link);
+	if (!make_room(client, CONNECTION_BYTES) &&
+	    account->held >
+		account->limit + account->limit / ACCOUNT_EXCESS_SHARE)
+		drop(client);
+	update_share(client);
+}
+
+/*
+ * Called by the daemon when a connection has been accepted or is closed.
+ */
+static void
+on_connection(void *arg, struct MHD_Connection *connection, void **state,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct httpd_connection *client = *state;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		add_connection(arg, connection, state);
+		return;
+	}
+	if (client == NULL)
+		return;
+	*state = NULL;
+	if (!client->dropped)
+		g_queue_unlink(&client->httpd->connections, &client->link);
+	client->dropped = true;
+	update_share(client);
+	free(client);
+}
+
 /*
  * Runs the daemon and sets the timer for its next timeout. A call from within
  * the daemon is deferred to the next iteration of the loop.
@@ -296,6 +673,7 @@
 	httpd->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
 	    httpd, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, httpd,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
@@ -346,6 +724,26 @@
 	return STATUS_OK;
 }
 
+/*
+ * Limits the memory that connections hold by an account, which must outlive the
+ * server. Called before the loop runs.
+ */
+void
+httpd_set_account(struct httpd *httpd, struct account *account)
+{
+	httpd->account = account;
+}
+
+/*
+ * Registers the metrics of all servers of the process.
+ */
+void
+httpd_register_metrics(void)
+{
+	metric_register(&connections_dropped);
+	metric_register(&requests_refused);
+}
+
 /*
  * Stops the server immediately and closes the requests in progress.
  */
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "account.h"
 #include "loop.h"
 #include "lstr.h"
 
@@ -25,6 +26,8 @@
 
 enum status httpd_create(struct loop *, const char *, size_t,
     const struct httpd_ops *, void *, struct httpd **);
+void httpd_set_account(struct httpd *, struct account *);
+void httpd_register_metrics(void);
 void httpd_destroy(struct httpd *);
 void httpd_stop_listening(struct httpd *);
 void httpd_close_after_responses(struct httpd *);
--- a/src/proc.c
+++ b/src/proc.c
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +12,13 @@
 #include "proc.h"
 
 #define ADMIN_BODY_MAX_BYTES 1024
+#define BYTES_PER_MB ((size_t)1000 * 1000)
+/* Part of the memory that clients of the HTTP ports may hold. The rest is for
+ * the program, its tables and the parsing of one body. */
+#define CLIENTS_MEMORY_DIVISOR 2
+/* Larger allocations are returned to the system when they are freed. The
+ * allocator would raise this threshold when it frees a large one. */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
 
 static const char type_json[] = "application/json";
 static const char type_text[] = "text/plain; version=0.0.4";
@@ -156,6 +164,30 @@
 	return g_strdup_printf("%.*s:%u", (int)(colon - text), text, port);
 }
 
+/*
+ * Derives the limits of clients from the settings.
+ */
+static void
+init_limits(struct proc *proc, const struct setting *settings)
+{
+	size_t memory =
+	    (size_t)settings_get(settings, "memory-mb")->number * BYTES_PER_MB;
+
+	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+	account_init(&proc->account, memory / CLIENTS_MEMORY_DIVISOR);
+}
+
+/*
+ * Limits what the clients of a server hold. Has no effect if the process was
+ * not made by proc_create().
+ */
+void
+proc_limit_clients(struct proc *proc, struct httpd *httpd)
+{
+	if (proc->account.limit > 0)
+		httpd_set_account(httpd, &proc->account);
+}
+
 /*
  * Starts the admin server and installs the signal handlers.
  */
@@ -167,9 +199,11 @@
 	    settings_get(settings, "admin-address")->text, ADMIN_BODY_MAX_BYTES,
 	    &admin_ops, proc, &proc->admin);
 
-	if (status == STATUS_OK)
+	if (status == STATUS_OK) {
+		proc_limit_clients(proc, proc->admin);
 		proc->admin_address = proc_address(
 		    settings, "admin-address", httpd_port(proc->admin));
+	}
 	if (status == STATUS_OK)
 		status =
 		    loop_on_signal(proc->loop, SIGTERM, on_term_signal, proc);
@@ -204,6 +238,7 @@
 	status = loop_create(&proc->loop);
 	if (status == STATUS_OK)
 		status = init_identity(proc, settings, role);
+	init_limits(proc, settings);
 	if (status == STATUS_OK)
 		status = open_admin(proc, settings);
 	if (status != STATUS_OK) {
@@ -211,6 +246,7 @@
 		return status;
 	}
 	link_register_metrics();
+	httpd_register_metrics();
 	*out = proc;
 	return STATUS_OK;
 }
--- a/src/proc.h
+++ b/src/proc.h
@@ -27,6 +27,8 @@
 	struct loop *loop;
 	struct link_context links;
 	Ch__Hello hello;
+	/* Memory that clients of the HTTP ports hold. */
+	struct account account;
 	struct httpd *admin;
 	/* "ip:port" of the admin server. */
 	char *admin_address;
@@ -60,6 +62,10 @@
 	    {"log-level", SETTING_INT, "6", 3, 7,                              \
 		"Least severe severity logged (RFC 5424 number)", false, NULL, \
 		0},                                                            \
+	    {"memory-mb", SETTING_INT, "256", 32, 1048576,                     \
+		"Memory of the machine for this process, in MB; clients may "  \
+		"hold half of it",                                             \
+		false, NULL, 0},                                               \
 	{                                                                      \
 		"port-file", SETTING_TEXT, NULL, 1, PROC_PATH_MAX_BYTES,       \
 		    "File that receives the addresses once the ports are "     \
@@ -71,6 +77,7 @@
     struct proc_ops *, struct proc **);
 void proc_set_arg(struct proc *, void *);
 void proc_destroy(struct proc *);
+void proc_limit_clients(struct proc *, struct httpd *);
 char *proc_address(const struct setting *, const char *, uint16_t);
 enum status proc_report_started(const struct proc *, const char *);
 int proc_parse_settings(
