Limit the connections of the HTTP ports by the descriptors

The library accepts up to 8,192 connections, whatever the limit of descriptors is, and then stops accepting.

The limits now follow from RLIMIT_NOFILE, with one for the admin port and one for the other port of a process. A connection beyond them makes the one that has waited longest without a complete request give way.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -64,6 +64,7 @@
 	struct account *account;
 	/* struct httpd_connection that have not been dropped. */
 	GQueue connections;
+	unsigned int connections_max;
 	int64_t next_report_at;
 };
 
@@ -259,8 +260,10 @@
 		return;
 	httpd->next_report_at = now + REPORT_INTERVAL_USEC;
 	log_event(EV_HTTP_DROPPED,
-	    "port=%u connections=%u memory=%zu memory_max=%zu",
+	    "port=%u connections=%u connections_max=%u memory=%zu "
+	    "memory_max=%zu",
 	    httpd_port(httpd), httpd->connections.length,
+	    httpd->connections_max,
 	    httpd->account != NULL ? httpd->account->held : 0,
 	    httpd->account != NULL ? httpd->account->limit : 0);
 }
@@ -567,14 +570,31 @@
 }
 
 /*
- * Adds an accepted connection. If there is no memory for it, it is dropped.
+ * Makes room for a new connection among the others. Returns false if there is
+ * none.
+ */
+static bool
+make_room_for_connection(struct httpd_connection *client)
+{
+	struct httpd *httpd = client->httpd;
+	const struct account *account = httpd->account;
+
+	if (httpd->connections.length > httpd->connections_max &&
+	    !release(httpd, INTAKE_CONNECTIONS, client))
+		return false;
+	return make_room(client, CONNECTION_BYTES) ||
+	    account->held <=
+	    account->limit + account->limit / ACCOUNT_EXCESS_SHARE;
+}
+
+/*
+ * Adds an accepted connection. If there is no room for it, it is dropped.
  */
 static void
 add_connection(
     struct httpd *httpd, struct MHD_Connection *connection, void **state)
 {
 	struct httpd_connection *client = calloc(1, sizeof(*client));
-	const struct account *account = httpd->account;
 
 	*state = client;
 	if (client == NULL)
@@ -584,11 +604,10 @@
 	client->link.data = client;
 	client->idle_since = loop_now(httpd->loop);
 	g_queue_push_tail_link(&httpd->connections, &client->link);
-	if (!make_room(client, CONNECTION_BYTES) &&
-	    account->held >
-		account->limit + account->limit / ACCOUNT_EXCESS_SHARE)
+	if (make_room_for_connection(client))
+		update_share(client);
+	else
 		drop(client);
-	update_share(client);
 }
 
 /*
@@ -712,6 +731,7 @@
 	httpd->ops = ops;
 	httpd->arg = arg;
 	httpd->body_max = body_max;
+	httpd->connections_max = CONNECTIONS_MAX;
 	status = loop_timer_create(loop, on_timer, httpd, &httpd->timer);
 	if (status == STATUS_OK)
 		status = start_daemon(httpd, host, port);
@@ -726,12 +746,14 @@
 
 /*
  * Limits the memory that connections hold by an account, which must outlive the
- * server. Called before the loop runs.
+ * server, and their number. Called before the loop runs.
  */
 void
-httpd_set_account(struct httpd *httpd, struct account *account)
+httpd_set_limits(
+    struct httpd *httpd, struct account *account, unsigned int connections_max)
 {
 	httpd->account = account;
+	httpd->connections_max = MIN(connections_max, CONNECTIONS_MAX);
 }
 
 /*
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -26,7 +26,8 @@
 
 enum status httpd_create(struct loop *, const char *, size_t,
     const struct httpd_ops *, void *, struct httpd **);
-void httpd_set_account(struct httpd *, struct account *);
+void httpd_set_limits(
+    struct httpd *, struct account *, unsigned int connections_max);
 void httpd_register_metrics(void);
 void httpd_destroy(struct httpd *);
 void httpd_stop_listening(struct httpd *);
--- a/src/proc.c
+++ b/src/proc.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <sodium.h>
+#include <sys/resource.h>
 
 #include "log.h"
 #include "metric.h"
@@ -19,6 +20,16 @@
 /* Larger allocations are returned to the system when they are freed. The
  * allocator would raise this threshold when it frees a large one. */
 #define MMAP_THRESHOLD_BYTES (128 * 1024)
+/* Descriptors for listeners, files, and links to syncds. */
+#define OWN_DESCRIPTORS 64
+/* Share of the remaining descriptors for the admin port, with bounds: its
+ * requests take milliseconds. */
+#define ADMIN_SHARE 16
+#define ADMIN_CONNECTIONS_MIN 4
+#define ADMIN_CONNECTIONS_MAX 256
+/* Share for links to routers and calls to servers; the rest is for clients. */
+#define LINKS_SHARE 4
+#define CLIENTS_MIN 8
 
 static const char type_json[] = "application/json";
 static const char type_text[] = "text/plain; version=0.0.4";
@@ -172,9 +183,21 @@
 {
 	size_t memory =
 	    (size_t)settings_get(settings, "memory-mb")->number * BYTES_PER_MB;
+	int64_t descriptors = LOOP_WATCH_MAX;
+	struct rlimit limit;
 
 	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	account_init(&proc->account, memory / CLIENTS_MEMORY_DIVISOR);
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+	    limit.rlim_cur < LOOP_WATCH_MAX)
+		descriptors = (int64_t)limit.rlim_cur;
+	descriptors = MAX(descriptors - OWN_DESCRIPTORS, (int64_t)0);
+	proc->admin_connections_max =
+	    (unsigned int)CLAMP(descriptors / ADMIN_SHARE,
+		(int64_t)ADMIN_CONNECTIONS_MIN, (int64_t)ADMIN_CONNECTIONS_MAX);
+	descriptors -= proc->admin_connections_max;
+	proc->connections_max = (unsigned int)MAX(
+	    descriptors - descriptors / LINKS_SHARE, (int64_t)CLIENTS_MIN);
 }
 
 /*
@@ -185,7 +208,7 @@
 proc_limit_clients(struct proc *proc, struct httpd *httpd)
 {
 	if (proc->account.limit > 0)
-		httpd_set_account(httpd, &proc->account);
+		httpd_set_limits(httpd, &proc->account, proc->connections_max);
 }
 
 /*
@@ -200,7 +223,8 @@
 	    &admin_ops, proc, &proc->admin);
 
 	if (status == STATUS_OK) {
-		proc_limit_clients(proc, proc->admin);
+		httpd_set_limits(
+		    proc->admin, &proc->account, proc->admin_connections_max);
 		proc->admin_address = proc_address(
 		    settings, "admin-address", httpd_port(proc->admin));
 	}
--- a/src/proc.h
+++ b/src/proc.h
@@ -29,6 +29,10 @@
 	Ch__Hello hello;
 	/* Memory that clients of the HTTP ports hold. */
 	struct account account;
+	/* Limits of connections at the admin port and at the other HTTP port.
+	 */
+	unsigned int admin_connections_max;
+	unsigned int connections_max;
 	struct httpd *admin;
 	/* "ip:port" of the admin server. */
 	char *admin_address;
