Count the responses that clients of the HTTP ports do not read

40 callers that did not read their answers of 3 MB made an entry use 250 MB: up to 4 MB wait for each caller, and the tokens that were delivered are kept until the request ends, so that a stream can be resumed; neither was counted.

Both are counted in the account now, as are complete responses. When it is full, clients that have not read for 1 s give way. If nothing gives way, the connection whose response does not fit is closed.

--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -14,6 +14,8 @@
 #define HTTP_UNAVAILABLE 503
 #define RETRY_AFTER_USEC (1 * LOOP_USEC_PER_SEC)
 #define MESSAGE_MAX 512
+/* Memory of a delivered token besides its text. */
+#define TOKEN_OVERHEAD_BYTES 96
 
 static const char type_json[] = "application/json";
 static const char type_lines[] = "application/x-ndjson";
@@ -147,8 +149,9 @@
 	json_decref(line);
 }
 
-/*
- * Writes a token to the caller and records its latency.
+/* Writes a token to the caller and records its latency. Without memory for it
+ * the connection is aborted, so that the caller cannot mistake the response for
+ * a complete one.
  */
 void
 entry_write_token(struct entry_request *r, const Ch__Token *token)
@@ -160,6 +163,11 @@
 	else
 		metric_observe(&token_gap, now - r->last_token_at);
 	r->last_token_at = now;
+	r->delivered_bytes += token->text.len + TOKEN_OVERHEAD_BYTES;
+	if (httpd_hold(r->http, r->delivered_bytes) != STATUS_OK) {
+		httpd_abort(r->http);
+		return;
+	}
 	tokens_delivered.value++;
 	write_line(r,
 	    json_pack("{s:I,s:s%}", "position", (json_int_t)token->position,
--- a/src/entry_priv.h
+++ b/src/entry_priv.h
@@ -28,6 +28,8 @@
 	/* Replica of the current or the most recent submission, or NULL. */
 	char *replica;
 	bool response_started;
+	/* Memory of the delivered tokens, which a new submission contains. */
+	size_t delivered_bytes;
 	int64_t last_token_at;
 };
 
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -92,10 +92,14 @@
 	const char *method;
 	const char *path;
 	struct lstr_buf body;
-	/* When the request began and when bytes of its body were last received.
-	 */
+	/* When the request began or its response was passed to the daemon, and
+	 * when bytes of the body were last received or bytes of a streamed
+	 * response last accepted. */
 	int64_t since;
 	int64_t progress_at;
+	/* Size of a complete response, and what the handler holds. */
+	size_t response_bytes;
+	size_t handler_bytes;
 	void *data;
 	struct MHD_Response *response;
 	unsigned int status;
@@ -187,7 +191,9 @@
 	size_t bytes = CONNECTION_BYTES;
 
 	if (request != NULL)
-		bytes += sizeof(*request) + request->body.size * BODY_COPIES;
+		bytes += sizeof(*request) + request->body.size * BODY_COPIES +
+		    request->queue.size + request->response_bytes +
+		    request->handler_bytes;
 	return bytes;
 }
 
@@ -290,6 +296,9 @@
 		request->refused = true;
 		request->aborted = true;
 		lstr_buf_free(&request->body);
+		lstr_buf_free(&request->queue);
+		if (request->suspended)
+			resume(request);
 	}
 	connections_dropped.value++;
 	update_share(client);
@@ -299,8 +308,20 @@
 }
 
 /*
- * Offers a connection to a search. One whose request is complete is not
- * offered.
+ * Returns whether the client has not read all of a response that has been
+ * passed to the daemon.
+ */
+static bool
+is_unread(const struct httpd_request *request)
+{
+	return request->answered &&
+	    (!request->streaming || request->queue.len > 0);
+}
+
+/*
+ * Offers a connection to a search. One whose request is complete is offered
+ * only if its response is not read. The daemon does not report the progress of
+ * a response that is not streamed, which counts from its start.
  */
 static void
 offer(struct intake *intake, struct httpd_connection *client)
@@ -313,9 +334,10 @@
 	    .ref = client};
 
 	if (request != NULL) {
-		if (!is_receiving(request))
+		if (!is_receiving(request) && !is_unread(request))
 			return;
-		candidate.kind = INTAKE_BODY;
+		candidate.kind =
+		    is_receiving(request) ? INTAKE_BODY : INTAKE_UNREAD;
 		candidate.since = request->since;
 		candidate.progress_at = request->progress_at;
 	}
@@ -533,6 +555,8 @@
 	MHD_destroy_response(request->response);
 	request->response = NULL;
 	request->answered = true;
+	request->since = loop_now(request->httpd->loop);
+	request->progress_at = request->since;
 	return result;
 }
 
@@ -911,15 +935,23 @@
 	request->status = status;
 }
 
-/*
- * Sends a complete response; the body is copied. If memory runs out, no
- * response is sent.
+/* Sends a complete response; the body is copied. If memory runs out, no
+ * response is sent, and if the clients hold all of theirs, the connection is
+ * closed.
  */
 void
 httpd_respond(struct httpd_request *request, unsigned int status,
     const char *type, struct lstr body)
 {
 	assert(request->response == NULL && !request->streaming);
+	if (!make_room(request->client, body.len)) {
+		connections_dropped.value++;
+		report_drops(request->httpd);
+		httpd_abort(request);
+		return;
+	}
+	request->response_bytes = body.len;
+	update_share(request->client);
 	request->response = MHD_create_response_from_buffer(
 	    body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY);
 	if (request->response == NULL)
@@ -945,6 +977,12 @@
 	if (len > 0) {
 		memcpy(buffer, request->queue.data, len);
 		lstr_buf_consume(&request->queue, len);
+		request->progress_at = loop_now(request->httpd->loop);
+		if (request->queue.len == 0 &&
+		    request->queue.size > INTAKE_SMALL_BYTES) {
+			lstr_buf_free(&request->queue);
+			update_share(request->client);
+		}
 		return (ssize_t)len;
 	}
 	if (request->ended)
@@ -973,21 +1011,46 @@
 
 /*
  * Queues bytes of a streamed response. Returns STATUS_FULL, queuing nothing, if
- * the client reads too slowly.
+ * the client reads too slowly or the clients hold all of their memory.
  */
 enum status
 httpd_stream_write(struct httpd_request *request, struct lstr bytes)
 {
+	size_t needed = request->queue.len + bytes.len;
 	enum status status;
 
-	if (request->queue.len + bytes.len > STREAM_QUEUE_MAX_BYTES)
+	if (request->aborted || needed > STREAM_QUEUE_MAX_BYTES)
 		return status_set(STATUS_FULL, "the caller reads too slowly");
+	if (request->queue.len == 0)
+		request->progress_at = loop_now(request->httpd->loop);
+	if (needed > request->queue.size &&
+	    !make_room(request->client, MAX(needed, request->queue.size)))
+		return status_set(STATUS_FULL, "the callers hold all memory");
 	status = lstr_buf_append(&request->queue, bytes);
+	update_share(request->client);
 	if (status == STATUS_OK && !request->in_handler)
 		resume(request);
 	return status;
 }
 
+/*
+ * Counts the memory that the handler holds for a request, which ends with
+ * closed. Returns STATUS_FULL if the clients hold all of their memory; the
+ * request must then be ended.
+ */
+enum status
+httpd_hold(struct httpd_request *request, size_t bytes)
+{
+	size_t more =
+	    bytes > request->handler_bytes ? bytes - request->handler_bytes : 0;
+
+	if (request->aborted || (more > 0 && !make_room(request->client, more)))
+		return status_set(STATUS_FULL, "the callers hold all memory");
+	request->handler_bytes = bytes;
+	update_share(request->client);
+	return STATUS_OK;
+}
+
 /*
  * Ends a streamed response after the queued bytes.
  */
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -48,6 +48,7 @@
 void httpd_stream_begin(struct httpd_request *, unsigned int, const char *);
 enum status httpd_stream_write(struct httpd_request *, struct lstr);
 void httpd_stream_end(struct httpd_request *);
+enum status httpd_hold(struct httpd_request *, size_t);
 size_t httpd_stream_queued(const struct httpd_request *);
 void httpd_abort(struct httpd_request *);
 bool httpd_client_disconnected(const struct httpd_request *);
