--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -43,26 +43,46 @@
 }
 
 /*
- * Starts a program with limited memory and descriptors. The setting is passed
- * by the environment, which programs without it ignore.
+ * Limits the memory and descriptors of the programs that are started from now
+ * on. The setting is passed by the environment, which programs without it
+ * ignore.
  */
 static inline void
-crowd_start_child(struct child *child, struct loop *loop, const char *path,
-    const char *const *args)
+crowd_limit(struct rlimit *saved)
 {
-	struct rlimit saved;
 	struct rlimit limited;
 
 	setenv("CHESTNUTHOIST_MEMORY_MB", CROWD_MEMORY_TEXT, 1);
-	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &saved), 0);
-	limited = saved;
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, saved), 0);
+	limited = *saved;
 	limited.rlim_cur = CROWD_DESCRIPTORS;
 	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limited), 0);
-	child_start(child, loop, path, args);
-	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &saved), 0);
+}
+
+/*
+ * Ends the limits.
+ */
+static inline void
+crowd_restore(const struct rlimit *saved)
+{
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, saved), 0);
 	unsetenv("CHESTNUTHOIST_MEMORY_MB");
 }
 
+/*
+ * Starts a program with limited memory and descriptors.
+ */
+static inline void
+crowd_start_child(struct child *child, struct loop *loop, const char *path,
+    const char *const *args)
+{
+	struct rlimit saved;
+
+	crowd_limit(&saved);
+	child_start(child, loop, path, args);
+	crowd_restore(&saved);
+}
+
 /*
  * Connects a client. Its receive buffer is small, so that answers that it does
  * not read stay with the program.
