Apply the limits of clients to the operators' port of syncd

The operators' port accepts bodies of 32 MB on 8,192 connections; 60 unfinished bodies of 4 MB made a syncd use 266 MB, and silent connections used up its descriptors. It now has the account and the limit of connections that the entry's port has.

--- a/src/syncd_http.c
+++ b/src/syncd_http.c
@@ -437,12 +437,16 @@
 syncd_http_open(struct syncd *s)
 {
 	static const struct httpd_ops ops = {on_request, on_closed};
+	enum status status;
 
 	s->publishes = g_ptr_array_new();
 	s->status_requests = g_ptr_array_new();
 	s->record_requests = g_ptr_array_new();
-	return httpd_create(s->loop, s->settings.operator_address,
+	status = httpd_create(s->loop, s->settings.operator_address,
 	    BODY_MAX_BYTES, &ops, s, &s->httpd);
+	if (status == STATUS_OK)
+		proc_limit_clients(s->proc, s->httpd);
+	return status;
 }
 
 /*
