Limit the links that are not authenticated

Connections of strangers at the port of links used up the descriptors of a syncd, and 300 first messages that stopped short made it use 156 to 196 MB: the first message was read up to 1 MB before it is authenticated, there was no limit of such connections but that of all links (8,192), and a byte within 3 s kept each open.

The first message may now have 4 KB, a connection has to be up within the silence limit, and the oldest is closed beyond a number that follows from the descriptors (256 at most). A burst of connections is accepted in batches, so that closed ones are freed in between. The router listens with the same code.

--- a/src/frame.c
+++ b/src/frame.c
@@ -45,6 +45,8 @@
 	uint8_t peer_nonce[NONCE_BYTES];
 	bool client;
 	enum read_state read_state;
+	/* Largest ciphertext that is accepted. */
+	size_t wire_max;
 	crypto_secretstream_xchacha20poly1305_state push;
 	crypto_secretstream_xchacha20poly1305_state pull;
 	/* One stream per direction, so that its messages share a window. */
@@ -86,6 +88,7 @@
 		return status_set(STATUS_NO_MEMORY, "frame codec");
 	memcpy(codec->key, key, FRAME_KEY_BYTES);
 	codec->client = client;
+	codec->wire_max = WIRE_MAX_BYTES;
 	randombytes_buf(codec->own_nonce, NONCE_BYTES);
 	*out = codec;
 	return STATUS_OK;
@@ -128,6 +131,18 @@
 	return codec->read_state == READ_FRAMES;
 }
 
+/*
+ * Limits the messages that are accepted from now on, so that a peer that is not
+ * authenticated yet makes the receiver keep little.
+ */
+void
+frame_set_max(struct frame_codec *codec, size_t max)
+{
+	codec->wire_max = max < WIRE_MAX_BYTES - OVERHEAD_BYTES
+	    ? max + OVERHEAD_BYTES
+	    : WIRE_MAX_BYTES;
+}
+
 /*
  * Derives the key of one direction from the cluster key and both nonces.
  */
@@ -409,7 +424,7 @@
 		return status;
 	memcpy(&length, in->data, LENGTH_BYTES);
 	length = ntohl(length);
-	if (length < OVERHEAD_BYTES || length > WIRE_MAX_BYTES)
+	if (length < OVERHEAD_BYTES || length > codec->wire_max)
 		return status_set(STATUS_INVALID,
 		    "frame length of %u bytes is out of range", length);
 	if (in->len < LENGTH_BYTES + (size_t)length)
--- a/src/frame.h
+++ b/src/frame.h
@@ -25,6 +25,7 @@
 enum status frame_write_preface(struct frame_codec *, struct lstr_buf *);
 enum status frame_enable_compression(struct frame_codec *);
 bool frame_is_ready(const struct frame_codec *);
+void frame_set_max(struct frame_codec *, size_t);
 enum status frame_write(
     struct frame_codec *, const Ch__Frame *, struct lstr_buf *);
 enum status frame_read(
--- a/src/link.c
+++ b/src/link.c
@@ -20,6 +20,11 @@
 
 #define READ_CHUNK_BYTES ((size_t)65536)
 #define LISTEN_BACKLOG 512
+/* Connections accepted at once, before closed ones are freed. */
+#define ACCEPT_BATCH 16
+/* Limit of the first message of an accepted link. A Hello has three names and
+ * is smaller; a stranger can make the link keep no more. */
+#define HELLO_MAX_BYTES 4096
 #define LINKS_MAX 8192
 #define CHECK_INTERVAL_USEC (250 * LOOP_USEC_PER_MSEC)
 #define ADDRESS_TEXT_MAX 64
@@ -46,6 +51,9 @@
 	enum status close_status;
 	/* The listener that accepted the link, until the Hello arrives. */
 	struct link_listener *listener;
+	GList pending_node;
+	/* An accepted link that is not up by then is closed. */
+	int64_t up_deadline;
 };
 
 struct link_listener {
@@ -55,8 +63,9 @@
 	int fd;
 	uint16_t port;
 	struct loop_watch *watch;
-	/* Accepted links whose up callback has not been called yet. */
-	GHashTable *pending;
+	/* Accepted links whose up callback has not been called yet, the oldest
+	 * first. */
+	GQueue pending;
 };
 
 static struct metric frames_sent = {"chestnuthoist_link_frames_total",
@@ -100,7 +109,7 @@
 remove_from_pending(struct link *link)
 {
 	if (link->listener != NULL)
-		g_hash_table_remove(link->listener->pending, link);
+		g_queue_unlink(&link->listener->pending, &link->pending_node);
 	link->listener = NULL;
 }
 
@@ -297,6 +306,7 @@
 		return;
 	}
 	remove_from_pending(link);
+	frame_set_max(link->codec, SIZE_MAX);
 	log_event(EV_LINK_UP, "peer=%s role=%d address=%s", link->peer->node,
 	    (int)link->peer->role, link->address);
 	link->ops->up(link, link->arg);
@@ -460,8 +470,8 @@
 }
 
 /*
- * Runs every CHECK_INTERVAL_USEC: completes a close, closes a silent link and
- * sends pings.
+ * Runs every CHECK_INTERVAL_USEC: completes a close, closes a link that is
+ * silent or does not come up, and sends pings.
  */
 static void
 on_check(void *arg)
@@ -473,7 +483,8 @@
 		finish_close(link);
 		return;
 	}
-	if (now - link->last_read_at > link->context->silence_limit_usec) {
+	if (now - link->last_read_at > link->context->silence_limit_usec ||
+	    (link->listener != NULL && now > link->up_deadline)) {
 		links_silent.value++;
 		log_event(EV_LINK_SILENT, "peer=%s",
 		    link->peer ? link->peer->node : link->address);
@@ -547,7 +558,28 @@
 }
 
 /*
- * Accepts all waiting connections.
+ * Closes the oldest links that are not up while there are more than allowed.
+ * Connections of strangers are among them; a peer whose link is closed connects
+ * again.
+ */
+static void
+limit_pending(struct link_listener *listener)
+{
+	unsigned int max = listener->context->pending_max;
+
+	if (max == 0)
+		max = LINK_PENDING_MAX;
+	while (listener->pending.length > max) {
+		struct link *oldest = listener->pending.head->data;
+
+		remove_from_pending(oldest);
+		link_detach(oldest);
+		link_close(oldest, STATUS_FULL);
+	}
+}
+
+/*
+ * Accepts waiting connections; the pollset reports again if more wait.
  */
 static void
 on_accept(void *arg, unsigned int events)
@@ -555,7 +587,7 @@
 	struct link_listener *listener = arg;
 
 	(void)events;
-	for (;;) {
+	for (int i = 0; i < ACCEPT_BATCH; i++) {
 		struct link *link = NULL;
 		int fd = accept(listener->fd, NULL, NULL);
 
@@ -574,7 +606,12 @@
 		assert(link != NULL);
 		snprintf(link->address, ADDRESS_TEXT_MAX, "accepted");
 		link->listener = listener;
-		g_hash_table_add(listener->pending, link);
+		link->up_deadline =
+		    link->last_read_at + listener->context->silence_limit_usec;
+		link->pending_node.data = link;
+		frame_set_max(link->codec, HELLO_MAX_BYTES);
+		g_queue_push_tail_link(&listener->pending, &link->pending_node);
+		limit_pending(listener);
 	}
 }
 
@@ -625,7 +662,7 @@
 	listener->ops = ops;
 	listener->arg = arg;
 	listener->fd = -1;
-	listener->pending = g_hash_table_new(NULL, NULL);
+	g_queue_init(&listener->pending);
 	status = bind_listener(listener, address);
 	if (status == STATUS_OK)
 		status = loop_watch_create(context->loop, listener->fd,
@@ -655,18 +692,15 @@
 void
 link_listener_destroy(struct link_listener *listener)
 {
-	GHashTableIter iter;
-	gpointer link;
-
 	if (listener == NULL)
 		return;
-	g_hash_table_iter_init(&iter, listener->pending);
-	while (g_hash_table_iter_next(&iter, &link, NULL)) {
-		((struct link *)link)->listener = NULL;
+	while (listener->pending.length > 0) {
+		struct link *link = listener->pending.head->data;
+
+		remove_from_pending(link);
 		link_detach(link);
 		link_close(link, STATUS_CLOSED);
 	}
-	g_hash_table_destroy(listener->pending);
 	loop_watch_destroy(listener->watch);
 	if (listener->fd >= 0)
 		close(listener->fd);
--- a/src/link.h
+++ b/src/link.h
@@ -33,11 +33,15 @@
 	 */
 	int64_t silence_limit_usec;
 	size_t queue_max_bytes;
+	/* Accepted links that are not up yet; 0: LINK_PENDING_MAX. If there are
+	 * more, the oldest is closed. */
+	unsigned int pending_max;
 };
 
 #define LINK_PING_INTERVAL_USEC (1 * LOOP_USEC_PER_SEC)
 #define LINK_SILENCE_LIMIT_USEC (3 * LOOP_USEC_PER_SEC)
 #define LINK_QUEUE_MAX_BYTES ((size_t)8 * 1024 * 1024)
+#define LINK_PENDING_MAX 256
 #define LINK_PROTOCOL 1
 
 enum status link_listen(const struct link_context *, const char *,
--- a/src/proc.c
+++ b/src/proc.c
@@ -30,6 +30,9 @@
 /* Share for links to routers and calls to servers; the rest is for clients. */
 #define LINKS_SHARE 4
 #define CLIENTS_MIN 8
+/* Least number of accepted links that are not up yet; the limit is half of the
+ * share for links. */
+#define PENDING_LINKS_MIN 8
 
 static const char type_json[] = "application/json";
 static const char type_text[] = "text/plain; version=0.0.4";
@@ -196,6 +199,9 @@
 	    (unsigned int)CLAMP(descriptors / ADMIN_SHARE,
 		(int64_t)ADMIN_CONNECTIONS_MIN, (int64_t)ADMIN_CONNECTIONS_MAX);
 	descriptors -= proc->admin_connections_max;
+	proc->links.pending_max =
+	    (unsigned int)CLAMP(descriptors / LINKS_SHARE / 2,
+		(int64_t)PENDING_LINKS_MIN, (int64_t)LINK_PENDING_MAX);
 	proc->connections_max = (unsigned int)MAX(
 	    descriptors - descriptors / LINKS_SHARE, (int64_t)CLIENTS_MIN);
 }
