Send small responses of complete requests although memory is short

A request with a large body whose answer had a few bytes was closed without it when the clients held all memory: the answer was counted in addition to the body, which is no longer needed by then.

--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -149,7 +149,8 @@
 	json_decref(line);
 }
 
-/* Writes a token to the caller and records its latency. Without memory for it
+/*
+ * Writes a token to the caller and records its latency. Without memory for it
  * the connection is aborted, so that the caller cannot mistake the response for
  * a complete one.
  */
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -214,12 +214,14 @@
 static void
 format_refusal(const struct httpd *httpd, char *out, size_t size)
 {
+	int64_t retry_at = loop_now(httpd->loop) / LOOP_USEC_PER_MSEC +
+	    RETRY_AFTER_SECONDS * (int64_t)1000;
+
 	snprintf(out, size,
 	    "{\"outcome\":\"not-run\",\"code\":\"no-memory\","
 	    "\"message\":\"this server has no memory for the body now\","
 	    "\"retry_at\":%lld}\n",
-	    (long long)(loop_now(httpd->loop) / LOOP_USEC_PER_MSEC +
-		RETRY_AFTER_SECONDS * 1000));
+	    (long long)retry_at);
 }
 
 /*
@@ -875,7 +877,7 @@
 }
 
 /*
- * Returns the body, valid as long as the request.
+ * Returns the body, valid until httpd_respond().
  */
 struct lstr
 httpd_body(const struct httpd_request *request)
@@ -935,25 +937,44 @@
 	request->status = status;
 }
 
-/* Sends a complete response; the body is copied. If memory runs out, no
- * response is sent, and if the clients hold all of theirs, the connection is
- * closed.
+/*
+ * Returns whether there is room for a complete response, which takes the place
+ * of the body. One that is small is sent also if the account exceeds its limit
+ * a little: the request may have run, and its body is released.
+ */
+static bool
+has_room_for_response(struct httpd_request *request, size_t len)
+{
+	const struct account *account = request->httpd->account;
+	size_t released = request->body.size * BODY_COPIES;
+
+	return len <= released || make_room(request->client, len - released) ||
+	    (len <= INTAKE_SMALL_BYTES &&
+		account->held <=
+		    account->limit + account->limit / ACCOUNT_EXCESS_SHARE);
+}
+
+/*
+ * Sends a complete response; the response is copied, and the body of the
+ * request is released. If memory runs out, no response is sent, and if the
+ * clients hold all of theirs, the connection is closed.
  */
 void
 httpd_respond(struct httpd_request *request, unsigned int status,
     const char *type, struct lstr body)
 {
 	assert(request->response == NULL && !request->streaming);
-	if (!make_room(request->client, body.len)) {
+	if (!has_room_for_response(request, body.len)) {
 		connections_dropped.value++;
 		report_drops(request->httpd);
 		httpd_abort(request);
 		return;
 	}
-	request->response_bytes = body.len;
-	update_share(request->client);
 	request->response = MHD_create_response_from_buffer(
 	    body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY);
+	request->response_bytes = body.len;
+	lstr_buf_free(&request->body);
+	update_share(request->client);
 	if (request->response == NULL)
 		return;
 	set_header(request, status, type);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -9,6 +9,13 @@
 #include "httpd.h"
 
 #define BODY_MAX_BYTES 1024
+/* Limits of a server with little memory: one large body fits besides the
+ * connections. */
+#define LARGE_BODY_BYTES ((size_t)60000)
+#define SECOND_BODY_BYTES ((size_t)20000)
+#define LARGE_BODY_MAX_BYTES ((size_t)64 * 1024)
+#define ACCOUNT_BYTES ((size_t)200 * 1024)
+#define ACCOUNT_CONNECTIONS 100
 /* Bytes that a server may send before its connection is closed: what the
  * client reads and what sockets buffer. */
 #define SENT_MAX_BYTES ((size_t)8 * 1024 * 1024)
@@ -519,10 +526,97 @@
 }
 END_TEST
 
-HARNESS_MAIN("http", head_without_end_is_cut,
-    response_cut_at_any_byte_is_an_error, aborted_response_is_an_error,
-    disconnected_client_is_detected, server_stops_with_a_request_open,
-    echo_returns_the_body, deferred_stream_arrives_complete,
-    large_body_is_refused, deadline_ends_the_call,
-    call_does_not_end_while_its_response_arrives,
+/*
+ * Replaces the server by one with little memory.
+ */
+static void
+limit_memory(struct fixture *f, struct account *account)
+{
+	httpd_destroy(f->httpd);
+	ck_assert_int_eq(httpd_create(f->loop, "127.0.0.1:0",
+			     LARGE_BODY_MAX_BYTES, &server_ops, f, &f->httpd),
+	    STATUS_OK);
+	account_init(account, ACCOUNT_BYTES);
+	httpd_set_limits(f->httpd, account, ACCOUNT_CONNECTIONS);
+}
+
+/* Guards against a body that gives way without the promise that its request was
+ * not run, and against an ordinary request that is refused instead. */
+START_TEST(stalled_body_gives_way_with_a_refusal)
+{
+	struct fixture f;
+	struct account account;
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	char answer[1024] = "";
+	char head[128];
+	char *body = calloc(1, LARGE_BODY_BYTES);
+	size_t received = 0;
+	ssize_t n;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	fixture_start(&f);
+	limit_memory(&f, &account);
+	address.sin_port = htons(httpd_port(f.httpd));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	snprintf(head, sizeof(head),
+	    "POST /hold HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n",
+	    LARGE_BODY_BYTES);
+	ck_assert_int_gt(send(fd, head, strlen(head), 0), 0);
+	ck_assert_int_eq(send(fd, body, LARGE_BODY_BYTES - 1, 0),
+	    (ssize_t)LARGE_BODY_BYTES - 1);
+	for (int i = 0; i < 100; i++)
+		loop_run_once(f.loop, loop_now(f.loop) + LOOP_USEC_PER_MSEC);
+	post(&f, "/echo", lstr_make(body, SECOND_BODY_BYTES), 0);
+	ck_assert(harness_wait(f.loop, is_done, &f));
+	ck_assert_int_eq(f.status, STATUS_OK);
+	ck_assert_int_eq(f.http_status, 200);
+	ck_assert_uint_eq(f.body.len, SECOND_BODY_BYTES);
+	while ((n = recv(fd, answer + received, sizeof(answer) - 1 - received,
+		    0)) > 0)
+		received += (size_t)n;
+	ck_assert_ptr_eq(strstr(answer, "HTTP/1.1 503 "), answer);
+	ck_assert_ptr_nonnull(strstr(answer, "\r\nRetry-After: 1\r\n"));
+	ck_assert_ptr_nonnull(strstr(answer, "\"outcome\":\"not-run\""));
+	ck_assert_ptr_null(f.held);
+	close(fd);
+	free(body);
+}
+END_TEST
+
+/* Guards against a complete request that gives way, and against a body without
+ * room that is passed on in part. */
+START_TEST(body_without_room_is_refused_beside_a_complete_request)
+{
+	struct fixture f;
+	struct account account;
+	char *body = calloc(1, LARGE_BODY_BYTES);
+
+	fixture_start(&f);
+	limit_memory(&f, &account);
+	post(&f, "/hold", lstr_make(body, LARGE_BODY_BYTES), 0);
+	ck_assert(harness_wait(f.loop, is_held, &f));
+	post(&f, "/echo", lstr_make(body, LARGE_BODY_BYTES), 0);
+	ck_assert(harness_wait(f.loop, is_done, &f));
+	ck_assert_int_eq(f.http_status, 503);
+	lstr_buf_append(&f.body, lstr_make("", 1));
+	ck_assert_ptr_nonnull(strstr(f.body.data, "\"outcome\":\"not-run\""));
+	f.done = false;
+	lstr_buf_clear(&f.body);
+	httpd_respond(f.held, 200, "text/plain", lstr_from("held"));
+	ck_assert(harness_wait(f.loop, is_done, &f));
+	ck_assert_int_eq(f.http_status, 200);
+	ck_assert(lstr_equal_c(lstr_buf_view(&f.body), "held"));
+	free(body);
+}
+END_TEST
+
+HARNESS_MAIN("http", stalled_body_gives_way_with_a_refusal,
+    body_without_room_is_refused_beside_a_complete_request,
+    head_without_end_is_cut, response_cut_at_any_byte_is_an_error,
+    aborted_response_is_an_error, disconnected_client_is_detected,
+    server_stops_with_a_request_open, echo_returns_the_body,
+    deferred_stream_arrives_complete, large_body_is_refused,
+    deadline_ends_the_call, call_does_not_end_while_its_response_arrives,
     trickling_response_ends_at_the_deadline, refused_connection_was_not_sent)
