Limit the memory of the requests that a router holds

Whole large bodies that wait at a router were limited by their number alone: 16,384 with up to 256 KB each, which are copied to the call and to its connection. Many entries together can send as many.

Not tested with processes.

--- a/src/job.c
+++ b/src/job.c
@@ -10,6 +10,11 @@
  * to another replica.
  */
 #define ATTEMPTS_MAX 4
+/* A submission is copied to the job, to the text of the call and into the
+ * buffer of the connection. */
+#define SUBMIT_COPIES 3
+/* Memory of a delivered token besides its text. */
+#define TOKEN_OVERHEAD_BYTES 32
 
 /*
  * Returns a copy of a submission, or NULL when memory runs out.
@@ -27,6 +32,26 @@
 	return copy;
 }
 
+/*
+ * Returns the memory that a job needs for its submission.
+ */
+size_t
+job_submit_bytes(const Ch__Submit *submit)
+{
+	return sizeof(struct job) +
+	    SUBMIT_COPIES * ch__submit__get_packed_size(submit);
+}
+
+/*
+ * Counts memory of a job, which is released with it.
+ */
+static void
+count_bytes(struct job *job, size_t bytes)
+{
+	job->bytes += bytes;
+	job->router->jobs_bytes += bytes;
+}
+
 /*
  * Creates the job of a submission and adds it to the tables of the router and
  * of its entry. Returns NULL when memory runs out.
@@ -47,6 +72,7 @@
 		return NULL;
 	}
 	job->router = router;
+	count_bytes(job, job_submit_bytes(submit));
 	job->id = ++router->next_job_id;
 	job->entry = entry;
 	job->state = JOB_QUEUED;
@@ -93,6 +119,7 @@
 
 	claims_remove_job(job);
 	job_detach_entry(job);
+	router->jobs_bytes -= job->bytes;
 	g_hash_table_remove(router->jobs, &job->id);
 	for (guint i = 0; i < job->delivered->len; i++)
 		g_free(
@@ -116,6 +143,7 @@
 	if (text.len > 0)
 		memcpy((char *)copy.data, text.data, text.len);
 	g_array_append_val(job->delivered, copy);
+	count_bytes(job, text.len + TOKEN_OVERHEAD_BYTES);
 }
 
 /*
--- a/src/router.h
+++ b/src/router.h
@@ -60,6 +60,8 @@
 	uint32_t seed;
 	uint32_t replica_concurrency;
 	size_t queue_max;
+	/* Limit of the memory of all open requests; 0: none. */
+	size_t jobs_max_bytes;
 	int64_t token_timeout_usec;
 	int64_t load_interval_usec;
 	/* Called once, when the drain is complete. */
--- a/src/router_main.c
+++ b/src/router_main.c
@@ -327,6 +327,7 @@
 	config.replica_concurrency =
 	    (uint32_t)settings_get(settings, "replica-concurrency")->number;
 	config.queue_max = (size_t)settings_get(settings, "queue-max")->number;
+	config.jobs_max_bytes = p->proc->account.limit;
 	config.token_timeout_usec =
 	    settings_get(settings, "token-timeout-ms")->number *
 	    LOOP_USEC_PER_MSEC;
--- a/src/router_priv.h
+++ b/src/router_priv.h
@@ -98,6 +98,8 @@
 struct job {
 	struct router *router;
 	uint64_t id;
+	/* Memory of the submission, its copies and the delivered tokens. */
+	size_t bytes;
 	/* NULL after the entry disconnected or cancelled the request. */
 	struct router_entry *entry;
 	Ch__Submit *submit;
@@ -174,6 +176,8 @@
 	/* Job id to struct job. */
 	GHashTable *jobs;
 	uint64_t next_job_id;
+	/* Memory of all jobs. */
+	size_t jobs_bytes;
 	/* Key to struct replica. */
 	GHashTable *replicas;
 	/* Service name to struct retry_budget. */
@@ -244,6 +248,7 @@
 void router_submit(struct router *, struct router_entry *, const Ch__Submit *);
 
 /* job.c */
+size_t job_submit_bytes(const Ch__Submit *);
 struct job *job_create(
     struct router *, struct router_entry *, const Ch__Submit *);
 struct job *job_find(const struct router *, uint64_t);
--- a/src/router_submit.c
+++ b/src/router_submit.c
@@ -41,6 +41,7 @@
 {
 	const Ch__Outcome not_run = CH__OUTCOME__OUTCOME_NOT_RUN;
 	int64_t now = router_now(router);
+	size_t memory_max = router->config.jobs_max_bytes;
 
 	if (router->inv == NULL) {
 		refuse(entry, submit, not_run, "not-ready",
@@ -53,7 +54,9 @@
 		    "the router is leaving", now);
 		return true;
 	}
-	if (g_hash_table_size(router->jobs) >= ROUTER_JOBS_MAX) {
+	if (g_hash_table_size(router->jobs) >= ROUTER_JOBS_MAX ||
+	    (memory_max > 0 &&
+		router->jobs_bytes + job_submit_bytes(submit) > memory_max)) {
 		refuse(entry, submit, not_run, "router-full",
 		    "the router holds as many requests as it may",
 		    now + REFUSAL_RETRY_USEC);
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -61,6 +61,7 @@
 	return inv;
 }
 
+#define FIXTURE_JOBS_MAX_BYTES ((size_t)1000 * 1000)
 #define TOKEN_TIMEOUT_USEC (100 * LOOP_USEC_PER_MSEC)
 
 /*
@@ -80,6 +81,7 @@
 	    .seed = 7006,
 	    .replica_concurrency = concurrency,
 	    .queue_max = 4,
+	    .jobs_max_bytes = FIXTURE_JOBS_MAX_BYTES,
 	    .token_timeout_usec = token_timeout_usec,
 	    .load_interval_usec = 3600 * LOOP_USEC_PER_SEC,
 	    .on_drained = fixture_on_drained,
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -1,5 +1,7 @@
 #include "router_fixture.h"
 
+#define BODY_BYTES ((size_t)200 * 1000)
+
 /*
  * Returns the most recent call of the fake engine.
  */
@@ -392,6 +394,36 @@
 }
 END_TEST
 
+/*
+ * Guards against bodies of open requests that exceed the memory together: the
+ * number of requests alone does not bound them.
+ */
+START_TEST(bodies_of_open_requests_are_bounded)
+{
+	struct fixture f;
+	char *body = g_strnfill(BODY_BYTES, 'b');
+
+	fixture_start_configured(&f, 4);
+	for (uint64_t i = 1; i <= 2; i++)
+		fixture_submit_call(&f, i, NULL, body, 20 * LOOP_USEC_PER_SEC);
+	ck_assert(!fixture_stream(&f, 1)->done);
+	ck_assert(fixture_stream(&f, 2)->done);
+	ck_assert_int_eq(
+	    fixture_stream(&f, 2)->outcome, CH__OUTCOME__OUTCOME_NOT_RUN);
+	ck_assert_str_eq(fixture_stream(&f, 2)->code, "router-full");
+	ck_assert_int_gt(fixture_stream(&f, 2)->retry_at, loop_now(f.loop));
+	/* A small request is accepted meanwhile, a large one afterwards. */
+	fixture_submit_call(&f, 3, NULL, "x", 20 * LOOP_USEC_PER_SEC);
+	ck_assert(!fixture_stream(&f, 3)->done);
+	fixture_cancel(&f, 1);
+	FIXTURE_WAIT_FOR(&f, router_job_count(f.router) == 1);
+	fixture_submit_call(&f, 4, NULL, body, 20 * LOOP_USEC_PER_SEC);
+	ck_assert(!fixture_stream(&f, 4)->done);
+	g_free(body);
+	fixture_destroy(&f);
+}
+END_TEST
+
 /*
  * Guards against starting a queued request that cannot finish before its
  * deadline: its tokens would be generated for a response that is cut off.
@@ -518,6 +550,7 @@
     slow_route_is_abandoned, wrong_trail_excludes_its_stage,
     stream_without_last_token_is_resumed, request_moves_without_a_route,
     leaving_engine_is_excluded_and_reported, cancelled_work_stops,
-    queue_is_bounded, late_request_is_not_started,
-    organisation_limit_is_enforced, drain_finishes_running_work,
-    failed_lookup_is_repeated_elsewhere, dump_lists_the_tables)
+    queue_is_bounded, bodies_of_open_requests_are_bounded,
+    late_request_is_not_started, organisation_limit_is_enforced,
+    drain_finishes_running_work, failed_lookup_is_repeated_elsewhere,
+    dump_lists_the_tables)
