--- a/tests/test_syncd_clients.c
+++ b/tests/test_syncd_clients.c
@@ -4,7 +4,7 @@
 /* Size of an unfinished body; a configuration may have 32 MB. */
 #define BODY_BYTES ((size_t)4 * 1024 * 1024)
 #define BODY_CLIENTS 60
-/* A body of single digits; even, so that a digit is before its end. */
+/* A body of single digits. */
 #define VALUES_BODY_BYTES ((size_t)6 * 1000 * 1000)
 #define SILENT_CLIENTS 900
 /* Preface and header of a link, as frame.c reads them. */
@@ -90,27 +90,25 @@
 /* Guards against a body whose parsed form takes many times its size. */
 START_TEST(body_of_many_short_values)
 {
-	static const char start_of_body[] = "{\"base\":[";
 	struct clients_fixture w;
-	char *body = g_malloc(VALUES_BODY_BYTES);
+	GString *body = g_string_new("{\"base\":[");
 	char head[256];
 	int fd;
 
-	for (size_t i = 0; i < VALUES_BODY_BYTES; i++)
-		body[i] = i % 2 == 1 ? '0' : ',';
-	memcpy(body, start_of_body, strlen(start_of_body));
-	memcpy(body + VALUES_BODY_BYTES - 3, "0]}", 3);
+	while (body->len < VALUES_BODY_BYTES)
+		g_string_append(body, "0,");
+	g_string_append(body, "0]}");
 	start(&w);
 	aim(&w, w.c.operators[0]);
 	fd = crowd_connect(&w.crowd);
 	snprintf(head, sizeof(head),
 	    "POST /v1/config HTTP/1.1\r\nHost: s\r\n"
 	    "Content-Length: %zu\r\n\r\n",
-	    VALUES_BODY_BYTES);
+	    body->len);
 	crowd_send_text(&w.crowd, fd, head);
-	ck_assert(crowd_send(&w.crowd, fd, body, VALUES_BODY_BYTES));
+	ck_assert(crowd_send(&w.crowd, fd, body->str, body->len));
 	check(&w);
-	g_free(body);
+	g_string_free(body, TRUE);
 	stop(&w);
 }
 END_TEST
