--- a/src/httpd.h
+++ b/src/httpd.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "account.h"
 #include "loop.h"
 #include "lstr.h"
 
@@ -25,6 +26,9 @@
 
 enum status httpd_create(struct loop *, const char *, size_t,
     const struct httpd_ops *, void *, struct httpd **);
+void httpd_set_limits(
+    struct httpd *, struct account *, unsigned int connections_max);
+void httpd_register_metrics(void);
 void httpd_destroy(struct httpd *);
 void httpd_stop_listening(struct httpd *);
 void httpd_close_after_responses(struct httpd *);
@@ -44,6 +48,7 @@
 void httpd_stream_begin(struct httpd_request *, unsigned int, const char *);
 enum status httpd_stream_write(struct httpd_request *, struct lstr);
 void httpd_stream_end(struct httpd_request *);
+enum status httpd_hold(struct httpd_request *, size_t);
 size_t httpd_stream_queued(const struct httpd_request *);
 void httpd_abort(struct httpd_request *);
 bool httpd_client_disconnected(const struct httpd_request *);
