Do not keep attempts that have failed at an engine

What callers might see: an error of an engine without the middle of its body, with a length that looks right. Cause: an attempt that is given up while the body of an error is received was kept, and the bytes that followed went to the buffer of events. Change: such an attempt is ended as before: there is no stream that could go on.

--- a/src/node/gateway_keep.c
+++ b/src/node/gateway_keep.c
@@ -237,10 +237,23 @@
 static const struct h1_ops kept_ops = {
     NULL, NULL, on_head, on_body, on_complete, on_ended};
 
+/*
+ * Returns whether the present attempt has failed at an engine, whose error is
+ * being received: there is no stream that could go on.
+ */
+static bool
+is_failed_stream(const struct gateway_request *request)
+{
+	const struct gateway_attempt *attempt = &request->attempt;
+
+	return request->service->engine != NULL && attempt->response_received &&
+	    attempt->response.status / 100 != HTTP_SUCCESS_CLASS;
+}
+
 /*
  * Keeps the present attempt, whose servers show no progress, and leaves the
  * request without one. Returns false if it cannot be kept: its connection is
- * not established, or memory or connections are lacking.
+ * not established, it has failed, or memory or connections are lacking.
  */
 bool
 gateway_keep_attempt(struct gateway_request *request)
@@ -249,6 +262,7 @@
 	struct gateway_kept *kept;
 
 	if (attempt->conn == NULL || attempt->connecting ||
+	    is_failed_stream(request) ||
 	    !gateway_make_room_for_kept(request->gateway))
 		return false;
 	kept = calloc(1, sizeof(*kept));
