--- a/src/node/node_callers.c
+++ b/src/node/node_callers.c
@@ -8,8 +8,7 @@
 
 #define BYTES_PER_MB ((size_t)1000 * 1000)
 /* Share of the memory for callers. The rest is for the program, its tables of
- * servers, peers and the configuration, the allocator's overhead, and the copy
- * of one response while it is written. */
+ * servers, peers and the configuration, and the allocator's overhead. */
 #define CALLERS_MEMORY_SHARE 0.5
 /* Descriptors that the platform reserves for files, and those for the store,
  * datagrams, listeners, orders and reports. */
