--- a/review/stand-ins-2/platform2.py
+++ b/review/stand-ins-2/platform2.py
@@ -9,6 +9,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -90,6 +91,14 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode() + body
 
 
+def reset(writer):
+    """Closes a channel with a reset."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Store:
     """The platform's store: keys, leases, watches, transactions."""
 
