--- a/review/stand-ins-2/platform2.py
+++ b/review/stand-ins-2/platform2.py
@@ -550,6 +550,32 @@
             writer.close()
 
 
+async def stream(ip, port, target, headers, timeout_s=8):
+    """Sends a request for a stream. Returns its status (None: there was none) and
+    whether the first event of the answer came."""
+    reader = writer = status = None
+    body = b""
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, port), timeout_s)
+        lines = ["POST %s HTTP/1.1" % target] + ["%s: %s" % item for item in headers.items()]
+        writer.write(("\r\n".join(lines) + "\r\nContent-Length: 2\r\n\r\nhi").encode())
+        end = time.monotonic() + timeout_s
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout_s)
+        status = int(head.split(b" ")[1])
+        while status == 200 and time.monotonic() < end and not body.endswith(b"\r\n0\r\n\r\n"):
+            more = await asyncio.wait_for(reader.read(65536), end - time.monotonic())
+            if not more:
+                break
+            body += more
+    except (asyncio.TimeoutError, asyncio.IncompleteReadError, ConnectionError, OSError,
+            ValueError, IndexError):
+        pass
+    finally:
+        if writer is not None:
+            writer.close()
+    return status, status == 200 and b"\ndata:" in body
+
+
 def run(main, folder):
     """Runs main(record, temporary folder, nodes) and exits with its result: 1 if
     the rule was broken, 0 if it held, 2 if the case could not run. Ends all nodes."""
@@ -557,16 +583,21 @@
     temporary = tempfile.mkdtemp(prefix="review-")
     nodes = []
 
+    def end(code):
+        for node in nodes:
+            node.stop()
+        shutil.rmtree(temporary, ignore_errors=True)
+        record.line("exit %d" % code)
+        os._exit(code)
+
     async def whole():
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, end, 2)
         try:
             code = await main(record, temporary, nodes)
         except Exception as error:  # the case could not run
             record.line("could not run: %r" % error)
             code = 2
-        for node in nodes:
-            node.stop()
-        shutil.rmtree(temporary, ignore_errors=True)
-        record.line("exit %d" % code)
-        os._exit(code)
+        end(code)
 
     asyncio.run(whole())
