--- a/review/stand-ins-2/deadly2.py
+++ b/review/stand-ins-2/deadly2.py
@@ -8,7 +8,6 @@
 
 IP = "127.0.0.1"
 CONTACT_S = 3.0
-REPLICAS = 10
 # A replica that has crashed is back after this time, empty.
 BACK_S = 3.0
 DEADLY_PART = "dead"
@@ -78,9 +77,9 @@
 class Scene:
     """A store, replicas, three nodes and callers with one key."""
 
-    def __init__(self, record, folder, nodes, token_usage):
+    def __init__(self, record, folder, nodes, token_usage, replicas):
         self.record, self.folder, self.nodes = record, folder, nodes
-        self.token_usage = token_usage
+        self.token_usage, self.replicas = token_usage, replicas
         self.count = 0
         # (sent, status, begun) of each sound request.
         self.sound = []
@@ -90,7 +89,7 @@
         port = p.free_ports(IP, 1)[0]
         await self.store.start(IP, port)
         replicas = [Crashing(self.store, self.record, "i-%d" % i, "writer", "heredia", 192,
-                             load_s=1.0) for i in range(REPLICAS)]
+                             load_s=1.0) for i in range(self.replicas)]
         self.store.put_json("op/config", p.config(
             1, {"t1": ["k1"]}, [p.engine_service("writer", [])],
             [p.route("draft", "h.example", "/draft/", "writer", "streaming", 20000, 500,
--- a/review/stand-ins-2/platform2.py
+++ b/review/stand-ins-2/platform2.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -36,14 +37,15 @@
 
 
 def free_ports(ip, count):
-    """Returns ports of an address that are free now, for TCP and UDP."""
+    """Returns ports of an address that are free now, for TCP and UDP, outside the
+    range from which the kernel takes those of outgoing connections."""
     held, ports = [], []
     while len(ports) < count:
+        port = random.randrange(20000, 32000)
         tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind((ip, 0))
-        port = tcp.getsockname()[1]
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
+            tcp.bind((ip, port))
             udp.bind((ip, port))
         except OSError:
             tcp.close()
