Refuse answers with a field name that is no token

Cause: Debian builds http-parser without its strict checks; a blank then counts as a character of a name, also before the colon, and a continued line is appended to the value without the blank between them.

Change: http_check refuses a name that is no token (RFC 9110, section 5.1 and 5.6.2), a blank before the colon and a line that begins with a blank (RFC 9112, section 5.1, 5.2 and 2.2). Every token stays allowed, and tabs and bytes above 0x7f in values.

--- a/src/http_check.c
+++ b/src/http_check.c
@@ -188,12 +188,16 @@
 
 /*
  * Reads the first byte of a line of the head or the trailer, other than its
- * end.
+ * end. A line that begins with a blank continues the one before (RFC 9112,
+ * section 5.2), or follows the start line (section 2.2). Readers differ on
+ * both, and the RFC allows a gateway to answer 502.
  */
 static enum http_check_fault
 read_field_start(struct http_check *check, unsigned char c)
 {
-	if (!is_token_char(c) && !is_blank((char)c))
+	if (is_blank((char)c))
+		return HTTP_CHECK_FOLDED;
+	if (!is_token_char(c))
 		return HTTP_CHECK_NAME;
 	check->name[0] = (char)c;
 	check->name_len = 1;
@@ -203,14 +207,16 @@
 }
 
 /*
- * Reads a byte of a field name.
+ * Reads a byte of a field name. A blank before the colon is refused in
+ * responses, too (RFC 9112, section 5.1): another reader may take the field for
+ * one that determines the framing.
  */
 static enum http_check_fault
 read_name(struct http_check *check, unsigned char c)
 {
 	if (c == ':')
 		check->state = VALUE;
-	else if (!is_token_char(c) && !is_blank((char)c))
+	else if (!is_token_char(c))
 		return HTTP_CHECK_NAME;
 	else if (check->name_len < HTTP_CHECK_TEXT_MAX)
 		check->name[check->name_len++] = (char)c;
@@ -542,6 +548,7 @@
 	    [HTTP_CHECK_STATUS] = "status not from 100 to 599",
 	    [HTTP_CHECK_UPGRADE] = "switch of protocols without a request",
 	    [HTTP_CHECK_NAME] = "field name that is no token",
+	    [HTTP_CHECK_FOLDED] = "line that begins with a blank",
 	    [HTTP_CHECK_VALUE] = "control byte in a field value",
 	    [HTTP_CHECK_LENGTH] = "unreadable or contradictory length"};
 
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -678,7 +678,8 @@
 /*
  * Parses bytes, which are the pending input if there is any, until a message is
  * complete and keeps the rest. The parser reads only what was checked: it
- * accepts statuses that are none.
+ * accepts statuses that are none, and blanks in field names as it is built by
+ * Debian.
  */
 static void
 parse(struct h1_conn *conn, struct lstr bytes)
--- a/tests/answers.h
+++ b/tests/answers.h
@@ -47,6 +47,58 @@
     BYTES(ANSWER("ICY 200 X", "Content-Length: 2\r\n", "ok")), BYTES("ok"),
     BYTES("\r\n" ANSWER("HTTP/1.1 200 X", "Content-Length: 2\r\n", "ok"))};
 
+/* Field lines that are none: names with blanks and control bytes, folded lines,
+ * control bytes in values. */
+static const struct lstr answers_fields[] = {
+    BYTES(ANSWER("HTTP/1.1 200 X", "X More: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "X-More : y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "X-More\t: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", " X-More: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "Content-Length: 2\r\n X-More: y\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "Content-Length: 2\r\n\tX-More: y\r\n", "ok")),
+    BYTES(
+	"HTTP/1.1 200 X\r\n X-More: y\r\n" STAMP "Content-Length: 2\r\n\r\nok"),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length : 2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length : 2\r\n", "okmore")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content Length: 2\r\n", "okmore")),
+    BYTES(ANSWER("HTTP/1.1 200 X",
+	"Content-Length: 2\r\nContent-Length : 6\r\n", "okmore")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding : chunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X",
+	"Transfer-Encoding : chunked\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "X-\0More: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-\001More: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-More\013: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "X-\rMore: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-\177More: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-\303\244: y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", ": y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "X-More\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "X(More): y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-More: y\001\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "X-More: y\0\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-More: y\rz\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-More: y\177\r\nContent-Length: 2\r\n", "ok")),
+    BYTES("HTTP/1.1 100 X\r\nX More: y\r\n\r\n" ANSWER(
+	"HTTP/1.1 200 X", "Content-Length: 2\r\n", "ok"))};
+
 /* Valid answers, and how they are understood. */
 static const struct {
 	struct lstr bytes;
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -53,6 +53,16 @@
 }
 END_TEST
 
+/* Guards against a field whose name is no token, which is passed on, or which
+ * is not taken for the length or the coding of the body although the caller may
+ * take it for that. */
+START_TEST(answer_with_a_name_that_is_no_token_is_refused)
+{
+	check_all_plain_are_refused(
+	    answers_fields, G_N_ELEMENTS(answers_fields));
+}
+END_TEST
+
 /* Guards against refusing what a server may send. */
 START_TEST(sound_answers_are_passed_on)
 {
@@ -107,4 +117,5 @@
 END_TEST
 
 HARNESS_MAIN("broken_answers", answer_without_a_status_is_refused,
-    sound_answers_are_passed_on, another_server_answers_beside_a_broken_one)
+    answer_with_a_name_that_is_no_token_is_refused, sound_answers_are_passed_on,
+    another_server_answers_beside_a_broken_one)
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -35,6 +35,22 @@
 	return event;
 }
 
+/*
+ * Returns why a message is not valid.
+ */
+static enum http_check_fault
+find_fault(enum http_check_kind kind, struct lstr message)
+{
+	struct http_check check;
+	struct lstr_buf body = {0};
+	size_t rest;
+
+	http_check_begin(&check, kind, false);
+	read_message(&check, message, message.len, &body, &rest);
+	lstr_buf_free(&body);
+	return check.fault;
+}
+
 /*
  * Checks that each message of a list is refused, also in single bytes.
  */
@@ -67,6 +83,8 @@
 {
 	check_all_are_refused(
 	    HTTP_CHECK_RESPONSE, answers_start, COUNT(answers_start));
+	check_all_are_refused(
+	    HTTP_CHECK_RESPONSE, answers_fields, COUNT(answers_fields));
 }
 END_TEST
 
@@ -125,6 +143,38 @@
 }
 END_TEST
 
+/* Guards against bytes in names and values that other readers take for
+ * something else. */
+START_TEST(each_byte_of_a_field_is_checked)
+{
+	static const char others[] = "!#$%&'*+-.^_`|~";
+
+	for (unsigned int c = 0; c < 256; c++) {
+		char name[] = "HTTP/1.1 200 X\r\nX?Y: z\r\n\r\n";
+		char value[] = "HTTP/1.1 200 X\r\nX: a?b\r\n\r\n";
+		bool token = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+		    (c >= 'A' && c <= 'Z') ||
+		    (c != 0 && strchr(others, (int)c) != NULL);
+		bool text = c == '\t' || (c >= ' ' && c != 0x7f);
+
+		*strchr(name, '?') = (char)c;
+		*strchr(value, '?') = (char)c;
+		/* This ends the name and the line. */
+		if (c != ':')
+			ck_assert_msg(token ==
+				(find_fault(HTTP_CHECK_RESPONSE,
+				     lstr_make(name, sizeof(name) - 1)) ==
+				    HTTP_CHECK_VALID),
+			    "byte %u in a name", c);
+		ck_assert_msg(text ==
+			(find_fault(HTTP_CHECK_RESPONSE,
+			     lstr_make(value, sizeof(value) - 1)) ==
+			    HTTP_CHECK_VALID),
+		    "byte %u in a value", c);
+	}
+}
+END_TEST
+
 /* Guards against reading a body that a response to HEAD does not have, and
  * against reading one response for another. */
 START_TEST(response_to_head_has_no_content)
@@ -148,4 +198,4 @@
 
 HARNESS_MAIN("http_check", broken_answers_are_refused,
     sound_answers_are_read_in_any_pieces, statuses_from_200_to_599_are_final,
-    response_to_head_has_no_content)
+    each_byte_of_a_field_is_checked, response_to_head_has_no_content)
