Refuse answers with a transfer coding that the node does not know

Callers saw a body in a transfer coding other than chunked passed on with a length and without its coding, so that it was not the server's; chunks in an answer of HTTP/1.0, and two codings of which the last was chunked, were decoded and passed on in the same way.

Cause: http-parser looks for "chunked" at the end of the field only; a body without it lasts until the connection ends.

Change: http_check accepts chunked alone (RFC 9112, section 6.1: a recipient that does not understand a coding cannot read the message), once, and not in HTTP/1.0.

--- a/src/http_check.c
+++ b/src/http_check.c
@@ -255,16 +255,19 @@
 }
 
 /*
- * Reads the coding in a Transfer-Encoding field.
+ * Reads the coding in a Transfer-Encoding field. Only chunked is understood:
+ * a body in any other coding can neither be decoded nor passed on (RFC 9112,
+ * section 6.1).
  */
 static enum http_check_fault
 read_coding(struct http_check *check)
 {
 	static const char chunked[] = "chunked";
 
-	if (check->value_len == sizeof(chunked) - 1 &&
-	    strncasecmp(check->value, chunked, check->value_len) == 0)
-		check->is_chunked = true;
+	if (check->is_chunked || check->value_len != sizeof(chunked) - 1 ||
+	    strncasecmp(check->value, chunked, check->value_len) != 0)
+		return HTTP_CHECK_CODING;
+	check->is_chunked = true;
 	return HTTP_CHECK_VALID;
 }
 
@@ -315,7 +318,7 @@
 /*
  * Determines the framing at the end of a head (RFC 9112, section 6.3). Both a
  * length and chunks may be an attempt to have two readers find different
- * bodies (section 6.1).
+ * bodies, and HTTP/1.0 has no chunks (section 6.1).
  */
 static enum http_check_fault
 end_head(struct http_check *check)
@@ -325,6 +328,8 @@
 
 	if (check->is_chunked && check->has_length)
 		return HTTP_CHECK_LENGTH;
+	if (check->is_chunked && check->minor == 0)
+		return HTTP_CHECK_CODING;
 	check->left = check->length;
 	if (interim)
 		http_check_begin(check, check->kind, check->head_only);
@@ -550,7 +555,8 @@
 	    [HTTP_CHECK_NAME] = "field name that is no token",
 	    [HTTP_CHECK_FOLDED] = "line that begins with a blank",
 	    [HTTP_CHECK_VALUE] = "control byte in a field value",
-	    [HTTP_CHECK_LENGTH] = "unreadable or contradictory length"};
+	    [HTTP_CHECK_LENGTH] = "unreadable or contradictory length",
+	    [HTTP_CHECK_CODING] = "unknown transfer coding"};
 
 	return texts[fault];
 }
--- a/tests/answers.h
+++ b/tests/answers.h
@@ -99,6 +99,47 @@
     BYTES("HTTP/1.1 100 X\r\nX More: y\r\n\r\n" ANSWER(
 	"HTTP/1.1 200 X", "Content-Length: 2\r\n", "ok"))};
 
+/* Lengths and codings that do not determine a body. */
+static const struct lstr answers_framing[] = {
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: gzip\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: identity\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: \r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: gzip, chunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: chunked, gzip\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: chunked, chunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X",
+	"Transfer-Encoding: chunked\r\nTransfer-Encoding: "
+	"chunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: xchunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: chunked;q=1\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.0 200 X", "Transfer-Encoding: chunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X",
+	"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER("HTTP/1.1 200 X",
+	"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "Content-Length: 2\r\nContent-Length: 3\r\n", "okk")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "Content-Length: 2\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: 2, 2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: +2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: -2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: 0x2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: 2 2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: two\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: \r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "Content-Length: 18446744073709551618\r\n", "ok"))};
+
 /* Valid answers, and how they are understood. */
 static const struct {
 	struct lstr bytes;
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -63,6 +63,15 @@
 }
 END_TEST
 
+/* Guards against a body of a length that the server did not state, or that the
+ * caller may read differently. */
+START_TEST(answer_with_unclear_framing_is_refused)
+{
+	check_all_plain_are_refused(
+	    answers_framing, G_N_ELEMENTS(answers_framing));
+}
+END_TEST
+
 /* Guards against refusing what a server may send. */
 START_TEST(sound_answers_are_passed_on)
 {
@@ -117,5 +126,6 @@
 END_TEST
 
 HARNESS_MAIN("broken_answers", answer_without_a_status_is_refused,
-    answer_with_a_name_that_is_no_token_is_refused, sound_answers_are_passed_on,
+    answer_with_a_name_that_is_no_token_is_refused,
+    answer_with_unclear_framing_is_refused, sound_answers_are_passed_on,
     another_server_answers_beside_a_broken_one)
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -85,6 +85,8 @@
 	    HTTP_CHECK_RESPONSE, answers_start, COUNT(answers_start));
 	check_all_are_refused(
 	    HTTP_CHECK_RESPONSE, answers_fields, COUNT(answers_fields));
+	check_all_are_refused(
+	    HTTP_CHECK_RESPONSE, answers_framing, COUNT(answers_framing));
 }
 END_TEST
 
