Refuse a 204 with a body, and pass on 204 and 304 without a length

Callers saw a 204 or 304 whose server sent a body with a length and that body; they take it for bytes of another response. Every 204 and 304, and every answer to HEAD, was passed on with "Content-Length: 0".

Cause: http-parser reads a body of a 204 or 304 that states one, and the node adds the length of what it has buffered to every answer.

Change: in http_check 204 and 304 end with their head (RFC 9112, section 6.3). A 204 or an interim answer that states a body breaks RFC 9110, section 8.6, and is refused; a length of 0 leaves no doubt and is accepted. A 304 may state the length that a 200 would have; the connection of one is not used again, since a body may still follow. Answers without content are passed on without a length.

--- a/src/http_check.c
+++ b/src/http_check.c
@@ -318,7 +318,8 @@
 /*
  * Determines the framing at the end of a head (RFC 9112, section 6.3). Both a
  * length and chunks may be an attempt to have two readers find different
- * bodies, and HTTP/1.0 has no chunks (section 6.1).
+ * bodies, and HTTP/1.0 has no chunks (section 6.1). Interim responses and 204
+ * have neither; a length of 0 leaves no doubt.
  */
 static enum http_check_fault
 end_head(struct http_check *check)
@@ -330,6 +331,9 @@
 		return HTTP_CHECK_LENGTH;
 	if (check->is_chunked && check->minor == 0)
 		return HTTP_CHECK_CODING;
+	if ((interim || (response && check->status == STATUS_NO_CONTENT)) &&
+	    (check->is_chunked || check->length > 0))
+		return HTTP_CHECK_CONTENT;
 	check->left = check->length;
 	if (interim)
 		http_check_begin(check, check->kind, check->head_only);
@@ -340,10 +344,7 @@
 	else if (check->has_length)
 		check->state = check->length > 0 ? BODY_LENGTH : COMPLETE;
 	else
-		check->state = response && check->status != STATUS_NO_CONTENT &&
-			check->status != STATUS_NOT_MODIFIED
-		    ? BODY_CLOSE
-		    : COMPLETE;
+		check->state = response ? BODY_CLOSE : COMPLETE;
 	return HTTP_CHECK_VALID;
 }
 
@@ -537,7 +538,20 @@
 bool
 http_check_has_content(const struct http_check *check)
 {
-	return check->kind == HTTP_CHECK_REQUEST || !check->head_only;
+	return check->kind == HTTP_CHECK_REQUEST ||
+	    (!check->head_only && check->status != STATUS_NO_CONTENT &&
+		check->status != STATUS_NOT_MODIFIED);
+}
+
+/*
+ * Returns whether a server that states the length of a body that its response
+ * does not have may send that body nevertheless, before the next response.
+ */
+bool
+http_check_may_be_followed(const struct http_check *check)
+{
+	return !check->head_only && !http_check_has_content(check) &&
+	    (check->is_chunked || check->length > 0);
 }
 
 /*
@@ -556,7 +570,8 @@
 	    [HTTP_CHECK_FOLDED] = "line that begins with a blank",
 	    [HTTP_CHECK_VALUE] = "control byte in a field value",
 	    [HTTP_CHECK_LENGTH] = "unreadable or contradictory length",
-	    [HTTP_CHECK_CODING] = "unknown transfer coding"};
+	    [HTTP_CHECK_CODING] = "unknown transfer coding",
+	    [HTTP_CHECK_CONTENT] = "body where none is allowed"};
 
 	return texts[fault];
 }
--- a/src/http_check.h
+++ b/src/http_check.h
@@ -30,6 +30,7 @@
 	HTTP_CHECK_VALUE,
 	HTTP_CHECK_LENGTH,
 	HTTP_CHECK_CODING,
+	HTTP_CHECK_CONTENT,
 	HTTP_CHECK_FAULTS
 };
 
@@ -82,6 +83,7 @@
 bool http_check_is_complete(const struct http_check *);
 bool http_check_ends_with_connection(const struct http_check *);
 bool http_check_has_content(const struct http_check *);
+bool http_check_may_be_followed(const struct http_check *);
 const char *http_check_fault_text(enum http_check_fault);
 
 #endif
--- a/src/node/gateway_response.c
+++ b/src/node/gateway_response.c
@@ -267,6 +267,7 @@
 	struct h1_conn *caller = request->caller;
 	bool close =
 	    drain_is_active(gateway->config.drain) || !h1_keep_alive(caller);
+	bool has_content = h1_has_content(request->attempt.conn);
 	struct lstr_buf head = {0};
 	struct lstr_buf text = request->response;
 	enum status status;
@@ -275,9 +276,11 @@
 	gateway_account(request);
 	status = gateway->config.adapter->encode_response(request->attempt.conn,
 	    false, close ? 0 : h1_keep_usec(caller), &head);
+	if (status == STATUS_OK && has_content)
+		status =
+		    lstr_buf_printf(&head, "Content-Length: %zu\r\n", text.len);
 	if (status == STATUS_OK)
-		status = lstr_buf_printf(
-		    &head, "Content-Length: %zu\r\n\r\n", text.len);
+		status = lstr_buf_printf(&head, "\r\n");
 	/* No second copy of the body is needed, which memory may be short of.
 	 */
 	if (status == STATUS_OK)
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -706,8 +706,9 @@
 		http_parser_pause(&conn->parser, 0);
 		conn->busy = conn->listener != NULL;
 		h1_note_progress(conn);
-		conn->not_reusable =
-		    conn->listener == NULL && conn->pending_input.len > 0;
+		conn->not_reusable = conn->listener == NULL &&
+		    (conn->pending_input.len > 0 ||
+			http_check_may_be_followed(&conn->check));
 		conn->ops->complete(conn, conn->arg);
 		return;
 	}
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -170,6 +170,7 @@
 bool h1_is_http10(const struct h1_conn *);
 int64_t h1_content_length(const struct h1_conn *);
 bool h1_ended_by_close(const struct h1_conn *);
+bool h1_has_content(const struct h1_conn *);
 bool h1_is_reusable(const struct h1_conn *);
 bool h1_has_input(const struct h1_conn *);
 enum h1_fault h1_fault(const struct h1_conn *);
--- a/src/node/h1_message.c
+++ b/src/node/h1_message.c
@@ -98,6 +98,16 @@
 	return conn->ended_by_close;
 }
 
+/*
+ * Client: returns whether the response may have a body, so that its length is
+ * stated when it is passed on. One to HEAD, 204 and 304 have none.
+ */
+bool
+h1_has_content(const struct h1_conn *conn)
+{
+	return http_check_has_content(&conn->check);
+}
+
 /*
  * Returns why the request could not be read.
  */
--- a/tests/answers.h
+++ b/tests/answers.h
@@ -138,7 +138,12 @@
     BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: two\r\n", "ok")),
     BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: \r\n", "ok")),
     BYTES(ANSWER(
-	"HTTP/1.1 200 X", "Content-Length: 18446744073709551618\r\n", "ok"))};
+	"HTTP/1.1 200 X", "Content-Length: 18446744073709551618\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 204 X", "Content-Length: 2\r\n", "ok")),
+    BYTES(ANSWER("HTTP/1.1 204 X", "Transfer-Encoding: chunked\r\n",
+	"2\r\nok\r\n0\r\n\r\n")),
+    BYTES("HTTP/1.1 100 X\r\nContent-Length: 2\r\n\r\n" ANSWER(
+	"HTTP/1.1 200 X", "Content-Length: 2\r\n", "ok"))};
 
 /* Valid answers, and how they are understood. */
 static const struct {
@@ -183,6 +188,7 @@
     {BYTES(ANSWER("HTTP/1.1 200 X", "Content-Length: 2\r\n", "okmore")), 200,
 	"ok"},
     {BYTES(ANSWER("HTTP/1.1 204 X", "", "")), 204, ""},
-    {BYTES(ANSWER("HTTP/1.1 204 X", "Content-Length: 0\r\n", "")), 204, ""}};
+    {BYTES(ANSWER("HTTP/1.1 204 X", "Content-Length: 0\r\n", "")), 204, ""},
+    {BYTES(ANSWER("HTTP/1.1 304 X", "Content-Length: 2\r\n", "")), 304, ""}};
 
 #endif
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -207,6 +207,37 @@
 	node_call_wait(w, call);
 }
 
+/*
+ * Sends a request, after whose answer the node closes the connection, and
+ * returns all that is received, terminated by a NUL.
+ */
+static inline struct lstr_buf
+node_exchange(struct node_fixture *w, struct lstr request)
+{
+	int64_t deadline = loop_now(w->loop) + HARNESS_DEADLINE_USEC;
+	struct sockaddr_in address = loopback_own(w->front);
+	struct lstr_buf received = {0};
+	char bytes[1024];
+	ssize_t n;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(send(fd, request.data, request.len, MSG_NOSIGNAL),
+	    (ssize_t)request.len);
+	while ((n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) != 0) {
+		ck_assert_int_lt(loop_now(w->loop), deadline);
+		if (n > 0)
+			lstr_buf_append(&received, lstr_make(bytes, (size_t)n));
+		else
+			loop_run_once(
+			    w->loop, loop_now(w->loop) + LOOP_USEC_PER_MSEC);
+	}
+	close(fd);
+	lstr_buf_append(&received, lstr_make("", 1));
+	return received;
+}
+
 /*
  * Assigns the node an address and ports that no other process uses.
  */
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -98,6 +98,48 @@
 }
 END_TEST
 
+/* Guards against a length or a body in a response that has none: callers take
+ * the bytes for those of another response. */
+START_TEST(answer_without_content_is_passed_on_without_a_length)
+{
+	static const struct {
+		const char *method;
+		const char *answer;
+		const char *start;
+	} cases[] = {{"GET", ANSWER("HTTP/1.1 204 X", "", ""), "HTTP/1.1 204"},
+	    {"GET", ANSWER("HTTP/1.1 204 X", "", "more"), "HTTP/1.1 204"},
+	    {"GET", ANSWER("HTTP/1.1 304 X", "Content-Length: 4\r\n", "more"),
+		"HTTP/1.1 304"},
+	    {"GET",
+		ANSWER("HTTP/1.1 304 X", "Transfer-Encoding: chunked\r\n",
+		    "4\r\nmore\r\n0\r\n\r\n"),
+		"HTTP/1.1 304"},
+	    {"HEAD", ANSWER("HTTP/1.1 200 X", "Content-Length: 4\r\n", "more"),
+		"HTTP/1.1 200"}};
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct lstr_buf received;
+		char id[32];
+
+		fake_platform_set_raw_answer(w.platform, FAKE_CALLS_REQUESTS,
+		    lstr_from(cases[i].answer), false);
+		snprintf(id, sizeof(id), "empty-%zu", i);
+		received = node_exchange(&w,
+		    lstr_from(node_request(cases[i].method, "/look/1", id,
+			NODE_KEY, 2000, "Connection: close\r\n")));
+		ck_assert_msg(g_str_has_prefix(received.data, cases[i].start) &&
+			g_str_has_suffix(received.data, "\r\n\r\n") &&
+			strstr(received.data, "Content-Length") == NULL &&
+			strstr(received.data, "Transfer-Encoding") == NULL,
+		    "'%s': '%s'", cases[i].answer, received.data);
+		lstr_buf_free(&received);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against callers that pay for the broken answers of one server although
  * another one serves. */
 START_TEST(another_server_answers_beside_a_broken_one)
@@ -128,4 +170,5 @@
 HARNESS_MAIN("broken_answers", answer_without_a_status_is_refused,
     answer_with_a_name_that_is_no_token_is_refused,
     answer_with_unclear_framing_is_refused, sound_answers_are_passed_on,
+    answer_without_content_is_passed_on_without_a_length,
     another_server_answers_beside_a_broken_one)
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -198,6 +198,36 @@
 }
 END_TEST
 
+/* Guards against the reuse of a connection on which a body may follow a
+ * response that has none. */
+START_TEST(stated_length_of_an_empty_response_is_noticed)
+{
+	static const struct {
+		const char *text;
+		bool followed;
+	} cases[] = {{"HTTP/1.1 304 X\r\n\r\n", false},
+	    {"HTTP/1.1 304 X\r\nContent-Length: 0\r\n\r\n", false},
+	    {"HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n", true},
+	    {"HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+	    {"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok", false}};
+
+	for (size_t i = 0; i < COUNT(cases); i++) {
+		struct http_check check;
+		struct lstr_buf body = {0};
+		size_t rest;
+
+		http_check_begin(&check, HTTP_CHECK_RESPONSE, false);
+		read_message(
+		    &check, lstr_from(cases[i].text), 100, &body, &rest);
+		ck_assert(http_check_is_complete(&check));
+		ck_assert(
+		    http_check_may_be_followed(&check) == cases[i].followed);
+		lstr_buf_free(&body);
+	}
+}
+END_TEST
+
 HARNESS_MAIN("http_check", broken_answers_are_refused,
     sound_answers_are_read_in_any_pieces, statuses_from_200_to_599_are_final,
-    each_byte_of_a_field_is_checked, response_to_head_has_no_content)
+    each_byte_of_a_field_is_checked, response_to_head_has_no_content,
+    stated_length_of_an_empty_response_is_noticed)
