Refuse answers with malformed chunks

Callers saw a body from chunks whose framing was malformed as a whole answer: with other bytes in place of the line end after a chunk, with anything behind the size, and with trailer lines that are none.

Extensions and blanks that pad the size are accepted. A chunk line is limited to 4 KB and a trailer to 64 KB (section 7.1.1).

--- a/src/http_check.c
+++ b/src/http_check.c
@@ -4,6 +4,10 @@
 
 #include "http_check.h"
 
+/* RFC 9112, section 7.1.1: the length of chunk extensions ought to be limited.
+ */
+#define CHUNK_LINE_MAX_BYTES ((size_t)4 * 1024)
+#define TRAILER_MAX_BYTES ((size_t)64 * 1024)
 /* "HTTP/1.x ddd" without its variable parts. */
 #define VERSION_PREFIX "HTTP/1."
 #define VERSION_PREFIX_LEN (sizeof(VERSION_PREFIX) - 1)
@@ -31,6 +35,7 @@
 	BODY_CLOSE,
 	CHUNK_START,
 	CHUNK_SIZE,
+	CHUNK_BLANK,
 	CHUNK_EXTENSION,
 	CHUNK_CR,
 	CHUNK_DATA,
@@ -383,9 +388,11 @@
 			return HTTP_CHECK_VALID;
 		}
 		check->in_trailer = true;
+		check->extra_bytes = 0;
 		check->state = FIELD_START;
 		return HTTP_CHECK_VALID;
 	default:
+		check->extra_bytes = 0;
 		check->state = CHUNK_START;
 		return HTTP_CHECK_VALID;
 	}
@@ -393,21 +400,38 @@
 
 /*
  * Reads a byte of a line with the size of a chunk (RFC 9112, section 7.1).
+ * Blanks after the size are understood, since some servers pad it.
  */
 static enum http_check_fault
 read_chunk_line(struct http_check *check, unsigned char c)
 {
 	int digit = hex_value(c);
 
-	if (check->state == CHUNK_START)
+	if (check->state == CHUNK_EXTENSION) {
+		if (c == '\r')
+			check->state = CHUNK_CR;
+		else if (!is_text_char(c))
+			return HTTP_CHECK_CHUNK;
+		return HTTP_CHECK_VALID;
+	}
+	if (check->state == CHUNK_START) {
 		check->left = 0;
-	if (c == '\r') {
-		check->state = CHUNK_CR;
-	} else if (digit >= 0 && check->state != CHUNK_EXTENSION) {
+		if (digit < 0)
+			return HTTP_CHECK_CHUNK;
+	}
+	if (digit >= 0 && check->state != CHUNK_BLANK) {
+		if (check->left > (uint64_t)INT64_MAX >> 4)
+			return HTTP_CHECK_CHUNK;
 		check->left = check->left << 4 | (uint64_t)digit;
 		check->state = CHUNK_SIZE;
-	} else {
+	} else if (c == ' ') {
+		check->state = CHUNK_BLANK;
+	} else if (c == ';') {
 		check->state = CHUNK_EXTENSION;
+	} else if (c == '\r') {
+		check->state = CHUNK_CR;
+	} else {
+		return HTTP_CHECK_CHUNK;
 	}
 	return HTTP_CHECK_VALID;
 }
@@ -452,10 +476,10 @@
 		return read_line_feed(check, c, HTTP_CHECK_NAME);
 	case CHUNK_CR:
 	case CHUNK_DATA_CR:
-		return read_line_feed(check, '\n', HTTP_CHECK_VALID);
+		return read_line_feed(check, c, HTTP_CHECK_CHUNK);
 	case CHUNK_DATA_END:
 		check->state = CHUNK_DATA_CR;
-		return HTTP_CHECK_VALID;
+		return c == '\r' ? HTTP_CHECK_VALID : HTTP_CHECK_CHUNK;
 	default:
 		return read_chunk_line(check, c);
 	}
@@ -483,6 +507,20 @@
 	return HTTP_CHECK_BODY;
 }
 
+/*
+ * Limits what is read between the parts of a chunked body and after it.
+ */
+static enum http_check_fault
+count_extra(struct http_check *check)
+{
+	if (!check->in_trailer && check->state < CHUNK_START)
+		return HTTP_CHECK_VALID;
+	return ++check->extra_bytes >
+		(check->in_trailer ? TRAILER_MAX_BYTES : CHUNK_LINE_MAX_BYTES)
+	    ? HTTP_CHECK_TOO_LONG
+	    : HTTP_CHECK_VALID;
+}
+
 /*
  * Reads the input up to the next event and removes what was read from it. body
  * is set for HTTP_CHECK_BODY and refers to the input. After HTTP_CHECK_END and
@@ -501,7 +539,10 @@
 		if (before == BODY_LENGTH || before == BODY_CLOSE ||
 		    before == CHUNK_DATA)
 			return take_body(check, input, body);
-		check->fault = read_byte(check, (unsigned char)*input->data);
+		check->fault = count_extra(check);
+		if (check->fault == HTTP_CHECK_VALID)
+			check->fault =
+			    read_byte(check, (unsigned char)*input->data);
 		if (check->fault != HTTP_CHECK_VALID)
 			return HTTP_CHECK_INVALID;
 		*input = lstr_make(input->data + 1, input->len - 1);
@@ -571,7 +612,9 @@
 	    [HTTP_CHECK_VALUE] = "control byte in a field value",
 	    [HTTP_CHECK_LENGTH] = "unreadable or contradictory length",
 	    [HTTP_CHECK_CODING] = "unknown transfer coding",
-	    [HTTP_CHECK_CONTENT] = "body where none is allowed"};
+	    [HTTP_CHECK_CONTENT] = "body where none is allowed",
+	    [HTTP_CHECK_CHUNK] = "malformed chunk",
+	    [HTTP_CHECK_TOO_LONG] = "chunk line or trailer too long"};
 
 	return texts[fault];
 }
--- a/src/http_check.h
+++ b/src/http_check.h
@@ -31,6 +31,8 @@
 	HTTP_CHECK_LENGTH,
 	HTTP_CHECK_CODING,
 	HTTP_CHECK_CONTENT,
+	HTTP_CHECK_CHUNK,
+	HTTP_CHECK_TOO_LONG,
 	HTTP_CHECK_FAULTS
 };
 
@@ -74,6 +76,8 @@
 	uint64_t length;
 	/* Bytes left of the body or the chunk. */
 	uint64_t left;
+	/* Bytes of the chunk line or the trailer that were read. */
+	size_t extra_bytes;
 };
 
 void http_check_begin(
--- a/tests/answers.h
+++ b/tests/answers.h
@@ -11,6 +11,8 @@
 #define STAMP "Attempt-Id: @ID\r\nServer-Stamp: s\r\n"
 /* An answer of a server, from its parts. */
 #define ANSWER(start, fields, body) start "\r\n" STAMP fields "\r\n" body
+#define CHUNKED(body)                                                          \
+	ANSWER("HTTP/1.1 200 X", "Transfer-Encoding: chunked\r\n", body)
 /* The bytes may include NUL. */
 #define BYTES(text)                                                            \
 	{                                                                      \
@@ -145,6 +147,29 @@
     BYTES("HTTP/1.1 100 X\r\nContent-Length: 2\r\n\r\n" ANSWER(
 	"HTTP/1.1 200 X", "Content-Length: 2\r\n", "ok"))};
 
+/* Bodies of chunks that are none. */
+static const struct lstr answers_chunks[] = {
+    BYTES(CHUNKED("2\r\nokXX0\r\n\r\n")), BYTES(CHUNKED("2\r\nok0\r\n\r\n")),
+    BYTES(CHUNKED("2\r\nok\r\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("2\r\nok\n0\r\n\r\n")), BYTES(CHUNKED("2\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("2\rXok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("2 2\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("2 x\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("2;a\nb\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("2;\001\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("-2\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("+2\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("0x2\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED(" 2\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("x\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("10000000000000002\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("ffffffffffffffff\r\nok\r\n0\r\n\r\n")),
+    BYTES(CHUNKED("2\r\nok\r\n0\r\nX More: y\r\n\r\n")),
+    BYTES(CHUNKED("2\r\nok\r\n0\r\nX-More\r\n\r\n")),
+    BYTES(CHUNKED("2\r\nok\r\n0\r\n X: y\r\n\r\n")),
+    BYTES(CHUNKED("2\r\nok\r\n0\r\nX: \001\r\n\r\n"))};
+
 /* Valid answers, and how they are understood. */
 static const struct {
 	struct lstr bytes;
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -72,6 +72,14 @@
 }
 END_TEST
 
+/* Guards against a body from chunks that are malformed. */
+START_TEST(answer_with_malformed_chunks_is_refused)
+{
+	check_all_plain_are_refused(
+	    answers_chunks, G_N_ELEMENTS(answers_chunks));
+}
+END_TEST
+
 /* Guards against refusing what a server may send. */
 START_TEST(sound_answers_are_passed_on)
 {
@@ -169,6 +177,7 @@
 
 HARNESS_MAIN("broken_answers", answer_without_a_status_is_refused,
     answer_with_a_name_that_is_no_token_is_refused,
-    answer_with_unclear_framing_is_refused, sound_answers_are_passed_on,
+    answer_with_unclear_framing_is_refused,
+    answer_with_malformed_chunks_is_refused, sound_answers_are_passed_on,
     answer_without_content_is_passed_on_without_a_length,
     another_server_answers_beside_a_broken_one)
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -87,6 +87,8 @@
 	    HTTP_CHECK_RESPONSE, answers_fields, COUNT(answers_fields));
 	check_all_are_refused(
 	    HTTP_CHECK_RESPONSE, answers_framing, COUNT(answers_framing));
+	check_all_are_refused(
+	    HTTP_CHECK_RESPONSE, answers_chunks, COUNT(answers_chunks));
 }
 END_TEST
 
@@ -227,7 +229,36 @@
 }
 END_TEST
 
+/* Guards against reading for as long as a peer sends what is no body. */
+START_TEST(chunk_lines_and_trailers_are_limited)
+{
+	static const char *const starts[] = {"2;", "0\r\nX: "};
+	static char many[128 * 1024];
+
+	memset(many, 'x', sizeof(many));
+	for (size_t i = 0; i < COUNT(starts); i++) {
+		struct http_check check;
+		struct lstr_buf text = {0};
+		struct lstr_buf body = {0};
+		size_t rest;
+
+		lstr_buf_printf(&text,
+		    "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+		    starts[i]);
+		lstr_buf_append(&text, lstr_make(many, sizeof(many)));
+		http_check_begin(&check, HTTP_CHECK_RESPONSE, false);
+		ck_assert_int_eq(read_message(&check, lstr_buf_view(&text),
+				     1024, &body, &rest),
+		    HTTP_CHECK_INVALID);
+		ck_assert_int_eq(check.fault, HTTP_CHECK_TOO_LONG);
+		lstr_buf_free(&text);
+		lstr_buf_free(&body);
+	}
+}
+END_TEST
+
 HARNESS_MAIN("http_check", broken_answers_are_refused,
     sound_answers_are_read_in_any_pieces, statuses_from_200_to_599_are_final,
     each_byte_of_a_field_is_checked, response_to_head_has_no_content,
-    stated_length_of_an_empty_response_is_noticed)
+    stated_length_of_an_empty_response_is_noticed,
+    chunk_lines_and_trailers_are_limited)
