Log and count the answers that are refused

An answer that was refused left the same lines as a connection that its server closed (request-cut), and the answer to an order or a query left none, so that operators could not tell a server in trouble from one that had ended.

Calls of backend_call that fail state no HTTP status. A head beyond its limit has a reason of its own.

The test also shows that no broken answer is taken for the acceptance of an order or for a report: the engine is ordered its layers again afterwards.

--- a/src/node/backend_call.c
+++ b/src/node/backend_call.c
@@ -1,12 +1,18 @@
+#include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "backend_call.h"
+#include "slog.h"
 
+/* "IP:PORT" */
+#define ADDRESS_MAX_BYTES (INET_ADDRSTRLEN + 6)
 /* Limit of the response body; a server that sends more is faulty. */
 #define RESPONSE_MAX_BYTES ((size_t)256 * 1024)
 
 struct backend_call {
 	struct loop *loop;
+	struct sockaddr_in address;
 	const struct adapter *adapter;
 	struct h1_conn *conn;
 	struct loop_timer *timer;
@@ -23,7 +29,8 @@
 finish(struct backend_call *backend_call, enum status status)
 {
 	struct backend_call_result result = {.status = status,
-	    .http_status = h1_status(backend_call->conn),
+	    .http_status =
+		status == STATUS_OK ? h1_status(backend_call->conn) : 0,
 	    .body = lstr_buf_view(&backend_call->body),
 	    .notice = backend_call->notice};
 
@@ -80,8 +87,20 @@
 static void
 on_ended(struct h1_conn *conn, enum status status, void *arg)
 {
+	struct backend_call *backend_call = arg;
+	char address[ADDRESS_MAX_BYTES];
+	char ip[INET_ADDRSTRLEN] = "";
+
 	(void)conn;
-	finish(arg, status);
+	if (status == STATUS_INVALID) {
+		inet_ntop(
+		    AF_INET, &backend_call->address.sin_addr, ip, sizeof(ip));
+		snprintf(address, sizeof(address), "%s:%u", ip,
+		    ntohs(backend_call->address.sin_port));
+		slog_event(EV_ANSWER_REFUSED, "{s:s, s:s, s:s}", "id", "",
+		    "server", address, "reason", status_message());
+	}
+	finish(backend_call, status);
 }
 
 /*
@@ -111,6 +130,7 @@
 		return false;
 	backend_call->loop = loop;
 	backend_call->adapter = adapter;
+	backend_call->address = *address;
 	backend_call->fn = fn;
 	backend_call->arg = arg;
 	if (loop_timer_create(loop, on_timer, backend_call,
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -356,6 +356,8 @@
 int64_t gateway_wanted_usec(const struct gateway_request *);
 
 /* Failed and slow servers. */
+void gateway_note_broken_answer(const struct gateway_request *,
+    const struct pool_server *, const char *reason);
 void gateway_avoid_server(struct gateway *, struct pool_server *,
     enum pool_evidence, const char *reason);
 void gateway_probe(struct gateway *, struct pool_server *, int64_t now);
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -352,6 +352,18 @@
 	lstr_buf_free(&parts);
 }
 
+/*
+ * Logs a response that is not valid.
+ */
+void
+gateway_note_broken_answer(const struct gateway_request *request,
+    const struct pool_server *server, const char *reason)
+{
+	slog_event(EV_ANSWER_REFUSED, "{s:s, s:s, s:s, s:i}", "id", request->id,
+	    "server", server->info.id, "reason", reason, "sends",
+	    (int)request->attempts.count);
+}
+
 /*
  * Fails an attempt whose connection closed before the response was complete.
  */
@@ -365,6 +377,9 @@
 	int64_t now = gateway_now(request->gateway);
 
 	(void)conn;
+	if (status == STATUS_INVALID)
+		gateway_note_broken_answer(
+		    request, attempt->server, status_message());
 	if (!not_sent || status == STATUS_DENIED)
 		pool_note_connection_lost(attempt->server);
 	if (not_sent &&
@@ -380,7 +395,9 @@
 	gateway_quarantine_note_end(request);
 	gateway_attempt_failed(request, not_sent,
 	    not_sent ? "server cannot be reached"
-		     : "connection ended before the answer");
+		: status == STATUS_INVALID
+		? "answer is not valid"
+		: "connection ended before the answer");
 }
 
 /*
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -612,6 +612,23 @@
     .on_message_complete = on_complete,
 };
 
+/*
+ * Returns the status of a message that could not be read, with the reason as
+ * its message.
+ */
+static enum status
+error_status(const struct h1_conn *conn)
+{
+	if (conn->fault == H1_FAULT_NO_MEMORY)
+		return status_set(STATUS_NO_MEMORY, "no memory for a head");
+	if (conn->fault == H1_FAULT_HEAD_TOO_LARGE)
+		return status_set(STATUS_INVALID, "head is too large");
+	return status_set(STATUS_INVALID, "%s",
+	    conn->check.fault == HTTP_CHECK_VALID
+		? "not valid HTTP"
+		: http_check_fault_text(conn->check.fault));
+}
+
 /*
  * Handles a protocol error. Reports an unreadable request to the owner through
  * complete; a client connection, or one that is busy, is closed.
@@ -620,12 +637,10 @@
 h1_protocol_error(struct h1_conn *conn)
 {
 	conn->h1->counts.protocol_errors++;
+	if (conn->listener == NULL)
+		conn->h1->counts.answers_refused++;
 	if (conn->listener == NULL || conn->busy) {
-		close_and_notify(conn, H1_CLOSE_NOT_READ,
-		    status_set(STATUS_INVALID, "%s",
-			conn->check.fault == HTTP_CHECK_VALID
-			    ? "not valid HTTP"
-			    : http_check_fault_text(conn->check.fault)));
+		close_and_notify(conn, H1_CLOSE_NOT_READ, error_status(conn));
 		return;
 	}
 	if (conn->fault == H1_FAULT_NONE)
--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -109,6 +109,8 @@
 	uint64_t connected;
 	uint64_t connect_failures;
 	uint64_t protocol_errors;
+	/* Responses that are not valid. */
+	uint64_t answers_refused;
 	/* Connections closed to make room for others, and those closed when
 	 * accepted because there was none. */
 	uint64_t connections_dropped;
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -123,6 +123,7 @@
 	    {"streams_moved_total", (int64_t)gateway->resumed},
 	    {"stream_events_total", (int64_t)gateway->events},
 	    {"stray_answers_total", (int64_t)gateway->stray_answers},
+	    {"answers_refused_total", (int64_t)h1->answers_refused},
 	    {"requests_returned_total", (int64_t)gateway->returned},
 	    {"searches_with_headroom_total",
 		(int64_t)gateway->searches_with_headroom},
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -153,6 +153,7 @@
 START_TEST(another_server_answers_beside_a_broken_one)
 {
 	struct node_fixture w;
+	char *log;
 
 	node_fixture_start(&w);
 	fake_platform_set_raw_answer(
@@ -171,6 +172,57 @@
 	ck_assert_uint_ge(fake_platform_raw_count(w.platform), 1);
 	/* Its failures count: it is not chosen as often as the other. */
 	ck_assert_uint_le(fake_platform_raw_count(w.platform), 10);
+	log = node_read_log(&w);
+	ck_assert_ptr_nonnull(strstr(log, "answer-refused"));
+	ck_assert_ptr_nonnull(strstr(log, "status not from 100 to 599"));
+	g_free(log);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+static bool
+has_raw_answers(void *platform)
+{
+	return fake_platform_raw_count(platform) >= 3;
+}
+
+static bool
+engine_has_layers(void *platform)
+{
+	return fake_platform_engine_has_layers(platform);
+}
+
+/* Guards against a broken answer that is taken for the acceptance of an order,
+ * or for a report of what an engine holds. */
+START_TEST(broken_answers_to_orders_are_refused)
+{
+	static const struct lstr answers[] = {
+	    BYTES("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}"),
+	    BYTES("HTTP/1.1 202 X\r\nX More: y\r\nContent-Length: 2\r\n\r\n"
+		  "{}"),
+	    BYTES("HTTP/1.1 202 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "2 x\r\n{}\r\n0\r\n\r\n")};
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		char *log;
+
+		fake_platform_set_raw_answer(w.platform,
+		    FAKE_CALLS_ORDERS | FAKE_CALLS_REPORTS, answers[i],
+		    i % 2 == 1);
+		fake_platform_restart_engine(w.platform);
+		ck_assert(harness_wait(w.loop, has_raw_answers, w.platform));
+		ck_assert(!fake_platform_engine_has_layers(w.platform));
+		fake_platform_set_raw_answer(
+		    w.platform, 0, lstr_make("", 0), true);
+		ck_assert(harness_wait(w.loop, engine_has_layers, w.platform));
+		log = node_read_log(&w);
+		ck_assert_ptr_nonnull(strstr(log, "answer-refused"));
+		ck_assert_ptr_nonnull(
+		    strstr(log, "\"status\":\"invalid\",\"http_status\":0"));
+		g_free(log);
+	}
 	node_fixture_stop(&w);
 }
 END_TEST
@@ -180,4 +232,5 @@
     answer_with_unclear_framing_is_refused,
     answer_with_malformed_chunks_is_refused, sound_answers_are_passed_on,
     answer_without_content_is_passed_on_without_a_length,
-    another_server_answers_beside_a_broken_one)
+    another_server_answers_beside_a_broken_one,
+    broken_answers_to_orders_are_refused)
