Send a stream elsewhere after a broken answer

Callers of streams got 502 for a broken head of one engine although another one held its layers: the request was sent to the same engine again, up to three times. An engine that sent nothing else was chosen as before.

Cause: a path is chosen by load and speed alone, and a broken answer is quick. Only servers of plain services are chosen by their failures.

Change: the engine becomes a suspect of the request, as one that stalls a stream does: the next path avoids it if there is another one. After three broken answers without a success the node avoids it (POOL_FAULTY, as one that answers without end), unless no other path has room: refusing its requests would cost callers more than the answers do.

Kept as they passed before, once the head is refused: a broken continuation, a malformed chunk within a stream, and a broken answer of a silent server that was given up break the stream or the attempt and are not passed on.

--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -172,7 +172,8 @@
 	struct gateway_kept *kept;
 	struct attempts attempts;
 	/* The servers of the paths on which it stalled without a sign of which
-	 * of them is at fault. Another path avoids them if it can. */
+	 * of them is at fault, and those whose answers were not valid. Another
+	 * path avoids them if it can. */
 	struct pool_server *suspects[GATEWAY_SUSPECTS_MAX];
 	uint32_t suspect_count;
 	bool may_have_run;
@@ -320,6 +321,7 @@
 /* Generations: responses are streamed event by event. */
 void gateway_stream_start(struct gateway_request *);
 bool gateway_stream_has_path(struct gateway_request *);
+void gateway_stream_suspect(struct gateway_request *, struct pool_server *);
 void gateway_stream_head(struct gateway_request *);
 void gateway_stream_body(struct gateway_request *, struct lstr);
 bool gateway_stream_is_broken_off(const struct gateway_request *);
@@ -356,8 +358,8 @@
 int64_t gateway_wanted_usec(const struct gateway_request *);
 
 /* Failed and slow servers. */
-void gateway_note_broken_answer(const struct gateway_request *,
-    const struct pool_server *, const char *reason);
+void gateway_note_broken_answer(
+    struct gateway_request *, struct pool_server *, const char *reason);
 void gateway_avoid_server(struct gateway *, struct pool_server *,
     enum pool_evidence, const char *reason);
 void gateway_probe(struct gateway *, struct pool_server *, int64_t now);
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -353,15 +353,41 @@
 }
 
 /*
- * Logs a response that is not valid.
+ * Logs a response that is not valid. A stream is sent again along a path
+ * without that engine, which is avoided if it keeps sending them and such a
+ * path has room. Servers of plain services are chosen by their failures.
  */
 void
-gateway_note_broken_answer(const struct gateway_request *request,
-    const struct pool_server *server, const char *reason)
+gateway_note_broken_answer(struct gateway_request *request,
+    struct pool_server *server, const char *reason)
 {
+	bool repeated = pool_note_broken_answer(server);
+
 	slog_event(EV_ANSWER_REFUSED, "{s:s, s:s, s:s, s:i}", "id", request->id,
 	    "server", server->info.id, "reason", reason, "sends",
 	    (int)request->attempts.count);
+	if (request->service->engine == NULL)
+		return;
+	gateway_stream_suspect(request, server);
+	if (repeated && gateway_stream_has_path(request))
+		gateway_avoid_server(request->gateway, server, POOL_FAULTY,
+		    "answers that are not valid");
+}
+
+/*
+ * Fails an attempt whose response is not valid.
+ */
+static void
+on_broken(struct gateway_request *request, const char *reason)
+{
+	struct pool_server *server = request->attempt.server;
+
+	pool_note_connection_lost(server);
+	pool_note_result(server, false);
+	gateway_note_broken_answer(request, server, reason);
+	log_cut(request);
+	gateway_quarantine_note_end(request);
+	gateway_attempt_failed(request, false, "answer is not valid");
 }
 
 /*
@@ -377,9 +403,10 @@
 	int64_t now = gateway_now(request->gateway);
 
 	(void)conn;
-	if (status == STATUS_INVALID)
-		gateway_note_broken_answer(
-		    request, attempt->server, status_message());
+	if (status == STATUS_INVALID) {
+		on_broken(request, status_message());
+		return;
+	}
 	if (!not_sent || status == STATUS_DENIED)
 		pool_note_connection_lost(attempt->server);
 	if (not_sent &&
@@ -395,9 +422,7 @@
 	gateway_quarantine_note_end(request);
 	gateway_attempt_failed(request, not_sent,
 	    not_sent ? "server cannot be reached"
-		: status == STATUS_INVALID
-		? "answer is not valid"
-		: "connection ended before the answer");
+		     : "connection ended before the answer");
 }
 
 /*
--- a/src/node/gateway_stream.c
+++ b/src/node/gateway_stream.c
@@ -127,7 +127,7 @@
 
 /*
  * Fills the table for a search of another path for a request, without the
- * servers that may have stalled it if avoid_suspects is set. Returns the number
+ * servers that it suspects if avoid_suspects is set. Returns the number
  * of rows.
  */
 static size_t
@@ -1026,6 +1026,18 @@
 	gateway_stream_dispatch(gateway);
 }
 
+/*
+ * Remembers a server through which a request is sent again only if there is no
+ * other path.
+ */
+void
+gateway_stream_suspect(
+    struct gateway_request *request, struct pool_server *server)
+{
+	if (request->suspect_count < GATEWAY_SUSPECTS_MAX)
+		request->suspects[request->suspect_count++] = server;
+}
+
 /*
  * Remembers the servers of the path of an attempt as those that may have
  * stalled it.
@@ -1035,11 +1047,8 @@
 {
 	const struct gateway_attempt *attempt = &request->attempt;
 
-	for (uint32_t i = 0; i < attempt->stage_count &&
-	     request->suspect_count < GATEWAY_SUSPECTS_MAX;
-	     i++)
-		request->suspects[request->suspect_count++] =
-		    attempt->stages[i].server;
+	for (uint32_t i = 0; i < attempt->stage_count; i++)
+		gateway_stream_suspect(request, attempt->stages[i].server);
 }
 
 /*
--- a/src/node/pool.c
+++ b/src/node/pool.c
@@ -497,6 +497,16 @@
 	server->connection_lost = true;
 }
 
+/*
+ * Records that a server sent an answer that is not valid. Returns whether it
+ * keeps sending them.
+ */
+bool
+pool_note_broken_answer(struct pool_server *server)
+{
+	return ++server->broken_answers >= POOL_BROKEN_ANSWERS;
+}
+
 /*
  * Returns true if at least POOL_FULL_SHARE of a server's memory for requests
  * is reserved.
@@ -843,8 +853,10 @@
 {
 	server->error_rate +=
 	    POOL_SAMPLE_WEIGHT * ((success ? 0 : 1) - server->error_rate);
-	if (success)
-		server->failures = 0;
+	if (!success)
+		return;
+	server->failures = 0;
+	server->broken_answers = 0;
 }
 
 /*
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -53,6 +53,9 @@
  * servers pace their callers. A longer one is a fault of the server, which must
  * not exclude it until it starts again. */
 #define POOL_REFUSES_MAX_USEC (3600 * LOOP_USEC_PER_SEC)
+/* A server that has sent this many answers that are not valid, and no success
+ * between them, is at fault. */
+#define POOL_BROKEN_ANSWERS 3
 /* Weight of the newest sample in exponential moving averages. */
 #define POOL_SAMPLE_WEIGHT 0.1
 
@@ -116,6 +119,8 @@
 	/* A connection to it has ended with a request in hand, or was refused,
 	 * since it last worked. */
 	bool connection_lost;
+	/* Answers that were not valid since the last success. */
+	uint32_t broken_answers;
 	/* Time of the first failure since it last worked; 0: none. */
 	int64_t failing_since;
 	/* When this node found definite evidence of it; 0: none. */
@@ -234,6 +239,7 @@
 bool pool_avoid(struct pool_server *, enum pool_evidence, int64_t now);
 void pool_note_replaced(struct pool_server *, int64_t born);
 void pool_note_connection_lost(struct pool_server *);
+bool pool_note_broken_answer(struct pool_server *);
 bool pool_is_nearly_full(
     const struct pool_server *, const struct fleet_engine *);
 bool pool_note_full(struct pool_server *, int64_t now);
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -1,6 +1,7 @@
 #include "harness.h"
 
 #include "answers.h"
+#include "attempts.h"
 #include "node_fixture.h"
 
 /*
@@ -180,6 +181,164 @@
 }
 END_TEST
 
+#define STREAM_FIELDS                                                          \
+	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+#define EVENT "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"
+
+/* Answers to requests for a stream whose body is a whole event. */
+static const struct lstr broken_streams[] = {
+    BYTES(ANSWER("HTTP/1.1 000 X", STREAM_FIELDS, EVENT)),
+    BYTES(ANSWER("HTTP/1.1 600 X", STREAM_FIELDS, EVENT)),
+    BYTES(ANSWER("HTTP/2.0 200 X", STREAM_FIELDS, EVENT)),
+    BYTES(ANSWER("HTTP/1.1 200 X", "X More: y\r\n" STREAM_FIELDS, EVENT)),
+    BYTES(ANSWER("HTTP/1.1 200 X", "X-More : y\r\n" STREAM_FIELDS, EVENT)),
+    BYTES(ANSWER("HTTP/1.1 200 X", "X-\001: y\r\n" STREAM_FIELDS, EVENT)),
+    BYTES(ANSWER("HTTP/1.1 200 X", STREAM_FIELDS " X-More: y\r\n", EVENT)),
+    BYTES(
+	ANSWER("HTTP/1.1 200 X", "Content-Length: 4\r\n" STREAM_FIELDS, EVENT)),
+    BYTES(ANSWER("HTTP/1.1 200 X",
+	"Content-Type: text/event-stream\r\nTransfer-Encoding: gzip\r\n",
+	"id: 1\ndata: 1\n\n")),
+    BYTES("HTTP/1.1 000 X\r\n\r\n" ANSWER(
+	"HTTP/1.1 200 X", STREAM_FIELDS, EVENT))};
+
+/*
+ * Runs a stream on a route. Its prompt has a part in common with all others.
+ */
+static void
+run_stream(struct node_fixture *w, struct node_call *call, const char *path,
+    const char *id)
+{
+	node_call_send(w, call, w->front,
+	    node_request("POST", path, id, NODE_KEY, 20000,
+		"Model: m\r\nToken-Usage: 40,80\r\nPrefix-Hash: ab:40,cd:1\r\n"
+		"Content-Length: 2\r\n\r\nhi"));
+	node_call_wait(w, call);
+}
+
+/* Guards against streams that are lost because of one broken engine although
+ * another one holds its layers, and against an engine that sends nothing else
+ * and is chosen as before. */
+START_TEST(another_engine_answers_beside_a_broken_one)
+{
+	struct node_fixture w;
+	unsigned int count = 0;
+
+	node_fixture_start(&w);
+	for (unsigned int engine = 0; engine < FAKE_ENGINE_COUNT; engine++) {
+		fake_platform_set_raw_answer(w.platform, FAKE_CALLS_REQUESTS,
+		    broken_streams[engine % 2], false);
+		fake_platform_set_raw_server(w.platform, engine);
+		for (int i = 0; i < 20; i++) {
+			struct node_call call;
+			char id[32];
+
+			snprintf(id, sizeof(id), "engine-%u-%d", engine, i);
+			run_stream(&w, &call, "/write/draft", id);
+			ck_assert_msg(call.status == 200 && call.complete,
+			    "engine %u, stream %d: status %u, '%s'", engine, i,
+			    call.status, call.body.data);
+			ck_assert_uint_le(
+			    fake_platform_run_count(w.platform, id), 2);
+			lstr_buf_free(&call.body);
+		}
+		count += fake_platform_raw_count(w.platform);
+		ck_assert_uint_lt(fake_platform_raw_count(w.platform), 20);
+	}
+	ck_assert_uint_ge(count, 1);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against a broken answer to the request to continue a stream that is
+ * passed on within it. */
+START_TEST(broken_continuation_breaks_the_stream)
+{
+	static const char sent[] = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+				   "id: 3\ndata: 3\n\n";
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(broken_streams); i++) {
+		struct node_call call;
+		char id[32];
+
+		fake_platform_set_engine_fault(w.platform, FAKE_TRUNCATED, 4);
+		fake_platform_set_raw_answer(w.platform,
+		    FAKE_CALLS_CONTINUATIONS, broken_streams[i], i % 2 == 1);
+		snprintf(id, sizeof(id), "continued-%zu", i);
+		run_stream(&w, &call, "/write/draft", id);
+		ck_assert_uint_eq(call.status, 200);
+		ck_assert(!call.complete);
+		ck_assert_str_eq(call.body.data, sent);
+		ck_assert_uint_ge(fake_platform_raw_count(w.platform), 1);
+		ck_assert_uint_lt(
+		    fake_platform_raw_count(w.platform), ATTEMPTS_MAX);
+		lstr_buf_free(&call.body);
+		fake_platform_set_raw_answer(
+		    w.platform, 0, lstr_make("", 0), true);
+		node_wait_until_serving(&w);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against a stream that is passed on from malformed chunks, and against
+ * one that looks whole although it broke off in them. */
+START_TEST(malformed_chunk_breaks_the_stream)
+{
+	struct node_fixture w;
+	struct node_call call;
+
+	node_fixture_start(&w);
+	fake_platform_set_raw_answer(w.platform, FAKE_CALLS_REQUESTS,
+	    lstr_from(ANSWER("HTTP/1.1 200 X", STREAM_FIELDS,
+		"f\r\nid: 1\ndata: 1\n\n\r\nf x\r\nid: 2\ndata: 2\n\n\r\n"
+		"0\r\n\r\n")),
+	    false);
+	run_stream(&w, &call, "/once/draft", "chunk-1");
+	ck_assert_uint_eq(call.status, 200);
+	ck_assert(!call.complete);
+	ck_assert_str_eq(call.body.data, "id: 1\ndata: 1\n\n");
+	ck_assert_uint_eq(fake_platform_run_count(w.platform, "chunk-1"), 1);
+	lstr_buf_free(&call.body);
+	node_fixture_stop(&w);
+}
+END_TEST
+
+/* Guards against the broken answer of a server that was given up while it was
+ * silent, and in whose attempt the request goes on. */
+START_TEST(broken_answer_of_a_silent_server_is_refused)
+{
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (unsigned int i = 0; i < 12; i++) {
+		bool both = i % 2 == 0;
+		int64_t until = loop_now(w.loop) + 350 * LOOP_USEC_PER_MSEC;
+		struct node_call call;
+		char id[32];
+
+		fake_platform_set_raw_answer(w.platform, FAKE_CALLS_REQUESTS,
+		    i % 4 < 2 ? answers_start[0] : answers_fields[0],
+		    i % 3 == 0);
+		if (!both)
+			fake_platform_set_raw_server(
+			    w.platform, FAKE_ENGINE_COUNT + i / 2 % 2);
+		fake_platform_pause_server(
+		    w.platform, FAKE_ENGINE_COUNT, until);
+		fake_platform_pause_server(
+		    w.platform, FAKE_ENGINE_COUNT + 1, until);
+		snprintf(id, sizeof(id), "silent-%u", i);
+		node_call_plain(&w, &call, "GET", "/look/1", id, NODE_KEY);
+		ck_assert_uint_eq(call.status, both ? 502 : 200);
+		ck_assert_uint_eq(fake_platform_run_count(w.platform, id), 2);
+		lstr_buf_free(&call.body);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 static bool
 has_raw_answers(void *platform)
 {
@@ -233,4 +392,7 @@
     answer_with_malformed_chunks_is_refused, sound_answers_are_passed_on,
     answer_without_content_is_passed_on_without_a_length,
     another_server_answers_beside_a_broken_one,
+    another_engine_answers_beside_a_broken_one,
+    broken_continuation_breaks_the_stream, malformed_chunk_breaks_the_stream,
+    broken_answer_of_a_silent_server_is_refused,
     broken_answers_to_orders_are_refused)
