Do not take broken answers for the end of their server

Callers with a sound prompt got 400 after several engines had sent broken answers to other prompts with the same part: the part was quarantined as one that ends the servers which answer it, on all nodes.

Cause: the end of the connection that the node itself closes because of the answer counted as that of the server, against all parts of the prompt, and as a sign that the process may have ended.

Change: a broken answer is no evidence of either. The request still is not sent on after two such attempts, as before.

Eight streams with broken answers leave no suspicion now, and a sound stream with the same part is served after each kind of broken head (broken_head_of_a_stream_is_refused).

--- a/src/node/gateway_keep.c
+++ b/src/node/gateway_keep.c
@@ -231,7 +231,8 @@
 	if (status == STATUS_INVALID)
 		gateway_note_broken_answer(
 		    kept->request, server, status_message());
-	pool_note_connection_lost(server);
+	else
+		pool_note_connection_lost(server);
 	pool_note_result(server, false);
 	drop(kept);
 }
--- a/src/node/gateway_priv.h
+++ b/src/node/gateway_priv.h
@@ -177,8 +177,8 @@
 	struct pool_server *suspects[GATEWAY_SUSPECTS_MAX];
 	uint32_t suspect_count;
 	bool may_have_run;
-	/* Attempts whose server seems to have ended before they came through.
-	 */
+	/* Attempts whose server seems to have ended before they came through,
+	 * or sent an answer that is not valid. */
 	uint32_t cuts;
 	/* It is sent although a part of its prompt is confirmed to end servers,
 	 * to find out whether it still does. */
--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -375,18 +375,18 @@
 }
 
 /*
- * Fails an attempt whose response is not valid.
+ * Fails an attempt whose response is not valid. Its server has not ended, so
+ * this is no evidence against the parts of the prompt; but the request is not
+ * repeated more often than one that may have ended its servers.
  */
 static void
 on_broken(struct gateway_request *request, const char *reason)
 {
 	struct pool_server *server = request->attempt.server;
 
-	pool_note_connection_lost(server);
 	pool_note_result(server, false);
 	gateway_note_broken_answer(request, server, reason);
-	log_cut(request);
-	gateway_quarantine_note_end(request);
+	request->cuts++;
 	gateway_attempt_failed(request, false, "answer is not valid");
 }
 
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -216,6 +216,52 @@
 	node_call_wait(w, call);
 }
 
+/* Guards against the head of a stream that is passed on although it is none,
+ * against streams that run more often than their route allows, and against
+ * refusing sound requests afterwards: their prompts share a part with those
+ * that were answered so, and their engines work again. */
+START_TEST(broken_head_of_a_stream_is_refused)
+{
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(broken_streams); i++) {
+		struct node_call call;
+		char id[32];
+
+		fake_platform_set_raw_answer(w.platform, FAKE_CALLS_REQUESTS,
+		    broken_streams[i], i % 2 == 1);
+		for (int k = 0; k < 4; k++) {
+			bool once = k % 2 == 1;
+
+			snprintf(id, sizeof(id), "head-%zu-%d", i, k);
+			run_stream(&w, &call,
+			    once ? "/once/draft" : "/write/draft", id);
+			ck_assert_msg(call.complete &&
+				(call.status == 502 || call.status == 503),
+			    "'%.*s': status %u", LSTR_ARG(broken_streams[i]),
+			    call.status);
+			if (call.status == 503)
+				ck_assert_uint_eq(
+				    fake_platform_run_count(w.platform, id), 0);
+			ck_assert_uint_le(
+			    fake_platform_run_count(w.platform, id),
+			    once ? 1 : 2);
+			lstr_buf_free(&call.body);
+		}
+		fake_platform_set_raw_answer(
+		    w.platform, 0, lstr_make("", 0), true);
+		snprintf(id, sizeof(id), "sound-%zu", i);
+		run_stream(&w, &call, "/write/draft", id);
+		ck_assert_msg(call.complete && call.status == 200,
+		    "after '%.*s': status %u, '%s'",
+		    LSTR_ARG(broken_streams[i]), call.status, call.body.data);
+		lstr_buf_free(&call.body);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against streams that are lost because of one broken engine although
  * another one holds its layers, and against an engine that sends nothing else
  * and is chosen as before. */
@@ -250,6 +296,35 @@
 }
 END_TEST
 
+/* Guards against prompts that are refused because engines have sent broken
+ * answers to others with the same part, as if that part had ended them. */
+START_TEST(broken_answers_are_no_evidence_against_a_prompt)
+{
+	struct node_fixture w;
+	char *log;
+
+	node_fixture_start(&w);
+	fake_platform_set_raw_answer(
+	    w.platform, FAKE_CALLS_REQUESTS, broken_streams[0], false);
+	for (int i = 0; i < 8; i++) {
+		int64_t until = loop_now(w.loop) + 200 * LOOP_USEC_PER_MSEC;
+		struct node_call call;
+		char id[32];
+
+		snprintf(id, sizeof(id), "evidence-%d", i);
+		run_stream(&w, &call, "/write/draft", id);
+		ck_assert_uint_ne(call.status, 400);
+		lstr_buf_free(&call.body);
+		while (loop_now(w.loop) < until)
+			loop_run_once(w.loop, until);
+	}
+	log = node_read_log(&w);
+	ck_assert_ptr_null(strstr(log, "part-suspected"));
+	g_free(log);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 /* Guards against a broken answer to the request to continue a stream that is
  * passed on within it. */
 START_TEST(broken_continuation_breaks_the_stream)
@@ -393,6 +468,8 @@
     answer_without_content_is_passed_on_without_a_length,
     another_server_answers_beside_a_broken_one,
     another_engine_answers_beside_a_broken_one,
+    broken_head_of_a_stream_is_refused,
+    broken_answers_are_no_evidence_against_a_prompt,
     broken_continuation_breaks_the_stream, malformed_chunk_breaks_the_stream,
     broken_answer_of_a_silent_server_is_refused,
     broken_answers_to_orders_are_refused)
