--- a/Makefile
+++ b/Makefile
@@ -91,7 +91,7 @@
 	$(BUILD)/tests/test_node_leaving $(BUILD)/tests/test_node_answers \
 	$(BUILD)/tests/test_node_stopping $(BUILD)/tests/test_node_silence \
 	$(BUILD)/tests/test_clients $(BUILD)/tests/test_unanswered \
-	$(BUILD)/tests/test_broken_answers: \
+	$(BUILD)/tests/test_broken_answers $(BUILD)/tests/test_broken_requests: \
 	tests/fakes/platform_model.c
 
 SOAK_SRC = tests/soak/soak.c tests/soak/proxy.c tests/soak/kept.c \
--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -672,8 +672,7 @@
 }
 
 /*
- * Returns how many bytes belong to the response being received and are valid.
- * Requests are checked by the parser alone.
+ * Returns how many bytes belong to the message being received and are valid.
  */
 static size_t
 check_message(struct h1_conn *conn, struct lstr bytes)
@@ -682,8 +681,8 @@
 	struct lstr body;
 	enum http_check_event event;
 
-	if (conn->listener != NULL)
-		return bytes.len;
+	if (conn->listener != NULL && http_check_is_complete(&conn->check))
+		http_check_begin(&conn->check, HTTP_CHECK_REQUEST, false);
 	do
 		event = http_check_next(&conn->check, &rest, &body);
 	while (event == HTTP_CHECK_HEAD || event == HTTP_CHECK_BODY);
@@ -712,8 +711,7 @@
 		close_and_notify(conn, H1_CLOSE_NOT_READ, STATUS_NO_MEMORY);
 		return;
 	}
-	if (conn->listener == NULL &&
-	    conn->complete != http_check_is_complete(&conn->check)) {
+	if (conn->complete != http_check_is_complete(&conn->check)) {
 		h1_protocol_error(conn);
 		return;
 	}
@@ -990,6 +988,9 @@
 	conn->fd = fd;
 	http_parser_init(&conn->parser, type);
 	conn->parser.data = conn;
+	http_check_begin(&conn->check,
+	    type == HTTP_REQUEST ? HTTP_CHECK_REQUEST : HTTP_CHECK_RESPONSE,
+	    false);
 	if (loop_timer_create(h1->loop, on_timer, conn, &conn->timer) !=
 		STATUS_OK ||
 	    loop_watch_create(h1->loop, fd, events, on_ready, conn,
--- a/tests/answers.h
+++ b/tests/answers.h
@@ -90,6 +90,8 @@
     BYTES(ANSWER("HTTP/1.1 200 X", "X-More\r\nContent-Length: 2\r\n", "ok")),
     BYTES(
 	ANSWER("HTTP/1.1 200 X", "X(More): y\r\nContent-Length: 2\r\n", "ok")),
+    BYTES(ANSWER(
+	"HTTP/1.1 200 X", "X-More: \001y\r\nContent-Length: 2\r\n", "ok")),
     BYTES(ANSWER(
 	"HTTP/1.1 200 X", "X-More: y\001\r\nContent-Length: 2\r\n", "ok")),
     BYTES(
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -257,8 +257,72 @@
 }
 END_TEST
 
+/* Guards against requests that two readers take for different ones. */
+START_TEST(broken_requests_are_refused)
+{
+	static const struct lstr requests[] = {
+	    BYTES("POST / HTTP/1.1\r\nHost : h\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nContent-Length : 2\r\n\r\nok"),
+	    BYTES("POST / HTTP/1.1\r\n Content-Length: 2\r\n\r\nok"),
+	    BYTES("POST / HTTP/1.1\r\nHost: h\r\n X: y\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nX Y: z\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nX\0Y: z\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nX\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nX: \001\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nX: y\rz: a\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nContent-Length: 2\r\n"
+		  "Content-Length: 3\r\n\r\nokk"),
+	    BYTES("POST / HTTP/1.1\r\nContent-Length: +2\r\n\r\nok"),
+	    BYTES("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		  "Content-Length: 3\r\n\r\n0\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n"
+		  "\r\n0\r\n\r\n"),
+	    BYTES("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n"
+		  "\r\n0\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		  "\r\n2 x\r\nok\r\n0\r\n\r\n"),
+	    BYTES("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		  "\r\n2\r\nokXX0\r\n\r\n")};
+
+	check_all_are_refused(HTTP_CHECK_REQUEST, requests, COUNT(requests));
+}
+END_TEST
+
+/* Guards against refusing requests, and against reading bytes of the next. */
+START_TEST(sound_requests_are_read)
+{
+	static const struct {
+		const char *text;
+		const char *body;
+		size_t rest;
+	} cases[] = {{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "", 0},
+	    {"\r\n\nGET / HTTP/1.0\r\n\r\nGET", "", 3},
+	    {"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nokGET", "ok", 3},
+	    {"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "", 0},
+	    {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "2;x\r\nok\r\n0\r\nX: y\r\n\r\nG",
+		"ok", 1}};
+
+	for (size_t i = 0; i < COUNT(cases); i++) {
+		struct http_check check;
+		struct lstr_buf body = {0};
+		size_t rest = 0;
+
+		http_check_begin(&check, HTTP_CHECK_REQUEST, false);
+		read_message(
+		    &check, lstr_from(cases[i].text), 1000, &body, &rest);
+		ck_assert_msg(http_check_is_complete(&check), "'%s': %s",
+		    cases[i].text, http_check_fault_text(check.fault));
+		ck_assert_uint_eq(rest, cases[i].rest);
+		ck_assert(lstr_equal_c(lstr_buf_view(&body), cases[i].body));
+		lstr_buf_free(&body);
+	}
+}
+END_TEST
+
 HARNESS_MAIN("http_check", broken_answers_are_refused,
     sound_answers_are_read_in_any_pieces, statuses_from_200_to_599_are_final,
     each_byte_of_a_field_is_checked, response_to_head_has_no_content,
     stated_length_of_an_empty_response_is_noticed,
-    chunk_lines_and_trailers_are_limited)
+    chunk_lines_and_trailers_are_limited, broken_requests_are_refused,
+    sound_requests_are_read)
