Refuse answers with a broken head in fetch

Programs that read answers with fetch (entry's router, syncd, chestnuthoistctl, and the node for the store) took answers for whole whose head is none: names with blanks or control bytes, a length or a coding spelled so, continued lines, lengths that contradict or cannot be read, statuses above 599. With one such answer of the store, whose Store-Era it believed, a node took the store for restored from a copy.

Cause: libcurl accepts more than RFC 9112 allows; fetch passed on whatever it accepted. kv_http also read the era of answers that had failed.

Change: fetch passes each line of a head to http_check. A call whose answer is not valid ends with STATUS_INVALID, without a status and without headers; also one that libcurl itself refuses. It is logged (E122) and counted (http_answers_refused_total). Readers need no rule of their own: engines and plain services may have run the request, writes to the store are ambiguous, everything else is unavailable, as for a connection that ends early.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -5,11 +5,12 @@
 #include <curl/curl.h>
 
 #include "fetch.h"
+#include "http_check.h"
+#include "log.h"
+#include "metric.h"
 
 #define IDLE_CONNECTIONS_MAX 512L
 #define CONNECT_TIMEOUT_MS 2000L
-/* Responses with a lower status are interim. */
-#define HTTP_FINAL_MIN 200
 /* Limit of the heads of a call, interim responses included. */
 #define HEADS_MAX_BYTES ((size_t)64 * 1024)
 #define RESPONSE_MAX_DEFAULT_BYTES ((size_t)8 * 1024 * 1024)
@@ -35,6 +36,8 @@
 	int64_t progress_deadline;
 	/* Bytes received since the deadline was last moved. */
 	size_t progress_bytes;
+	/* Decides whether the response is valid; libcurl accepts more. */
+	struct http_check check;
 	/* The empty line after the head of the final response has arrived. */
 	bool head_done;
 	size_t head_bytes;
@@ -44,6 +47,11 @@
 	bool cancelled;
 };
 
+static struct metric answers_refused = {
+    "chestnuthoist_http_answers_refused_total", "",
+    "Answers to calls that were refused because they are not valid HTTP.",
+    METRIC_COUNTER, 0, NULL};
+
 /* The watch of one of libcurl's sockets. */
 struct socket_watch {
 	struct fetch *fetch;
@@ -66,7 +74,23 @@
 }
 
 /*
- * Maps a libcurl result to a status.
+ * Returns whether a call failed because its response is not valid HTTP. libcurl
+ * reads a line before it passes it on, and takes a folded one without another
+ * before it for a wrong argument of its own.
+ */
+static bool
+is_broken(const struct fetch_call *call, CURLcode code)
+{
+	return call->check.fault != HTTP_CHECK_VALID ||
+	    code == CURLE_WEIRD_SERVER_REPLY ||
+	    code == CURLE_UNSUPPORTED_PROTOCOL ||
+	    code == CURLE_BAD_CONTENT_ENCODING ||
+	    code == CURLE_BAD_FUNCTION_ARGUMENT;
+}
+
+/*
+ * Maps a libcurl result to a status. libcurl reports success for a response
+ * that ends within its head.
  */
 static enum status
 map_result(const struct fetch_call *call, CURLcode code)
@@ -75,6 +99,11 @@
 		return status_set(STATUS_FULL, "answer is too large");
 	if (call->timed_out || code == CURLE_OPERATION_TIMEDOUT)
 		return status_set(STATUS_TIMEOUT, "deadline passed");
+	if (is_broken(call, code))
+		return status_set(STATUS_INVALID, "answer is not valid: %s",
+		    call->check.fault != HTTP_CHECK_VALID
+			? http_check_fault_text(call->check.fault)
+			: curl_easy_strerror(code));
 	if (code == CURLE_OK && !call->head_done)
 		return status_set(STATUS_IO, "answer ends within its head");
 	if (code == CURLE_OK)
@@ -84,6 +113,20 @@
 	return status_set(STATUS_IO, "%s", curl_easy_strerror(code));
 }
 
+/*
+ * Counts and logs a response that is not valid.
+ */
+static void
+note_broken(const struct fetch_call *call)
+{
+	const char *url = NULL;
+
+	answers_refused.value++;
+	curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
+	log_event(EV_HTTP_ANSWER_REFUSED, "url=%s reason=\"%s\"",
+	    url != NULL ? url : "", status_message());
+}
+
 /*
  * Ends a call: removes it from libcurl, calls done unless it was cancelled, and
  * frees it.
@@ -95,12 +138,13 @@
 	long request_size = 0;
 
 	memset(&result, 0, sizeof(result));
-	curl_easy_getinfo(
-	    call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
 	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+	result.http_status = fetch_http_status(call);
 	result.status = map_result(call, code);
 	result.body = lstr_buf_view(&call->response_body);
 	result.maybe_sent = request_size > 0 && code != CURLE_COULDNT_CONNECT;
+	if (result.status == STATUS_INVALID)
+		note_broken(call);
 	curl_multi_remove_handle(call->fetch->multi, call->easy);
 	if (!call->cancelled)
 		call->ops->done(call, &result, call->arg);
@@ -251,30 +295,49 @@
 	loop_timer_set(call->timer, deadline);
 }
 
+/*
+ * Passes bytes of the body to the owner of the call, or collects them. Returns
+ * false if the call is to end.
+ */
+static bool
+deliver(struct fetch_call *call, struct lstr body)
+{
+	if (call->ops->data != NULL) {
+		call->in_data_callback = true;
+		call->ops->data(call, body, call->arg);
+		call->in_data_callback = false;
+		return !call->cancelled;
+	}
+	if (call->response_body.len + body.len > call->body_max_bytes ||
+	    lstr_buf_append(&call->response_body, body) != STATUS_OK) {
+		call->too_large = true;
+		return false;
+	}
+	return true;
+}
+
 /*
  * Called by libcurl with each complete line of a head or trailer. Returning
- * fewer bytes than given makes libcurl abort the call. libcurl reports success
- * for a response that ends within its head.
+ * fewer bytes than given makes libcurl abort the call.
  */
 static size_t
 on_head_line(char *data, size_t size, size_t count, void *arg)
 {
 	struct fetch_call *call = arg;
 	struct lstr line = lstr_make(data, size * count);
-	long status = 0;
+	struct lstr body;
+	enum http_check_event event;
 
 	call->head_bytes += line.len;
 	if (call->head_bytes > HEADS_MAX_BYTES) {
 		call->too_large = true;
 		return 0;
 	}
-	if (lstr_starts_with(line, "HTTP/")) {
-		call->head_done = false;
-	} else if (line.len > 0 && (*data == '\r' || *data == '\n')) {
-		curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-		call->head_done = status >= HTTP_FINAL_MIN;
-	}
-	return line.len;
+	if (call->head_done)
+		return line.len;
+	event = http_check_next(&call->check, &line, &body);
+	call->head_done = event == HTTP_CHECK_HEAD;
+	return event == HTTP_CHECK_INVALID ? 0 : size * count;
 }
 
 /*
@@ -285,22 +348,10 @@
 on_write(char *data, size_t size, size_t count, void *arg)
 {
 	struct fetch_call *call = arg;
-	size_t len = size * count;
+	struct lstr bytes = lstr_make(data, size * count);
 
-	note_progress(call, len);
-	if (call->ops->data != NULL) {
-		call->in_data_callback = true;
-		call->ops->data(call, lstr_make(data, len), call->arg);
-		call->in_data_callback = false;
-		return call->cancelled ? 0 : len;
-	}
-	if (call->response_body.len + len > call->body_max_bytes ||
-	    lstr_buf_append(&call->response_body, lstr_make(data, len)) !=
-		STATUS_OK) {
-		call->too_large = true;
-		return 0;
-	}
-	return len;
+	note_progress(call, bytes.len);
+	return deliver(call, bytes) ? bytes.len : 0;
 }
 
 /*
@@ -314,6 +365,7 @@
 	if (fetch == NULL)
 		return status_set(STATUS_NO_MEMORY, "HTTP client");
 	curl_global_init(CURL_GLOBAL_DEFAULT);
+	metric_register(&answers_refused);
 	fetch->loop = loop;
 	fetch->multi = curl_multi_init();
 	if (fetch->multi == NULL ||
@@ -409,6 +461,8 @@
 	call->body_max_bytes = request->response_max_bytes
 	    ? request->response_max_bytes
 	    : RESPONSE_MAX_DEFAULT_BYTES;
+	http_check_begin(&call->check, HTTP_CHECK_RESPONSE,
+	    strcmp(request->method, "HEAD") == 0);
 	call->easy = curl_easy_init();
 	status = lstr_buf_append(&call->request_body, request->body);
 	if (call->easy == NULL || status != STATUS_OK) {
@@ -455,27 +509,29 @@
 }
 
 /*
- * Returns the HTTP status of the response, or 0 before its header has arrived.
+ * Returns the HTTP status of the response, or 0 before its head has arrived or
+ * if it is not valid.
  */
 long
 fetch_http_status(const struct fetch_call *call)
 {
-	long status = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	return status;
+	return call->head_done && call->check.fault == HTTP_CHECK_VALID
+	    ? (long)call->check.status
+	    : 0;
 }
 
 /*
- * Returns the value of a header of the response; empty if there is none.
+ * Returns the value of a header of the response; empty if there is none, or if
+ * the response is not valid.
  */
 struct lstr
 fetch_header(const struct fetch_call *call, const char *name)
 {
 	struct curl_header *header = NULL;
 
-	if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) !=
-	    CURLHE_OK)
+	if (fetch_http_status(call) == 0 ||
+	    curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) !=
+		CURLHE_OK)
 		return lstr_make("", 0);
 	return lstr_from(header->value);
 }
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -461,6 +461,66 @@
 }
 END_TEST
 
+/*
+ * Returns the value of a metric of the node.
+ */
+static int64_t
+read_metric(struct node_fixture *w, const char *name)
+{
+	struct node_call call;
+	char line[128];
+	const char *at;
+	int64_t value;
+
+	node_call_send(
+	    w, &call, w->metrics, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+	node_call_wait(w, &call);
+	snprintf(line, sizeof(line), "\nchestnuthoist_%s ", name);
+	at = strstr(call.body.data, line);
+	ck_assert_msg(at != NULL, "no metric %s", name);
+	value = g_ascii_strtoll(at + strlen(line), NULL, 10);
+	lstr_buf_free(&call.body);
+	return value;
+}
+
+/* Guards against a broken answer that is taken for one of the store, or for a
+ * statement of its era. */
+START_TEST(broken_answers_of_the_store_are_refused)
+{
+	static const struct lstr answers[] = {
+	    BYTES("HTTP/1.1 000 X\r\nStore-Era: 7\r\nContent-Length: 22\r\n"
+		  "\r\n{\"events\":[],\"at\":9999}"),
+	    BYTES("HTTP/1.1 200 X\r\nStore-Era: 7\r\nX More: y\r\n"
+		  "Content-Length: 23\r\n\r\n{\"events\":[],\"at\":9999}")};
+	struct node_fixture w;
+
+	node_fixture_start(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		struct node_call call;
+		char id[32];
+
+		fake_platform_set_raw_answer(
+		    w.platform, FAKE_CALLS_STORE, answers[i], i % 2 == 1);
+		ck_assert(harness_wait(w.loop, has_raw_answers, w.platform));
+		fake_platform_set_raw_answer(
+		    w.platform, 0, lstr_make("", 0), true);
+		node_wait_until_serving(&w);
+		/* It reads the store again: a change comes into force. */
+		fake_platform_configure(w.platform, (int)i + 2, "k-next");
+		fake_platform_configure(w.platform, (int)i + 20, NODE_KEY);
+		node_wait_until_serving(&w);
+		snprintf(id, sizeof(id), "store-%zu", i);
+		node_call_plain(&w, &call, "GET", "/look/1", id, NODE_KEY);
+		ck_assert_uint_eq(call.status, 200);
+		lstr_buf_free(&call.body);
+		ck_assert_int_eq(read_metric(&w, "store_restores_total"), 0);
+		ck_assert_int_ge(
+		    read_metric(&w, "http_answers_refused_total"), 1);
+	}
+	node_fixture_stop(&w);
+}
+END_TEST
+
 HARNESS_MAIN("broken_answers", answer_without_a_status_is_refused,
     answer_with_a_name_that_is_no_token_is_refused,
     answer_with_unclear_framing_is_refused,
@@ -472,4 +532,5 @@
     broken_answers_are_no_evidence_against_a_prompt,
     broken_continuation_breaks_the_stream, malformed_chunk_breaks_the_stream,
     broken_answer_of_a_silent_server_is_refused,
-    broken_answers_to_orders_are_refused)
+    broken_answers_to_orders_are_refused,
+    broken_answers_of_the_store_are_refused)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "answers.h"
 #include "fetch.h"
 #include "httpd.h"
 
@@ -488,6 +489,88 @@
 }
 END_TEST
 
+/*
+ * Checks that a call is not answered by any answer of a list, whether its
+ * connection is closed or kept, and that nothing of the answer is left for the
+ * next call.
+ */
+static void
+check_answers_are_refused(const struct lstr *answers, size_t count)
+{
+	struct raw_server raw;
+
+	raw_start(&raw);
+	for (size_t i = 0; i < 2 * count; i++) {
+		struct lstr answer = answers[i / 2];
+		enum status status = raw_call(&raw, answer, i % 2 == 1);
+
+		ck_assert_msg(status == STATUS_INVALID,
+		    "'%.*s': %s (%s), status %ld, %zu bytes", LSTR_ARG(answer),
+		    status_name(status), status_message(),
+		    raw.fixture.http_status, raw.fixture.body.len);
+		ck_assert_int_eq(raw.fixture.http_status, 0);
+		if (raw.peer >= 0)
+			close(raw.peer);
+		raw.peer = -1;
+		lstr_buf_clear(&raw.fixture.body);
+		ck_assert_int_eq(
+		    raw_call(&raw, answers_sound[0].bytes, false), STATUS_OK);
+		ck_assert(lstr_equal_c(lstr_buf_view(&raw.fixture.body), "ok"));
+		lstr_buf_clear(&raw.fixture.body);
+	}
+	raw_stop(&raw);
+}
+
+/* Guards against answers that libcurl alone takes for valid. */
+START_TEST(answer_without_a_status_is_an_error)
+{
+	check_answers_are_refused(
+	    answers_start, sizeof(answers_start) / sizeof(*answers_start));
+}
+END_TEST
+
+/* The same for field lines. */
+START_TEST(answer_with_malformed_fields_is_an_error)
+{
+	check_answers_are_refused(
+	    answers_fields, sizeof(answers_fields) / sizeof(*answers_fields));
+}
+END_TEST
+
+/* The same for lengths and codings. */
+START_TEST(answer_with_unclear_framing_is_an_error)
+{
+	check_answers_are_refused(answers_framing,
+	    sizeof(answers_framing) / sizeof(*answers_framing));
+}
+END_TEST
+
+/* Guards against refusing what a server may send, or reading it wrongly. */
+START_TEST(valid_answers_are_read)
+{
+	struct raw_server raw;
+
+	raw_start(&raw);
+	for (size_t i = 0; i < sizeof(answers_sound) / sizeof(*answers_sound);
+	     i++) {
+		struct lstr answer = answers_sound[i].bytes;
+		enum status status = raw_call(&raw, answer, false);
+
+		lstr_buf_append(&raw.fixture.body, lstr_make("", 1));
+		ck_assert_msg(status == STATUS_OK &&
+			raw.fixture.http_status ==
+			    (long)answers_sound[i].status &&
+			strcmp(raw.fixture.body.data, answers_sound[i].body) ==
+			    0,
+		    "'%.*s': %s, status %ld, body '%s'", LSTR_ARG(answer),
+		    status_name(status), raw.fixture.http_status,
+		    raw.fixture.body.data);
+		lstr_buf_clear(&raw.fixture.body);
+	}
+	raw_stop(&raw);
+}
+END_TEST
+
 /* Guards against reading heads, also of interim responses, for as long as a
  * faulty server sends them. */
 START_TEST(head_without_end_is_cut)
@@ -612,7 +695,10 @@
 }
 END_TEST
 
-HARNESS_MAIN("http", stalled_body_gives_way_with_a_refusal,
+HARNESS_MAIN("http", answer_without_a_status_is_an_error,
+    answer_with_malformed_fields_is_an_error,
+    answer_with_unclear_framing_is_an_error, valid_answers_are_read,
+    stalled_body_gives_way_with_a_refusal,
     body_without_room_is_refused_beside_a_complete_request,
     head_without_end_is_cut, response_cut_at_any_byte_is_an_error,
     aborted_response_is_an_error, disconnected_client_is_detected,
