Refuse answers with malformed chunks in fetch

Programs that read answers with fetch took bodies for whole whose chunks are malformed: anything behind the size of a chunk, a bare line feed, trailer lines that are none, and an answer that ends before the last line feed.

Cause: libcurl reads the digits of a size and ignores the rest of the line.

Change: libcurl passes the body with its chunk lines (CURLOPT_HTTP_TRANSFER_DECODING 0), and http_check reads them. A call succeeds only if the whole answer has arrived by its rules. The exception for the last line feed in response_cut_at_any_byte_is_an_error is gone: the test is stricter.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -104,8 +104,9 @@
 		    call->check.fault != HTTP_CHECK_VALID
 			? http_check_fault_text(call->check.fault)
 			: curl_easy_strerror(code));
-	if (code == CURLE_OK && !call->head_done)
-		return status_set(STATUS_IO, "answer ends within its head");
+	if (code == CURLE_OK && !http_check_is_complete(&call->check) &&
+	    !http_check_ends_with_connection(&call->check))
+		return status_set(STATUS_IO, "answer is not complete");
 	if (code == CURLE_OK)
 		return STATUS_OK;
 	if (code == CURLE_COULDNT_CONNECT)
@@ -316,33 +317,56 @@
 	return true;
 }
 
+/*
+ * Checks received bytes and delivers the body in them. Returns false if the
+ * call is to end.
+ */
+static bool
+receive(struct fetch_call *call, struct lstr bytes)
+{
+	struct lstr body;
+
+	for (;;) {
+		switch (http_check_next(&call->check, &bytes, &body)) {
+		case HTTP_CHECK_HEAD:
+			call->head_done = true;
+			break;
+		case HTTP_CHECK_BODY:
+			if (!deliver(call, body))
+				return false;
+			break;
+		case HTTP_CHECK_MORE:
+		case HTTP_CHECK_END:
+			return true;
+		case HTTP_CHECK_INVALID:
+			return false;
+		}
+	}
+}
+
 /*
  * Called by libcurl with each complete line of a head or trailer. Returning
- * fewer bytes than given makes libcurl abort the call.
+ * fewer bytes than given makes libcurl abort the call. A trailer has been
+ * checked with the body.
  */
 static size_t
 on_head_line(char *data, size_t size, size_t count, void *arg)
 {
 	struct fetch_call *call = arg;
 	struct lstr line = lstr_make(data, size * count);
-	struct lstr body;
-	enum http_check_event event;
 
 	call->head_bytes += line.len;
 	if (call->head_bytes > HEADS_MAX_BYTES) {
 		call->too_large = true;
 		return 0;
 	}
-	if (call->head_done)
-		return line.len;
-	event = http_check_next(&call->check, &line, &body);
-	call->head_done = event == HTTP_CHECK_HEAD;
-	return event == HTTP_CHECK_INVALID ? 0 : size * count;
+	return call->head_done || receive(call, line) ? line.len : 0;
 }
 
 /*
- * Called by libcurl with bytes of a response body. Returning fewer bytes than
- * given makes libcurl abort the call.
+ * Called by libcurl with bytes of a response body, which still contain the
+ * lines of its chunks. Returning fewer bytes than given makes libcurl abort the
+ * call.
  */
 static size_t
 on_write(char *data, size_t size, size_t count, void *arg)
@@ -351,7 +375,7 @@
 	struct lstr bytes = lstr_make(data, size * count);
 
 	note_progress(call, bytes.len);
-	return deliver(call, bytes) ? bytes.len : 0;
+	return receive(call, bytes) ? bytes.len : 0;
 }
 
 /*
@@ -420,6 +444,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	/* libcurl ignores what follows the size of a chunk. */
+	curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	if (request->once) {
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -491,7 +491,10 @@
 	    BYTES("HTTP/1.1 000 X\r\nStore-Era: 7\r\nContent-Length: 22\r\n"
 		  "\r\n{\"events\":[],\"at\":9999}"),
 	    BYTES("HTTP/1.1 200 X\r\nStore-Era: 7\r\nX More: y\r\n"
-		  "Content-Length: 23\r\n\r\n{\"events\":[],\"at\":9999}")};
+		  "Content-Length: 23\r\n\r\n{\"events\":[],\"at\":9999}"),
+	    BYTES("HTTP/1.1 200 X\r\nStore-Era: 7\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n"
+		  "17 x\r\n{\"events\":[],\"at\":9999}\r\n0\r\n\r\n")};
 	struct node_fixture w;
 
 	node_fixture_start(&w);
--- a/tests/test_broken_calls.c
+++ b/tests/test_broken_calls.c
@@ -22,18 +22,22 @@
 	const char *start;
 	const char *middle;
 	const char *end;
-} formats[] = {{"HTTP/1.1 200 X\r\nContent-Length: ", "\r\n\r\n", ""},
-    {"HTTP/1.1 000 X\r\nContent-Length: ", "\r\n\r\n", ""},
-    {"HTTP/1.1 600 X\r\nContent-Length: ", "\r\n\r\n", ""},
-    {"HTTP/1.1 200 X\r\nX More: y\r\nContent-Length: ", "\r\n\r\n", ""},
-    {"HTTP/1.1 200 X\r\nX\001: y\r\nContent-Length: ", "\r\n\r\n", ""},
-    {"HTTP/1.1 200 X\r\nContent-Length: ", "\r\n X: y\r\n\r\n", ""},
-    {"HTTP/1.1 200 X\r\nContent-Length : 1\r\nContent-Length: ", "\r\n\r\n",
-	""},
-    {"HTTP/1.1 200 X\r\nContent-Length: +", "\r\n\r\n", ""},
-    {"HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\nX: ", "\r\n\r\n", ""},
-    {"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: ", "\r\n\r\n",
-	""}};
+	/* The length is hexadecimal. */
+	bool in_chunks;
+} formats[] = {{"HTTP/1.1 200 X\r\nContent-Length: ", "\r\n\r\n", "", false},
+    {"HTTP/1.1 000 X\r\nContent-Length: ", "\r\n\r\n", "", false},
+    {"HTTP/1.1 600 X\r\nContent-Length: ", "\r\n\r\n", "", false},
+    {"HTTP/1.1 200 X\r\nX More: y\r\nContent-Length: ", "\r\n\r\n", "", false},
+    {"HTTP/1.1 200 X\r\nX\001: y\r\nContent-Length: ", "\r\n\r\n", "", false},
+    {"HTTP/1.1 200 X\r\nContent-Length: ", "\r\n X: y\r\n\r\n", "", false},
+    {"HTTP/1.1 200 X\r\nContent-Length : 1\r\nContent-Length: ", "\r\n\r\n", "",
+	false},
+    {"HTTP/1.1 200 X\r\nContent-Length: +", "\r\n\r\n", "", false},
+    {"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", " x\r\n",
+	"\r\n0\r\n\r\n", true},
+    {"HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\nX: ", "\r\n\r\n", "", false},
+    {"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: ", "\r\n\r\n", "",
+	false}};
 
 #define FORMATS (sizeof(formats) / sizeof(*formats))
 
@@ -88,8 +92,10 @@
 	getsockname(listener, (struct sockaddr *)&address, &len);
 	snprintf(f->address, sizeof(f->address), "127.0.0.1:%u",
 	    (unsigned int)ntohs(address.sin_port));
-	snprintf(answer, sizeof(answer), "%s%zu%s%s%s", formats[format].start,
-	    strlen(body), formats[format].middle, body, formats[format].end);
+	snprintf(answer, sizeof(answer),
+	    formats[format].in_chunks ? "%s%zx%s%s%s" : "%s%zu%s%s%s",
+	    formats[format].start, strlen(body), formats[format].middle, body,
+	    formats[format].end);
 	f->server = fork();
 	ck_assert_int_ge(f->server, 0);
 	if (f->server == 0)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -444,19 +444,16 @@
 		const char *text;
 		/* The connection ends the body, so only the head is cut. */
 		bool unframed;
-		/* Bytes at the end that libcurl does not wait for: the last
-		 * line feed after the last chunk. */
-		size_t optional;
 	} responses[] = {
 	    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-More: y\r\n\r\nhello",
-		false, 0},
+		false},
 	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello"
 	     "\r\n0\r\nX-Trailer: y\r\n\r\n",
-		false, 1},
+		false},
 	    {"HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n"
 	     "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
-		false, 0},
-	    {"HTTP/1.1 200 OK\r\nX-More: y\r\n\r\n", true, 0}};
+		false},
+	    {"HTTP/1.1 200 OK\r\nX-More: y\r\n\r\n", true}};
 	struct raw_server raw;
 
 	raw_start(&raw);
@@ -465,9 +462,7 @@
 		const char *text = responses[i / 2].text;
 		bool reused = i % 2 == 1;
 
-		size_t cuts = strlen(text) - responses[i / 2].optional;
-
-		for (size_t len = reused; len < cuts; len++) {
+		for (size_t len = reused; len < strlen(text); len++) {
 			if (reused)
 				ck_assert_int_eq(
 				    raw_call(&raw, lstr_from(whole), true),
@@ -545,6 +540,14 @@
 }
 END_TEST
 
+/* The same for chunks. */
+START_TEST(answer_with_malformed_chunks_is_an_error)
+{
+	check_answers_are_refused(
+	    answers_chunks, sizeof(answers_chunks) / sizeof(*answers_chunks));
+}
+END_TEST
+
 /* Guards against refusing what a server may send, or reading it wrongly. */
 START_TEST(valid_answers_are_read)
 {
@@ -697,7 +700,8 @@
 
 HARNESS_MAIN("http", answer_without_a_status_is_an_error,
     answer_with_malformed_fields_is_an_error,
-    answer_with_unclear_framing_is_an_error, valid_answers_are_read,
+    answer_with_unclear_framing_is_an_error,
+    answer_with_malformed_chunks_is_an_error, valid_answers_are_read,
     stalled_body_gives_way_with_a_refusal,
     body_without_room_is_refused_beside_a_complete_request,
     head_without_end_is_cut, response_cut_at_any_byte_is_an_error,
