Do not take bytes after an answer for the next one in fetch

A program that reads answers with fetch took bytes that a server sent after its answer for the answer to the next call on the same connection: with a second answer there, every later call got the one before its own.

The node's own connections are checked (h1_has_input).

Change: before a request is sent on a reused connection, fetch looks for unread bytes or the end of the connection. If there are any, the call starts again on a new connection; nothing has been sent then. libcurl tells only the addresses of a connection there, so fetch keeps its sockets by these.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -1,8 +1,12 @@
 #include <assert.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
+#include <glib.h>
 
 #include "fetch.h"
 #include "http_check.h"
@@ -19,6 +23,8 @@
 	struct loop *loop;
 	CURLM *multi;
 	struct loop_timer *timer;
+	/* Open connections by their addresses. */
+	GHashTable *sockets;
 };
 
 struct fetch_call {
@@ -41,6 +47,10 @@
 	/* The empty line after the head of the final response has arrived. */
 	bool head_done;
 	size_t head_bytes;
+	/* The socket opened last. */
+	curl_socket_t fd;
+	/* The reused connection had unread bytes, so nothing was sent on it. */
+	bool stale;
 	bool timed_out;
 	bool too_large;
 	bool in_data_callback;
@@ -152,6 +162,21 @@
 	call_free(call);
 }
 
+/*
+ * Starts a call again on a new connection. Nothing of it has been sent. Returns
+ * false if that is not possible.
+ */
+static bool
+restart(struct fetch_call *call)
+{
+	CURLM *multi = call->fetch->multi;
+
+	call->stale = false;
+	curl_multi_remove_handle(multi, call->easy);
+	curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	return curl_multi_add_handle(multi, call->easy) == CURLM_OK;
+}
+
 /*
  * Ends the calls that libcurl reports as done.
  */
@@ -163,12 +188,15 @@
 
 	while ((message = curl_multi_info_read(fetch->multi, &left)) != NULL) {
 		struct fetch_call *call = NULL;
+		CURLcode result;
 
 		if (message->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(
 		    message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
-		finish(call, message->data.result);
+		result = message->data.result;
+		if (!call->stale || !restart(call))
+			finish(call, result);
 	}
 }
 
@@ -378,6 +406,81 @@
 	return receive(call, bytes) ? bytes.len : 0;
 }
 
+/*
+ * Called by libcurl for each new socket.
+ */
+static int
+on_socket_created(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	struct fetch_call *call = arg;
+
+	(void)purpose;
+	call->fd = fd;
+	return CURL_SOCKOPT_OK;
+}
+
+/*
+ * Returns whether an entry of fetch.sockets is that of a socket.
+ */
+static gboolean
+is_socket(gpointer key, gpointer value, gpointer fd)
+{
+	(void)key;
+	return value == fd;
+}
+
+/*
+ * Called by libcurl to close a socket.
+ */
+static int
+on_socket_closed(void *arg, curl_socket_t fd)
+{
+	struct fetch *fetch = arg;
+
+	g_hash_table_foreach_remove(
+	    fetch->sockets, is_socket, GINT_TO_POINTER(fd));
+	return close(fd);
+}
+
+/*
+ * Returns whether a socket has unread bytes, or was closed by the peer.
+ */
+static bool
+has_input(curl_socket_t fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/*
+ * Called by libcurl before it sends a request. A reused connection that its
+ * server has closed, or that has unread bytes, which belong to no request, is
+ * not used; libcurl tells its addresses only.
+ */
+static int
+on_ready_to_send(
+    void *arg, char *remote, char *local, int remote_port, int local_port)
+{
+	struct fetch_call *call = arg;
+	GHashTable *sockets = call->fetch->sockets;
+	char *key = g_strdup_printf(
+	    "%s %d %s %d", remote, remote_port, local, local_port);
+	long connects = 0;
+	gpointer fd;
+
+	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+	if (connects > 0) {
+		g_hash_table_replace(sockets, key, GINT_TO_POINTER(call->fd));
+		return CURL_PREREQFUNC_OK;
+	}
+	call->stale = g_hash_table_lookup_extended(sockets, key, NULL, &fd) &&
+	    has_input(GPOINTER_TO_INT(fd));
+	g_free(key);
+	return call->stale ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 /*
  * Creates a client. It must be destroyed only after its calls have ended.
  */
@@ -391,11 +494,14 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	metric_register(&answers_refused);
 	fetch->loop = loop;
+	fetch->sockets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fetch->multi = curl_multi_init();
 	if (fetch->multi == NULL ||
 	    loop_timer_create(loop, on_timer, fetch, &fetch->timer) !=
 		STATUS_OK) {
 		curl_multi_cleanup(fetch->multi);
+		g_hash_table_destroy(fetch->sockets);
 		free(fetch);
 		return status_set(STATUS_NO_MEMORY, "HTTP client");
 	}
@@ -420,6 +526,7 @@
 		return;
 	curl_multi_cleanup(fetch->multi);
 	loop_timer_destroy(fetch->timer);
+	g_hash_table_destroy(fetch->sockets);
 	free(fetch);
 }
 
@@ -437,6 +544,12 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, call);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_socket_closed);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, call->fetch);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -574,6 +574,62 @@
 }
 END_TEST
 
+/* Guards against a response that ends at another byte than its server's,
+ * depending on how it arrives. */
+START_TEST(valid_answers_are_read_byte_by_byte)
+{
+	struct raw_server raw;
+
+	raw_start(&raw);
+	for (size_t i = 0; i < sizeof(answers_sound) / sizeof(*answers_sound);
+	     i++) {
+		struct lstr answer = answers_sound[i].bytes;
+
+		raw_start_call(&raw);
+		ck_assert(
+		    harness_wait(raw.fixture.loop, raw_has_request, &raw));
+		for (size_t at = 0; at < answer.len; at++) {
+			raw_respond(&raw, lstr_make(answer.data + at, 1), true);
+			for (int n = 0; n < 3; n++)
+				loop_run_once(raw.fixture.loop, 0);
+		}
+		close(raw.peer);
+		raw.peer = -1;
+		ck_assert(harness_wait(raw.fixture.loop, is_done, &raw));
+		ck_assert_msg(raw.fixture.status == STATUS_OK &&
+			lstr_equal_c(lstr_buf_view(&raw.fixture.body),
+			    answers_sound[i].body),
+		    "'%.*s': %s", LSTR_ARG(answer), status_message());
+		lstr_buf_clear(&raw.fixture.body);
+	}
+	raw_stop(&raw);
+}
+END_TEST
+
+/* Guards against taking bytes that follow an answer for that to the next call
+ * on the connection. */
+START_TEST(bytes_after_an_answer_are_not_the_next_one)
+{
+	static const char stray[] =
+	    "HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nstray";
+	struct raw_server raw;
+	int earlier;
+
+	raw_start(&raw);
+	ck_assert_int_eq(
+	    raw_call(&raw, answers_sound[0].bytes, true), STATUS_OK);
+	lstr_buf_clear(&raw.fixture.body);
+	raw_respond(&raw, lstr_from(stray), true);
+	earlier = raw.peer;
+	raw.peer = -1;
+	ck_assert_int_eq(
+	    raw_call(&raw, answers_sound[0].bytes, false), STATUS_OK);
+	ck_assert(lstr_equal_c(lstr_buf_view(&raw.fixture.body), "ok"));
+	close(earlier);
+	raw_stop(&raw);
+}
+END_TEST
+
 /* Guards against reading heads, also of interim responses, for as long as a
  * faulty server sends them. */
 START_TEST(head_without_end_is_cut)
@@ -702,7 +758,8 @@
     answer_with_malformed_fields_is_an_error,
     answer_with_unclear_framing_is_an_error,
     answer_with_malformed_chunks_is_an_error, valid_answers_are_read,
-    stalled_body_gives_way_with_a_refusal,
+    bytes_after_an_answer_are_not_the_next_one,
+    valid_answers_are_read_byte_by_byte, stalled_body_gives_way_with_a_refusal,
     body_without_room_is_refused_beside_a_complete_request,
     head_without_end_is_cut, response_cut_at_any_byte_is_an_error,
     aborted_response_is_an_error, disconnected_client_is_detected,
