--- a/src/node/h1.h
+++ b/src/node/h1.h
@@ -11,9 +11,9 @@
 
 /*
  * HTTP/1.1 server and client connections on the event loop of the process.
- * Messages are parsed by http-parser; the bytes of heads and bodies are passed
- * on unchanged. docs/decisions.md explains why neither libmicrohttpd nor
- * libcurl is used for forwarded requests.
+ * Messages are checked by http_check and parsed by http-parser; the bytes of
+ * heads and bodies are passed on unchanged. docs/decisions.md explains why
+ * neither libmicrohttpd nor libcurl is used for forwarded requests.
  */
 struct h1;
 struct h1_conn;
