Use all attempts of a plain route after broken answers

Callers of a plain service got 502 after two broken answers although their route allows three servers.

Cause: my limit on the attempts of a request with broken answers counted for plain services too; it stands for prompts that may end engines.

Change: only requests to engines are counted.

--- a/src/node/gateway_send.c
+++ b/src/node/gateway_send.c
@@ -386,7 +386,8 @@
 
 	pool_note_result(server, false);
 	gateway_note_broken_answer(request, server, reason);
-	request->cuts++;
+	if (request->service->engine != NULL)
+		request->cuts++;
 	gateway_attempt_failed(request, false, "answer is not valid");
 }
 
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -116,6 +116,9 @@
 /* The same for an idempotent one, which may be sent to two servers. */
 void fake_platform_add_repeatable_route(
     struct fake_platform *, const char *name);
+/* The same for an idempotent one, which may be sent to three servers. */
+void fake_platform_add_persistent_route(
+    struct fake_platform *, const char *name);
 /* Sets the limits of callers' heads and bodies in all later configurations. */
 void fake_platform_set_request_limits(
     struct fake_platform *, size_t head_max, size_t body_max);
--- a/tests/fakes/platform_model.c
+++ b/tests/fakes/platform_model.c
@@ -2190,6 +2190,18 @@
 	    name, name);
 }
 
+void
+fake_platform_add_persistent_route(
+    struct fake_platform *platform, const char *name)
+{
+	g_string_append_printf(platform->added_routes,
+	    ",{\"name\":\"%s\",\"host\":\"models.example\","
+	    "\"prefix\":\"/%s/\",\"kind\":\"idempotent\","
+	    "\"timeoutMs\":800,\"targetLatencyMs\":150,\"priority\":2,"
+	    "\"service\":\"ledger\",\"maxAttempts\":3}",
+	    name, name);
+}
+
 void
 fake_platform_set_store_silent(
     struct fake_platform *platform, bool store_silent)
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -181,6 +181,28 @@
 }
 END_TEST
 
+/* Guards against giving up a request to a plain service before its route does:
+ * a limit on prompts that may end engines does not concern it. */
+START_TEST(plain_request_uses_all_attempts_of_its_route)
+{
+	struct node_fixture w;
+	struct node_call call;
+
+	node_fixture_prepare(&w);
+	fake_platform_add_persistent_route(w.platform, "persistent");
+	fake_platform_configure(w.platform, 2, NODE_KEY);
+	node_spawn(&w);
+	node_wait_until_serving(&w);
+	fake_platform_set_raw_answer(
+	    w.platform, FAKE_CALLS_REQUESTS, answers_start[0], false);
+	node_call_plain(&w, &call, "GET", "/persistent/1", "p1", NODE_KEY);
+	ck_assert_uint_eq(call.status, 502);
+	ck_assert_uint_ge(fake_platform_run_count(w.platform, "p1"), 3);
+	lstr_buf_free(&call.body);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 #define STREAM_FIELDS                                                          \
 	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 #define EVENT "f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n"
@@ -530,6 +552,7 @@
     answer_with_malformed_chunks_is_refused, sound_answers_are_passed_on,
     answer_without_content_is_passed_on_without_a_length,
     another_server_answers_beside_a_broken_one,
+    plain_request_uses_all_attempts_of_its_route,
     another_engine_answers_beside_a_broken_one,
     broken_head_of_a_stream_is_refused,
     broken_answers_are_no_evidence_against_a_prompt,
