tests: the stand-in refuses a path with layers given up

Cause: the stand-in of an engine ran a request whose path has layers that the engine has just given up, and counted it as a broken promise of the node. The platform's protocol has a replica refuse it (421, not run, the replica at fault is named), since no node can know of an order before the store tells it.

Change: the stand-in answers 421, and 409 to a reroute, and counts such paths apart. The check is as strict for what a node answers for: a gap, an overlap, an empty stage, an unknown engine and layers that an engine never held are counted as before, and the path is printed; the tests that demanded no path without its layers demand it still. The soak also counts a path whose layers were given up longer ago than a node's copy of the store may be old (NODE_REVOKE_MS). A new test has an engine give up layers which its entry still shows: the stream is served on another path and runs once. The node handled that already.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1016,6 +1016,15 @@
 		printf("BROKEN %u paths were not whole\n",
 		    fake_platform_incomplete_path_count(s->platform));
 	}
+	/* The copy by which a node serves keys is never older than this. */
+	if (fake_platform_outdated_path_usec(s->platform) >
+	    NODE_REVOKE_MS * LOOP_USEC_PER_MSEC) {
+		s->violations++;
+		printf("BROKEN a path had layers that were given up %.3f s "
+		       "before\n",
+		    (double)fake_platform_outdated_path_usec(s->platform) /
+			1e6);
+	}
 	if (fake_platform_authorization_count(s->platform) > 0) {
 		s->violations++;
 		printf("BROKEN a back end saw a key\n");
@@ -1025,6 +1034,12 @@
 		printf("BROKEN %u of %u requests served after the faults\n",
 		    s->served_after_recovery, s->sent_after_recovery);
 	}
+	if (fake_platform_outdated_path_count(s->platform) > 0)
+		printf("seed %u: %u paths refused, whose layers had been given "
+		       "up up to %.3f s before\n",
+		    seed, fake_platform_outdated_path_count(s->platform),
+		    (double)fake_platform_outdated_path_usec(s->platform) /
+			1e6);
 	if (s->restores)
 		printf("seed %u: %u restores, %u routes added, %u silences, "
 		       "%u streams in them\n",
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -63,6 +63,7 @@
 	check_events(&call);
 	ck_assert_uint_eq(fake_platform_run_count(w.platform, "s1"), 1);
 	ck_assert_uint_eq(fake_platform_incomplete_path_count(w.platform), 0);
+	ck_assert_uint_eq(fake_platform_outdated_path_count(w.platform), 0);
 	node_call_plain(&w, &call, "POST", "/order/1", "o1", NODE_KEY);
 	ck_assert_uint_eq(call.status, 200);
 	ck_assert_str_eq(call.body.data, "a whole answer");
@@ -344,6 +345,7 @@
 		check_events(&calls[i]);
 	}
 	ck_assert_uint_eq(fake_platform_incomplete_path_count(w.platform), 0);
+	ck_assert_uint_eq(fake_platform_outdated_path_count(w.platform), 0);
 	node_fixture_stop(&w);
 }
 END_TEST
@@ -463,6 +465,7 @@
 	}
 	ck_assert_uint_gt(fake_platform_reroute_count(w.platform), 0);
 	ck_assert_uint_eq(fake_platform_incomplete_path_count(w.platform), 0);
+	ck_assert_uint_eq(fake_platform_outdated_path_count(w.platform), 0);
 	node_fixture_stop(&w);
 }
 END_TEST
--- a/tests/test_node_leaving.c
+++ b/tests/test_node_leaving.c
@@ -145,6 +145,7 @@
 	ck_assert_uint_eq(
 	    fake_platform_received_count(w.platform, leaving), before[0]);
 	ck_assert_uint_eq(fake_platform_incomplete_path_count(w.platform), 0);
+	ck_assert_uint_eq(fake_platform_outdated_path_count(w.platform), 0);
 	node_fixture_stop(&w);
 }
 END_TEST
@@ -167,6 +168,7 @@
 		ck_assert_uint_eq(write_stream(&w, &call), 200);
 	ck_assert_uint_eq(fake_platform_received_count(w.platform, 1), before);
 	ck_assert_uint_eq(fake_platform_incomplete_path_count(w.platform), 0);
+	ck_assert_uint_eq(fake_platform_outdated_path_count(w.platform), 0);
 	node_fixture_stop(&w);
 }
 END_TEST
@@ -407,6 +409,61 @@
 }
 END_TEST
 
+/*
+ * Returns whether other engines hold all layers of an engine that holds some.
+ */
+static bool
+is_redundant(const struct fake_platform *platform, unsigned int engine)
+{
+	unsigned int held = 0;
+
+	for (unsigned int layer = 0; layer < FAKE_LAYER_COUNT; layer++) {
+		unsigned int others = 0;
+
+		if (!fake_platform_holds_layer(platform, engine, layer))
+			continue;
+		held++;
+		for (unsigned int i = 0; i < FAKE_ENGINE_COUNT; i++)
+			others += i != engine &&
+			    fake_platform_holds_layer(platform, i, layer);
+		if (others == 0)
+			return false;
+	}
+	return held > 0;
+}
+
+/* An engine that refuses a path because it no longer holds its layers must not
+ * cost callers their streams, nor make one run twice. */
+START_TEST(stream_is_served_if_an_engine_has_given_up_its_layers)
+{
+	struct node_fixture w;
+	struct node_call call;
+	unsigned int engine = 0;
+	int64_t deadline;
+	char id[32];
+
+	node_fixture_start(&w);
+	while (engine < FAKE_ENGINE_COUNT && !is_redundant(w.platform, engine))
+		engine++;
+	ck_assert_uint_lt(engine, FAKE_ENGINE_COUNT);
+	fake_platform_give_up_layers(w.platform, engine);
+	deadline = loop_now(w.loop) + HARNESS_DEADLINE_USEC;
+	for (unsigned int i = 0;
+	     fake_platform_outdated_path_count(w.platform) == 0; i++) {
+		ck_assert_int_lt(loop_now(w.loop), deadline);
+		snprintf(id, sizeof(id), "moved-%u", i);
+		node_start_stream(&w, &call, id);
+		node_call_wait(&w, &call);
+		lstr_buf_free(&call.body);
+		ck_assert_uint_eq(call.status, 200);
+		ck_assert(call.complete);
+		ck_assert_uint_eq(fake_platform_run_count(w.platform, id), 1);
+	}
+	ck_assert_uint_eq(fake_platform_incomplete_path_count(w.platform), 0);
+	node_fixture_stop(&w);
+}
+END_TEST
+
 struct engine_count {
 	const struct fake_platform *platform;
 	unsigned int engines;
@@ -465,4 +522,5 @@
     streams_are_refused_while_no_engine_of_a_layer_wants_them,
     time_of_a_refusal_is_that_of_the_refusing_engine,
     queued_streams_are_refused_when_no_engine_wants_them,
+    stream_is_served_if_an_engine_has_given_up_its_layers,
     planner_leaves_refusing_engines_alone)
