--- a/src/node/h1.c
+++ b/src/node/h1.c
@@ -692,8 +692,8 @@
 /*
  * Parses bytes, which are the pending input if there is any, until a message is
  * complete and keeps the rest. The parser reads only what was checked: it
- * accepts statuses that are none, and as Debian builds it, without strict
- * checks, also blanks in field names and malformed chunks.
+ * accepts statuses outside 100 to 599 and, depending on how it was built,
+ * blanks in field names and malformed chunks.
  */
 static void
 parse(struct h1_conn *conn, struct lstr bytes)
