review: drop two cases that earlier ones show, renumber the others

The endless replicas of case 14 sent faster than the link of a machine.

Change: the two are removed, HEAD becomes case 12 and the events without end case 13. The replicas of case 13 now share 1,000 Mbit/s; its crowd is 1,300 clients, which leave after 8 s. What the removed cases used of the stand-ins is gone.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15 into target/review-3. The scripts of
+# Builds the stand-ins of the cases 11 to 13 into target/review-3. The scripts of
 # these cases start no other stand-in.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/stand-ins-3/endless_event.c
+++ b/review/stand-ins-3/endless_event.c
@@ -15,10 +15,10 @@
 #define MACHINES 2
 #define REPLICAS 5
 #define ENDLESS 3
-#define CROWD 600
-#define CROWDS 5
-#define CROWD_PAUSE_MS 9000
-#define CLIENT_MS 4000
+#define CROWD 1300
+#define CROWDS 6
+#define CROWD_PAUSE_MS 15000
+#define CLIENT_MS 8000
 #define MEMORY_MB 260
 #define RESTART_MS 1000
 /* Rule Fault: on a tenth of the machines in use, two at least, processes end by
@@ -118,7 +118,7 @@
 	begin = rig_now_ms();
 	for (int i = 0; i < MACHINES; i++)
 		crowd_at[i] = begin + i * CROWD_PAUSE_MS / MACHINES;
-	while (rig_now_ms() < begin + (CROWDS + 1) * CROWD_PAUSE_MS) {
+	while (rig_now_ms() < begin + (CROWDS * CROWD_PAUSE_MS + CLIENT_MS)) {
 		for (int i = 0; i < MACHINES; i++) {
 			struct rig_node *machine = &machines[i];
 			long kb = machine->pid > 0 ? rig_node_rss_kb(machine)
--- a/review/stand-ins-3/rig.c
+++ b/review/stand-ins-3/rig.c
@@ -20,8 +20,11 @@
 #include "rig.h"
 
 #define NODES_MAX 8
-#define IDS_MAX 20000
-#define CRASHES_MAX 1000
+/* The link of a machine of the site: 1,000 Mbit/s. */
+#define LINK_BYTES_PER_MS 125000.0
+/* An endless event comes as fast as the link allows up to here, and then slowly.
+ */
+#define ENDLESS_FAST_BYTES 900000
 #define ITEMS_MAX 256
 #define HISTORY_MAX 65536
 #define LEASES_MAX 65536
@@ -161,8 +164,6 @@
 	int fd;
 	void (*serve)(struct rig_conn *, void *);
 	void *arg;
-	/* Set when the socket is closed. */
-	const bool *stopped;
 };
 
 struct session {
@@ -204,8 +205,6 @@
 		int fd = accept4(server->fd, NULL, NULL, SOCK_CLOEXEC);
 		struct session *session;
 
-		if (fd < 0 && server->stopped != NULL && *server->stopped)
-			return NULL;
 		if (fd < 0) {
 			rig_sleep_ms(10);
 			continue;
@@ -982,59 +981,12 @@
 
 /* Replicas. */
 
-static pthread_mutex_t run_lock = PTHREAD_MUTEX_INITIALIZER;
-static char run_ids[IDS_MAX][17];
-static int run_count;
-static pthread_mutex_t replica_lock = PTHREAD_MUTEX_INITIALIZER;
-static int64_t crash_times[CRASHES_MAX];
-static int crash_count;
-
 static void
 note_run(const char *id, const struct rig_replica *replica)
 {
-	pthread_mutex_lock(&run_lock);
-	if (run_count < IDS_MAX)
-		snprintf(run_ids[run_count++], sizeof(run_ids[0]), "%s", id);
-	pthread_mutex_unlock(&run_lock);
 	rig_record("replica %s runs %s", replica->id, id);
 }
 
-int
-rig_runs(void)
-{
-	int count;
-
-	pthread_mutex_lock(&run_lock);
-	count = run_count;
-	pthread_mutex_unlock(&run_lock);
-	return count;
-}
-
-int
-rig_count_runs(const char *id)
-{
-	int count = 0;
-
-	pthread_mutex_lock(&run_lock);
-	for (int i = 0; i < run_count; i++)
-		count += strcmp(run_ids[i], id) == 0;
-	pthread_mutex_unlock(&run_lock);
-	return count;
-}
-
-int
-rig_crashes(int64_t *at_ms, int max)
-{
-	int count;
-
-	pthread_mutex_lock(&replica_lock);
-	count = crash_count;
-	for (int i = 0; i < count && i < max; i++)
-		at_ms[i] = crash_times[i];
-	pthread_mutex_unlock(&replica_lock);
-	return count;
-}
-
 static int64_t
 wall_ms(void)
 {
@@ -1044,24 +996,12 @@
 	return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
-/* Writes the layers of a model replica as JSON. */
-static const char *
-format_layers(const struct rig_replica *replica, char *text, size_t size)
-{
-	if (replica->layer_from == replica->layer_to)
-		return "null";
-	snprintf(text, size, "{\"source\":%d,\"target\":%d,\"version\":1}",
-	    replica->layer_from, replica->layer_to);
-	return text;
-}
-
 /* Registers a replica in the store. */
 static void
 put_entry(const struct rig_replica *replica)
 {
 	char key[64];
 	char entry[512];
-	char layers[64];
 	int len = snprintf(entry, sizeof(entry),
 	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"pnw-a\","
 	    "\"version\":\"1\",\"slots\":%d,\"state\":\"ready\","
@@ -1073,166 +1013,58 @@
 		len += snprintf(entry + len, sizeof(entry) - (size_t)len,
 		    ",\"kind\":\"h\",\"stage\":\"combined\",\"models\":"
 		    "[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],"
-		    "\"layers\":%s",
-		    format_layers(replica, layers, sizeof(layers)));
+		    "\"layers\":{\"source\":0,\"target\":%d,\"version\":1}",
+		    RIG_LAYERS);
 	snprintf(entry + len, sizeof(entry) - (size_t)len, "}");
 	snprintf(key, sizeof(key), "servers/%s", replica->id);
 	rig_store_put(key, entry);
 }
 
-static void serve_replica(struct rig_conn *, void *);
-
-/* Listens at the address of a replica; at a free port if it has none yet. */
-static bool
-open_replica(struct rig_replica *replica)
-{
-	struct server *server = calloc(1, sizeof(*server));
-
-	server->fd = rig_listen(replica->ip, &replica->port);
-	server->serve = serve_replica;
-	server->arg = replica;
-	server->stopped = &replica->is_down;
-	replica->listener = server->fd;
-	if (server->fd < 0)
-		return false;
-	start_thread(run_server, server);
-	return true;
-}
-
-/* Lets a replica come back after a crash: a new lifetime that holds nothing. */
-static void *
-run_return(void *arg)
-{
-	struct rig_replica *replica = arg;
-
-	rig_sleep_ms(replica->back_ms);
-	pthread_mutex_lock(&replica_lock);
-	replica->born = wall_ms();
-	replica->layer_from = replica->layer_to = 0;
-	replica->orders = 0;
-	replica->is_down = false;
-	pthread_mutex_unlock(&replica_lock);
-	while (!open_replica(replica))
-		rig_sleep_ms(50);
-	rig_record("replica %s is back, empty", replica->id);
-	put_entry(replica);
-	return NULL;
-}
-
-/* Ends a replica with all its channels. */
-static void
-crash(struct rig_replica *replica)
-{
-	const struct linger linger = {.l_onoff = 1};
-
-	pthread_mutex_lock(&replica_lock);
-	if (replica->is_down) {
-		pthread_mutex_unlock(&replica_lock);
-		return;
-	}
-	replica->is_down = true;
-	replica->crashes++;
-	if (crash_count < CRASHES_MAX)
-		crash_times[crash_count++] = rig_now_ms();
-	shutdown(replica->listener, SHUT_RDWR);
-	close(replica->listener);
-	for (int i = 0; i < RIG_SESSIONS_MAX; i++) {
-		int fd = replica->sessions[i] - 1;
-
-		if (fd < 0)
-			continue;
-		/* The sessions close their sockets, which resets them. */
-		setsockopt(
-		    fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-		shutdown(fd, SHUT_RD);
-	}
-	pthread_mutex_unlock(&replica_lock);
-	rig_record("replica %s crashes", replica->id);
-	start_thread(run_return, replica);
-}
-
-struct load {
-	struct rig_replica *replica;
-	int64_t born;
-	int layer_from;
-	int layer_to;
-};
-
-/* Loads layers. */
-static void *
-run_load(void *arg)
-{
-	struct load *load = arg;
-	struct rig_replica *replica = load->replica;
-	bool loaded;
-
-	rig_sleep_ms(replica->load_ms);
-	pthread_mutex_lock(&replica_lock);
-	loaded = !replica->is_down && replica->born == load->born;
-	if (loaded) {
-		replica->layer_from = load->layer_from;
-		replica->layer_to = load->layer_to;
-	}
-	pthread_mutex_unlock(&replica_lock);
-	if (loaded)
-		put_entry(replica);
-	free(load);
-	return NULL;
-}
-
-/* Accepts an order to hold layers. Another one has no effect. */
-static bool
-serve_order(struct rig_replica *replica, struct rig_conn *conn,
-    const struct rig_message *call)
-{
-	json_t *body = json_loadb(
-	    call->body ? call->body : "", call->body_len, 0, NULL);
-	const char *operation =
-	    json_string_value(json_object_get(body, "operation"));
-
-	if (operation != NULL && strcmp(operation, "place") == 0) {
-		struct load *load = calloc(1, sizeof(*load));
-
-		load->replica = replica;
-		load->born = replica->born;
-		load->layer_from =
-		    (int)json_integer_value(json_object_get(body, "source"));
-		load->layer_to =
-		    (int)json_integer_value(json_object_get(body, "target"));
-		pthread_mutex_lock(&replica_lock);
-		replica->orders++;
-		pthread_mutex_unlock(&replica_lock);
-		start_thread(run_load, load);
-	}
-	json_decref(body);
-	return rig_send_text(
-	    conn, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
-}
-
 /* Answers a call to a model replica other than a request. */
 static bool
-serve_engine_call(struct rig_replica *replica, struct rig_conn *conn,
+serve_engine_call(const struct rig_replica *replica, struct rig_conn *conn,
     const struct rig_message *call)
 {
 	char text[512];
-	char layers[64];
 
+	/* It holds what an order could ask for. */
 	if (strcmp(call->target, "/order") == 0)
-		return serve_order(replica, conn, call);
+		return rig_send_text(
+		    conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
 	snprintf(text, sizeof(text),
 	    "{\"stage\":\"combined\",\"models\":[{\"name\":\"m0\","
-	    "\"version\":1,\"adapters\":[]}],\"layers\":%s,\"kind\":\"h\","
-	    "\"busy\":false,\"sequence\":%d,\"waiting\":0,\"running\":0,"
+	    "\"version\":1,\"adapters\":[]}],\"layers\":{\"source\":0,"
+	    "\"target\":%d,\"version\":1},\"kind\":\"h\","
+	    "\"busy\":false,\"sequence\":0,\"waiting\":0,\"running\":0,"
 	    "\"kvUsed\":0,\"kvTotal\":1000000,\"kvHandles\":0,\"pace\":1,"
 	    "\"born\":%lld,\"stalledServers\":[]}",
-	    format_layers(replica, layers, sizeof(layers)), replica->orders,
-	    (long long)replica->born);
+	    RIG_LAYERS, (long long)replica->born);
 	return rig_send_text(conn,
 	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 	    "Content-Length: %zu\r\n\r\n%s",
 	    strlen(text), text);
 }
 
+/* Waits until the link of a machine has carried len bytes more, which all
+ * endless answers share. */
+static void
+use_link(size_t len)
+{
+	static pthread_mutex_t link_lock = PTHREAD_MUTEX_INITIALIZER;
+	static double free_at_ms;
+	double now = (double)rig_now_ms();
+	double until;
+
+	pthread_mutex_lock(&link_lock);
+	if (free_at_ms < now)
+		free_at_ms = now;
+	free_at_ms += (double)len / LINK_BYTES_PER_MS;
+	until = free_at_ms;
+	pthread_mutex_unlock(&link_lock);
+	if (until > now + 1)
+		rig_sleep_ms((int64_t)(until - now));
+}
+
 /* Sends events until the caller closes, all of them but the first two in one
  * event that never ends. */
 static bool
@@ -1240,48 +1072,31 @@
 {
 	char block[16384];
 	size_t sent = 0;
+	size_t len;
 
 	memset(block, 'x', sizeof(block));
 	if (!rig_send_text(conn,
 		"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: "))
 		return false;
-	while (rig_send(conn, block, sent < 900000 ? sizeof(block) : 16)) {
-		sent += sizeof(block);
-		if (sent >= 900000)
+	do {
+		len = sent < ENDLESS_FAST_BYTES ? sizeof(block) : 16;
+		if (len < sizeof(block))
 			rig_sleep_ms(100);
-	}
+		use_link(len);
+		sent += len;
+	} while (rig_send(conn, block, len));
 	return false;
 }
 
-/* Returns whether a prompt has a part. */
-static bool
-has_part(const struct rig_message *request, const char *part)
-{
-	const char *parts = rig_header(request, "Prefix-Hash");
-
-	return part != NULL && parts != NULL && strstr(parts, part) != NULL;
-}
-
 static bool
-serve_stream(struct rig_replica *replica, struct rig_conn *conn,
+serve_stream(const struct rig_replica *replica, struct rig_conn *conn,
     const struct rig_message *request, const char *id)
 {
 	const char *last = rig_header(request, "Last-Event-Id");
 	bool sent;
 
-	if (replica->layer_to - replica->layer_from < RIG_LAYERS)
-		return rig_send_text(conn,
-		    "HTTP/1.1 421 X\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\n"
-		    "Content-Length: 0\r\n\r\n",
-		    id);
 	rig_sleep_ms(replica->work_ms);
-	if (replica->is_down)
-		return false;
 	note_run(id, replica);
-	if (has_part(request, replica->deadly_part)) {
-		crash(replica);
-		return false;
-	}
 	sent = rig_send_text(conn,
 	    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 	    "Attempt-Id: %s\r\nServer-Stamp: %s.%s\r\n%s\r\n",
@@ -1290,7 +1105,7 @@
 	if (replica->endless)
 		return sent && send_endless(conn);
 	for (int i = last != NULL ? atoi(last) + 1 : 1;
-	     sent && !replica->is_down && i <= 40; i++) {
+	     sent && i <= 40; i++) {
 		char event[64];
 		int len = snprintf(
 		    event, sizeof(event), "id: %d\ndata: token %d\n\n", i, i);
@@ -1298,7 +1113,7 @@
 		sent = rig_send_text(conn, "%x\r\n%s\r\n", len, event);
 		rig_sleep_ms(20);
 	}
-	return sent && !replica->is_down && rig_send_text(conn, "0\r\n\r\n");
+	return sent && rig_send_text(conn, "0\r\n\r\n");
 }
 
 static bool
@@ -1317,28 +1132,13 @@
 	    strcmp(request->method, "HEAD") == 0 ? "" : body);
 }
 
-/* Notes the socket of a session; by 1: it begins, -1: it ends. */
-static void
-note_session(struct rig_replica *replica, int fd, int by)
-{
-	pthread_mutex_lock(&replica_lock);
-	for (int i = 0; i < RIG_SESSIONS_MAX; i++) {
-		if (replica->sessions[i] == (by > 0 ? 0 : fd + 1)) {
-			replica->sessions[i] = by > 0 ? fd + 1 : 0;
-			break;
-		}
-	}
-	pthread_mutex_unlock(&replica_lock);
-}
-
 static void
 serve_replica(struct rig_conn *conn, void *arg)
 {
-	struct rig_replica *replica = arg;
+	const struct rig_replica *replica = arg;
 	struct rig_message *request = calloc(1, sizeof(*request));
 	bool more = true;
 
-	note_session(replica, conn->fd, 1);
 	while (more && rig_read_request(conn, request) == RIG_OK) {
 		const char *id = rig_header(request, "Attempt-Id");
 		const char *expected = rig_header(request, "Expect-Instance");
@@ -1359,7 +1159,6 @@
 			more = serve_plain(replica, conn, request, id);
 		rig_message_clear(request);
 	}
-	note_session(replica, conn->fd, -1);
 	rig_message_clear(request);
 	free(request);
 }
@@ -1375,8 +1174,7 @@
 	replica->born = wall_ms();
 	if (replica->work_ms == 0)
 		replica->work_ms = 15;
-	replica->layer_to = is_engine ? RIG_LAYERS : 0;
-	if (!open_replica(replica))
+	if (!rig_serve(ip, &replica->port, serve_replica, replica))
 		rig_fail("replica %s cannot listen", id);
 	snprintf(replica->address, sizeof(replica->address), "%s:%u", ip,
 	    replica->port);
--- a/review/stand-ins-3/rig.h
+++ b/review/stand-ins-3/rig.h
@@ -92,8 +92,7 @@
 void rig_store_set_trouble(enum rig_store_trouble);
 
 /* Replicas. */
-#define RIG_SESSIONS_MAX 1024
-/* Layers of the model, which one model replica holds all. */
+/* Layers of the model; each model replica holds all. */
 #define RIG_LAYERS 8
 struct rig_replica {
 	char id[32];
@@ -102,34 +101,13 @@
 	char ip[16];
 	uint16_t port;
 	int64_t born;
-	/* Model replica: its streams take the time in work_ms to their first
-	 * event. */
 	bool is_engine;
 	/* Model replica: its streams get stuck within an event. */
 	bool endless;
-	/* Model replica: it crashes when it begins to write an answer on a
-	 * prompt with this part, and is back, empty, after back_ms. NULL: no
-	 * part does that. */
-	const char *deadly_part;
-	int64_t back_ms;
-	int64_t load_ms;
-	/* How often it crashed; updated under a lock of rig.c. */
-	int crashes;
 	int64_t work_ms;
-	/* Layers that it holds, and the orders that it accepted. */
-	int layer_from;
-	int layer_to;
-	int orders;
-	bool is_down;
-	int listener;
-	int sessions[RIG_SESSIONS_MAX];
 };
 void rig_replica_start(struct rig_replica *, const char *ip, const char *id,
     const char *service, bool is_engine);
-int rig_runs(void);
-/* The times at which replicas crashed; returns their number. */
-int rig_crashes(int64_t *at_ms, int max);
-int rig_count_runs(const char *attempt_id);
 
 /* The configuration: routes /status/ (idempotent) and /place/ (not idempotent)
  * of the service desk, and /draft/ (streaming, resumable) of the service model;
