--- a/review/stand-ins-3/rig.c
+++ b/review/stand-ins-3/rig.c
@@ -20,8 +20,8 @@
 #include "rig.h"
 
 #define NODES_MAX 8
-/* The link of a machine of the site: 1,000 Mbit/s. */
-#define LINK_BYTES_PER_MS 125000.0
+/* Six tenths of the link of a machine of the site, which has 1,000 Mbit/s. */
+#define LINK_BYTES_PER_MS 75000.0
 /* An endless event comes as fast as the link allows up to here, and then slowly.
  */
 #define ENDLESS_FAST_BYTES 900000
@@ -1045,8 +1045,8 @@
 	    strlen(text), text);
 }
 
-/* Waits until the link of a machine has carried len bytes more, which all
- * endless answers share. */
+/* Waits until len bytes more may be sent at the rate that all endless answers
+ * share. */
 static void
 use_link(size_t len)
 {
